--- /dev/null
+++ b/PerformanceTest/Main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
--- /dev/null
+++ b/UnitTests/core/TimerServiceTest.cpp
@@ -0,0 +1,60 @@
+#include "TestFramework/time/ManualTimerService.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using cuminfield::core::TimerHandle;
+using cuminfield::test_framework::time::ManualTimerService;
+
+TEST_GROUP(TimerService){};
+
+TEST(TimerService, RunsTimersInOrderOfDueTime)
+{
+  ManualTimerService timers;
+  std::string order;
+  const TimerHandle late = timers.After(20ms, [&] { order += "b"; });
+  const TimerHandle early = timers.After(10ms, [&] { order += "a"; });
+  timers.Advance(15ms);
+  STRCMP_EQUAL("a", order.c_str());
+  timers.Advance(5ms);
+  STRCMP_EQUAL("ab", order.c_str());
+}
+
+TEST(TimerService, CancelledTimerDoesNotRun)
+{
+  ManualTimerService timers;
+  int count = 0;
+  TimerHandle handle = timers.Every(10ms, [&] { ++count; });
+  timers.Advance(35ms);
+  handle.Cancel();
+  timers.Advance(100ms);
+  LONGS_EQUAL(3, count);
+}
+
+TEST(TimerService, TimerMayCancelItself)
+{
+  ManualTimerService timers;
+  int count = 0;
+  TimerHandle handle;
+  handle = timers.Every(10ms, [&] {
+    ++count;
+    handle.Cancel();
+  });
+  timers.Advance(100ms);
+  LONGS_EQUAL(1, count);
+}
+
+TEST(TimerService, ZeroDelayTimerDoesNotStarveTheLoop)
+{
+  ManualTimerService timers;
+  int count = 0;
+  TimerHandle handle;
+  std::function<void()> again = [&] {
+    if (++count < 1000) {
+      handle = timers.After(0ms, [&] { again(); });
+    }
+  };
+  handle = timers.After(0ms, [&] { again(); });
+  CHECK(timers.Step(timers.Now()));
+  LONGS_EQUAL(1, count);
+}
--- /dev/null
+++ b/cuminfield/core/Invariant.cpp
@@ -0,0 +1,26 @@
+#include "cuminfield/core/Invariant.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace cuminfield::core {
+
+namespace {
+InvariantHandler sHandler = nullptr;
+} // namespace
+
+void SetInvariantHandler(InvariantHandler aHandler)
+{
+  sHandler = aHandler;
+}
+
+void InvariantBroken(const char* aName, const char* aCondition, const char* aFile, int aLine)
+{
+  if (sHandler) {
+    sHandler(aName);
+  }
+  std::fprintf(stderr, "invariant broken: %s: %s (%s:%d)\n", aName, aCondition, aFile, aLine);
+  std::abort();
+}
+
+} // namespace cuminfield::core
