--- /dev/null
+++ b/cuminfield/connection/caller/HttpServer.cpp
@@ -0,0 +1,311 @@
+#include "cuminfield/connection/caller/HttpServer.h"
+
+#include "cuminfield/core/Timeval.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <utility>
+
+namespace cuminfield::connection::caller {
+
+namespace {
+
+const HttpHeaders kProblemHeaders{ { std::string(kContentTypeHeader), "application/problem+json" },
+                                   { std::string(kRetryAfterHeader), "1" } };
+
+const char* MethodName(evhttp_cmd_type aCommand)
+{
+  switch (aCommand) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "";
+  }
+}
+
+CallerRequest ReadRequest(evhttp_request* aRequest)
+{
+  CallerRequest request;
+  request.method = MethodName(evhttp_request_get_command(aRequest));
+  request.target = evhttp_request_get_uri(aRequest);
+  request.path = request.target.substr(0, request.target.find('?'));
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* it = headers->tqh_first; it; it = it->next.tqe_next) {
+    request.headers.push_back({ .name = it->key, .value = it->value });
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(aRequest);
+  request.body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, request.body.data(), request.body.size());
+  return request;
+}
+
+} // namespace
+
+/// Answers one request. When the connection is lost before the answer is whole, evhttp parts the
+/// request from it and leaves it to us to end.
+class HttpServer::Channel
+  : public CallerChannel
+  , public std::enable_shared_from_this<Channel>
+{
+public:
+  Channel(HttpServer& aServer, evhttp_request* aRequest)
+    : mServer(aServer)
+    , mRequest(aRequest)
+  {
+    ++mServer.mOpen;
+  }
+
+  ~Channel() override
+  {
+    // A handler that drops the channel without an answer must not leave the caller waiting.
+    if (mRequest) {
+      Abort();
+    }
+  }
+
+  /// Watches for the caller's leaving while its answer is being made.
+  void Watch()
+  {
+    evhttp_connection* connection = evhttp_request_get_connection(mRequest);
+    evhttp_connection_set_closecb(connection, OnClosed, this);
+    bufferevent* channel = evhttp_connection_get_bufferevent(connection);
+    // evhttp stops reading while a request is answered, which would hide that the caller left.
+    // It does this same change itself with its first write.
+    bufferevent_event_cb onEvent = nullptr;
+    bufferevent_data_cb onWrite = nullptr;
+    void* context = nullptr;
+    bufferevent_getcb(channel, nullptr, &onWrite, &onEvent, &context);
+    bufferevent_setcb(channel, nullptr, onWrite, onEvent, context);
+    // A caller waits silently for as long as its answer takes; only a stuck write times out.
+    const timeval stall = core::ToTimeval(mServer.mOptions.settings.idle);
+    bufferevent_set_timeouts(channel, nullptr, &stall);
+    bufferevent_enable(channel, EV_READ);
+  }
+
+  void SendHead(int aStatus, const HttpHeaders& aHeaders) override
+  {
+    if (!mRequest) {
+      return;
+    }
+    AddHeaders(aHeaders);
+    evhttp_send_reply_start(mRequest, aStatus, nullptr);
+  }
+
+  void SendBody(std::string_view aBytes) override
+  {
+    if (!mRequest || aBytes.empty()) {
+      return;
+    }
+    evbuffer* part = evbuffer_new();
+    evbuffer_add(part, aBytes.data(), aBytes.size());
+    evhttp_send_reply_chunk_with_cb(mRequest, part, OnWritten, this);
+    evbuffer_free(part);
+    CheckBacklog();
+  }
+
+  void End() override
+  {
+    if (!mRequest) {
+      return;
+    }
+    evhttp_request* request = Release();
+    evhttp_send_reply_end(request);
+  }
+
+  void Abort() override
+  {
+    if (!mRequest) {
+      return;
+    }
+    evhttp_connection* connection = evhttp_request_get_connection(mRequest);
+    Release();
+    if (connection) {
+      bufferevent_disable(evhttp_connection_get_bufferevent(connection), EV_READ | EV_WRITE);
+      mServer.CloseSoon(connection);
+    }
+  }
+
+  void SendWhole(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody) override
+  {
+    if (!mRequest) {
+      return;
+    }
+    AddHeaders(aHeaders);
+    evbuffer* body = evbuffer_new();
+    evbuffer_add(body, aBody.data(), aBody.size());
+    evhttp_request* request = Release();
+    evhttp_send_reply(request, aStatus, nullptr, body);
+    evbuffer_free(body);
+  }
+
+private:
+  void AddHeaders(const HttpHeaders& aHeaders)
+  {
+    evkeyvalq* headers = evhttp_request_get_output_headers(mRequest);
+    for (const HttpHeader& it : aHeaders) {
+      evhttp_add_header(headers, it.name.c_str(), it.value.c_str());
+    }
+  }
+
+  /// The last bytes of the answer are on their way: stops watching. Keeps the channel's callbacks
+  /// from firing for the connection's next request.
+  evhttp_request* Release()
+  {
+    evhttp_request* request = std::exchange(mRequest, nullptr);
+    --mServer.mOpen;
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    if (connection) {
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      const timeval idle = core::ToTimeval(mServer.mOptions.settings.idle);
+      bufferevent* channel = evhttp_connection_get_bufferevent(connection);
+      bufferevent_set_timeouts(channel, &idle, &idle);
+    }
+    return request;
+  }
+
+  void CheckBacklog()
+  {
+    evhttp_connection* connection = evhttp_request_get_connection(mRequest);
+    if (!connection) {
+      return;
+    }
+    bufferevent* channel = evhttp_connection_get_bufferevent(connection);
+    const auto waiting =
+      static_cast<std::int64_t>(evbuffer_get_length(bufferevent_get_output(channel)));
+    const bool backlog = waiting > mServer.mOptions.settings.callerBuffer.value;
+    if (backlog != mBacklog) {
+      mBacklog = backlog;
+      if (onBacklog) {
+        onBacklog(backlog);
+      }
+    }
+  }
+
+  void Gone()
+  {
+    if (!mRequest) {
+      return;
+    }
+    evhttp_request* request = std::exchange(mRequest, nullptr);
+    --mServer.mOpen;
+    mServer.mOptions.loop.Post([self = shared_from_this(), request] {
+      // Without a connection this only frees the request.
+      evhttp_send_reply_end(request);
+      if (self->onGone) {
+        const auto gone = std::move(self->onGone);
+        gone();
+      }
+    });
+  }
+
+  static void OnClosed(evhttp_connection*, void* aSelf) { static_cast<Channel*>(aSelf)->Gone(); }
+
+  static void OnWritten(evhttp_connection*, void* aSelf)
+  {
+    auto* self = static_cast<Channel*>(aSelf);
+    if (self->mRequest && self->mBacklog) {
+      self->CheckBacklog();
+    }
+  }
+
+  HttpServer& mServer;
+  evhttp_request* mRequest;
+  bool mBacklog = false;
+};
+
+HttpServer::HttpServer(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  if (mServer) {
+    evhttp_free(mServer);
+  }
+}
+
+core::Result<void> HttpServer::Start()
+{
+  mServer = evhttp_new(mOptions.loop.Base());
+  evhttp_set_allowed_methods(mServer,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+  evhttp_set_max_body_size(mServer, mOptions.settings.maxBody.value);
+  evhttp_set_max_headers_size(mServer, mOptions.settings.maxHeaders.value);
+  const timeval idle = core::ToTimeval(mOptions.settings.idle);
+  evhttp_set_timeout_tv(mServer, &idle);
+  evhttp_set_default_content_type(mServer, nullptr);
+  evhttp_set_gencb(mServer, OnRequest, this);
+  mSocket =
+    evhttp_bind_socket_with_handle(mServer, mOptions.listen.address.c_str(), mOptions.listen.port);
+  if (!mSocket) {
+    return core::Fail(core::ErrorKind::Io, "cannot listen on " + mOptions.listen.Text() +
+                                             "; free the port or change it in section [listen]");
+  }
+  return core::Done();
+}
+
+void HttpServer::StopAccepting()
+{
+  if (mSocket) {
+    evhttp_del_accept_socket(mServer, std::exchange(mSocket, nullptr));
+  }
+}
+
+void HttpServer::Handle(evhttp_request* aRequest)
+{
+  auto channel = std::make_shared<Channel>(*this, aRequest);
+  channel->Watch();
+  if (mOpen > mOptions.settings.maxOpen) {
+    channel->SendWhole(kStatusUnavailable, kProblemHeaders,
+                       R"({"type":"about:blank","title":"too many callers","status":503,)"
+                       R"("outcome":"not-run","detail":"Send again after Retry-After."})");
+    return;
+  }
+  if (!evhttp_request_get_uri(aRequest)) {
+    // evhttp's sign for a request that it could not read.
+    channel->SendWhole(kStatusBadRequest, kProblemHeaders,
+                       R"({"type":"about:blank","title":"malformed or too large","status":400,)"
+                       R"("outcome":"not-run","detail":"Send a shorter, well-formed request."})");
+    return;
+  }
+  CallerRequest request = ReadRequest(aRequest);
+  mOptions.handler.OnRequest(std::move(request), std::move(channel));
+}
+
+void HttpServer::CloseSoon(evhttp_connection* aConnection)
+{
+  // From the loop, since this may run inside one of the connection's own callbacks; and only if
+  // evhttp has not freed the connection by itself until then.
+  mClosing.insert(aConnection);
+  evhttp_connection_set_closecb(aConnection, OnClosingClosed, this);
+  mOptions.loop.Post([this, aConnection] {
+    if (mClosing.erase(aConnection) > 0) {
+      evhttp_connection_set_closecb(aConnection, nullptr, nullptr);
+      evhttp_connection_free(aConnection);
+    }
+  });
+}
+
+void HttpServer::OnClosingClosed(evhttp_connection* aConnection, void* aSelf)
+{
+  static_cast<HttpServer*>(aSelf)->mClosing.erase(aConnection);
+}
+
+void HttpServer::OnRequest(evhttp_request* aRequest, void* aSelf)
+{
+  static_cast<HttpServer*>(aSelf)->Handle(aRequest);
+}
+
+} // namespace cuminfield::connection::caller
--- /dev/null
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -0,0 +1,387 @@
+#include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
+
+#include "cuminfield/core/Timeval.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace cuminfield::connection::upstream {
+
+namespace {
+
+std::optional<evhttp_cmd_type> ToCommand(const std::string& aMethod)
+{
+  if (aMethod == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (aMethod == "GET") {
+    return EVHTTP_REQ_GET;
+  }
+  if (aMethod == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (aMethod == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  return std::nullopt;
+}
+
+HttpHeaders CopyHeaders(const evkeyvalq* aHeaders)
+{
+  HttpHeaders headers;
+  for (const evkeyval* it = aHeaders->tqh_first; it; it = it->next.tqe_next) {
+    headers.push_back({ .name = it->key, .value = it->value });
+  }
+  return headers;
+}
+
+} // namespace
+
+/// Outlives the call while evhttp still holds its request: late callbacks find no call.
+struct HttpUpstreamTransport::CallState
+{
+  Call* call = nullptr;
+};
+
+class HttpUpstreamTransport::Call : public UpstreamCall
+{
+public:
+  Call(HttpUpstreamTransport& aTransport, Key aKey, UpstreamRequest aRequest,
+       UpstreamCallListener& aListener)
+    : mTransport(aTransport)
+    , mKey(std::move(aKey))
+    , mRequest(std::move(aRequest))
+    , mListener(aListener)
+    , mState(std::make_shared<State>(State{ .call = this }))
+  {
+  }
+
+  ~Call() override
+  {
+    mState->call = nullptr;
+    if (mConnection) {
+      Detach();
+      mTransport.CloseSoon(mConnection, mSentState);
+    }
+  }
+
+  void Begin()
+  {
+    mConnection = mRequest.freshConnection ? mTransport.Connect(mKey) : mTransport.Take(mKey);
+    const auto command = ToCommand(mRequest.method);
+    if (!mConnection || !command) {
+      FailSoon(mConnection ? "method " + mRequest.method + " is not supported"
+                           : "no socket; raise the limit of open files");
+      return;
+    }
+    evhttp_connection_set_closecb(mConnection, nullptr, nullptr);
+    WatchOutput();
+    Send(*command);
+  }
+
+  void Pause(bool aPaused) override
+  {
+    if (!mConnection) {
+      return;
+    }
+    bufferevent* channel = evhttp_connection_get_bufferevent(mConnection);
+    if (aPaused) {
+      bufferevent_disable(channel, EV_READ);
+    } else {
+      bufferevent_enable(channel, EV_READ);
+    }
+  }
+
+private:
+  using State = CallState;
+
+  void WatchOutput()
+  {
+    bufferevent* channel = evhttp_connection_get_bufferevent(mConnection);
+    mOutput = bufferevent_get_output(channel);
+    mOutputWatch = evbuffer_add_cb(mOutput, OnOutput, this);
+  }
+
+  void Send(evhttp_cmd_type aCommand)
+  {
+    // evhttp owns the request; the heap-held pointer keeps State alive until its last callback.
+    mSentState = new std::shared_ptr<State>(mState);
+    evhttp_request* request = evhttp_request_new(OnComplete, mSentState);
+    evhttp_request_set_header_cb(request, OnHeaders);
+    evhttp_request_set_chunked_cb(request, OnChunk);
+    evhttp_request_set_error_cb(request, OnError);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", mKey.first.c_str());
+    evhttp_add_header(headers, kRequestIdHeader.data(), mRequest.id.Text().c_str());
+    for (const HttpHeader& it : mRequest.headers) {
+      evhttp_add_header(headers, it.name.c_str(), it.value.c_str());
+    }
+    evbuffer* body = evhttp_request_get_output_buffer(request);
+    evbuffer_add(body, mRequest.body.data(), mRequest.body.size());
+    const std::string target = mRequest.target;
+    if (evhttp_make_request(mConnection, request, aCommand, target.c_str()) != 0) {
+      // evhttp has let go of the request without a callback.
+      Detach();
+      mTransport.CloseSoon(std::exchange(mConnection, nullptr), std::exchange(mSentState, nullptr));
+      FailSoon("cannot start a connection");
+      return;
+    }
+    mConnectTimer = mTransport.mOptions.loop.After(mTransport.mOptions.settings.connect,
+                                                   [this] { CheckConnected(); });
+  }
+
+  /// Gives up on a connection that did not come about in time.
+  void CheckConnected()
+  {
+    if (mBytesLeft || !mConnection) {
+      return;
+    }
+    // Freed here and now: freed later, it might still connect and send after the failure was told.
+    Detach();
+    evhttp_connection_free(std::exchange(mConnection, nullptr));
+    delete std::exchange(mSentState, nullptr);
+    Fail("no connection in time");
+  }
+
+  /// Reports a failure before any byte was sent, from the loop.
+  void FailSoon(std::string aReason)
+  {
+    mTransport.mOptions.loop.Post([state = mState, reason = std::move(aReason)] {
+      if (state->call) {
+        state->call->Fail(reason);
+      }
+    });
+  }
+
+  void Fail(const std::string& aReason)
+  {
+    const bool mayHaveRun = mBytesLeft;
+    std::string message =
+      "upstream " + mKey.first + ":" + std::to_string(mKey.second) + ": " + aReason;
+    message += mayHaveRun ? "; ask again with the same key" : "; safe to send again";
+    mListener.OnFailed({ .mayHaveRun = mayHaveRun,
+                         .error = { .kind = core::ErrorKind::Unavailable, .message = message } });
+  }
+
+  /// Stops watching the connection; it goes back to the pool or is closed.
+  void Detach()
+  {
+    if (mOutputWatch) {
+      evbuffer_remove_cb_entry(mOutput, mOutputWatch);
+      mOutputWatch = nullptr;
+    }
+  }
+
+  void Complete(evhttp_request* aRequest)
+  {
+    Detach();
+    mConnectTimer.Cancel();
+    evhttp_connection* connection = std::exchange(mConnection, nullptr);
+    const int status = aRequest ? evhttp_request_get_response_code(aRequest) : 0;
+    if (mIdDiffers) {
+      mErrorText = "the answer belongs to another request";
+    }
+    if (status == 0 || !mHeadSeen || !mErrorText.empty()) {
+      mTransport.CloseSoon(connection, nullptr);
+      Fail(mErrorText.empty() ? "no answer" : mErrorText);
+      return;
+    }
+    mTransport.GiveBack(mKey, connection);
+    mListener.OnEnd();
+  }
+
+  int Headers(evhttp_request* aRequest)
+  {
+    const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+    const char* id = evhttp_find_header(headers, kRequestIdHeader.data());
+    if (!id || mRequest.id.Text() != id) {
+      mIdDiffers = true;
+      return -1;
+    }
+    mHeadSeen = true;
+    mListener.OnHead(evhttp_request_get_response_code(aRequest), CopyHeaders(headers));
+    return 0;
+  }
+
+  void Chunk(evhttp_request* aRequest)
+  {
+    evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+    const std::size_t size = evbuffer_get_length(input);
+    if (size == 0 || !mHeadSeen) {
+      return;
+    }
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    mListener.OnBody(std::string_view(bytes, size));
+  }
+
+  static void OnComplete(evhttp_request* aRequest, void* aState)
+  {
+    auto* held = static_cast<std::shared_ptr<State>*>(aState);
+    if (!(*held)->call) {
+      return; // CloseSoon() frees the state.
+    }
+    Call* call = (*held)->call;
+    delete std::exchange(call->mSentState, nullptr);
+    call->Complete(aRequest);
+  }
+
+  static int OnHeaders(evhttp_request* aRequest, void* aState)
+  {
+    const std::shared_ptr<State> state = *static_cast<std::shared_ptr<State>*>(aState);
+    return state->call ? state->call->Headers(aRequest) : -1;
+  }
+
+  static void OnChunk(evhttp_request* aRequest, void* aState)
+  {
+    const std::shared_ptr<State> state = *static_cast<std::shared_ptr<State>*>(aState);
+    if (state->call) {
+      state->call->Chunk(aRequest);
+    }
+  }
+
+  static void OnError(evhttp_request_error aError, void* aState)
+  {
+    const std::shared_ptr<State> state = *static_cast<std::shared_ptr<State>*>(aState);
+    if (!state->call) {
+      return;
+    }
+    state->call->mErrorText = Describe(aError);
+  }
+
+  static std::string Describe(evhttp_request_error aError)
+  {
+    switch (aError) {
+      case EVREQ_HTTP_TIMEOUT:
+        return "silent for too long";
+      case EVREQ_HTTP_EOF:
+        return "connection closed before the answer was whole";
+      case EVREQ_HTTP_INVALID_HEADER:
+        return "answer is not HTTP";
+      case EVREQ_HTTP_BUFFER_ERROR:
+        return "connection broke";
+      case EVREQ_HTTP_REQUEST_CANCEL:
+        return "cancelled";
+      case EVREQ_HTTP_DATA_TOO_LONG:
+        return "answer is too long";
+    }
+    return "connection failed";
+  }
+
+  static void OnOutput(evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf)
+  {
+    // Bytes that leave the buffer may have reached the upstream, whatever happens next.
+    auto* self = static_cast<Call*>(aSelf);
+    self->mBytesLeft = self->mBytesLeft || aInfo->n_deleted > 0;
+  }
+
+  HttpUpstreamTransport& mTransport;
+  Key mKey;
+  UpstreamRequest mRequest;
+  UpstreamCallListener& mListener;
+  std::shared_ptr<State> mState;
+  evhttp_connection* mConnection = nullptr;
+  std::shared_ptr<State>* mSentState = nullptr; ///< What evhttp's request points to.
+  core::TimerHandle mConnectTimer;
+  evbuffer* mOutput = nullptr;
+  evbuffer_cb_entry* mOutputWatch = nullptr;
+  bool mBytesLeft = false; ///< A byte of the request may be on its way to the upstream.
+  bool mHeadSeen = false;
+  bool mIdDiffers = false;
+  std::string mErrorText;
+};
+
+HttpUpstreamTransport::HttpUpstreamTransport(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+HttpUpstreamTransport::~HttpUpstreamTransport()
+{
+  for (const auto& [key, idle] : mIdle) {
+    for (const Idle& it : idle) {
+      evhttp_connection_set_closecb(it.connection, nullptr, nullptr);
+      evhttp_connection_free(it.connection);
+    }
+  }
+}
+
+std::unique_ptr<UpstreamCall> HttpUpstreamTransport::Start(const std::string& aAddress,
+                                                           std::uint16_t aPort,
+                                                           UpstreamRequest aRequest,
+                                                           UpstreamCallListener& aListener)
+{
+  auto call = std::make_unique<Call>(*this, Key(aAddress, aPort), std::move(aRequest), aListener);
+  call->Begin();
+  return call;
+}
+
+evhttp_connection* HttpUpstreamTransport::Take(const Key& aKey)
+{
+  const auto it = mIdle.find(aKey);
+  if (it == mIdle.end() || it->second.empty()) {
+    return Connect(aKey);
+  }
+  evhttp_connection* connection = it->second.back().connection;
+  it->second.pop_back();
+  return connection;
+}
+
+evhttp_connection* HttpUpstreamTransport::Connect(const Key& aKey)
+{
+  event_base* base = mOptions.loop.Base();
+  evhttp_connection* connection =
+    evhttp_connection_base_new(base, nullptr, aKey.first.c_str(), aKey.second);
+  if (!connection) {
+    return nullptr;
+  }
+  const timeval stall = core::ToTimeval(mOptions.settings.stall);
+  evhttp_connection_set_timeout_tv(connection, &stall);
+  evhttp_connection_set_retries(connection, 0);
+  return connection;
+}
+
+void HttpUpstreamTransport::GiveBack(const Key& aKey, evhttp_connection* aConnection)
+{
+  std::vector<Idle>& idle = mIdle[aKey];
+  if (idle.size() >= mOptions.settings.idlePerUpstream) {
+    CloseSoon(aConnection, nullptr);
+    return;
+  }
+  evhttp_connection_set_closecb(aConnection, OnIdleClosed, this);
+  idle.push_back({ .connection = aConnection });
+}
+
+void HttpUpstreamTransport::CloseSoon(evhttp_connection* aConnection,
+                                      std::shared_ptr<CallState>* aState)
+{
+  // evhttp may be in the middle of this connection's callback.
+  evhttp_connection_set_closecb(aConnection, nullptr, nullptr);
+  mOptions.loop.Post([aConnection, aState] {
+    evhttp_connection_free(aConnection);
+    delete aState;
+  });
+}
+
+void HttpUpstreamTransport::OnIdleClosed(evhttp_connection* aConnection, void* aSelf)
+{
+  auto* self = static_cast<HttpUpstreamTransport*>(aSelf);
+  for (auto& [key, idle] : self->mIdle) {
+    const auto it = std::find_if(idle.begin(), idle.end(), [aConnection](const Idle& aIdle) {
+      return aIdle.connection == aConnection;
+    });
+    if (it != idle.end()) {
+      idle.erase(it);
+      self->CloseSoon(aConnection, nullptr);
+      return;
+    }
+  }
+}
+
+} // namespace cuminfield::connection::upstream
--- /dev/null
+++ b/cuminfield/core/EventLoop.cpp
@@ -0,0 +1,117 @@
+#include "cuminfield/core/EventLoop.h"
+
+#include "cuminfield/core/Timeval.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace cuminfield::core {
+
+EventLoop::EventLoop()
+{
+  evthread_use_pthreads();
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  mBase = event_base_new_with_config(config);
+  event_config_free(config);
+  if (!mBase) {
+    throw std::runtime_error("cannot make an event base; raise the limit of open files");
+  }
+  mTimer = event_new(mBase, -1, 0, OnTimer, this);
+  mPostedEvent = event_new(mBase, -1, EV_PERSIST, OnPosted, this);
+}
+
+EventLoop::~EventLoop()
+{
+  for (const auto& it : mSignals) {
+    event_free(it->watch);
+  }
+  event_free(mPostedEvent);
+  event_free(mTimer);
+  event_base_free(mBase);
+}
+
+Instant EventLoop::Now() const
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant(std::chrono::duration_cast<Duration>(now));
+}
+
+WallTime EventLoop::WallNow() const
+{
+  return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+}
+
+void EventLoop::Run()
+{
+  event_base_loop(mBase, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::Stop()
+{
+  event_base_loopbreak(mBase);
+}
+
+void EventLoop::Post(std::function<void()> aWork)
+{
+  {
+    const std::lock_guard lock(mPostMutex);
+    mPosted.push_back(std::move(aWork));
+  }
+  event_active(mPostedEvent, EV_READ, 0);
+}
+
+void EventLoop::OnSignal(int aSignal, std::function<void()> aSlot)
+{
+  auto signal = std::make_unique<SignalWatch>();
+  signal->slot = std::move(aSlot);
+  signal->watch = evsignal_new(mBase, aSignal, OnSignalEvent, signal.get());
+  event_add(signal->watch, nullptr);
+  mSignals.push_back(std::move(signal));
+}
+
+void EventLoop::Rearm()
+{
+  const auto due = NextDue();
+  if (!due) {
+    event_del(mTimer);
+    return;
+  }
+  const Duration delay = std::max(*due - Now(), Duration::zero());
+  const timeval wait = ToTimeval(delay);
+  event_add(mTimer, &wait);
+}
+
+void EventLoop::RunPosted()
+{
+  std::vector<std::function<void()>> work;
+  {
+    const std::lock_guard lock(mPostMutex);
+    work.swap(mPosted);
+  }
+  for (const auto& it : work) {
+    it();
+  }
+}
+
+void EventLoop::OnTimer(int, short, void* aSelf)
+{
+  auto* self = static_cast<EventLoop*>(aSelf);
+  self->RunDue();
+  self->Rearm();
+}
+
+void EventLoop::OnPosted(int, short, void* aSelf)
+{
+  static_cast<EventLoop*>(aSelf)->RunPosted();
+}
+
+void EventLoop::OnSignalEvent(int, short, void* aWatch)
+{
+  static_cast<SignalWatch*>(aWatch)->slot();
+}
+
+} // namespace cuminfield::core
--- /dev/null
+++ b/cuminfield/process/logging/EventLog.cpp
@@ -0,0 +1,82 @@
+#include "cuminfield/process/logging/EventLog.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace cuminfield::process::logging {
+
+namespace {
+
+settings::LogFormat sFormat = settings::LogFormat::KeyValue;
+std::string sHost;
+
+spdlog::level::level_enum ToSpdlog(Level aLevel)
+{
+  switch (aLevel) {
+    case Level::Debug:
+      return spdlog::level::debug;
+    case Level::Info:
+      return spdlog::level::info;
+    case Level::Warning:
+      return spdlog::level::warn;
+    case Level::Error:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+bool NeedsQuotes(std::string_view aValue)
+{
+  return aValue.empty() || aValue.find_first_of(" =\"\\\n\r\t") != std::string_view::npos;
+}
+
+} // namespace
+
+void SetUp(const std::string& aLevel, settings::LogFormat aFormat, const core::HostId& aHost)
+{
+  sFormat = aFormat;
+  sHost = aHost.Text();
+  auto logger = spdlog::stderr_logger_st("cuminfield");
+  logger->set_level(spdlog::level::from_str(aLevel));
+  if (aFormat == settings::LogFormat::Json) {
+    logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v})",
+                        spdlog::pattern_time_type::utc);
+  } else {
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v", spdlog::pattern_time_type::utc);
+  }
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+std::string Format(settings::LogFormat aFormat, std::string_view aEvent,
+                   std::initializer_list<Field> aFields)
+{
+  const auto quoted = [](std::string_view aValue) {
+    const nlohmann::json text = std::string(aValue);
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  };
+  const bool json = aFormat == settings::LogFormat::Json;
+  std::string line = json ? "\"event\":" + quoted(aEvent) : "event=" + std::string(aEvent);
+  for (const Field& it : aFields) {
+    if (json) {
+      line += "," + quoted(it.name) + ":" + quoted(it.value);
+      continue;
+    }
+    line += " " + std::string(it.name) + "=";
+    line += NeedsQuotes(it.value) ? quoted(it.value) : it.value;
+  }
+  return line;
+}
+
+void Event(Level aLevel, std::string_view aEvent, std::initializer_list<Field> aFields)
+{
+  const auto level = ToSpdlog(aLevel);
+  if (!spdlog::default_logger_raw()->should_log(level)) {
+    return;
+  }
+  std::string line = Format(sFormat, aEvent, aFields);
+  spdlog::default_logger_raw()->log(level, line);
+}
+
+} // namespace cuminfield::process::logging
--- /dev/null
+++ b/cuminfield/process/membership/UpstreamDirectory.cpp
@@ -0,0 +1,368 @@
+#include "cuminfield/process/membership/UpstreamDirectory.h"
+
+#include "cuminfield/core/Invariant.h"
+#include "cuminfield/process/membership/membership.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfield::process::membership {
+
+namespace {
+
+constexpr core::Duration kLeaseCheck = std::chrono::milliseconds(100);
+
+std::uint32_t ToMilliseconds(core::Duration aDuration)
+{
+  return static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+void Write(const request::UpstreamAnnouncement& aFrom, proto::Announcement& aTo)
+{
+  aTo.set_id(aFrom.id.Text());
+  aTo.set_incarnation(aFrom.incarnation.Value());
+  aTo.set_service(aFrom.service.Text());
+  aTo.set_version(aFrom.version.Text());
+  aTo.set_data_centre(aFrom.dataCentre.Text());
+  aTo.set_region(aFrom.region.Text());
+  aTo.set_address(aFrom.address);
+  aTo.set_port(aFrom.port);
+  aTo.set_slots(aFrom.slots);
+  aTo.set_cache_tokens(aFrom.cacheCapacity.value);
+  aTo.set_resumes(aFrom.resumes);
+}
+
+request::UpstreamAnnouncement Read(const proto::Announcement& aFrom)
+{
+  return { .id = core::UpstreamId(aFrom.id()),
+           .incarnation = core::Incarnation(aFrom.incarnation()),
+           .service = core::ServiceId(aFrom.service()),
+           .version = core::VersionId(aFrom.version()),
+           .dataCentre = core::DataCentreId(aFrom.data_centre()),
+           .region = core::RegionId(aFrom.region()),
+           .address = aFrom.address(),
+           .port = static_cast<std::uint16_t>(aFrom.port()),
+           .slots = aFrom.slots(),
+           .cacheCapacity = { aFrom.cache_tokens() },
+           .resumes = aFrom.resumes() };
+}
+
+bool SameFacts(const request::UpstreamAnnouncement& aLeft,
+               const request::UpstreamAnnouncement& aRight)
+{
+  return aLeft.incarnation == aRight.incarnation && aLeft.service == aRight.service &&
+         aLeft.version == aRight.version && aLeft.address == aRight.address &&
+         aLeft.port == aRight.port && aLeft.slots == aRight.slots;
+}
+
+} // namespace
+
+UpstreamDirectory::UpstreamDirectory(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+  for (const settings::PeerSettings& it : mOptions.peers) {
+    if (it.dataCentre == mOptions.dataCentre) {
+      mNeighbours.push_back(it.id);
+    } else {
+      mRemote[it.dataCentre].push_back(it.id);
+    }
+  }
+  mOptions.links.OnMessage().connect(sigc::mem_fun(*this, &UpstreamDirectory::OnMessage));
+  mGossipTimer = mOptions.timers.Every(mOptions.settings.gossip, [this] { SendGossip(); });
+  mLeaseTimer = mOptions.timers.Every(kLeaseCheck, [this] { CheckLeases(); });
+}
+
+core::Result<void> UpstreamDirectory::Announce(const request::UpstreamAnnouncement& aAnnouncement)
+{
+  Entry& entry = mEntries[aAnnouncement.id];
+  const core::Incarnation known = entry.announcement.incarnation;
+  if (aAnnouncement.incarnation < known) {
+    return core::Fail(core::ErrorKind::Conflict,
+                      "a later life of this upstream is known; announce a larger incarnation");
+  }
+  if (aAnnouncement.incarnation == known && entry.left) {
+    return core::Fail(core::ErrorKind::Conflict,
+                      "this life of the upstream has left; announce a larger incarnation");
+  }
+  entry.direct = true;
+  entry.announceAgain = true;
+  Accept(entry, aAnnouncement, mOptions.timers.Now());
+  return core::Done();
+}
+
+core::Result<void> UpstreamDirectory::Renew(const core::UpstreamId& aId,
+                                            core::Incarnation aIncarnation,
+                                            const std::optional<request::LoadReport>& aLoad,
+                                            const std::vector<request::CacheEvent>& aCache)
+{
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end() || it->second.announcement.incarnation != aIncarnation ||
+      it->second.left || !it->second.direct) {
+    return core::Fail(core::ErrorKind::NotFound, "not announced here; announce it again");
+  }
+  Entry& entry = it->second;
+  entry.heard = mOptions.timers.Now();
+  entry.fresh = true;
+  Raise(entry);
+  if (aLoad) {
+    TakeLoad(entry, *aLoad);
+  }
+  for (const request::CacheEvent& event : aCache) {
+    entry.cache.push_back(event);
+    mOnCache.emit(event);
+  }
+  return core::Done();
+}
+
+void UpstreamDirectory::Leave(const core::UpstreamId& aId, core::Incarnation aIncarnation)
+{
+  Entry& entry = mEntries[aId];
+  if (aIncarnation < entry.announcement.incarnation) {
+    return;
+  }
+  entry.announcement.id = aId;
+  entry.announcement.incarnation = aIncarnation;
+  entry.left = true;
+  entry.direct = true;
+  entry.heard = mOptions.timers.Now();
+  Lower(entry);
+  // At once, not with the next round: the promise to the upstream runs in seconds.
+  proto::Gossip gossip;
+  AddUpstream(entry, gossip, false);
+  Broadcast(gossip);
+}
+
+std::vector<UpstreamDirectory::View> UpstreamDirectory::List() const
+{
+  std::vector<View> views;
+  for (const auto& [id, entry] : mEntries) {
+    views.push_back({ .announcement = entry.announcement,
+                      .up = entry.up,
+                      .direct = entry.direct,
+                      .load = entry.load });
+  }
+  return views;
+}
+
+void UpstreamDirectory::Accept(Entry& aEntry, const request::UpstreamAnnouncement& aAnnouncement,
+                               core::Instant aHeard)
+{
+  const bool changed = !SameFacts(aEntry.announcement, aAnnouncement);
+  if (changed) {
+    Lower(aEntry);
+    aEntry.left = false;
+    aEntry.load.reset();
+  }
+  aEntry.announcement = aAnnouncement;
+  aEntry.heard = std::max(aEntry.heard, aHeard);
+  aEntry.fresh = true;
+  Raise(aEntry);
+}
+
+void UpstreamDirectory::Raise(Entry& aEntry)
+{
+  if (aEntry.up || aEntry.left || aEntry.announcement.port == 0) {
+    return;
+  }
+  if (mOptions.timers.Now() - aEntry.heard >= mOptions.settings.lease) {
+    return;
+  }
+  aEntry.up = true;
+  mOnUp.emit(aEntry.announcement);
+}
+
+void UpstreamDirectory::Lower(Entry& aEntry)
+{
+  if (std::exchange(aEntry.up, false)) {
+    mOnGone.emit(aEntry.announcement.id);
+  }
+}
+
+void UpstreamDirectory::TakeLoad(Entry& aEntry, const request::LoadReport& aLoad)
+{
+  // Reports overtake each other on their way through peers; an older one says nothing new.
+  if (aEntry.load && aLoad.sequence <= aEntry.load->sequence) {
+    return;
+  }
+  aEntry.load = aLoad;
+  aEntry.loadAt = mOptions.timers.Now();
+  mOnLoad.emit(aLoad);
+}
+
+void UpstreamDirectory::CheckLeases()
+{
+  const core::Instant now = mOptions.timers.Now();
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    Entry& entry = it->second;
+    const core::Duration silent = now - entry.heard;
+    if (silent >= mOptions.settings.lease) {
+      Lower(entry);
+      entry.direct = entry.direct && entry.left;
+    }
+    const bool forget = silent >= mOptions.settings.rememberLeft;
+    it = forget ? mEntries.erase(it) : std::next(it);
+  }
+}
+
+void UpstreamDirectory::SendGossip()
+{
+  const bool announceAll = mRound++ % mOptions.settings.announceEvery == 0;
+  proto::Gossip gossip;
+  for (auto& [id, entry] : mEntries) {
+    if (!entry.direct || (!entry.fresh && !entry.left)) {
+      continue;
+    }
+    AddUpstream(entry, gossip, announceAll || entry.announceAgain);
+    entry.announceAgain = false;
+    entry.fresh = false;
+    entry.cache.clear();
+  }
+  if (gossip.upstreams_size() > 0) {
+    Broadcast(gossip);
+  }
+}
+
+void UpstreamDirectory::AddUpstream(Entry& aEntry, proto::Gossip& aGossip,
+                                    bool aWithAnnouncement) const
+{
+  const core::Instant now = mOptions.timers.Now();
+  proto::Upstream* upstream = aGossip.add_upstreams();
+  upstream->set_id(aEntry.announcement.id.Text());
+  upstream->set_incarnation(aEntry.announcement.incarnation.Value());
+  upstream->set_heard_ms_ago(ToMilliseconds(now - aEntry.heard));
+  upstream->set_left(aEntry.left);
+  if (aWithAnnouncement && !aEntry.left) {
+    Write(aEntry.announcement, *upstream->mutable_announcement());
+  }
+  if (aEntry.load) {
+    proto::Load* load = upstream->mutable_load();
+    load->set_sequence(aEntry.load->sequence);
+    load->set_age_ms(ToMilliseconds(aEntry.load->age + (now - aEntry.loadAt)));
+    load->set_running(aEntry.load->running);
+    load->set_waiting(aEntry.load->waiting);
+    load->set_queued_prefill(aEntry.load->queuedPrefill.value);
+  }
+  for (const request::CacheEvent& it : aEntry.cache) {
+    proto::CacheChange* change = upstream->add_cache();
+    change->set_sequence(it.sequence);
+    change->mutable_stored()->Add(it.stored.begin(), it.stored.end());
+    change->mutable_removed()->Add(it.removed.begin(), it.removed.end());
+  }
+}
+
+void UpstreamDirectory::Broadcast(const proto::Gossip& aGossip)
+{
+  const std::string payload = aGossip.SerializeAsString();
+  for (const core::HostId& it : mNeighbours) {
+    mOptions.links.Send(it, { .channel = peer::Channel::Membership, .payload = payload });
+  }
+  proto::Gossip relayed = aGossip;
+  relayed.set_relay(true);
+  const std::string relayedPayload = relayed.SerializeAsString();
+  for (const core::HostId& it : RelayTargets()) {
+    mOptions.links.Send(it, { .channel = peer::Channel::Membership, .payload = relayedPayload });
+  }
+}
+
+std::vector<core::HostId> UpstreamDirectory::RelayTargets() const
+{
+  // Another host each round, so that a lost relay costs one round and not the data centre.
+  std::vector<core::HostId> targets;
+  for (const auto& [dataCentre, hosts] : mRemote) {
+    targets.push_back(hosts[mRound % hosts.size()]);
+  }
+  return targets;
+}
+
+void UpstreamDirectory::OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage)
+{
+  proto::Gossip gossip;
+  if (aMessage.channel != peer::Channel::Membership || !gossip.ParseFromString(aMessage.payload)) {
+    return;
+  }
+  std::vector<std::string> unknown;
+  for (const proto::Upstream& it : gossip.upstreams()) {
+    TakeGossip(it, unknown);
+  }
+  for (const std::string& it : gossip.unknown()) {
+    AnnounceTo(aFrom, core::UpstreamId(it));
+  }
+  if (gossip.relay()) {
+    gossip.set_relay(false);
+    gossip.clear_unknown();
+    const std::string payload = gossip.SerializeAsString();
+    for (const core::HostId& it : mNeighbours) {
+      mOptions.links.Send(it, { .channel = peer::Channel::Membership, .payload = payload });
+    }
+  }
+  if (!unknown.empty()) {
+    proto::Gossip question;
+    question.mutable_unknown()->Assign(unknown.begin(), unknown.end());
+    mOptions.links.Send(
+      aFrom, { .channel = peer::Channel::Membership, .payload = question.SerializeAsString() });
+  }
+}
+
+void UpstreamDirectory::TakeGossip(const proto::Upstream& aUpstream,
+                                   std::vector<std::string>& aUnknown)
+{
+  const core::UpstreamId id(aUpstream.id());
+  const core::Incarnation incarnation(aUpstream.incarnation());
+  Entry& entry = mEntries[id];
+  entry.announcement.id = id;
+  if (incarnation < entry.announcement.incarnation) {
+    return;
+  }
+  const core::Instant now = mOptions.timers.Now();
+  const core::Instant heard = now - std::chrono::milliseconds(aUpstream.heard_ms_ago());
+  if (aUpstream.left()) {
+    entry.announcement.incarnation = incarnation;
+    entry.left = true;
+    entry.heard = std::max(entry.heard, heard);
+    Lower(entry);
+    return;
+  }
+  if (incarnation == entry.announcement.incarnation && entry.left) {
+    return; // Overtaken by its leave.
+  }
+  if (aUpstream.has_announcement()) {
+    Accept(entry, Read(aUpstream.announcement()), heard);
+  } else if (incarnation != entry.announcement.incarnation || entry.announcement.port == 0) {
+    entry.heard = std::max(entry.heard, heard);
+    aUnknown.push_back(aUpstream.id());
+    return;
+  }
+  entry.heard = std::max(entry.heard, heard);
+  Raise(entry);
+  if (aUpstream.has_load()) {
+    TakeLoad(entry, { .id = id,
+                      .incarnation = incarnation,
+                      .sequence = aUpstream.load().sequence(),
+                      .age = std::chrono::milliseconds(aUpstream.load().age_ms()),
+                      .running = aUpstream.load().running(),
+                      .waiting = aUpstream.load().waiting(),
+                      .queuedPrefill = { aUpstream.load().queued_prefill() } });
+  }
+  for (const proto::CacheChange& it : aUpstream.cache()) {
+    mOnCache.emit({ .id = id,
+                    .incarnation = incarnation,
+                    .sequence = it.sequence(),
+                    .stored = { it.stored().begin(), it.stored().end() },
+                    .removed = { it.removed().begin(), it.removed().end() } });
+  }
+}
+
+void UpstreamDirectory::AnnounceTo(const core::HostId& aPeer, const core::UpstreamId& aId)
+{
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end() || it->second.announcement.port == 0) {
+    return;
+  }
+  proto::Gossip answer;
+  AddUpstream(it->second, answer, true);
+  mOptions.links.Send(
+    aPeer, { .channel = peer::Channel::Membership, .payload = answer.SerializeAsString() });
+}
+
+} // namespace cuminfield::process::membership
--- /dev/null
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -0,0 +1,289 @@
+#include "cuminfield/process/peer/GrpcPeerLinks.h"
+
+#include "cuminfield/process/peer/peer.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <mutex>
+#include <utility>
+
+namespace cuminfield::process::peer {
+
+/// The sending end of a stream. Lives until gRPC reports it done; the loop and gRPC's threads
+/// share it, but only gRPC's methods are called on both.
+class GrpcPeerLinks::OutStream
+  : public grpc::ClientWriteReactor<proto::Batch>
+  , public std::enable_shared_from_this<OutStream>
+{
+public:
+  OutStream(GrpcPeerLinks& aLinks, core::HostId aPeer, const settings::Endpoint& aEndpoint)
+    : mLinks(aLinks)
+    , mLoop(aLinks.mOptions.loop)
+    , mAlive(aLinks.mAlive)
+    , mPeer(std::move(aPeer))
+  {
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 200);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 5000);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 2000);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    mChannel =
+      grpc::CreateCustomChannel(aEndpoint.Text(), grpc::InsecureChannelCredentials(), arguments);
+    mStub = proto::Peer::NewStub(mChannel);
+  }
+
+  /// Starts the stream; it keeps itself alive until done.
+  void Begin()
+  {
+    mSelf = shared_from_this();
+    mContext.set_wait_for_ready(true);
+    mStub->async()->Deliver(&mContext, &mBye, this);
+    AddHold();
+    StartCall();
+  }
+
+  /// Sends one batch; the next only after OnWritten.
+  void Write(proto::Batch aBatch)
+  {
+    mBusy = true;
+    mBatch = std::move(aBatch);
+    StartWrite(&mBatch);
+  }
+
+  /// Ends the stream at once.
+  void Close()
+  {
+    if (std::exchange(mHeld, false)) {
+      mContext.TryCancel();
+      RemoveHold();
+    }
+  }
+
+  bool Busy() const { return mBusy; }
+  void SetIdle() { mBusy = false; }
+
+  void OnWriteDone(bool aOk) override
+  {
+    mLoop.Post([this, alive = mAlive, self = mSelf, aOk] {
+      if (*alive) {
+        mLinks.OnWritten(mPeer, this, aOk);
+      }
+    });
+  }
+
+  void OnDone(const grpc::Status&) override
+  {
+    mLoop.Post([this, alive = mAlive, self = std::move(mSelf)] {
+      if (*alive) {
+        mLinks.OnClosed(mPeer, this);
+      }
+    });
+  }
+
+private:
+  GrpcPeerLinks& mLinks;
+  core::EventLoop& mLoop;
+  std::shared_ptr<bool> mAlive;
+  core::HostId mPeer;
+  std::shared_ptr<grpc::Channel> mChannel;
+  std::unique_ptr<proto::Peer::Stub> mStub;
+  grpc::ClientContext mContext;
+  proto::Bye mBye;
+  proto::Batch mBatch;
+  std::shared_ptr<OutStream> mSelf;
+  bool mBusy = false; ///< A write is under way.
+  bool mHeld = true;  ///< Our hold keeps the call open between writes.
+};
+
+/// The receiving end of a stream: hands each batch to the loop.
+class GrpcPeerLinks::InStream : public grpc::ServerReadReactor<proto::Batch>
+{
+public:
+  InStream(GrpcPeerLinks& aLinks, core::EventLoop& aLoop, std::shared_ptr<bool> aAlive)
+    : mLinks(aLinks)
+    , mLoop(aLoop)
+    , mAlive(std::move(aAlive))
+  {
+    StartRead(&mBatch);
+  }
+
+  void OnReadDone(bool aOk) override
+  {
+    if (!aOk) {
+      Finish(grpc::Status::OK);
+      return;
+    }
+    // The bytes cross to the loop's thread serialised: one owner for every message object.
+    mLoop.Post([&links = mLinks, alive = mAlive, bytes = mBatch.SerializeAsString()] {
+      if (*alive) {
+        links.OnBatch(bytes);
+      }
+    });
+    StartRead(&mBatch);
+  }
+
+  void OnDone() override { delete this; }
+
+private:
+  GrpcPeerLinks& mLinks;
+  core::EventLoop& mLoop;
+  std::shared_ptr<bool> mAlive;
+  proto::Batch mBatch;
+};
+
+class GrpcPeerLinks::Service : public proto::Peer::CallbackService
+{
+public:
+  explicit Service(GrpcPeerLinks& aLinks)
+    : mLinks(aLinks)
+  {
+  }
+
+  grpc::ServerReadReactor<proto::Batch>* Deliver(grpc::CallbackServerContext*, proto::Bye*) override
+  {
+    return new InStream(mLinks, mLinks.mOptions.loop, mLinks.mAlive);
+  }
+
+private:
+  GrpcPeerLinks& mLinks;
+};
+
+GrpcPeerLinks::GrpcPeerLinks(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mAlive(std::make_shared<bool>(true))
+{
+  for (const settings::PeerSettings& it : mOptions.peers) {
+    mPeers[it.id].settings = it;
+  }
+}
+
+GrpcPeerLinks::~GrpcPeerLinks()
+{
+  Stop();
+}
+
+core::Result<void> GrpcPeerLinks::Start()
+{
+  mService = std::make_unique<Service>(*this);
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(mOptions.listen.Text(), grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(mService.get());
+  builder.SetMaxReceiveMessageSize(mOptions.settings.maxBatchBytes);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1000);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  mServer = builder.BuildAndStart();
+  if (!mServer || port == 0) {
+    return core::Fail(core::ErrorKind::Io, "cannot listen for peers on " + mOptions.listen.Text() +
+                                             "; free the port or change [listen] peers");
+  }
+  for (auto& [id, peer] : mPeers) {
+    Open(peer);
+  }
+  return core::Done();
+}
+
+void GrpcPeerLinks::Stop()
+{
+  if (!std::exchange(*mAlive, false)) {
+    return;
+  }
+  for (auto& [id, peer] : mPeers) {
+    if (peer.stream) {
+      peer.stream->Close();
+      peer.stream.reset();
+    }
+  }
+  if (mServer) {
+    mServer->Shutdown(std::chrono::system_clock::now());
+    mServer.reset();
+  }
+}
+
+void GrpcPeerLinks::Send(const core::HostId& aTo, PeerMessage aMessage)
+{
+  const auto it = mPeers.find(aTo);
+  if (it == mPeers.end() || !*mAlive) {
+    return;
+  }
+  Peer& peer = it->second;
+  if (peer.queue.size() >= mOptions.settings.maxQueuedFrames) {
+    return;
+  }
+  peer.queue.push_back(std::move(aMessage));
+  Flush(peer);
+}
+
+void GrpcPeerLinks::Open(Peer& aPeer)
+{
+  aPeer.stream = std::make_shared<OutStream>(*this, aPeer.settings.id, aPeer.settings.endpoint);
+  aPeer.stream->Begin();
+  Flush(aPeer);
+}
+
+void GrpcPeerLinks::Flush(Peer& aPeer)
+{
+  if (!aPeer.stream || aPeer.stream->Busy() || aPeer.queue.empty()) {
+    return;
+  }
+  proto::Batch batch;
+  batch.set_from(mOptions.self.Text());
+  for (PeerMessage& it : aPeer.queue) {
+    proto::Frame* frame = batch.add_frames();
+    frame->set_channel(static_cast<std::uint32_t>(it.channel));
+    frame->set_payload(std::move(it.payload));
+  }
+  aPeer.queue.clear();
+  mBytesSent.value += static_cast<std::int64_t>(batch.ByteSizeLong());
+  aPeer.stream->Write(std::move(batch));
+}
+
+void GrpcPeerLinks::OnWritten(const core::HostId& aPeer, const OutStream* aStream, bool aOk)
+{
+  Peer& peer = mPeers.at(aPeer);
+  if (peer.stream.get() != aStream) {
+    return;
+  }
+  if (!aOk) {
+    peer.stream->Close();
+    return;
+  }
+  peer.stream->SetIdle();
+  Flush(peer);
+}
+
+void GrpcPeerLinks::OnClosed(const core::HostId& aPeer, const OutStream* aStream)
+{
+  Peer& peer = mPeers.at(aPeer);
+  if (peer.stream.get() != aStream) {
+    return;
+  }
+  peer.stream->Close();
+  peer.stream.reset();
+  // What waited for the broken stream is old by the time of the next one.
+  peer.queue.clear();
+  peer.reconnect = mOptions.loop.After(mOptions.settings.reconnect, [this, &peer] { Open(peer); });
+}
+
+void GrpcPeerLinks::OnBatch(const std::string& aBytes)
+{
+  proto::Batch batch;
+  if (!batch.ParseFromString(aBytes)) {
+    return;
+  }
+  mBytesReceived.value += static_cast<std::int64_t>(aBytes.size());
+  const core::HostId from(batch.from());
+  if (!mPeers.contains(from)) {
+    return;
+  }
+  for (proto::Frame& it : *batch.mutable_frames()) {
+    mOnMessage.emit(from, PeerMessage{ .channel = static_cast<Channel>(it.channel()),
+                                       .payload = std::move(*it.mutable_payload()) });
+  }
+}
+
+} // namespace cuminfield::process::peer
--- /dev/null
+++ b/cuminfield/request/exchange/EventStream.cpp
@@ -0,0 +1,36 @@
+#include "cuminfield/request/exchange/EventStream.h"
+
+namespace cuminfield::request::exchange {
+
+namespace {
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kDataField = "data:";
+constexpr std::string_view kDoneEvent = "data: [DONE]";
+} // namespace
+
+std::string_view EventStream::Take(std::string_view aBytes)
+{
+  mKept.append(aBytes);
+  std::size_t begin = 0;
+  for (std::size_t end = mKept.find(kEventEnd); end != std::string::npos;
+       end = mKept.find(kEventEnd, begin)) {
+    Count(std::string_view(mKept).substr(begin, end - begin));
+    begin = end + kEventEnd.size();
+  }
+  mWhole.assign(mKept, 0, begin);
+  mKept.erase(0, begin);
+  return mWhole;
+}
+
+void EventStream::Count(std::string_view aEvent)
+{
+  if (aEvent.find(kDoneEvent) != std::string_view::npos) {
+    mDone = true;
+    return;
+  }
+  if (aEvent.find(kDataField) != std::string_view::npos) {
+    ++mEvents;
+  }
+}
+
+} // namespace cuminfield::request::exchange
--- /dev/null
+++ b/cuminfield/request/exchange/EventStream.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cuminfield::request::exchange {
+
+/// Follows a stream of server-sent events so that only whole events are passed on: a stream that
+/// breaks off can then be resumed after the last whole one.
+class EventStream
+{
+public:
+  /// Takes bytes as they come; returns the whole events among them and what was kept before.
+  /// The view is valid until the next call.
+  std::string_view Take(std::string_view aBytes);
+
+  /// Whole data events so far, the closing `[DONE]` not counted.
+  std::uint64_t Events() const { return mEvents; }
+
+  /// True once `data: [DONE]` came.
+  bool Done() const { return mDone; }
+
+private:
+  void Count(std::string_view aEvent);
+
+  std::string mKept;  ///< Bytes of an event not yet whole.
+  std::string mWhole; ///< What the last Take() returned.
+  std::uint64_t mEvents = 0;
+  bool mDone = false;
+};
+
+} // namespace cuminfield::request::exchange
--- /dev/null
+++ b/cuminfield/request/exchange/Exchange.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "cuminfield/connection/caller/CallerChannel.h"
+#include "cuminfield/connection/upstream/UpstreamTransport.h"
+#include "cuminfield/core/TimerService.h"
+#include "cuminfield/request/Scheduler.h"
+#include "cuminfield/request/claims/ClaimKeeper.h"
+#include "cuminfield/request/exchange/EventStream.h"
+#include "cuminfield/request/exchange/ExchangeObserver.h"
+#include "cuminfield/request/exchange/IncomingRequest.h"
+#include "cuminfield/request/exchange/Problem.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cuminfield::request::exchange {
+
+/// Tunables of one request's way through the host.
+struct ExchangeSettings
+{
+  /// Largest answer kept with a claim, for those who ask again.
+  core::Bytes keptAnswer{ 16 * 1024 };
+  /// How often the outcome of another arrival is looked for.
+  core::Duration followPeriod = std::chrono::milliseconds(100);
+  /// How long it is looked for before the caller is told `unknown`.
+  core::Duration followLimit = std::chrono::seconds(10);
+  /// Resumes of one broken stream at its upstream.
+  std::uint32_t maxResumes = 3;
+  /// Wait before a broken stream is resumed.
+  core::Duration resumeDelay = std::chrono::milliseconds(50);
+};
+
+/// One request from its arrival to its last byte: claim, wait, dispatch, answer. Holds the two
+/// promises that callers rely on: a request is sent at most once unless a try is proved not to
+/// have run, and `not-run` is told only where nothing ran. Free of I/O. Lives for a request.
+class Exchange : public connection::upstream::UpstreamCallListener
+{
+public:
+  struct Options
+  {
+    ExchangeSettings settings{};
+    core::HostId host;
+    core::TimerService& timers;
+    Scheduler& scheduler;
+    claims::ClaimKeeper& claims;
+    connection::upstream::UpstreamTransport& transport;
+    ExchangeObserver& observer;
+    std::shared_ptr<connection::caller::CallerChannel> caller;
+    IncomingRequest request;
+    std::function<void()> onFinished; ///< Nothing is left to do; destroy it, but not from inside.
+  };
+
+  explicit Exchange(Options aOptions);
+  ~Exchange() override;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// Begins: with a key by taking its claim, otherwise at the scheduler.
+  void Start();
+
+  /// The scheduler's decision: send to aUpstream.
+  void Dispatch(const UpstreamAnnouncement& aUpstream);
+
+  /// The scheduler's decision: turn away.
+  void Shed(ShedReason aReason, core::Duration aRetryAfter);
+
+  /// The host ends before the request has: tells the caller what is true.
+  void CutOff();
+
+  const IncomingRequest& Request() const { return mOptions.request; }
+
+  void OnHead(int aStatus, const connection::HttpHeaders& aHeaders) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnEnd() override;
+  void OnFailed(const connection::upstream::UpstreamFailure& aFailure) override;
+
+private:
+  enum class State
+  {
+    Claiming,  ///< The claim is being committed.
+    Waiting,   ///< The scheduler has it.
+    Binding,   ///< The dispatch is being committed.
+    Calling,   ///< Sent to its upstream.
+    Following, ///< Another arrival holds the claim: its outcome is looked for.
+    Releasing, ///< The claim is being given up before `not-run` is told.
+    Ended,
+  };
+
+  // The claim.
+  void OnClaimed(const core::Result<claims::ClaimReply>& aReply);
+  void OnBound(const core::Result<claims::ClaimReply>& aReply);
+  void RecordOutcome(int aStatus);
+
+  // The upstream.
+  void Call();
+  void HandleStreamBytes(std::string_view aBytes);
+  void HandlePlainBytes(std::string_view aBytes);
+  void CountToken();
+  bool CanResume() const;
+  void Resume();
+  void FinishTry(TryOutcome aOutcome);
+  void Succeed();
+  void FailAfterDispatch(const std::string& aDetail);
+
+  // Another arrival's answer.
+  void Follow(const claims::ClaimRecord& aRecord);
+  void FollowStream(const claims::ClaimRecord& aRecord);
+  void LookLater();
+  void OnLooked(const core::Result<claims::ClaimReply>& aReply);
+
+  // The caller.
+  void OnCallerGone();
+  void SendHead(int aStatus, const connection::HttpHeaders& aUpstreamHeaders);
+  void TellNotRun(Problem aProblem);
+  void TellUnknown(int aStatus, const std::string& aTitle, const std::string& aDetail);
+  void SendProblem(const Problem& aProblem);
+  void End(ExchangeEnd aEnd);
+
+  /// A completion that does nothing once this exchange is gone.
+  template<typename Method>
+  claims::ClaimKeeper::Done Guarded(Method aMethod);
+
+  Options mOptions;
+  State mState = State::Claiming;
+  std::shared_ptr<bool> mAlive;
+  bool mCallerGone = false;
+  bool mHeadSent = false;
+  bool mSent = false; ///< A try that may have run was begun; `not-run` may not be told any more.
+  std::uint64_t mAttempt = 0;
+  UpstreamAnnouncement mUpstream;
+  std::unique_ptr<connection::upstream::UpstreamCall> mCall;
+  std::unique_ptr<connection::upstream::UpstreamCall> mOldCall; ///< Kept until its callback ends.
+  core::RequestId mStreamId; ///< The id under which the upstream knows the answer.
+  core::TimerHandle mTimer;
+  core::Instant mFollowEnd{};
+  EventStream mEvents;
+  std::uint64_t mSkipped = 0; ///< Events before those that this host reads.
+  std::uint32_t mResumes = 0;
+  bool mEventStream = false; ///< The answer is server-sent events.
+  int mStatus = 0;
+  std::string mContentType;
+  std::string mKept; ///< The answer, as long as it is short enough to keep.
+  bool mKeptWhole = true;
+  core::Instant mSentAt{};
+  core::Instant mLastTokenAt{};
+  ExchangeSummary mSummary;
+};
+
+} // namespace cuminfield::request::exchange
--- /dev/null
+++ b/cuminfield/request/exchange/RequestReader.cpp
@@ -0,0 +1,246 @@
+#include "cuminfield/request/exchange/RequestReader.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace cuminfield::request::exchange {
+
+namespace {
+
+constexpr std::size_t kBlockBytes = 256;   ///< One prefix block of prompt text.
+constexpr std::int64_t kBytesPerToken = 4; ///< Usual ratio for text in Latin script.
+constexpr std::int64_t kDefaultAnswer = 256;
+constexpr std::int64_t kMaxAnswer = 1'000'000;
+
+struct EngineBody
+{
+  std::string prompt;
+  std::string model;
+  std::int64_t maxTokens = kDefaultAnswer;
+  bool stream = false;
+};
+
+Problem BadRequest(int aStatus, std::string aTitle, std::string aDetail)
+{
+  return { .status = aStatus,
+           .title = std::move(aTitle),
+           .detail = std::move(aDetail),
+           .outcome = Outcome::NotRun };
+}
+
+/// Text of all messages of the chat form, in order.
+std::string JoinMessages(const nlohmann::json& aMessages)
+{
+  std::string text;
+  for (const nlohmann::json& it : aMessages) {
+    if (!it.is_object()) {
+      continue;
+    }
+    text += it.value("role", "") + ":";
+    const auto content = it.find("content");
+    if (content != it.end() && content->is_string()) {
+      text += content->get<std::string>();
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+std::optional<EngineBody> ParseEngineBody(const std::string& aBody)
+{
+  const auto json = nlohmann::json::parse(aBody, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  EngineBody body;
+  const auto prompt = json.find("prompt");
+  const auto messages = json.find("messages");
+  if (prompt != json.end() && prompt->is_string()) {
+    body.prompt = prompt->get<std::string>();
+  } else if (messages != json.end() && messages->is_array()) {
+    body.prompt = JoinMessages(*messages);
+  } else {
+    return std::nullopt;
+  }
+  const auto model = json.find("model");
+  if (model != json.end() && model->is_string()) {
+    body.model = model->get<std::string>();
+  }
+  const auto maxTokens = json.find("max_tokens");
+  if (maxTokens != json.end()) {
+    if (!maxTokens->is_number_integer()) {
+      return std::nullopt;
+    }
+    body.maxTokens = maxTokens->get<std::int64_t>();
+  }
+  const auto stream = json.find("stream");
+  body.stream = stream != json.end() && stream->is_boolean() && stream->get<bool>();
+  return body;
+}
+
+std::uint64_t Digest(const connection::caller::CallerRequest& aRequest)
+{
+  std::uint64_t digest = XXH64(aRequest.method.data(), aRequest.method.size(), 0);
+  digest = XXH64(aRequest.target.data(), aRequest.target.size(), digest);
+  return XXH64(aRequest.body.data(), aRequest.body.size(), digest);
+}
+
+std::string Hex(std::uint64_t aValue)
+{
+  std::array<char, 16> buf{};
+  const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), aValue, 16);
+  return { buf.data(), end };
+}
+
+} // namespace
+
+RequestReader::RequestReader(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+std::variant<IncomingRequest, Problem> RequestReader::Read(
+  connection::caller::CallerRequest aRequest, const version::document::DocumentIndex& aDocument)
+{
+  using connection::FindHeader;
+  using version::document::DocumentIndex;
+
+  // Who asks, and how urgently.
+  const core::WorkspaceId workspaceId(
+    std::string(FindHeader(aRequest.headers, connection::kWorkspaceHeader)));
+  const auto* workspace = aDocument.FindWorkspace(workspaceId);
+  if (!workspace) {
+    return BadRequest(connection::kStatusForbidden, "unknown workspace",
+                      "Header X-Workspace names no workspace of the document; send one that does.");
+  }
+  const core::TierId tierId(std::string(FindHeader(aRequest.headers, connection::kTierHeader)));
+  const auto* tier = aDocument.FindTier(tierId);
+  if (!tier || !DocumentIndex::MayUse(*workspace, tierId)) {
+    return BadRequest(connection::kStatusForbidden, "unknown tier",
+                      "Header X-Tier names no tier that this workspace may use; send one it may.");
+  }
+
+  // What it asks for.
+  if (!aDocument.KnowsPath(aRequest.method, aRequest.path)) {
+    return BadRequest(connection::kStatusNotFound, "unknown route",
+                      "No route of the document has this method and path; check both.");
+  }
+  const auto body = ParseEngineBody(aRequest.body);
+  const std::string model = body ? body->model : std::string();
+  const auto* route = aDocument.FindRoute(aRequest.method, aRequest.path, model);
+  const auto* service = aDocument.FindService(route->service);
+  if (!service) {
+    return BadRequest(connection::kStatusNotFound, "unknown service",
+                      "The route's service is not in the document; ask the operators.");
+  }
+  const bool engine = service->kind == version::document::ServiceKind::Engine;
+  if (engine && (!body || body->maxTokens < 1 || body->maxTokens > kMaxAnswer)) {
+    return BadRequest(connection::kStatusBadRequest, "malformed body",
+                      "Send JSON with `prompt` or `messages`, and `max_tokens` from 1 to 1000000.");
+  }
+
+  // Whether it may be asked again.
+  IncomingRequest incoming;
+  const std::string key(FindHeader(aRequest.headers, connection::kIdempotencyKeyHeader));
+  if (key.empty() && !route->idempotent) {
+    return BadRequest(connection::kStatusBadRequest, "key required",
+                      "This route may run only once: send a UUID version 7 as Idempotency-Key.");
+  }
+  if (!key.empty()) {
+    if (!KeyTime(key)) {
+      return BadRequest(connection::kStatusBadRequest, "malformed key",
+                        "Idempotency-Key must be a UUID of version 7 (RFC 9562) in lower case.");
+    }
+    incoming.claim = claims::ClaimKey{ .home = workspace->home,
+                                       .workspace = workspaceId,
+                                       .key = core::IdempotencyKey(key) };
+  }
+  const std::string_view lastEvent = FindHeader(aRequest.headers, connection::kLastEventIdHeader);
+  if (!lastEvent.empty()) {
+    std::uint64_t offset = 0;
+    const auto [end, ec] =
+      std::from_chars(lastEvent.data(), lastEvent.data() + lastEvent.size(), offset);
+    if (ec != std::errc() || end != lastEvent.data() + lastEvent.size() || !incoming.claim) {
+      return BadRequest(connection::kStatusBadRequest, "malformed Last-Event-ID",
+                        "Send the number of the last event, together with the Idempotency-Key.");
+    }
+    incoming.resumeOffset = offset + 1;
+  }
+
+  // What the decisions need.
+  const core::Instant now = mOptions.timers.Now();
+  RequestSpec& spec = incoming.spec;
+  spec.id = NextId();
+  spec.workspace = workspaceId;
+  spec.weight = workspace->weight;
+  spec.tier = tier->rank;
+  spec.service = route->service;
+  spec.route = route->id;
+  spec.arrival = now;
+  spec.deadline = now + tier->deadline;
+  spec.firstTokenTarget = tier->firstToken;
+  spec.tokenGapTarget = tier->tokenGap;
+  spec.mayRepeat = route->idempotent;
+  if (engine) {
+    spec.prompt = { static_cast<std::int64_t>(body->prompt.size()) / kBytesPerToken + 1 };
+    spec.maxAnswer = { body->maxTokens };
+    spec.prefix = HashPrefix(body->prompt);
+    incoming.stream = body->stream;
+  }
+  incoming.engine = engine;
+  incoming.digest = Digest(aRequest);
+  incoming.raw = std::move(aRequest);
+  return incoming;
+}
+
+core::RequestId RequestReader::NextId()
+{
+  return core::RequestId(mOptions.host.Text() + "-" + Hex(mOptions.life) + "-" +
+                         Hex(mNextNumber++));
+}
+
+std::vector<PrefixHash> RequestReader::HashPrefix(std::string_view aPrompt)
+{
+  std::vector<PrefixHash> hashes;
+  hashes.reserve(aPrompt.size() / kBlockBytes);
+  PrefixHash last = 0;
+  for (std::size_t begin = 0; begin + kBlockBytes <= aPrompt.size(); begin += kBlockBytes) {
+    last = XXH64(aPrompt.data() + begin, kBlockBytes, last);
+    hashes.push_back(last);
+  }
+  return hashes;
+}
+
+std::optional<std::int64_t> RequestReader::KeyTime(std::string_view aKey)
+{
+  constexpr std::size_t kLength = 36;
+  constexpr std::size_t kVersionAt = 14;
+  constexpr std::size_t kVariantAt = 19;
+  if (aKey.size() != kLength || aKey[kVersionAt] != '7' ||
+      std::string_view("89ab").find(aKey[kVariantAt]) == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string digits;
+  for (std::size_t n = 0; n < aKey.size(); ++n) {
+    const bool hyphen = n == 8 || n == 13 || n == 18 || n == 23;
+    if (hyphen != (aKey[n] == '-')) {
+      return std::nullopt;
+    }
+    if (hyphen) {
+      continue;
+    }
+    if (std::string_view("0123456789abcdef").find(aKey[n]) == std::string_view::npos) {
+      return std::nullopt;
+    }
+    digits += aKey[n];
+  }
+  constexpr std::size_t kTimeDigits = 12;
+  std::int64_t time = 0;
+  std::from_chars(digits.data(), digits.data() + kTimeDigits, time, 16);
+  return time;
+}
+
+} // namespace cuminfield::request::exchange
