Request scheduler with strict tiers, fair shares and predicted first tokens

Hosts need one place that decides which request goes where and when. Queuing inside the engines was ruled out: they know no priorities, so a quick quote would wait behind a long appraisal. Requests now wait at the host by pool, tier and workspace; upstreams are chosen by predicted first-token time from learned rates, reported load and known prefixes.

Unit tests cover tiers, deadlines, refusals, leaving upstreams, version shares and spilling between regions. No load has been measured yet.

--- /dev/null
+++ b/UnitTests/request/SchedulerFixture.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "TestFramework/time/ManualTimerService.h"
+#include "cuminfield/core/Random.h"
+#include "cuminfield/request/admission/TieredScheduler.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cuminfield::unit_tests::request {
+
+/// Always the same version.
+class FixedVersion : public cuminfield::request::VersionChooser
+{
+public:
+  core::VersionId Choose(const core::ServiceId&, const core::RouteId&, double) const override
+  {
+    return version;
+  }
+
+  core::VersionId version;
+};
+
+/// Records decisions.
+class RecordingListener : public cuminfield::request::SchedulerListener
+{
+public:
+  struct Shed
+  {
+    std::string request;
+    cuminfield::request::ShedReason reason;
+  };
+
+  void OnDispatch(const core::RequestId& aRequest,
+                  const cuminfield::request::UpstreamAnnouncement& aUpstream) override
+  {
+    dispatched.push_back(aRequest.Text());
+    upstreamOf[aRequest.Text()] = aUpstream.id.Text();
+  }
+
+  void OnShed(const core::RequestId& aRequest, cuminfield::request::ShedReason aReason,
+              core::Duration) override
+  {
+    shed.push_back({ aRequest.Text(), aReason });
+  }
+
+  std::vector<std::string> dispatched;
+  std::map<std::string, std::string> upstreamOf;
+  std::vector<Shed> shed;
+};
+
+/// A scheduler in virtual time, with short cuts to make requests and upstreams.
+class SchedulerFixture
+{
+public:
+  explicit SchedulerFixture(const cuminfield::request::admission::SchedulerSettings& aSettings = {},
+                            const cuminfield::request::capacity::CapacityView* aCapacity = nullptr)
+    : scheduler({ .settings = aSettings,
+                  .timers = timers,
+                  .random = random,
+                  .listener = listener,
+                  .versions = versions,
+                  .capacity = aCapacity,
+                  .host = core::HostId("host-1"),
+                  .dataCentre = core::DataCentreId("gent-a"),
+                  .region = core::RegionId("gent") })
+  {
+  }
+
+  /// Announces an upstream of service "taxateur".
+  void Up(const std::string& aId, std::uint32_t aSlots, const std::string& aRegion = "gent",
+          const std::string& aVersion = "v1", std::uint64_t aIncarnation = 1)
+  {
+    scheduler.UpstreamUp({ .id = core::UpstreamId(aId),
+                           .incarnation = core::Incarnation(aIncarnation),
+                           .service = core::ServiceId("taxateur"),
+                           .version = core::VersionId(aVersion),
+                           .dataCentre = core::DataCentreId(aRegion + "-a"),
+                           .region = core::RegionId(aRegion),
+                           .slots = aSlots });
+  }
+
+  /// A request of service "taxateur" that has aPatience to begin.
+  cuminfield::request::RequestSpec Spec(const std::string& aId, std::uint32_t aTier,
+                                        core::Duration aPatience = core::Duration(10'000'000)) const
+  {
+    return { .id = core::RequestId(aId),
+             .workspace = core::WorkspaceId("w"),
+             .tier = aTier,
+             .service = core::ServiceId("taxateur"),
+             .arrival = timers.Now(),
+             .deadline = timers.Now() + aPatience,
+             .firstTokenTarget = aPatience,
+             .tokenGapTarget = core::Duration(39'000),
+             .prompt = core::Tokens{ 100 },
+             .maxAnswer = core::Tokens{ 20 } };
+  }
+
+  /// Reports the end of a request.
+  void End(const std::string& aId,
+           cuminfield::request::TryOutcome aOutcome = cuminfield::request::TryOutcome::Succeeded)
+  {
+    scheduler.Finished(core::RequestId(aId), aOutcome);
+  }
+
+  test_framework::time::ManualTimerService timers;
+  core::Random random{ 1 };
+  RecordingListener listener;
+  FixedVersion versions;
+  cuminfield::request::admission::TieredScheduler scheduler;
+};
+
+} // namespace cuminfield::unit_tests::request
--- /dev/null
+++ b/UnitTests/request/TieredSchedulerTest.cpp
@@ -0,0 +1,147 @@
+#include "UnitTests/request/SchedulerFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+
+using namespace cuminfield;
+using namespace std::chrono_literals;
+using cuminfield::request::ShedReason;
+using cuminfield::request::TryOutcome;
+using unit_tests::request::SchedulerFixture;
+
+TEST_GROUP(TieredScheduler)
+{
+  SchedulerFixture fixture;
+
+  std::size_t Dispatched() const
+  {
+    return fixture.listener.dispatched.size();
+  }
+};
+
+TEST(TieredScheduler, DispatchesAtOnceWhenThereIsRoom)
+{
+  fixture.Up("u1", 4);
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  CHECK_EQUAL(1U, Dispatched());
+  CHECK_EQUAL(0U, fixture.scheduler.Waiting());
+}
+
+TEST(TieredScheduler, QueuesHereWhenTheUpstreamIsFullAndServesHighestTierFirst)
+{
+  fixture.Up("u1", 1);
+  fixture.scheduler.Submit(fixture.Spec("first", 0));
+  fixture.scheduler.Submit(fixture.Spec("low", 3));
+  fixture.scheduler.Submit(fixture.Spec("high", 0));
+  CHECK_EQUAL(1U, Dispatched());
+  fixture.End("first");
+  CHECK_EQUAL(2U, Dispatched());
+  CHECK(fixture.listener.dispatched.back() == "high");
+  fixture.End("high");
+  CHECK(fixture.listener.dispatched.back() == "low");
+}
+
+TEST(TieredScheduler, ShedsWhatCannotMeetItsDeadline)
+{
+  fixture.Up("u1", 1);
+  fixture.scheduler.Submit(fixture.Spec("first", 0));
+  fixture.scheduler.Submit(fixture.Spec("late", 0, 300ms));
+  fixture.timers.Advance(1s);
+  CHECK_EQUAL(1U, fixture.listener.shed.size());
+  CHECK(fixture.listener.shed[0].reason == ShedReason::Deadline);
+  CHECK_EQUAL(1U, Dispatched());
+}
+
+TEST(TieredScheduler, ShedsAtOnceWithoutAnUpstream)
+{
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  CHECK_EQUAL(1U, fixture.listener.shed.size());
+  CHECK(fixture.listener.shed[0].reason == ShedReason::NoUpstream);
+}
+
+TEST(TieredScheduler, SendsNothingToAnUpstreamThatIsGone)
+{
+  fixture.Up("u1", 4);
+  fixture.Up("u2", 4);
+  fixture.scheduler.UpstreamGone(core::UpstreamId("u1"));
+  for (int n = 0; n < 4; ++n) {
+    const std::string id = "r" + std::to_string(n);
+    fixture.scheduler.Submit(fixture.Spec(id, 0));
+    CHECK(fixture.listener.upstreamOf[id] == "u2");
+  }
+}
+
+TEST(TieredScheduler, TriesARefusedRequestElsewhereUnderABudget)
+{
+  fixture.Up("u1", 4);
+  fixture.Up("u2", 4);
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  const std::string first = fixture.listener.upstreamOf["r1"];
+  fixture.End("r1", TryOutcome::Refused);
+  CHECK_EQUAL(2U, Dispatched());
+  CHECK(fixture.listener.upstreamOf["r1"] != first);
+}
+
+TEST(TieredScheduler, NeverTriesAFailedRequestAgain)
+{
+  fixture.Up("u1", 4);
+  fixture.Up("u2", 4);
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  fixture.End("r1", TryOutcome::Failed);
+  fixture.timers.Advance(20s);
+  CHECK_EQUAL(1U, Dispatched());
+  CHECK_EQUAL(0U, fixture.scheduler.Size());
+}
+
+TEST(TieredScheduler, AWaitingRequestFollowsTheVersionShares)
+{
+  fixture.versions.version = core::VersionId("v2");
+  fixture.Up("old", 1, "gent", "v1");
+  fixture.Up("new", 1, "gent", "v2");
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  fixture.scheduler.Submit(fixture.Spec("r2", 0));
+  CHECK_EQUAL(1U, Dispatched());
+  fixture.versions.version = core::VersionId("v1");
+  fixture.timers.Advance(50ms);
+  CHECK(fixture.listener.upstreamOf["r2"] == "old");
+}
+
+TEST(TieredScheduler, WithdrawnRequestsGetNoDecision)
+{
+  fixture.Up("u1", 1);
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  fixture.scheduler.Submit(fixture.Spec("r2", 0));
+  fixture.scheduler.Withdraw(core::RequestId("r2"));
+  fixture.End("r1");
+  fixture.timers.Advance(20s);
+  CHECK_EQUAL(1U, Dispatched());
+  CHECK_EQUAL(0U, fixture.listener.shed.size());
+  CHECK_EQUAL(0U, fixture.scheduler.Size());
+}
+
+TEST(TieredScheduler, ShutdownShedsWhatWaitsAndLeavesWhatRuns)
+{
+  fixture.Up("u1", 1);
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  fixture.scheduler.Submit(fixture.Spec("r2", 0));
+  fixture.scheduler.Shutdown();
+  CHECK_EQUAL(1U, fixture.listener.shed.size());
+  CHECK(fixture.listener.shed[0].reason == ShedReason::Shutdown);
+  CHECK_EQUAL(1U, fixture.scheduler.Size());
+  fixture.End("r1");
+  CHECK_EQUAL(0U, fixture.scheduler.Size());
+}
+
+TEST(TieredScheduler, SpillsToAnotherRegionOnlyWhenItsOwnMissesTheTarget)
+{
+  fixture.Up("near", 1);
+  fixture.Up("far", 10, "luik");
+  fixture.scheduler.Submit(fixture.Spec("r1", 0, 480ms));
+  fixture.scheduler.Submit(fixture.Spec("r2", 0, 480ms));
+  CHECK_EQUAL(1U, Dispatched());
+  CHECK(fixture.listener.upstreamOf["r1"] == "near");
+  fixture.timers.Advance(470ms);
+  CHECK_EQUAL(2U, Dispatched());
+  CHECK(fixture.listener.upstreamOf["r2"] == "far");
+}
--- /dev/null
+++ b/cuminfield/request/admission/PoolQueues.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "cuminfield/core/Units.h"
+#include "cuminfield/request/admission/FairQueue.h"
+#include "cuminfield/request/routing/RouterSettings.h"
+
+#include <array>
+
+namespace cuminfield::request::admission {
+
+/// The waiting requests of one pool, a fair queue for each tier, and the pace they leave at.
+struct PoolQueues
+{
+  std::array<FairQueue, routing::kTiers> tiers;
+  std::array<double, routing::kTiers> interval{}; ///< Microseconds between dispatches, averaged.
+  std::array<core::Instant, routing::kTiers> lastDispatch{};
+  std::size_t waiting = 0; ///< Over all tiers.
+  bool dirty = false;      ///< Waits for a run of the queues.
+
+  /// True if a request of a lower tier waits.
+  bool AnyBelow(std::size_t aTier) const;
+
+  /// The lowest tier with a waiting request; meaningful only when some request waits.
+  std::size_t Lowest() const;
+
+  /// Notes that a request of the tier was dispatched.
+  void NoteDispatch(std::size_t aTier, core::Instant aNow);
+
+  /// Predicted time until the last of those who wait in a tier is dispatched.
+  core::Duration Drain(std::size_t aTier) const;
+};
+
+} // namespace cuminfield::request::admission
--- /dev/null
+++ b/cuminfield/request/admission/TieredScheduler.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "cuminfield/core/Random.h"
+#include "cuminfield/core/TimerService.h"
+#include "cuminfield/request/Scheduler.h"
+#include "cuminfield/request/admission/PoolQueues.h"
+#include "cuminfield/request/admission/RequestTable.h"
+#include "cuminfield/request/admission/SchedulerSettings.h"
+#include "cuminfield/request/capacity/CapacityView.h"
+#include "cuminfield/request/routing/Fleet.h"
+#include "cuminfield/request/routing/Router.h"
+
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace cuminfield::request::admission {
+
+/// What a TieredScheduler is built from. The references must outlive it.
+struct TieredSchedulerOptions
+{
+  SchedulerSettings settings;
+  core::TimerService& timers;
+  core::Random& random;
+  SchedulerListener& listener;
+  const VersionChooser& versions;
+  const capacity::CapacityView* capacity = nullptr; ///< None: capacity is not shared out.
+  core::HostId host;
+  core::DataCentreId dataCentre;
+  core::RegionId region;
+};
+
+/// Admission and routing of one host. Requests wait here and not inside the engines: by pool, by
+/// tier, and by fair share of their workspaces. docs/design/Admission.md states the rule that
+/// decides who is dispatched and who is shed; docs/design/Routing.md says how an upstream is
+/// chosen. Allocates nothing in steady state besides what the requests bring along.
+class TieredScheduler : public Scheduler
+{
+public:
+  explicit TieredScheduler(const TieredSchedulerOptions& aOptions);
+
+  void Submit(RequestSpec aSpec) override;
+  void Withdraw(const core::RequestId& aRequest) override;
+  void FirstToken(const core::RequestId& aRequest) override;
+  void Token(const core::RequestId& aRequest) override;
+  void Finished(const core::RequestId& aRequest, TryOutcome aOutcome) override;
+  void UpstreamUp(const UpstreamAnnouncement& aUpstream) override;
+  void UpstreamGone(const core::UpstreamId& aUpstream) override;
+  void Load(const LoadReport& aReport) override;
+  void Cache(const CacheEvent& aEvent) override;
+
+  /// Sheds everything that waits and all that is submitted from now on; requests in flight go on.
+  void Shutdown();
+
+  /// Requests that wait, over all pools.
+  std::size_t Waiting() const;
+
+  /// Requests that wait or are in flight.
+  std::size_t Size() const { return mRequests.Size(); }
+
+  /// Requests that wait or are in flight in a tier: this host's demand for capacity.
+  std::uint32_t Demand(TierRank aTier) const { return mDemand[TierOf(aTier)]; }
+
+  /// Requests of a tier that were shed so far for overload or a deadline out of reach.
+  std::uint64_t Shed(TierRank aTier) const { return mShed[TierOf(aTier)]; }
+
+private:
+  struct Expiry
+  {
+    core::Instant at{};
+    RequestIndex request = 0;
+    std::uint32_t generation = 0;
+  };
+
+  static std::size_t TierOf(TierRank aTier);
+  static bool LaterExpiry(const Expiry& aLeft, const Expiry& aRight);
+
+  void Enqueue(RequestIndex aRequest);
+  void ArmExpiry(RequestIndex aRequest);
+  core::Instant LastStart(const RequestSpec& aSpec, const routing::Pool& aPool) const;
+  routing::PoolIndex ChoosePool(const RequestState& aState);
+  std::uint32_t InternWorkspace(const core::WorkspaceId& aWorkspace);
+
+  void MarkDirty(routing::PoolIndex aPool);
+  void MarkAllDirty();
+  void RunQueues();
+  void RunPool(routing::PoolIndex aPool);
+  bool DispatchFront(routing::PoolIndex aPool, std::size_t aTier);
+  bool FollowVersion(RequestIndex aRequest);
+  bool MaySpill(const RequestState& aState, const routing::Pool& aPool) const;
+  std::optional<RequestIndex> HigherThatFits(routing::PoolIndex aPool, std::size_t aTier,
+                                             routing::UpstreamIndex aUpstream) const;
+  void Dispatch(RequestIndex aRequest, const routing::Placement& aPlacement);
+
+  void TakeFromQueue(RequestIndex aRequest, bool aServed);
+  void TakeFromUpstream(RequestState& aState);
+  void ObserveOutcome(routing::UpstreamState& aUpstream, TryOutcome aOutcome);
+  void TryAgain(RequestIndex aRequest);
+  void ShedRequest(RequestIndex aRequest, ShedReason aReason);
+  void ShedOverflow(routing::PoolIndex aPool);
+  void ShedStranded(routing::PoolIndex aPool);
+  void Forget(RequestIndex aRequest);
+  void Tick();
+  void ShedExpired();
+
+  SchedulerSettings mSettings;
+  core::TimerService& mTimers;
+  SchedulerListener& mListener;
+  const VersionChooser& mVersions;
+  const capacity::CapacityView* mCapacity;
+  routing::Fleet mFleet;
+  routing::Router mRouter;
+  RequestTable mRequests;
+  std::deque<PoolQueues> mQueues; ///< By pool.
+  std::unordered_map<core::WorkspaceId, std::uint32_t> mWorkspaces;
+  std::vector<Expiry> mExpiries; ///< Heap, the earliest first.
+  std::vector<routing::PoolIndex> mDirty;
+  std::array<std::uint32_t, routing::kTiers> mDemand{};
+  std::array<std::uint64_t, routing::kTiers> mShed{};
+  RetryBudget mRetries;
+  std::uint64_t mEpoch = 0;
+  core::RequestId mSending; ///< Kept to be passed on: the request may end inside the call.
+  bool mRunning = false;
+  bool mStopped = false;
+  core::TimerHandle mTick;
+};
+
+} // namespace cuminfield::request::admission
--- /dev/null
+++ b/cuminfield/request/routing/InFlightLimit.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cuminfield/core/Units.h"
+
+#include <cstdint>
+
+namespace cuminfield::request::routing {
+
+/// Tunables of InFlightLimit.
+struct InFlightLimitSettings
+{
+  double start = 1.0;    ///< First limit, as a share of the upstream's slots.
+  double least = 0.25;   ///< Lower bound, as a share of the slots.
+  double most = 1.5;     ///< Upper bound, as a share of the slots.
+  double decrease = 0.9; ///< Factor while tokens come too slowly.
+  double increase = 0.5; ///< Requests added while tokens come in time and the limit binds.
+  double safety = 0.9;   ///< Share of the target that the time between tokens may take.
+  core::Duration period{ 500'000 }; ///< Between two adjustments.
+};
+
+/// Bounds the requests in flight at one upstream so that its own queue stays near empty: additive
+/// increase and multiplicative decrease (Chiu and Jain, 1989) on the time between tokens.
+class InFlightLimit
+{
+public:
+  InFlightLimit(const InFlightLimitSettings& aSettings, std::uint32_t aSlots);
+
+  /// Adjusts the limit to the observed time between tokens; aBound says whether it held work back.
+  void Adjust(core::Duration aGap, core::Duration aTarget, bool aBound, core::Instant aNow);
+
+  /// Requests that may be in flight.
+  double Value() const { return mLimit; }
+
+private:
+  InFlightLimitSettings mSettings;
+  double mSlots;
+  double mLimit;
+  core::Instant mAdjusted{};
+};
+
+} // namespace cuminfield::request::routing
--- /dev/null
+++ b/cuminfield/request/routing/PrefixIndex.cpp
@@ -0,0 +1,138 @@
+#include "cuminfield/request/routing/PrefixIndex.h"
+
+#include <algorithm>
+
+namespace cuminfield::request::routing {
+
+core::Tokens PrefixHolders::Cached(std::uint16_t aUpstream) const
+{
+  for (std::size_t n = 0; n < count; ++n) {
+    if (holders[n].upstream == aUpstream) {
+      return holders[n].cached;
+    }
+  }
+  return core::Tokens{ 0 };
+}
+
+PrefixIndex::PrefixIndex(const PrefixIndexSettings& aSettings)
+  : mSettings(aSettings)
+  , mBlocks(static_cast<std::size_t>(aSettings.sets) * kWays)
+{
+  for (Block& it : mBlocks) {
+    it.holders.fill(kNone);
+  }
+}
+
+std::size_t PrefixIndex::FirstOf(PrefixHash aHash) const
+{
+  // The low bits may be poor in a hash made by others; multiply by the golden ratio and take high.
+  const std::uint64_t mixed = aHash * 0x9e3779b97f4a7c15ULL;
+  return static_cast<std::size_t>((mixed >> 32) & (mSettings.sets - 1)) * kWays;
+}
+
+const PrefixIndex::Block* PrefixIndex::Lookup(PrefixHash aHash) const
+{
+  const std::size_t first = FirstOf(aHash);
+  for (std::size_t n = first; n < first + kWays; ++n) {
+    if (mBlocks[n].stamp != 0 && mBlocks[n].hash == aHash) {
+      return &mBlocks[n];
+    }
+  }
+  return nullptr;
+}
+
+PrefixIndex::Block& PrefixIndex::Claim(PrefixHash aHash)
+{
+  const std::size_t first = FirstOf(aHash);
+  std::size_t oldest = first;
+  for (std::size_t n = first; n < first + kWays; ++n) {
+    if (mBlocks[n].stamp != 0 && mBlocks[n].hash == aHash) {
+      return mBlocks[n];
+    }
+    if (mBlocks[n].stamp < mBlocks[oldest].stamp) {
+      oldest = n;
+    }
+  }
+  Block& block = mBlocks[oldest];
+  block.hash = aHash;
+  block.holders.fill(kNone);
+  return block;
+}
+
+PrefixHolders PrefixIndex::Find(const std::vector<PrefixHash>& aPrefix) const
+{
+  PrefixHolders found;
+  core::Tokens depth{ 0 };
+  const std::size_t blocks = std::min<std::size_t>(aPrefix.size(), mSettings.blocksPerPrompt);
+  for (std::size_t n = 0; n < blocks; ++n) {
+    const Block* block = Lookup(aPrefix[n]);
+    if (block == nullptr) {
+      break;
+    }
+    bool anyHolder = false;
+    for (const std::uint16_t upstream : block->holders) {
+      if (upstream == kNone) {
+        continue;
+      }
+      anyHolder = true;
+      // A holder counts only while it has held every block from the start on.
+      std::size_t at = 0;
+      while (at < found.count && found.holders[at].upstream != upstream) {
+        ++at;
+      }
+      if (at == found.count && depth.value == 0 && found.count < PrefixHolders::kMax) {
+        found.holders[found.count++] = PrefixHolder{ .upstream = upstream };
+      }
+      if (at < found.count && found.holders[at].cached == depth) {
+        found.holders[at].cached += kPrefixBlock;
+      }
+    }
+    if (!anyHolder) {
+      break;
+    }
+    depth += kPrefixBlock;
+  }
+  return found;
+}
+
+void PrefixIndex::AddPrefix(const std::vector<PrefixHash>& aPrefix, std::uint16_t aUpstream)
+{
+  const std::size_t blocks = std::min<std::size_t>(aPrefix.size(), mSettings.blocksPerPrompt);
+  for (std::size_t n = 0; n < blocks; ++n) {
+    Add(aPrefix[n], aUpstream);
+  }
+}
+
+void PrefixIndex::Add(PrefixHash aHash, std::uint16_t aUpstream)
+{
+  Block& block = Claim(aHash);
+  block.stamp = ++mStamp;
+  const auto known = std::find(block.holders.begin(), block.holders.end(), aUpstream);
+  if (known != block.holders.end()) {
+    std::rotate(block.holders.begin(), known, known + 1);
+    return;
+  }
+  // The newest holder stands first; the oldest one is forgotten when there are too many.
+  std::rotate(block.holders.begin(), block.holders.end() - 1, block.holders.end());
+  block.holders.front() = aUpstream;
+}
+
+void PrefixIndex::Remove(PrefixHash aHash, std::uint16_t aUpstream)
+{
+  const std::size_t first = FirstOf(aHash);
+  for (std::size_t n = first; n < first + kWays; ++n) {
+    Block& block = mBlocks[n];
+    if (block.stamp != 0 && block.hash == aHash) {
+      std::replace(block.holders.begin(), block.holders.end(), aUpstream, kNone);
+    }
+  }
+}
+
+void PrefixIndex::Forget(std::uint16_t aUpstream)
+{
+  for (Block& it : mBlocks) {
+    std::replace(it.holders.begin(), it.holders.end(), aUpstream, kNone);
+  }
+}
+
+} // namespace cuminfield::request::routing
--- /dev/null
+++ b/cuminfield/request/routing/Router.cpp
@@ -0,0 +1,189 @@
+#include "cuminfield/request/routing/Router.h"
+
+#include <algorithm>
+
+namespace cuminfield::request::routing {
+
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+core::Duration Scaled(core::Duration aDuration, double aFactor)
+{
+  return core::Duration(
+    static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace
+
+Router::Router(const RouterSettings& aSettings, Fleet& aFleet, core::Random& aRandom)
+  : mSettings(aSettings)
+  , mFleet(aFleet)
+  , mRandom(aRandom)
+{
+}
+
+std::optional<Placement> Router::Choose(const Pool& aPool, const RequestSpec& aSpec, bool aRemote,
+                                        core::Instant aNow)
+{
+  const PrefixHolders holders = mFleet.Prefixes().Find(aSpec.prefix);
+  Best best;
+  ScanList(aPool.local, aSpec, holders, aNow, best);
+  if (!best.placement && aRemote) {
+    ScanList(aPool.remote, aSpec, holders, aNow, best);
+  }
+  return best.placement;
+}
+
+void Router::ScanList(const std::vector<UpstreamIndex>& aList, const RequestSpec& aSpec,
+                      const PrefixHolders& aHolders, core::Instant aNow, Best& aBest)
+{
+  if (aList.size() <= mSettings.choices) {
+    for (const UpstreamIndex it : aList) {
+      Consider(it, aSpec, aHolders.Cached(it), aNow, aBest);
+    }
+    return;
+  }
+  for (std::size_t n = 0; n < aHolders.count; ++n) {
+    const PrefixHolder& it = aHolders.holders[n];
+    if (std::binary_search(aList.begin(), aList.end(), it.upstream)) {
+      Consider(it.upstream, aSpec, it.cached, aNow, aBest);
+    }
+  }
+  for (std::uint32_t n = 0; n < mSettings.choices; ++n) {
+    const UpstreamIndex it = aList[mRandom.Below(aList.size())];
+    Consider(it, aSpec, aHolders.Cached(it), aNow, aBest);
+  }
+}
+
+void Router::Consider(UpstreamIndex aUpstream, const RequestSpec& aSpec, core::Tokens aCached,
+                      core::Instant aNow, Best& aBest)
+{
+  const UpstreamState& state = mFleet.At(aUpstream);
+  const core::Tokens uncached = UncachedAt(state, aSpec, aCached);
+  if (!Fits(aUpstream, aSpec, uncached, aNow)) {
+    return;
+  }
+  const double score = Score(state, aSpec, uncached, aNow);
+  if (!aBest.placement || score < aBest.score) {
+    aBest.placement = Placement{ .upstream = aUpstream, .uncached = uncached };
+    aBest.score = score;
+  }
+}
+
+bool Router::Fits(UpstreamIndex aUpstream, const RequestSpec& aSpec, core::Tokens aUncached,
+                  core::Instant aNow) const
+{
+  const UpstreamState& state = mFleet.At(aUpstream);
+  return state.live && Healthy(state, aNow) && HasRoom(state, aSpec) &&
+         InTime(state, aSpec, aUncached, aNow);
+}
+
+bool Router::Healthy(const UpstreamState& aState, core::Instant aNow) const
+{
+  if (aNow < aState.pausedUntil) {
+    return false;
+  }
+  if (mSettings.health == HealthPolicy::Circuit) {
+    return aState.circuit.Allows(aNow, aState.load.Own());
+  }
+  if (aState.health.ejected) {
+    return false;
+  }
+  return !aState.health.probation || aState.load.Own() < mSettings.peers.probes;
+}
+
+bool Router::HasRoom(const UpstreamState& aState, const RequestSpec& aSpec) const
+{
+  const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
+  const double share = mSettings.tierShare[tier] * (aState.local ? 1.0 : mSettings.remoteShare);
+  if (aState.grant != capacity::CapacityView::kUnlimited) {
+    const double granted = std::max(1.0, static_cast<double>(aState.grant) * share);
+    return aState.grant > 0 && aState.load.Own() + 1 <= granted;
+  }
+  return aState.load.InFlight() + 1 <= std::max(1.0, aState.limit.Value() * share);
+}
+
+bool Router::InTime(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
+                    core::Instant aNow) const
+{
+  const core::Duration own = aState.rates.Prefill(aUncached);
+  if (own > mSettings.longPrefill && !aState.takesLong) {
+    return false;
+  }
+  const core::Duration backlog = aState.rates.Prefill(Backlog(aState, aNow));
+  if (aSpec.tier > 0 && backlog > mSettings.lowerBacklog) {
+    return false;
+  }
+  if (aState.rates.Samples() < mSettings.trustedSamples && aState.load.Own() == 0) {
+    return true;
+  }
+  const double age = static_cast<double>(aState.load.Age(aNow).count()) / kMicrosPerSecond;
+  const double ageSpread = aState.load.HasReport() ? age * mSettings.agePerSecond : 0;
+  const double spread = mSettings.spreadWeight * aState.rates.Spread() + ageSpread;
+  const core::Instant predicted = aNow + Scaled(FirstToken(aState, aUncached, aNow), 1 + spread);
+  const core::Instant target = aSpec.arrival + aSpec.firstTokenTarget;
+  if (predicted <= target) {
+    return true;
+  }
+  // Past its target a request still runs if that is what its deadline allows, but it does not
+  // queue at an upstream for the sake of a target that an idle one would also miss.
+  const core::Instant idle = aNow + aState.rates.FirstToken(aUncached);
+  return idle > target && predicted <= aSpec.deadline;
+}
+
+core::Tokens Router::Uncached(UpstreamIndex aUpstream, const RequestSpec& aSpec) const
+{
+  const PrefixHolders holders = mFleet.Prefixes().Find(aSpec.prefix);
+  return UncachedAt(mFleet.At(aUpstream), aSpec, holders.Cached(aUpstream));
+}
+
+core::Tokens Router::LeastUncached(const RequestSpec& aSpec) const
+{
+  const PrefixHolders holders = mFleet.Prefixes().Find(aSpec.prefix);
+  core::Tokens most{ 0 };
+  for (std::size_t n = 0; n < holders.count; ++n) {
+    most = std::max(most, holders.holders[n].cached);
+  }
+  return std::max(core::Tokens{ 0 }, aSpec.prompt - most);
+}
+
+core::Tokens Router::UncachedAt(const UpstreamState& aState, const RequestSpec& aSpec,
+                                core::Tokens aCached) const
+{
+  const auto cached = static_cast<double>(aCached.value) * aState.cacheTrust;
+  return std::max(core::Tokens{ 0 },
+                  aSpec.prompt - core::Tokens{ static_cast<std::int64_t>(cached) });
+}
+
+core::Tokens Router::Backlog(const UpstreamState& aState, core::Instant aNow) const
+{
+  // Prefill goes on between the first tokens that show it.
+  const core::Tokens done = aState.rates.Progress(aNow - aState.load.LastProgress());
+  const core::Tokens own = std::max(core::Tokens{ 0 }, aState.load.OwnPrefill() - done);
+  return own + aState.load.OthersPrefill();
+}
+
+core::Duration Router::FirstToken(const UpstreamState& aState, core::Tokens aUncached,
+                                  core::Instant aNow) const
+{
+  const core::Duration time = aState.rates.FirstToken(aUncached + Backlog(aState, aNow));
+  return aState.local ? time : time + 2 * mSettings.regionDelay;
+}
+
+double Router::Score(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
+                     core::Instant aNow)
+{
+  const auto own = static_cast<double>(aState.rates.FirstToken(aUncached).count());
+  const auto queued = static_cast<double>(aState.rates.Prefill(Backlog(aState, aNow)).count());
+  const double fill = aState.load.InFlight() / std::max(1.0, aState.limit.Value());
+  double score = own * mSettings.prefillWeight + queued;
+  score += fill * static_cast<double>(mSettings.batchWeight.count());
+  if (!aState.local) {
+    const auto tokens = static_cast<double>((aSpec.prompt + aSpec.maxAnswer).value);
+    score += tokens * mSettings.bytesPerToken * mSettings.microsPerRegionByte;
+  }
+  return score * (1 + mSettings.jitter * mRandom.Uniform());
+}
+
+} // namespace cuminfield::request::routing
--- /dev/null
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "cuminfield/core/Units.h"
+#include "cuminfield/request/routing/Circuit.h"
+#include "cuminfield/request/routing/InFlightLimit.h"
+#include "cuminfield/request/routing/PeerComparison.h"
+#include "cuminfield/request/routing/PrefixIndex.h"
+#include "cuminfield/request/routing/RateEstimator.h"
+
+#include <array>
+#include <cstdint>
+
+namespace cuminfield::request::routing {
+
+/// Tiers that are told apart; a rank beyond the last counts as the last.
+inline constexpr std::size_t kTiers = 8;
+
+/// How slow or failing upstreams are found.
+enum class HealthPolicy
+{
+  Peers,   ///< By comparison with the other upstreams of their pool.
+  Circuit, ///< By a circuit breaker for each upstream.
+  None,    ///< Not at all.
+};
+
+/// Tunables of Router and Fleet and of the classes that they are made of.
+struct RouterSettings
+{
+  /// Share of an upstream's in-flight limit that each tier may fill, highest tier first.
+  std::array<double, kTiers> tierShare{ 1.0, 0.95, 0.85, 0.8, 0.8, 0.8, 0.8, 0.8 };
+  /// Prefill queued at an upstream, in time, ahead of a request below the highest tier.
+  core::Duration lowerBacklog{ 150'000 };
+  /// A request with a longer prefill of its own counts as long.
+  core::Duration longPrefill{ 120'000 };
+  /// Share of a pool's local upstreams that take long requests; the others stay quick.
+  double longShare = 0.5;
+  /// Upstreams sampled for one decision, besides those that hold the request's prefix.
+  std::uint32_t choices = 8;
+  /// Weight of uncached prefill against waiting time when upstreams are compared.
+  double prefillWeight = 2.0;
+  /// Time that a full batch counts for when upstreams are compared.
+  core::Duration batchWeight{ 40'000 };
+  /// Random part of a comparison, so that hosts do not all pick the same upstream.
+  double jitter = 0.2;
+  /// Deviations added to a predicted first token before it is held against its target.
+  double spreadWeight = 1.0;
+  /// Added to the relative spread per second of a load report's age.
+  double agePerSecond = 0.1;
+  /// One way between regions.
+  core::Duration regionDelay{ 8'000 };
+  /// Price of a byte between regions, in microseconds of waiting that it is worth avoiding.
+  double microsPerRegionByte = 5;
+  /// Bytes that a token of a prompt or an answer takes on a link.
+  double bytesPerToken = 4;
+  /// Share of a remote upstream's in-flight limit that other regions may fill.
+  double remoteShare = 0.7;
+  /// First tokens before an upstream's learned rates are trusted to turn a request away.
+  std::uint32_t trustedSamples = 8;
+  /// No new work for an upstream that has just refused some.
+  core::Duration refusalPause{ 200'000 };
+  /// Between two judgements of peers.
+  core::Duration judgePeriod{ 200'000 };
+  /// After which an upstream that is gone is forgotten.
+  core::Duration forgetAfter{ 60'000'000 };
+  HealthPolicy health = HealthPolicy::Peers;
+  InFlightLimitSettings inFlight;
+  RateEstimatorSettings rates;
+  PrefixIndexSettings prefix;
+  PeerComparisonSettings peers;
+  CircuitSettings circuit;
+};
+
+} // namespace cuminfield::request::routing
