--- a/cuminfield/version/moves/Observation.h
+++ b/cuminfield/version/moves/Observation.h
@@ -4,6 +4,7 @@
 #include "cuminfield/core/Units.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace cuminfield::version::moves {
@@ -18,6 +19,12 @@
   std::chrono::milliseconds(720), std::chrono::milliseconds(1500), std::chrono::milliseconds(5000),
 };
 
+/// Requests by latency class.
+using LatencyCounts = std::array<std::uint32_t, kLatencyBounds.size() + 1>;
+
+/// What a time to first token that equals its prediction is counted as: the middle of the classes.
+inline constexpr core::Duration kReferenceFirstToken = std::chrono::milliseconds(50);
+
 /// What a host saw of one version on one route since its last observation: mergeable by adding.
 struct Observation
 {
@@ -26,10 +33,30 @@
   core::RouteId route;
   std::uint32_t succeeded = 0;
   std::uint32_t failed = 0; ///< TryOutcome::Failed only: refusals and bad input do not count.
-  /// Requests by time to first token, divided by what their length predicts (see LoadClass).
-  std::array<std::uint32_t, kLatencyBounds.size() + 1> firstToken{};
+  /// Requests by time to first token, divided by what their length predicts (ScaleFirstToken).
+  LatencyCounts firstToken{};
   /// Requests by mean gap between tokens.
-  std::array<std::uint32_t, kLatencyBounds.size() + 1> tokenGap{};
+  LatencyCounts tokenGap{};
+
+  /// Requests counted.
+  std::uint32_t Requests() const { return succeeded + failed; }
+
+  /// True for the same version of the same service on the same route.
+  bool SameKey(const Observation& aOther) const;
+
+  /// Adds the counts of aOther, which has the same key.
+  void Add(const Observation& aOther);
+
+  /// The counts that came after aEarlier, an older state of the same counters. Counters that have
+  /// fallen have started over, so all of this is new.
+  Observation Since(const Observation& aEarlier) const;
 };
 
+/// Index of the class that a latency is counted in.
+std::size_t LatencyClass(core::Duration aLatency);
+
+/// A time to first token made comparable over lengths: kReferenceFirstToken when it took as long as
+/// predicted, twice that when it took twice as long.
+core::Duration ScaleFirstToken(core::Duration aMeasured, core::Duration aPredicted);
+
 } // namespace cuminfield::version::moves
--- /dev/null
+++ b/cuminfield/version/moves/ObservationBook.cpp
@@ -0,0 +1,52 @@
+#include "cuminfield/version/moves/ObservationBook.h"
+
+#include <algorithm>
+
+namespace cuminfield::version::moves {
+
+std::vector<Observation> ObservationBook::Take(const ObservationReport& aReport)
+{
+  auto [entry, isFirst] = mHosts.try_emplace(aReport.host);
+  Host& known = entry->second;
+  if (!isFirst && IsOld(known, aReport)) {
+    return {};
+  }
+  const bool onlyStartingPoint = isFirst && aReport.sequence > 1;
+  if (known.incarnation != aReport.incarnation) {
+    known.totals.clear();
+  }
+  std::vector<Observation> news;
+  for (std::size_t it = 0; it < aReport.totals.size() && !onlyStartingPoint; ++it) {
+    const Observation& total = aReport.totals[it];
+    Observation delta = total.Since(Earlier(known, total, it));
+    if (delta.Requests() > 0) {
+      news.push_back(std::move(delta));
+    }
+  }
+  known.incarnation = aReport.incarnation;
+  known.sequence = aReport.sequence;
+  known.totals = aReport.totals;
+  return news;
+}
+
+bool ObservationBook::IsOld(const Host& aKnown, const ObservationReport& aReport)
+{
+  if (aReport.incarnation != aKnown.incarnation) {
+    return aReport.incarnation < aKnown.incarnation;
+  }
+  return aReport.sequence <= aKnown.sequence;
+}
+
+Observation ObservationBook::Earlier(const Host& aKnown, const Observation& aTotal,
+                                     std::size_t aHint)
+{
+  // Hosts append counters and never reorder them, so the position nearly always fits.
+  if (aHint < aKnown.totals.size() && aKnown.totals[aHint].SameKey(aTotal)) {
+    return aKnown.totals[aHint];
+  }
+  const auto found = std::find_if(aKnown.totals.begin(), aKnown.totals.end(),
+                                  [&](const Observation& aIt) { return aIt.SameKey(aTotal); });
+  return found == aKnown.totals.end() ? Observation{} : *found;
+}
+
+} // namespace cuminfield::version::moves
