--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -297,6 +297,36 @@
   std::string mErrorText;
 };
 
+/// A call whose answer does not matter; lives until it has ended.
+class HttpUpstreamTransport::Notification : public UpstreamCallListener
+{
+public:
+  explicit Notification(HttpUpstreamTransport& aTransport)
+    : mTransport(aTransport)
+  {
+  }
+
+  void Begin(const std::string& aAddress, std::uint16_t aPort, UpstreamRequest aRequest)
+  {
+    mCall = mTransport.Start(aAddress, aPort, std::move(aRequest), *this);
+  }
+
+  void OnHead(int, const HttpHeaders&) override {}
+  void OnBody(std::string_view) override {}
+  void OnEnd() override { Finish(); }
+  void OnFailed(const UpstreamFailure&) override { Finish(); }
+
+private:
+  void Finish()
+  {
+    mTransport.mOptions.loop.Post(
+      [&transport = mTransport, self = this] { transport.mNotifications.erase(self); });
+  }
+
+  HttpUpstreamTransport& mTransport;
+  std::unique_ptr<UpstreamCall> mCall;
+};
+
 HttpUpstreamTransport::HttpUpstreamTransport(Options aOptions)
   : mOptions(aOptions)
 {
@@ -304,6 +334,7 @@
 
 HttpUpstreamTransport::~HttpUpstreamTransport()
 {
+  mNotifications.clear();
   for (const auto& [key, idle] : mIdle) {
     for (const Idle& it : idle) {
       evhttp_connection_set_closecb(it.connection, nullptr, nullptr);
@@ -322,6 +353,15 @@
   return call;
 }
 
+void HttpUpstreamTransport::Notify(const std::string& aAddress, std::uint16_t aPort,
+                                   UpstreamRequest aRequest)
+{
+  auto notification = std::make_unique<Notification>(*this);
+  Notification* started = notification.get();
+  mNotifications.emplace(started, std::move(notification));
+  started->Begin(aAddress, aPort, std::move(aRequest));
+}
+
 evhttp_connection* HttpUpstreamTransport::Take(const Key& aKey)
 {
   const auto it = mIdle.find(aKey);
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.h
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.h
@@ -39,8 +39,11 @@
                                       UpstreamRequest aRequest,
                                       UpstreamCallListener& aListener) override;
 
+  void Notify(const std::string& aAddress, std::uint16_t aPort, UpstreamRequest aRequest) override;
+
 private:
   class Call;
+  class Notification;
   struct CallState;
   using Key = std::pair<std::string, std::uint16_t>;
 
@@ -57,6 +60,7 @@
 
   Options mOptions;
   std::map<Key, std::vector<Idle>> mIdle;
+  std::map<const Notification*, std::unique_ptr<Notification>> mNotifications;
 };
 
 } // namespace cuminfield::connection::upstream
--- a/cuminfield/connection/upstream/UpstreamTransport.h
+++ b/cuminfield/connection/upstream/UpstreamTransport.h
@@ -66,6 +66,10 @@
   virtual std::unique_ptr<UpstreamCall> Start(const std::string& aAddress, std::uint16_t aPort,
                                               UpstreamRequest aRequest,
                                               UpstreamCallListener& aListener) = 0;
+
+  /// Sends a call whose answer does not matter, such as a cancel.
+  virtual void Notify(const std::string& aAddress, std::uint16_t aPort,
+                      UpstreamRequest aRequest) = 0;
 };
 
 } // namespace cuminfield::connection::upstream
--- a/cuminfield/request/exchange/Exchange.cpp
+++ b/cuminfield/request/exchange/Exchange.cpp
@@ -581,6 +581,7 @@
         return;
       }
       mCall.reset();
+      CancelAtUpstream();
       FinishTry(TryOutcome::Cancelled);
       End(ExchangeEnd::Left);
       return;
@@ -596,6 +597,20 @@
   }
 }
 
+void Exchange::CancelAtUpstream()
+{
+  if (!mOptions.request.engine) {
+    return;
+  }
+  // Closing the connection does not stop every engine: work for nobody is waste.
+  mOptions.transport.Notify(mUpstream.address, mUpstream.port,
+                            { .id = mStreamId,
+                              .method = "DELETE",
+                              .target = "/v1/requests/" + mStreamId.Text(),
+                              .headers = {},
+                              .body = {} });
+}
+
 void Exchange::TellNotRun(Problem aProblem)
 {
   CUMINFIELD_INVARIANT("request.not-run-never-after-dispatch", !mSent);
--- a/cuminfield/request/exchange/Exchange.h
+++ b/cuminfield/request/exchange/Exchange.h
@@ -112,6 +112,7 @@
 
   // The caller.
   void OnCallerGone();
+  void CancelAtUpstream();
   void SendHead(int aStatus, const connection::HttpHeaders& aUpstreamHeaders);
   void TellNotRun(Problem aProblem);
   void TellUnknown(int aStatus, const std::string& aTitle, const std::string& aDetail);
--- /dev/null
+++ b/cuminfield/request/exchange/ExchangeTable.cpp
@@ -0,0 +1,132 @@
+#include "cuminfield/request/exchange/ExchangeTable.h"
+
+#include <utility>
+
+namespace cuminfield::request::exchange {
+
+namespace {
+constexpr const char* kHealthPath = "/health";
+} // namespace
+
+ExchangeTable::ExchangeTable(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mReader({ .host = mOptions.host, .life = mOptions.life, .timers = mOptions.timers })
+{
+}
+
+void ExchangeTable::OnRequest(connection::caller::CallerRequest aRequest,
+                              std::shared_ptr<connection::caller::CallerChannel> aChannel)
+{
+  if (aRequest.path == kHealthPath) {
+    AnswerHealth(*aChannel);
+    return;
+  }
+  if (mStopping) {
+    Refuse(*aChannel, { .status = connection::kStatusUnavailable,
+                        .title = "stopping",
+                        .detail = "This host is stopping; send again through another host.",
+                        .outcome = Outcome::NotRun,
+                        .retryAfter = std::chrono::seconds(1) });
+    return;
+  }
+  const auto document = mOptions.document();
+  if (!document) {
+    Refuse(*aChannel, { .status = connection::kStatusUnavailable,
+                        .title = "no document",
+                        .detail = "No document is in force here yet; send again later.",
+                        .outcome = Outcome::NotRun,
+                        .retryAfter = std::chrono::seconds(1) });
+    return;
+  }
+  auto read = mReader.Read(std::move(aRequest), *document);
+  if (const auto* problem = std::get_if<Problem>(&read)) {
+    Refuse(*aChannel, *problem);
+    return;
+  }
+  Begin(std::move(std::get<IncomingRequest>(read)), std::move(aChannel));
+}
+
+void ExchangeTable::AnswerHealth(connection::caller::CallerChannel& aChannel) const
+{
+  const bool ready = !mStopping && mOptions.document() != nullptr;
+  const char* text = mStopping ? "stopping\n" : "no document\n";
+  aChannel.SendWhole(
+    ready ? connection::kStatusOk : connection::kStatusUnavailable,
+    { { .name = std::string(connection::kContentTypeHeader), .value = "text/plain" } },
+    ready ? "ready\n" : text);
+}
+
+void ExchangeTable::Refuse(connection::caller::CallerChannel& aChannel,
+                           const Problem& aProblem) const
+{
+  connection::HttpHeaders headers = ToHeaders(aProblem);
+  headers.push_back(
+    { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() });
+  if (mStopping) {
+    headers.push_back({ .name = "Connection", .value = "close" });
+  }
+  aChannel.SendWhole(aProblem.status, headers, ToJson(aProblem));
+}
+
+void ExchangeTable::Begin(IncomingRequest aRequest,
+                          std::shared_ptr<connection::caller::CallerChannel> aChannel)
+{
+  const core::RequestId id = aRequest.spec.id;
+  auto exchange = std::make_unique<Exchange>(Exchange::Options{
+    .settings = mOptions.settings,
+    .host = mOptions.host,
+    .timers = mOptions.timers,
+    .scheduler = *mScheduler,
+    .claims = mOptions.claims,
+    .transport = mOptions.transport,
+    .observer = mOptions.observer,
+    .caller = std::move(aChannel),
+    .request = std::move(aRequest),
+    .onFinished = [this, id] { Remove(id); },
+  });
+  Exchange* started = exchange.get();
+  mExchanges.emplace(id, std::move(exchange));
+  started->Start();
+}
+
+void ExchangeTable::OnDispatch(const core::RequestId& aRequest,
+                               const UpstreamAnnouncement& aUpstream)
+{
+  const auto it = mExchanges.find(aRequest);
+  if (it != mExchanges.end()) {
+    it->second->Dispatch(aUpstream);
+  }
+}
+
+void ExchangeTable::OnShed(const core::RequestId& aRequest, ShedReason aReason,
+                           core::Duration aRetryAfter)
+{
+  const auto it = mExchanges.find(aRequest);
+  if (it != mExchanges.end()) {
+    it->second->Shed(aReason, aRetryAfter);
+  }
+}
+
+void ExchangeTable::CutOffAll()
+{
+  std::vector<Exchange*> left;
+  for (const auto& [id, exchange] : mExchanges) {
+    left.push_back(exchange.get());
+  }
+  for (Exchange* it : left) {
+    it->CutOff();
+  }
+}
+
+void ExchangeTable::Remove(const core::RequestId& aId)
+{
+  // The exchange is on the stack: it is destroyed from the loop.
+  const auto it = mExchanges.find(aId);
+  mEnded.push_back(std::move(it->second));
+  mExchanges.erase(it);
+  if (!mSweep.Active()) {
+    mSweep = mOptions.timers.After(core::Duration::zero(), [this] { mEnded.clear(); });
+  }
+}
+
+} // namespace cuminfield::request::exchange
