Read host settings and environment documents

The interfaces ParseHostSettings and ParseDocument had no implementation. IniReader reads values against a table of keys (SettingsReference, DocumentReference) and lists every fault with file, line, section, key and remedy. docs/Settings.md has a row for every key of the tables. CheckHomes compares workspaces' homes with the groups that a host knows.

--- /dev/null
+++ b/UnitTests/process/settings/HostSettingsTest.cpp
@@ -0,0 +1,201 @@
+#include "cuminfield/process/settings/HostSettings.h"
+#include "cuminfield/process/settings/SettingsReference.h"
+#include "cuminfield/process/settings/Values.h"
+#include "cuminfield/version/document/DocumentReference.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace cuminfield;
+using namespace cuminfield::process::settings;
+
+namespace {
+
+const std::string kValid = "[host]\n"
+                           "id = g1\n"
+                           "data-centre = gent-a\n"
+                           "region = gent\n"
+                           "environment = production\n"
+                           "data-folder = /var/lib/cuminfield\n"
+                           "[listen]\n"
+                           "callers = 127.0.0.1:7300\n"
+                           "control = 127.0.0.1:7301\n"
+                           "peers = 127.0.0.1:7302\n"
+                           "[peers]\n"
+                           "g2 = 127.0.0.1:7312@gent-a\n"
+                           "l1 = 127.0.0.1:7322@luik-a\n"
+                           "[groups]\n"
+                           "documents = g1 g2 l1\n"
+                           "gent-a = g1 g2\n";
+
+std::string Replaced(const std::string& aFrom, const std::string& aTo)
+{
+  std::string text = kValid;
+  const std::size_t at = text.find(aFrom);
+  CHECK(at != std::string::npos);
+  return text.replace(at, aFrom.size(), aTo);
+}
+
+std::string FaultOf(const std::string& aText)
+{
+  const auto settings = ParseHostSettings(aText, "g1.ini");
+  CHECK(!settings);
+  CHECK(settings.error().kind == core::ErrorKind::InvalidSettings);
+  return settings.error().message;
+}
+
+void CheckFault(const std::string& aText, const std::string& aPart)
+{
+  STRCMP_CONTAINS(aPart.c_str(), FaultOf(aText).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(HostSettings){};
+
+TEST(HostSettings, ReadsAWholeFile)
+{
+  const auto settings = ParseHostSettings(kValid + "[limits]\nbody = 32MiB\nshutdown = 90s\n"
+                                                   "[log]\nlevel = debug\nformat = json\n",
+                                          "g1.ini");
+  CHECK(settings.has_value());
+  const HostSettings& host = settings.value();
+  STRCMP_EQUAL("g1", host.id.Text().c_str());
+  STRCMP_EQUAL("127.0.0.1:7302", host.peersListen.Text().c_str());
+  LONGS_EQUAL(2, host.peers.size());
+  STRCMP_EQUAL("luik-a", host.peers[1].dataCentre.Text().c_str());
+  LONGS_EQUAL(3, host.groups[0].voters.size());
+  LONGS_EQUAL(32 * 1024 * 1024, host.maxBody.value);
+  CHECK(host.shutdown == std::chrono::seconds(90));
+  CHECK(host.logFormat == LogFormat::Json);
+  STRCMP_EQUAL("debug", host.logLevel.c_str());
+}
+
+TEST(HostSettings, AbsentKeysHaveTheDefaultsOfTheReference)
+{
+  std::string text = kValid;
+  std::string section = "groups";
+  for (const KeySpec& spec : SettingsReference()) {
+    const std::string fallback = spec.fallback;
+    if (fallback == "required" || fallback == "none" || std::string("host") == spec.section) {
+      continue;
+    }
+    text += section == spec.section ? "" : std::string("[") + spec.section + "]\n";
+    section = spec.section;
+    text += std::string(spec.key) + " = " + fallback + "\n";
+  }
+  const auto given = ParseHostSettings(text, "given.ini");
+  const auto absent = ParseHostSettings(kValid, "absent.ini");
+  CHECK(given.has_value() && absent.has_value());
+  CHECK(given.value().maxBody == absent.value().maxBody);
+  CHECK(given.value().callerBuffer == absent.value().callerBuffer);
+  CHECK(given.value().maxCallers == absent.value().maxCallers);
+  CHECK(given.value().callerIdle == absent.value().callerIdle);
+  CHECK(given.value().upstreamConnect == absent.value().upstreamConnect);
+  CHECK(given.value().upstreamStall == absent.value().upstreamStall);
+  CHECK(given.value().shutdown == absent.value().shutdown);
+  CHECK(given.value().upstreamLease == absent.value().upstreamLease);
+  CHECK(given.value().logFormat == absent.value().logFormat);
+  CHECK(given.value().logLevel == absent.value().logLevel);
+}
+
+TEST(HostSettings, NamesFileLineSectionKeyAndRemedy)
+{
+  CheckFault(Replaced("region = gent", "regoin = gent"),
+             "g1.ini:4: [host] regoin: unknown key; use one of id, data-centre, region");
+  CheckFault(Replaced("region = gent\n", ""), "g1.ini:1: [host] region: missing; add `region = `");
+  CheckFault(Replaced("id = g1\n", "id = g1\nid = g2\n"), "g1.ini:3: [host] id: repeated key");
+  CheckFault(kValid + "[limit]\n", "g1.ini:17: [limit]: unknown section; use one of [host]");
+  CheckFault(kValid + "[host]\n", "g1.ini:17: section [host] is repeated (first in line 1)");
+  CheckFault(kValid + "[host extra]\n", "unknown section");
+  CheckFault("", "section [host] is missing");
+}
+
+TEST(HostSettings, ListsEveryFaultInFileOrder)
+{
+  const std::string fault = FaultOf(Replaced("region = gent", "regoin = gent") +
+                                    "[limits]\nbody = 4MB\ncallers = 0\nshutdown = 25h\n");
+  STRCMP_CONTAINS("g1.ini:18: [limits] body: '4MB' is not valid", fault.c_str());
+  STRCMP_CONTAINS("g1.ini:19: [limits] callers: '0' is not valid", fault.c_str());
+  STRCMP_CONTAINS("g1.ini:20: [limits] shutdown: '25h' is not valid", fault.c_str());
+  CHECK(fault.find("regoin") < fault.find("4MB"));
+  LONGS_EQUAL(4, std::count(fault.begin(), fault.end(), '\n'));
+}
+
+TEST(HostSettings, RefusesLinesThatTheIniLibraryPassesOver)
+{
+  CheckFault(kValid + "gent-b\n", "g1.ini:17: not a section, an entry or a comment");
+  CheckFault(kValid + "[log\n", "g1.ini:17: not a section header");
+  CheckFault(kValid + "[log] x\n", "g1.ini:17: not a section header");
+  CheckFault("id = g1\n" + kValid, "g1.ini:1: entry before the first section");
+  CheckFault(kValid + std::string("\0", 1), "control character");
+  CHECK(ParseHostSettings("\xEF\xBB\xBF# comment\n; another\n\n" + kValid, "g1.ini").has_value());
+}
+
+TEST(HostSettings, RefusesDanglingReferences)
+{
+  CheckFault(Replaced("g1 g2 l1", "g1 g2 l2"), "[groups] documents: voter 'l2' is not a host");
+  CheckFault(Replaced("gent-a = g1 g2", "gent-b = g1 g2"), "[groups] gent-b: is no data centre");
+  CheckFault(Replaced("documents = g1 g2 l1\n", ""), "[groups] documents: missing");
+  CheckFault(Replaced("data-folder = /var/lib/cuminfield\n", ""), "set [host] data-folder");
+  CheckFault(Replaced("g2 = 127.0.0.1:7312", "g1 = 127.0.0.1:7312"), "is this host itself");
+  CheckFault(Replaced("127.0.0.1:7322", "127.0.0.1:7312"), "[peers] l1: address of another host");
+  CheckFault(Replaced("127.0.0.1:7301", "127.0.0.1:7300"), "[listen] control: same address");
+  CheckFault(Replaced("g1 g2 l1", "g1 g2 g2"), "[groups] documents: 'g1 g2 g2' is not valid");
+}
+
+TEST(HostSettings, MissingFileIsAnIoError)
+{
+  const auto settings = LoadHostSettings("/nonexistent/g1.ini");
+  CHECK(!settings);
+  CHECK(settings.error().kind == core::ErrorKind::Io);
+}
+
+TEST_GROUP(SettingsValues){};
+
+TEST(SettingsValues, TakeOnlyWholeWellFormedTexts)
+{
+  CHECK(ParseDuration("250ms") == std::chrono::milliseconds(250));
+  CHECK(ParseDuration("1h") == std::chrono::hours(1));
+  for (const char* text :
+       { "", "250", "ms", "-1s", "1.5s", " 1s", "1 s", "1S", "9999999999999h" }) {
+    CHECK(!ParseDuration(text));
+  }
+  CHECK(ParseSize("64KiB") == core::Bytes{ 65536 });
+  CHECK(!ParseSize("64KB"));
+  CHECK(ParseHundredths("2.5") == 250);
+  CHECK(!ParseHundredths("2.555") && !ParseHundredths("2.") && !ParseHundredths(".5"));
+  CHECK(!ParseYesNo("true"));
+  CHECK(!ParseEndpoint("localhost:80") && !ParseEndpoint("127.0.0.1:0"));
+  CHECK(!ParseEndpoint("127.0.0.1:65536") && !ParseEndpoint("127.0.0.1"));
+}
+
+TEST(SettingsValues, TimesFollowTheCalendar)
+{
+  const auto time = ParseTime("2026-12-05T18:00:00Z");
+  CHECK(time.has_value());
+  CHECK(time->time_since_epoch() == std::chrono::seconds(1796493600));
+  CHECK(ParseTime("2028-02-29T00:00:00Z").has_value());
+  for (const char* text :
+       { "2027-02-29T00:00:00Z", "2026-12-05T24:00:00Z", "2026-12-05T18:60:00Z",
+         "2026-12-05 18:00:00Z", "2026-12-05T18:00:00", "2026-13-05T18:00:00Z" }) {
+    CHECK(!ParseTime(text));
+  }
+}
+
+TEST_GROUP(SettingsPage){};
+
+TEST(SettingsPage, HasARowForEveryKey)
+{
+  const std::ifstream file(CUMINFIELD_SOURCE_DIR "/docs/Settings.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  for (const KeySpec& spec : SettingsReference()) {
+    STRCMP_CONTAINS((spec.Row() + "\n").c_str(), page.str().c_str());
+  }
+  for (const KeySpec& spec : version::document::DocumentReference()) {
+    STRCMP_CONTAINS((spec.Row() + "\n").c_str(), page.str().c_str());
+  }
+}
--- /dev/null
+++ b/cuminfield/process/settings/HostSettings.cpp
@@ -0,0 +1,206 @@
+#include "cuminfield/process/settings/HostSettings.h"
+
+#include "cuminfield/process/settings/IniReader.h"
+#include "cuminfield/process/settings/SettingsReference.h"
+#include "cuminfield/process/settings/Values.h"
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace cuminfield::process::settings {
+
+namespace {
+
+constexpr const char* kDocumentsGroup = "documents";
+
+void ReadHost(IniReader& aReader, HostSettings& aSettings)
+{
+  const IniSection* host = aReader.Section("host");
+  if (!host) {
+    return;
+  }
+  aReader.Read(*host, "id", aSettings.id);
+  aReader.Read(*host, "data-centre", aSettings.dataCentre);
+  aReader.Read(*host, "region", aSettings.region);
+  aReader.Read(*host, "environment", aSettings.environment);
+  aReader.Read(*host, "data-folder", aSettings.dataFolder);
+  aReader.Read(*host, "seed", aSettings.seed);
+}
+
+void ReadListen(IniReader& aReader, HostSettings& aSettings)
+{
+  const IniSection* listen = aReader.Section("listen");
+  if (!listen) {
+    return;
+  }
+  aReader.Read(*listen, "callers", aSettings.callers);
+  aReader.Read(*listen, "control", aSettings.control);
+  aReader.Read(*listen, "peers", aSettings.peersListen);
+  if (aSettings.control.port != 0 && aSettings.control == aSettings.callers) {
+    aReader.Fault(*listen, "control", "same address as callers; give it a port of its own");
+  }
+  const Endpoint& peers = aSettings.peersListen;
+  if (peers.port != 0 && (peers == aSettings.callers || peers == aSettings.control)) {
+    aReader.Fault(*listen, "peers", "same address as another one; give it a port of its own");
+  }
+}
+
+/// The peer in `127.0.0.1:7302@gent-a`, without its id.
+std::optional<PeerSettings> ParsePeer(const std::string& aText)
+{
+  const std::size_t at = aText.find('@');
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto endpoint = ParseEndpoint(aText.substr(0, at));
+  const std::string dataCentre = aText.substr(at + 1);
+  if (!endpoint || !IsName(dataCentre)) {
+    return std::nullopt;
+  }
+  return PeerSettings{ .id = {},
+                       .endpoint = *endpoint,
+                       .dataCentre = core::DataCentreId(dataCentre) };
+}
+
+void ReadPeers(IniReader& aReader, HostSettings& aSettings)
+{
+  const IniSection* section = aReader.Section("peers");
+  if (!section) {
+    return;
+  }
+  std::set<Endpoint> used = { aSettings.peersListen };
+  for (const IniEntry& entry : section->entries) {
+    std::optional<PeerSettings> peer = ParsePeer(entry.value);
+    if (!peer) {
+      aReader.Fault(*section, entry.key,
+                    "'" + entry.value + "' is not a peer; write it as 127.0.0.1:7302@gent-a");
+      continue;
+    }
+    peer->id = core::HostId(entry.key);
+    if (peer->id == aSettings.id) {
+      aReader.Fault(*section, entry.key, "is this host itself; remove it");
+    }
+    if (!used.insert(peer->endpoint).second) {
+      aReader.Fault(*section, entry.key, "address of another host; give each host its own");
+    }
+    aSettings.peers.push_back(std::move(*peer));
+  }
+}
+
+bool IsHost(const HostSettings& aSettings, const core::HostId& aId)
+{
+  return aId == aSettings.id ||
+         std::ranges::find(aSettings.peers, aId, &PeerSettings::id) != aSettings.peers.end();
+}
+
+bool IsDataCentre(const HostSettings& aSettings, const std::string& aName)
+{
+  const core::DataCentreId id(aName);
+  return id == aSettings.dataCentre ||
+         std::ranges::find(aSettings.peers, id, &PeerSettings::dataCentre) != aSettings.peers.end();
+}
+
+void CheckVoters(IniReader& aReader, const IniSection& aSection, const HostSettings& aSettings,
+                 const GroupSettings& aGroup)
+{
+  const std::string& name = aGroup.id.Text();
+  for (const core::HostId& voter : aGroup.voters) {
+    if (!IsHost(aSettings, voter)) {
+      aReader.Fault(aSection, name,
+                    "voter '" + voter.Text() + "' is not a host; add it under [peers]");
+    }
+    if (voter == aSettings.id && !aSettings.dataFolder) {
+      aReader.Fault(aSection, name,
+                    "this host votes but has no folder for state; set [host] data-folder");
+    }
+  }
+}
+
+void ReadGroups(IniReader& aReader, HostSettings& aSettings)
+{
+  const IniSection* section = aReader.Section("groups");
+  if (!section || !section->Find(kDocumentsGroup)) {
+    aReader.Fault("[groups] documents: missing; add `documents = ` with its voters");
+  }
+  if (!section) {
+    return;
+  }
+  for (const IniEntry& entry : section->entries) {
+    GroupSettings group{ .id = core::GroupId(entry.key), .voters = {} };
+    aReader.Read(*section, entry.key.c_str(), group.voters);
+    if (entry.key != kDocumentsGroup && !IsDataCentre(aSettings, entry.key)) {
+      aReader.Fault(*section, entry.key,
+                    "is no data centre of this host or a peer; name the group after one");
+    }
+    CheckVoters(aReader, *section, aSettings, group);
+    aSettings.groups.push_back(std::move(group));
+  }
+}
+
+void ReadLimits(IniReader& aReader, HostSettings& aSettings)
+{
+  const IniSection* limits = aReader.Section("limits");
+  if (!limits) {
+    return;
+  }
+  aReader.Read(*limits, "body", aSettings.maxBody);
+  aReader.Read(*limits, "caller-buffer", aSettings.callerBuffer);
+  aReader.Read(*limits, "callers", aSettings.maxCallers);
+  aReader.Read(*limits, "caller-idle", aSettings.callerIdle);
+  aReader.Read(*limits, "upstream-connect", aSettings.upstreamConnect);
+  aReader.Read(*limits, "upstream-stall", aSettings.upstreamStall);
+  aReader.Read(*limits, "shutdown", aSettings.shutdown);
+  aReader.Read(*limits, "upstream-lease", aSettings.upstreamLease);
+}
+
+void ReadLog(IniReader& aReader, HostSettings& aSettings)
+{
+  const IniSection* log = aReader.Section("log");
+  if (!log) {
+    return;
+  }
+  std::size_t level = 0;
+  aReader.ReadChoice(*log, "level", level);
+  if (const IniEntry* entry = log->Find("level")) {
+    aSettings.logLevel = entry->value;
+  }
+  aReader.ReadChoice(*log, "format", aSettings.logFormat);
+}
+
+} // namespace
+
+core::Result<HostSettings> LoadHostSettings(const std::string& aPath)
+{
+  const std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return core::Fail(core::ErrorKind::Io,
+                      aPath + ": cannot be opened; check that it exists and may be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (file.bad()) {
+    return core::Fail(core::ErrorKind::Io, aPath + ": cannot be read; check that it is a file");
+  }
+  return ParseHostSettings(text.str(), aPath);
+}
+
+core::Result<HostSettings> ParseHostSettings(const std::string& aText, const std::string& aName)
+{
+  IniReader reader(aText, aName, SettingsReference());
+  HostSettings settings;
+  ReadHost(reader, settings);
+  ReadListen(reader, settings);
+  ReadPeers(reader, settings);
+  ReadGroups(reader, settings);
+  ReadLimits(reader, settings);
+  ReadLog(reader, settings);
+  const core::Result<void> verdict = reader.Verdict();
+  if (!verdict) {
+    return verdict.error();
+  }
+  return settings;
+}
+
+} // namespace cuminfield::process::settings
--- /dev/null
+++ b/cuminfield/process/settings/IniReader.cpp
@@ -0,0 +1,318 @@
+#include "cuminfield/process/settings/IniReader.h"
+
+#include "cuminfield/process/settings/Values.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cuminfield::process::settings {
+
+namespace {
+
+std::string Place(const IniSection& aSection, const std::string& aKey)
+{
+  const std::string section = "[" + aSection.name + "]";
+  return aKey.empty() ? section : section + " " + aKey;
+}
+
+} // namespace
+
+IniReader::IniReader(const std::string& aText, std::string aFile, std::span<const KeySpec> aKeys)
+  : mFile(std::move(aFile))
+  , mKeys(aKeys)
+  , mIni(aText)
+  , mFaults(mIni.Faults())
+{
+  for (const IniSection& section : mIni.Sections()) {
+    CheckSection(section);
+  }
+  CheckMissingSections();
+}
+
+void IniReader::CheckSection(const IniSection& aSection)
+{
+  const auto spec = std::ranges::find(mKeys, aSection.Kind(), &KeySpec::Kind);
+  const std::string ownName = aSection.OwnName();
+  const bool known = spec != mKeys.end() && (spec->NamedSection() || ownName.empty());
+  if (!known) {
+    Fault(aSection, "", "unknown section; use one of " + KnownSections());
+    return;
+  }
+  if (spec->NamedSection() && !IsName(ownName)) {
+    Fault(aSection, "",
+          "needs a name of letters, digits, '.', '-' and '_'; write [" + aSection.Kind() +
+            " NAME]");
+  }
+  CheckEntries(aSection);
+  CheckRequired(aSection);
+}
+
+void IniReader::CheckEntries(const IniSection& aSection)
+{
+  std::set<std::string> seen;
+  for (const IniEntry& entry : aSection.entries) {
+    const std::string place = Place(aSection, entry.key);
+    if (!FindSpec(aSection, entry.key)) {
+      mFaults.push_back(
+        { entry.line, place + ": unknown key; use one of " + KnownKeys(aSection.Kind()) });
+    } else if (!seen.insert(entry.key).second) {
+      mFaults.push_back({ entry.line, place + ": repeated key; keep one of them" });
+    }
+  }
+}
+
+void IniReader::CheckRequired(const IniSection& aSection)
+{
+  for (const KeySpec& spec : mKeys) {
+    if (spec.Required() && spec.Kind() == aSection.Kind() && !aSection.Find(spec.key)) {
+      Fault(aSection, spec.key, "missing; add `" + std::string(spec.key) + " = ` " + spec.Form());
+    }
+  }
+}
+
+void IniReader::CheckMissingSections()
+{
+  std::set<std::string> reported;
+  for (const KeySpec& spec : mKeys) {
+    const bool needed = spec.Required() && !spec.NamedSection() && !Section(spec.section);
+    if (needed && reported.insert(spec.section).second) {
+      Fault(std::string("section [") + spec.section + "] is missing; add it with " +
+            KnownKeys(spec.section));
+    }
+  }
+}
+
+std::vector<const IniSection*> IniReader::Sections(std::string_view aKind) const
+{
+  std::vector<const IniSection*> found;
+  for (const IniSection& section : mIni.Sections()) {
+    if (section.Kind() == aKind && IsName(section.OwnName())) {
+      found.push_back(&section);
+    }
+  }
+  return found;
+}
+
+const IniSection* IniReader::Section(std::string_view aName) const
+{
+  const auto it = std::ranges::find(mIni.Sections(), aName, &IniSection::name);
+  return it == mIni.Sections().end() ? nullptr : &*it;
+}
+
+const KeySpec* IniReader::FindSpec(const IniSection& aSection, const std::string& aKey) const
+{
+  const std::string kind = aSection.Kind();
+  for (const KeySpec& spec : mKeys) {
+    if (spec.Matches(aKey) && spec.Kind() == kind) {
+      return &spec;
+    }
+  }
+  return nullptr;
+}
+
+std::string IniReader::KnownSections() const
+{
+  std::string list;
+  std::string last;
+  for (const KeySpec& spec : mKeys) {
+    if (spec.section != last) {
+      list += std::string(list.empty() ? "[" : ", [") + spec.section + "]";
+    }
+    last = spec.section;
+  }
+  return list;
+}
+
+std::string IniReader::KnownKeys(const std::string& aKind) const
+{
+  std::string list;
+  for (const KeySpec& spec : mKeys) {
+    if (spec.Kind() == aKind) {
+      list += (list.empty() ? "" : ", ") + std::string(spec.key);
+    }
+  }
+  return list;
+}
+
+template<typename Parse>
+std::optional<std::int64_t> IniReader::ReadNumber(const IniSection& aSection, const char* aKey,
+                                                  Parse aParse)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  const KeySpec* spec = FindSpec(aSection, aKey);
+  if (!entry || !spec) {
+    return std::nullopt;
+  }
+  const std::optional<std::int64_t> value = aParse(entry->value);
+  if (!value || *value < spec->min || *value > spec->max) {
+    BadValue(aSection, *entry);
+    return std::nullopt;
+  }
+  return value;
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, core::Duration& aTarget)
+{
+  const auto parse = [](const std::string& aText) -> std::optional<std::int64_t> {
+    const auto value = ParseDuration(aText);
+    return value ? std::optional(value->count()) : std::nullopt;
+  };
+  if (const auto value = ReadNumber(aSection, aKey, parse)) {
+    aTarget = core::Duration(*value);
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, core::Bytes& aTarget)
+{
+  const auto parse = [](const std::string& aText) -> std::optional<std::int64_t> {
+    const auto value = ParseSize(aText);
+    return value ? std::optional(value->value) : std::nullopt;
+  };
+  if (const auto value = ReadNumber(aSection, aKey, parse)) {
+    aTarget = core::Bytes{ *value };
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, std::uint64_t& aTarget)
+{
+  if (const auto value = ReadNumber(aSection, aKey, ParseCount)) {
+    aTarget = static_cast<std::uint64_t>(*value);
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, std::uint32_t& aTarget)
+{
+  if (const auto value = ReadNumber(aSection, aKey, ParseCount)) {
+    aTarget = static_cast<std::uint32_t>(*value);
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, double& aTarget)
+{
+  constexpr double kHundredths = 100.0;
+  if (const auto value = ReadNumber(aSection, aKey, ParseHundredths)) {
+    aTarget = static_cast<double>(*value) / kHundredths;
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, bool& aTarget)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  if (!entry) {
+    return;
+  }
+  if (const auto value = ParseYesNo(entry->value)) {
+    aTarget = *value;
+  } else {
+    BadValue(aSection, *entry);
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, core::WallTime& aTarget)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  if (!entry) {
+    return;
+  }
+  if (const auto value = ParseTime(entry->value)) {
+    aTarget = *value;
+  } else {
+    BadValue(aSection, *entry);
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, Endpoint& aTarget)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  if (!entry) {
+    return;
+  }
+  if (const auto value = ParseEndpoint(entry->value)) {
+    aTarget = *value;
+  } else {
+    BadValue(aSection, *entry);
+  }
+}
+
+void IniReader::Read(const IniSection& aSection, const char* aKey, std::string& aTarget)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  const KeySpec* spec = FindSpec(aSection, aKey);
+  if (!entry || !spec) {
+    return;
+  }
+  const bool valid = spec->type == ValueType::Text ? !entry->value.empty() : IsName(entry->value);
+  if (valid) {
+    aTarget = entry->value;
+  } else {
+    BadValue(aSection, *entry);
+  }
+}
+
+std::vector<std::string> IniReader::ReadNames(const IniSection& aSection, const char* aKey)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  if (!entry) {
+    return {};
+  }
+  std::vector<std::string> words = SplitWords(entry->value);
+  const std::set<std::string> distinct(words.begin(), words.end());
+  if (words.empty() || distinct.size() != words.size() || !std::ranges::all_of(words, IsName)) {
+    BadValue(aSection, *entry);
+    return {};
+  }
+  return words;
+}
+
+std::optional<std::size_t> IniReader::ChoiceAt(const IniSection& aSection, const char* aKey)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  const KeySpec* spec = FindSpec(aSection, aKey);
+  if (!entry || !spec) {
+    return std::nullopt;
+  }
+  const std::vector<std::string> words = SplitWords(spec->choices);
+  const auto it = std::ranges::find(words, entry->value);
+  if (it == words.end()) {
+    BadValue(aSection, *entry);
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(it - words.begin());
+}
+
+void IniReader::BadValue(const IniSection& aSection, const IniEntry& aEntry)
+{
+  const KeySpec* spec = FindSpec(aSection, aEntry.key);
+  Fault(aSection, aEntry.key,
+        "'" + aEntry.value + "' is not valid; write: " + (spec ? spec->Form() : "a known key"));
+}
+
+void IniReader::Fault(const IniSection& aSection, const std::string& aKey,
+                      const std::string& aMessage)
+{
+  const IniEntry* entry = aSection.Find(aKey);
+  const std::size_t line = entry ? entry->line : aSection.line;
+  mFaults.push_back({ line, Place(aSection, aKey) + ": " + aMessage });
+}
+
+void IniReader::Fault(const std::string& aMessage)
+{
+  mFaults.push_back({ 1, aMessage });
+}
+
+core::Result<void> IniReader::Verdict() const
+{
+  if (mFaults.empty()) {
+    return core::Done();
+  }
+  std::vector<IniFault> faults = mFaults;
+  std::ranges::stable_sort(faults, {}, &IniFault::line);
+  std::string message;
+  for (const IniFault& fault : faults) {
+    message += message.empty() ? "" : "\n";
+    message += mFile + ":" + std::to_string(fault.line) + ": " + fault.message;
+  }
+  return core::Fail(core::ErrorKind::InvalidSettings, message);
+}
+
+} // namespace cuminfield::process::settings
--- /dev/null
+++ b/cuminfield/process/settings/IniReader.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "cuminfield/core/Error.h"
+#include "cuminfield/process/settings/HostSettings.h"
+#include "cuminfield/process/settings/IniFile.h"
+#include "cuminfield/process/settings/KeySpec.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cuminfield::process::settings {
+
+/// Typed reading of an INI text against a table of its keys. Collects every fault with file, line,
+/// section, key and remedy, so that one run shows all that must be mended. Read() leaves its target
+/// alone when the key is absent or faulty.
+class IniReader
+{
+public:
+  /// Splits aText and reports unknown sections and keys, repeated and missing keys.
+  IniReader(const std::string& aText, std::string aFile, std::span<const KeySpec> aKeys);
+
+  /// Sections of this kind, in file order.
+  std::vector<const IniSection*> Sections(std::string_view aKind) const;
+
+  /// The section with exactly this name, or nullptr.
+  const IniSection* Section(std::string_view aName) const;
+
+  /// Reads Duration, Size, Count, Percent, YesNo, Time, Endpoint, Name and Text values.
+  void Read(const IniSection& aSection, const char* aKey, core::Duration& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, core::Bytes& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, std::uint64_t& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, std::uint32_t& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, double& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, bool& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, core::WallTime& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, Endpoint& aTarget);
+  void Read(const IniSection& aSection, const char* aKey, std::string& aTarget);
+
+  /// Reads a Name value.
+  template<typename Tag>
+  void Read(const IniSection& aSection, const char* aKey, core::Name<Tag>& aTarget)
+  {
+    std::string text;
+    Read(aSection, aKey, text);
+    if (!text.empty()) {
+      aTarget = core::Name<Tag>(std::move(text));
+    }
+  }
+
+  /// Reads a value whose absence means something.
+  template<typename T>
+  void Read(const IniSection& aSection, const char* aKey, std::optional<T>& aTarget)
+  {
+    if (aSection.Find(aKey)) {
+      T value{};
+      Read(aSection, aKey, value);
+      aTarget = std::move(value);
+    }
+  }
+
+  /// Reads a Names value.
+  template<typename Tag>
+  void Read(const IniSection& aSection, const char* aKey, std::vector<core::Name<Tag>>& aTarget)
+  {
+    for (std::string& word : ReadNames(aSection, aKey)) {
+      aTarget.emplace_back(std::move(word));
+    }
+  }
+
+  /// Reads a Choice value as its position in the table's list of words.
+  template<typename Enum>
+  void ReadChoice(const IniSection& aSection, const char* aKey, Enum& aTarget)
+  {
+    if (const auto position = ChoiceAt(aSection, aKey)) {
+      aTarget = static_cast<Enum>(*position);
+    }
+  }
+
+  /// Adds a fault at the key's line, or at the section's where the key is absent.
+  void Fault(const IniSection& aSection, const std::string& aKey, const std::string& aMessage);
+
+  /// Adds a fault of the file as a whole.
+  void Fault(const std::string& aMessage);
+
+  /// Done, or InvalidSettings with every fault on a line of its own, in file order.
+  core::Result<void> Verdict() const;
+
+private:
+  void CheckSection(const IniSection& aSection);
+  void CheckEntries(const IniSection& aSection);
+  void CheckRequired(const IniSection& aSection);
+  void CheckMissingSections();
+  const KeySpec* FindSpec(const IniSection& aSection, const std::string& aKey) const;
+  std::string KnownSections() const;
+  std::string KnownKeys(const std::string& aKind) const;
+  std::vector<std::string> ReadNames(const IniSection& aSection, const char* aKey);
+  std::optional<std::size_t> ChoiceAt(const IniSection& aSection, const char* aKey);
+  void BadValue(const IniSection& aSection, const IniEntry& aEntry);
+
+  /// The number that aParse finds, when inside the table's range; a fault otherwise.
+  template<typename Parse>
+  std::optional<std::int64_t> ReadNumber(const IniSection& aSection, const char* aKey,
+                                         Parse aParse);
+
+  std::string mFile;
+  std::span<const KeySpec> mKeys;
+  IniFile mIni;
+  std::vector<IniFault> mFaults;
+};
+
+} // namespace cuminfield::process::settings
--- /dev/null
+++ b/cuminfield/process/settings/KeySpec.cpp
@@ -0,0 +1,101 @@
+#include "cuminfield/process/settings/KeySpec.h"
+
+#include "cuminfield/process/settings/Values.h"
+
+#include <cstring>
+
+namespace cuminfield::process::settings {
+
+namespace {
+
+constexpr const char* kAnyName = "NAME";
+constexpr std::int64_t kNoMax = std::numeric_limits<std::int64_t>::max();
+
+/// The type in words, without the range.
+std::string TypeText(const KeySpec& aSpec)
+{
+  switch (aSpec.type) {
+    case ValueType::Name:
+      return "name";
+    case ValueType::Names:
+      return "names separated by spaces";
+    case ValueType::Duration:
+      return "duration with unit ms, s, m or h";
+    case ValueType::Size:
+      return "size with unit B, KiB, MiB or GiB";
+    case ValueType::Count:
+      return "whole number";
+    case ValueType::Percent:
+      return "per cent without unit";
+    case ValueType::YesNo:
+      return "yes or no";
+    case ValueType::Time:
+      return "UTC time as 2026-12-05T18:00:00Z";
+    case ValueType::Endpoint:
+      return "IPv4 number and port as 127.0.0.1:7301";
+    case ValueType::Peer:
+      return "IPv4 number, port and data centre as 127.0.0.1:7302@gent-a";
+    case ValueType::Choice:
+      return std::string("one of ") + aSpec.choices;
+    case ValueType::Text:
+      return "text";
+  }
+  return "text";
+}
+
+std::string BoundText(ValueType aType, std::int64_t aValue)
+{
+  if (aType == ValueType::Duration) {
+    return FormatDuration(core::Duration(aValue));
+  }
+  if (aType == ValueType::Size) {
+    return FormatSize(core::Bytes{ aValue });
+  }
+  if (aType == ValueType::Percent) {
+    return FormatPercent(aValue);
+  }
+  return std::to_string(aValue);
+}
+
+} // namespace
+
+bool KeySpec::Required() const
+{
+  return std::strcmp(fallback, "required") == 0;
+}
+
+bool KeySpec::NamedSection() const
+{
+  return std::strchr(section, ' ') != nullptr;
+}
+
+std::string KeySpec::Kind() const
+{
+  const std::string text = section;
+  return text.substr(0, text.find(' '));
+}
+
+bool KeySpec::Matches(const std::string& aKey) const
+{
+  if (std::strcmp(key, kAnyName) == 0) {
+    return IsName(aKey);
+  }
+  return aKey == key;
+}
+
+std::string KeySpec::Form() const
+{
+  std::string form = TypeText(*this);
+  if (max != kNoMax) {
+    form += ", " + BoundText(type, min) + " to " + BoundText(type, max);
+  }
+  return form;
+}
+
+std::string KeySpec::Row() const
+{
+  return std::string("| `[") + section + "]` | `" + key + "` | " + Form() + " | " + fallback +
+         " | " + meaning + " |";
+}
+
+} // namespace cuminfield::process::settings
--- /dev/null
+++ b/cuminfield/process/settings/SettingsReference.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cuminfield/process/settings/KeySpec.h"
+
+#include <span>
+
+namespace cuminfield::process::settings {
+
+/// Every key of a host settings file, in the order of docs/Settings.md.
+std::span<const KeySpec> SettingsReference();
+
+} // namespace cuminfield::process::settings
--- /dev/null
+++ b/cuminfield/process/settings/Values.cpp
@@ -0,0 +1,226 @@
+#include "cuminfield/process/settings/Values.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+#include <span>
+
+namespace cuminfield::process::settings {
+
+namespace {
+
+constexpr std::int64_t kHundred = 100;
+
+/// A unit's spelling and its size in base units.
+struct Unit
+{
+  std::string_view name;
+  std::int64_t factor;
+};
+
+constexpr std::array<Unit, 4> kTimeUnits = { Unit{ "ms", 1'000 }, Unit{ "s", 1'000'000 },
+                                             Unit{ "m", 60'000'000 }, Unit{ "h", 3'600'000'000 } };
+constexpr std::array<Unit, 4> kSizeUnits = { Unit{ "B", 1 }, Unit{ "KiB", 1 << 10 },
+                                             Unit{ "MiB", 1 << 20 }, Unit{ "GiB", 1 << 30 } };
+
+bool IsDigit(char aChar)
+{
+  return aChar >= '0' && aChar <= '9';
+}
+
+bool IsNameChar(char aChar)
+{
+  const bool letter = (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z');
+  return letter || IsDigit(aChar) || aChar == '.' || aChar == '-' || aChar == '_';
+}
+
+std::optional<std::int64_t> ParseWithUnit(std::string_view aText, std::span<const Unit> aUnits)
+{
+  const auto end = std::ranges::find_if_not(aText, IsDigit);
+  const auto length = static_cast<std::size_t>(end - aText.begin());
+  const auto count = ParseCount(aText.substr(0, length));
+  const auto unit = std::ranges::find(aUnits, aText.substr(length), &Unit::name);
+  if (!count || unit == aUnits.end()) {
+    return std::nullopt;
+  }
+  if (*count > std::numeric_limits<std::int64_t>::max() / unit->factor) {
+    return std::nullopt;
+  }
+  return *count * unit->factor;
+}
+
+std::string FormatWithUnit(std::int64_t aValue, std::span<const Unit> aUnits)
+{
+  const Unit* best = &aUnits.front();
+  for (const Unit& unit : aUnits) {
+    if (aValue != 0 && aValue % unit.factor == 0) {
+      best = &unit;
+    }
+  }
+  return std::to_string(aValue / best->factor) + std::string(best->name);
+}
+
+/// The number in aText at [aFrom, aFrom + aLength), all digits; nothing otherwise.
+std::optional<int> DigitsAt(std::string_view aText, std::size_t aFrom, std::size_t aLength)
+{
+  const auto count = ParseCount(aText.substr(aFrom, aLength));
+  if (!count) {
+    return std::nullopt;
+  }
+  return static_cast<int>(*count);
+}
+
+/// True when aText has the shape of 2026-12-05T18:00:00Z, with any digits.
+bool HasTimeShape(std::string_view aText)
+{
+  constexpr std::string_view kShape = "0000-00-00T00:00:00Z";
+  return std::ranges::equal(aText, kShape, [](char aChar, char aShape) {
+    return aShape == '0' ? IsDigit(aChar) : aChar == aShape;
+  });
+}
+
+} // namespace
+
+bool IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameLength && std::ranges::all_of(aText, IsNameChar);
+}
+
+std::vector<std::string> SplitWords(std::string_view aText)
+{
+  constexpr std::string_view kBlanks = " \t";
+  std::vector<std::string> words;
+  std::size_t from = aText.find_first_not_of(kBlanks);
+  while (from != std::string_view::npos) {
+    const std::size_t to = std::min(aText.find_first_of(kBlanks, from), aText.size());
+    words.emplace_back(aText.substr(from, to - from));
+    from = aText.find_first_not_of(kBlanks, to);
+  }
+  return words;
+}
+
+std::optional<std::int64_t> ParseCount(std::string_view aText)
+{
+  if (aText.empty() || !std::ranges::all_of(aText, IsDigit)) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const auto [end, ec] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (ec != std::errc()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<core::Duration> ParseDuration(std::string_view aText)
+{
+  const auto value = ParseWithUnit(aText, kTimeUnits);
+  if (!value) {
+    return std::nullopt;
+  }
+  return core::Duration(*value);
+}
+
+std::optional<core::Bytes> ParseSize(std::string_view aText)
+{
+  const auto value = ParseWithUnit(aText, kSizeUnits);
+  if (!value) {
+    return std::nullopt;
+  }
+  return core::Bytes{ *value };
+}
+
+std::optional<std::int64_t> ParseHundredths(std::string_view aText)
+{
+  const std::size_t dot = std::min(aText.find('.'), aText.size());
+  const auto whole = ParseCount(aText.substr(0, dot));
+  if (!whole || *whole > std::numeric_limits<std::int32_t>::max()) {
+    return std::nullopt;
+  }
+  if (dot == aText.size()) {
+    return *whole * kHundred;
+  }
+  std::string decimals(aText.substr(dot + 1));
+  if (decimals.empty() || decimals.size() > 2) {
+    return std::nullopt;
+  }
+  decimals.resize(2, '0');
+  const auto part = ParseCount(decimals);
+  if (!part) {
+    return std::nullopt;
+  }
+  return *whole * kHundred + *part;
+}
+
+std::optional<bool> ParseYesNo(std::string_view aText)
+{
+  if (aText == "yes") {
+    return true;
+  }
+  if (aText == "no") {
+    return false;
+  }
+  return std::nullopt;
+}
+
+std::optional<core::WallTime> ParseTime(std::string_view aText)
+{
+  if (!HasTimeShape(aText)) {
+    return std::nullopt;
+  }
+  const std::chrono::year year(*DigitsAt(aText, 0, 4));
+  const std::chrono::month month(static_cast<unsigned>(*DigitsAt(aText, 5, 2)));
+  const std::chrono::day day(static_cast<unsigned>(*DigitsAt(aText, 8, 2)));
+  const std::chrono::year_month_day date(year, month, day);
+  const std::chrono::hours hours(*DigitsAt(aText, 11, 2));
+  const std::chrono::minutes minutes(*DigitsAt(aText, 14, 2));
+  const std::chrono::seconds seconds(*DigitsAt(aText, 17, 2));
+  if (!date.ok() || hours.count() > 23 || minutes.count() > 59 || seconds.count() > 59) {
+    return std::nullopt;
+  }
+  return core::WallTime(std::chrono::sys_days(date)) + hours + minutes + seconds;
+}
+
+std::optional<Endpoint> ParseEndpoint(std::string_view aText)
+{
+  constexpr std::int64_t kMaxPort = 65535;
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string address(aText.substr(0, colon));
+  const auto port = ParseCount(aText.substr(colon + 1));
+  in_addr number{};
+  if (inet_pton(AF_INET, address.c_str(), &number) != 1) {
+    return std::nullopt;
+  }
+  if (!port || *port < 1 || *port > kMaxPort) {
+    return std::nullopt;
+  }
+  return Endpoint{ .address = address, .port = static_cast<std::uint16_t>(*port) };
+}
+
+std::string FormatDuration(core::Duration aValue)
+{
+  return FormatWithUnit(aValue.count(), kTimeUnits);
+}
+
+std::string FormatSize(core::Bytes aValue)
+{
+  return FormatWithUnit(aValue.value, kSizeUnits);
+}
+
+std::string FormatPercent(std::int64_t aHundredths)
+{
+  std::string text = std::to_string(aHundredths / kHundred);
+  const std::int64_t rest = aHundredths % kHundred;
+  if (rest != 0) {
+    text += "." + std::to_string(rest / 10) + std::to_string(rest % 10);
+  }
+  return text;
+}
+
+} // namespace cuminfield::process::settings
--- /dev/null
+++ b/cuminfield/version/document/Document.cpp
@@ -0,0 +1,258 @@
+#include "cuminfield/version/document/Document.h"
+
+#include "cuminfield/process/settings/IniReader.h"
+#include "cuminfield/version/document/DocumentReference.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace cuminfield::version::document {
+
+namespace {
+
+using process::settings::IniReader;
+using process::settings::IniSection;
+
+void ReadTiers(IniReader& aReader, Document& aDocument)
+{
+  std::map<std::uint32_t, std::string> ranks;
+  for (const IniSection* section : aReader.Sections("tier")) {
+    TierSettings tier;
+    tier.id = core::TierId(section->OwnName());
+    aReader.Read(*section, "rank", tier.rank);
+    aReader.Read(*section, "first-token", tier.firstToken);
+    aReader.Read(*section, "token-gap", tier.tokenGap);
+    aReader.Read(*section, "deadline", tier.deadline);
+    const auto [it, isNew] = ranks.try_emplace(tier.rank, tier.id.Text());
+    if (!isNew && section->Find("rank")) {
+      aReader.Fault(*section, "rank",
+                    "same rank as tier '" + it->second + "'; give each tier its own");
+    }
+    if (tier.firstToken > tier.deadline) {
+      aReader.Fault(*section, "deadline", "shorter than first-token; make it at least as long");
+    }
+    aDocument.tiers.push_back(std::move(tier));
+  }
+  if (aDocument.tiers.empty()) {
+    aReader.Fault("no tier; add a section [tier NAME] with a rank");
+  }
+  std::ranges::stable_sort(aDocument.tiers, {}, &TierSettings::rank);
+}
+
+void ReadWorkspaces(IniReader& aReader, Document& aDocument)
+{
+  std::set<core::TierId> known;
+  for (const TierSettings& tier : aDocument.tiers) {
+    known.insert(tier.id);
+  }
+  for (const IniSection* section : aReader.Sections("workspace")) {
+    WorkspaceSettings workspace;
+    workspace.id = core::WorkspaceId(section->OwnName());
+    aReader.Read(*section, "home", workspace.home);
+    aReader.Read(*section, "weight", workspace.weight);
+    aReader.Read(*section, "tiers", workspace.tiers);
+    for (const core::TierId& tier : workspace.tiers) {
+      if (!known.contains(tier)) {
+        aReader.Fault(*section, "tiers",
+                      "no tier '" + tier.Text() + "'; add [tier " + tier.Text() +
+                        "] or remove it here");
+      }
+    }
+    aDocument.workspaces.push_back(std::move(workspace));
+  }
+  if (aDocument.workspaces.size() > kMaxWorkspaces) {
+    aReader.Fault(std::to_string(aDocument.workspaces.size()) + " workspaces; keep at most " +
+                  std::to_string(kMaxWorkspaces));
+  }
+}
+
+void ReadServices(IniReader& aReader, Document& aDocument)
+{
+  for (const IniSection* section : aReader.Sections("service")) {
+    ServiceSettings service;
+    service.id = core::ServiceId(section->OwnName());
+    aReader.ReadChoice(*section, "kind", service.kind);
+    aReader.Read(*section, "version", service.version);
+    aReader.Read(*section, "spill", service.spill);
+    aReader.Read(*section, "fences", service.fences);
+    aDocument.services.push_back(std::move(service));
+  }
+}
+
+/// The service that a section names; a fault where there is none.
+const ServiceSettings* CheckService(IniReader& aReader, const IniSection& aSection,
+                                    const Document& aDocument, const core::ServiceId& aId)
+{
+  const auto it = std::ranges::find(aDocument.services, aId, &ServiceSettings::id);
+  if (it != aDocument.services.end()) {
+    return &*it;
+  }
+  if (!aId.Empty()) {
+    aReader.Fault(aSection, "service",
+                  "no service '" + aId.Text() + "'; add [service " + aId.Text() +
+                    "] or name another");
+  }
+  return nullptr;
+}
+
+void CheckPath(IniReader& aReader, const IniSection& aSection, const RouteSettings& aRoute)
+{
+  const std::string& path = aRoute.path;
+  if (path.empty()) {
+    return; // Reported as missing.
+  }
+  const std::size_t star = path.find('*');
+  const bool starInside = star != std::string::npos && star + 1 != path.size();
+  if (path.front() != '/' || starInside || path.find_first_of(" ?#") != std::string::npos) {
+    aReader.Fault(aSection, "path",
+                  "'" + path + "' is no path; begin with '/', without query, '*' only at the end");
+  }
+}
+
+void ReadRoutes(IniReader& aReader, Document& aDocument)
+{
+  std::map<std::tuple<std::string, std::string, core::ServiceId>, core::RouteId> seen;
+  for (const IniSection* section : aReader.Sections("route")) {
+    RouteSettings route;
+    route.id = core::RouteId(section->OwnName());
+    aReader.Read(*section, "service", route.service);
+    aReader.Read(*section, "path", route.path);
+    std::size_t method = 0;
+    aReader.ReadChoice(*section, "method", method);
+    if (const auto* entry = section->Find("method")) {
+      route.method = entry->value;
+    }
+    aReader.Read(*section, "idempotent", route.idempotent);
+    CheckService(aReader, *section, aDocument, route.service);
+    CheckPath(aReader, *section, route);
+    const auto [it, isNew] =
+      seen.try_emplace(std::tuple(route.method, route.path, route.service), route.id);
+    if (!isNew) {
+      aReader.Fault(*section, "path",
+                    "same method, path and service as route '" + it->second.Text() +
+                      "'; remove one of them");
+    }
+    aDocument.routes.push_back(std::move(route));
+  }
+}
+
+/// A move and the section that it stands in.
+struct PlacedMove
+{
+  const IniSection* section;
+  MoveSettings move;
+
+  /// A move without a start has started already.
+  core::WallTime Start() const { return move.start.value_or(core::WallTime::min()); }
+};
+
+void CheckMove(IniReader& aReader, const IniSection& aSection, const Document& aDocument,
+               const MoveSettings& aMove)
+{
+  if (!aMove.from.Empty() && aMove.from == aMove.to) {
+    aReader.Fault(aSection, "to", "same version as from; name the version to reach");
+  }
+  if (aMove.start && *aMove.start >= aMove.finishBy && aSection.Find("finish-by")) {
+    aReader.Fault(aSection, "finish-by", "not after start; set a later time");
+  }
+  const ServiceSettings* service = CheckService(aReader, aSection, aDocument, aMove.service);
+  if (service && service->version != aMove.from && service->version != aMove.to) {
+    aReader.Fault(aSection, "from",
+                  "service '" + service->id.Text() + "' has version '" + service->version.Text() +
+                    "'; move from it or remove this move");
+  }
+}
+
+/// Two moves of one service: at any time at most one runs, and none builds upon another's outcome,
+/// which may be to be undone.
+void CheckMovesOfService(IniReader& aReader, std::vector<PlacedMove> aMoves)
+{
+  std::ranges::stable_sort(aMoves, {}, &PlacedMove::Start);
+  std::map<core::VersionId, core::MoveId> reached;
+  for (const PlacedMove& placed : aMoves) {
+    reached.emplace(placed.move.to, placed.move.id);
+  }
+  const MoveSettings* latest = nullptr; // The earlier move that finishes last.
+  for (const PlacedMove& placed : aMoves) {
+    const MoveSettings& move = placed.move;
+    if (latest && placed.Start() < latest->finishBy) {
+      aReader.Fault(*placed.section, "start",
+                    "overlaps with move '" + latest->id.Text() +
+                      "' of the same service; start after its finish-by");
+    }
+    const auto it = reached.find(move.from);
+    if (it != reached.end() && it->second != move.id) {
+      aReader.Fault(*placed.section, "from",
+                    "builds upon move '" + it->second.Text() +
+                      "'; when that is done, remove it and set the service's version");
+    }
+    if (!latest || move.finishBy > latest->finishBy) {
+      latest = &move;
+    }
+  }
+}
+
+void ReadMoves(IniReader& aReader, Document& aDocument)
+{
+  std::map<core::ServiceId, std::vector<PlacedMove>> byService;
+  for (const IniSection* section : aReader.Sections("move")) {
+    MoveSettings move;
+    move.id = core::MoveId(section->OwnName());
+    aReader.Read(*section, "service", move.service);
+    aReader.Read(*section, "from", move.from);
+    aReader.Read(*section, "to", move.to);
+    aReader.Read(*section, "start", move.start);
+    aReader.Read(*section, "finish-by", move.finishBy);
+    aReader.Read(*section, "canary", move.canaryPercent);
+    aReader.Read(*section, "undo", move.undo);
+    CheckMove(aReader, *section, aDocument, move);
+    byService[move.service].push_back({ .section = section, .move = move });
+    aDocument.moves.push_back(std::move(move));
+  }
+  for (const auto& [service, moves] : byService) {
+    CheckMovesOfService(aReader, moves);
+  }
+}
+
+} // namespace
+
+core::Result<Document> ParseDocument(const std::string& aText, const std::string& aName)
+{
+  IniReader reader(aText, aName, DocumentReference());
+  Document document;
+  if (const IniSection* section = reader.Section("environment")) {
+    reader.Read(*section, "name", document.environment);
+  }
+  ReadTiers(reader, document);
+  ReadWorkspaces(reader, document);
+  ReadServices(reader, document);
+  ReadRoutes(reader, document);
+  ReadMoves(reader, document);
+  const core::Result<void> verdict = reader.Verdict();
+  if (!verdict) {
+    return verdict.error();
+  }
+  return document;
+}
+
+core::Result<void> CheckHomes(const Document& aDocument,
+                              const std::vector<core::DataCentreId>& aDataCentres)
+{
+  const std::set<core::DataCentreId> known(aDataCentres.begin(), aDataCentres.end());
+  std::string message;
+  for (const WorkspaceSettings& workspace : aDocument.workspaces) {
+    if (!known.contains(workspace.home)) {
+      message += (message.empty() ? "" : "\n") + std::string("[workspace ") + workspace.id.Text() +
+                 "] home: no group keeps claims in '" + workspace.home.Text() +
+                 "'; name a data centre that has one";
+    }
+  }
+  if (!message.empty()) {
+    return core::Fail(core::ErrorKind::InvalidSettings, message);
+  }
+  return core::Done();
+}
+
+} // namespace cuminfield::version::document
--- a/cuminfield/version/document/Document.h
+++ b/cuminfield/version/document/Document.h
@@ -102,7 +102,15 @@
   std::vector<MoveSettings> moves;
 };
 
+/// Most workspaces in one document.
+inline constexpr std::size_t kMaxWorkspaces = 15'000;
+
 /// Parses and checks a whole document. Errors (InvalidSettings) name file, line, key and remedy.
 core::Result<Document> ParseDocument(const std::string& aText, const std::string& aName);
 
+/// Checks that each workspace's home is one of the data centres that have a group for claims, which
+/// only a host knows from its settings.
+core::Result<void> CheckHomes(const Document& aDocument,
+                              const std::vector<core::DataCentreId>& aDataCentres);
+
 } // namespace cuminfield::version::document
--- /dev/null
+++ b/cuminfield/version/document/DocumentReference.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cuminfield/process/settings/KeySpec.h"
+
+#include <span>
+
+namespace cuminfield::version::document {
+
+/// Every key of an environment's document, in the order of docs/Settings.md.
+std::span<const process::settings::KeySpec> DocumentReference();
+
+} // namespace cuminfield::version::document
