--- /dev/null
+++ b/cuminfield/process/claims/GroupClaimKeeper.cpp
@@ -0,0 +1,227 @@
+#include "cuminfield/process/claims/GroupClaimKeeper.h"
+
+#include "cuminfield/process/state/state.pb.h"
+
+#include <memory>
+#include <utility>
+
+namespace cuminfield::process::claims {
+
+using request::claims::ClaimKey;
+using request::claims::ClaimOutcome;
+using request::claims::ClaimRecord;
+using request::claims::ClaimReply;
+using request::claims::ClaimState;
+using request::claims::ClaimTarget;
+using request::claims::ClaimVerdict;
+
+namespace {
+
+std::string ToBytes(std::uint64_t aDigest)
+{
+  std::string bytes(sizeof aDigest, '\0');
+  for (char& it : bytes) {
+    it = static_cast<char>(aDigest & 0xff);
+    aDigest >>= 8;
+  }
+  return bytes;
+}
+
+ClaimState ReadState(const state::proto::ClaimRecord& aRecord)
+{
+  if (aRecord.state() == state::proto::CLAIM_STATE_DONE) {
+    return ClaimState::Done;
+  }
+  const bool sent =
+    aRecord.state() == state::proto::CLAIM_STATE_CLAIMED && !aRecord.upstream().id().empty();
+  return sent ? ClaimState::Dispatched : ClaimState::Waiting;
+}
+
+ClaimRecord Read(const state::proto::ClaimRecord& aRecord)
+{
+  return { .request = core::RequestId(aRecord.request_id()),
+           .host = core::HostId(aRecord.host()),
+           .attempt = aRecord.attempt(),
+           .state = ReadState(aRecord),
+           .target = { .upstream = core::UpstreamId(aRecord.upstream().id()),
+                       .address = aRecord.upstream().address(),
+                       .port = static_cast<std::uint16_t>(aRecord.upstream().port()),
+                       .resumes = aRecord.upstream().resumes() },
+           .outcome = { .status = static_cast<int>(aRecord.outcome().status()),
+                        .contentType = aRecord.outcome().content_type(),
+                        .body = aRecord.outcome().body(),
+                        .whole = aRecord.outcome().body_kept() } };
+}
+
+ClaimVerdict Read(state::proto::ClaimVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case state::proto::CLAIM_VERDICT_GRANTED:
+    case state::proto::CLAIM_VERDICT_RELEASED:
+    case state::proto::CLAIM_VERDICT_COMPLETED:
+      return ClaimVerdict::Granted;
+    case state::proto::CLAIM_VERDICT_HELD:
+      return ClaimVerdict::Held;
+    case state::proto::CLAIM_VERDICT_DIGEST_DIFFERS:
+      return ClaimVerdict::DigestDiffers;
+    case state::proto::CLAIM_VERDICT_TOO_OLD:
+    case state::proto::CLAIM_VERDICT_FROM_FUTURE:
+    case state::proto::CLAIM_VERDICT_INVALID_KEY:
+      return ClaimVerdict::TooOld;
+    case state::proto::CLAIM_VERDICT_FULL:
+      return ClaimVerdict::Full;
+    default:
+      return ClaimVerdict::Stale;
+  }
+}
+
+void Write(const ClaimTarget& aTarget, state::proto::Upstream& aUpstream)
+{
+  aUpstream.set_id(aTarget.upstream.Text());
+  aUpstream.set_address(aTarget.address);
+  aUpstream.set_port(aTarget.port);
+  aUpstream.set_resumes(aTarget.resumes);
+}
+
+core::Result<ClaimReply> ReadAnswer(const core::Result<std::string>& aResult)
+{
+  if (!aResult) {
+    return aResult.error();
+  }
+  state::proto::Answer answer;
+  if (!answer.ParseFromString(aResult.value()) || !answer.has_claim()) {
+    return core::Fail(core::ErrorKind::Internal, "the claim's answer cannot be read; report this");
+  }
+  ClaimReply reply{ .verdict = Read(answer.claim().verdict()),
+                    .record = Read(answer.claim().record()) };
+  if (reply.verdict == ClaimVerdict::Granted) {
+    reply.record.attempt = answer.claim().attempt();
+  }
+  return reply;
+}
+
+core::Result<ClaimReply> ReadLookup(const core::Result<std::string>& aResult)
+{
+  if (!aResult) {
+    return aResult.error();
+  }
+  state::proto::QueryAnswer answer;
+  if (!answer.ParseFromString(aResult.value()) || !answer.has_claim()) {
+    return core::Fail(core::ErrorKind::Internal, "the claim's answer cannot be read; report this");
+  }
+  const bool found = answer.claim().found();
+  return ClaimReply{ .verdict = found ? ClaimVerdict::Held : ClaimVerdict::Absent,
+                     .record = Read(answer.claim().record()) };
+}
+
+} // namespace
+
+GroupClaimKeeper::GroupClaimKeeper(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void GroupClaimKeeper::Claim(const ClaimKey& aKey, std::uint64_t aDigest,
+                             const core::RequestId& aRequest, Done aDone)
+{
+  state::proto::Command command;
+  state::proto::Claim* claim = command.mutable_claim();
+  claim->set_workspace(aKey.workspace.Text());
+  claim->set_key(aKey.key.Text());
+  claim->set_digest(ToBytes(aDigest));
+  claim->set_request_id(aRequest.Text());
+  claim->set_host(mOptions.host.Text());
+  Propose(aKey, std::move(command), std::move(aDone));
+}
+
+void GroupClaimKeeper::Dispatch(const ClaimKey& aKey, const core::RequestId& aRequest,
+                                std::uint64_t aAttempt, const ClaimTarget& aTarget, Done aDone)
+{
+  state::proto::Command command;
+  state::proto::Retarget* retarget = command.mutable_retarget();
+  retarget->set_workspace(aKey.workspace.Text());
+  retarget->set_key(aKey.key.Text());
+  retarget->set_request_id(aRequest.Text());
+  retarget->set_attempt(aAttempt);
+  Write(aTarget, *retarget->mutable_upstream());
+  Propose(aKey, std::move(command), std::move(aDone));
+}
+
+void GroupClaimKeeper::Release(const ClaimKey& aKey, const core::RequestId& aRequest,
+                               std::uint64_t aAttempt, Done aDone)
+{
+  state::proto::Command command;
+  state::proto::Release* release = command.mutable_release();
+  release->set_workspace(aKey.workspace.Text());
+  release->set_key(aKey.key.Text());
+  release->set_request_id(aRequest.Text());
+  release->set_attempt(aAttempt);
+  Propose(aKey, std::move(command), std::move(aDone));
+}
+
+void GroupClaimKeeper::Complete(const ClaimKey& aKey, const core::RequestId& aRequest,
+                                std::uint64_t aAttempt, const ClaimOutcome& aOutcome, Done aDone)
+{
+  state::proto::Command command;
+  state::proto::Complete* complete = command.mutable_complete();
+  complete->set_workspace(aKey.workspace.Text());
+  complete->set_key(aKey.key.Text());
+  complete->set_request_id(aRequest.Text());
+  complete->set_attempt(aAttempt);
+  state::proto::Outcome* outcome = complete->mutable_outcome();
+  outcome->set_status(static_cast<std::uint32_t>(aOutcome.status));
+  outcome->set_content_type(aOutcome.contentType);
+  outcome->set_body(aOutcome.body);
+  outcome->set_body_kept(aOutcome.whole);
+  Propose(aKey, std::move(command), std::move(aDone));
+}
+
+void GroupClaimKeeper::Look(const ClaimKey& aKey, Done aDone)
+{
+  log::Group* group = Find(aKey.home);
+  if (!group) {
+    FailSoon(aKey.home, std::move(aDone));
+    return;
+  }
+  state::proto::Query query;
+  query.mutable_claim()->set_workspace(aKey.workspace.Text());
+  query.mutable_claim()->set_key(aKey.key.Text());
+  group->Query(query.SerializeAsString(), mOptions.settings.step,
+               [done = std::move(aDone)](const core::Result<std::string>& aResult) {
+                 done(ReadLookup(aResult));
+               });
+}
+
+log::Group* GroupClaimKeeper::Find(const core::DataCentreId& aHome) const
+{
+  const auto it = mOptions.homes.find(aHome);
+  return it == mOptions.homes.end() ? nullptr : it->second;
+}
+
+void GroupClaimKeeper::FailSoon(const core::DataCentreId& aHome, Done aDone)
+{
+  std::erase_if(mFailures, [](const core::TimerHandle& aHandle) { return !aHandle.Active(); });
+  mFailures.push_back(
+    mOptions.timers.After(core::Duration::zero(), [home = aHome.Text(), done = std::move(aDone)] {
+      done(core::Result<ClaimReply>(
+        core::Error{ .kind = core::ErrorKind::Unavailable,
+                     .message = "no group keeps the claims of " + home +
+                                "; add it to section [groups] of every host" }));
+    }));
+}
+
+void GroupClaimKeeper::Propose(const ClaimKey& aKey, state::proto::Command aCommand, Done aDone)
+{
+  log::Group* group = Find(aKey.home);
+  if (!group) {
+    FailSoon(aKey.home, std::move(aDone));
+    return;
+  }
+  aCommand.set_now(mOptions.timers.WallNow().time_since_epoch().count());
+  group->Propose(aCommand.SerializeAsString(), mOptions.settings.step,
+                 [done = std::move(aDone)](const core::Result<std::string>& aResult) {
+                   done(ReadAnswer(aResult));
+                 });
+}
+
+} // namespace cuminfield::process::claims
--- /dev/null
+++ b/cuminfield/process/claims/GroupClaimKeeper.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "cuminfield/core/TimerService.h"
+#include "cuminfield/process/log/Group.h"
+#include "cuminfield/request/claims/ClaimKeeper.h"
+
+#include <map>
+
+namespace cuminfield::process::state::proto {
+class Command;
+} // namespace cuminfield::process::state::proto
+
+namespace cuminfield::process::claims {
+
+/// Tunables of the keeper.
+struct GroupClaimKeeperSettings
+{
+  /// How long a step may take: longer than the election of a new leader.
+  core::Duration step = std::chrono::seconds(4);
+};
+
+/// Keeps claims in the replicated groups of the data centres: each claim in its home's.
+class GroupClaimKeeper : public request::claims::ClaimKeeper
+{
+public:
+  struct Options
+  {
+    GroupClaimKeeperSettings settings{};
+    core::HostId host;
+    core::TimerService& timers;
+    std::map<core::DataCentreId, log::Group*> homes; ///< Not owned.
+  };
+
+  explicit GroupClaimKeeper(Options aOptions);
+
+  void Claim(const request::claims::ClaimKey& aKey, std::uint64_t aDigest,
+             const core::RequestId& aRequest, Done aDone) override;
+  void Dispatch(const request::claims::ClaimKey& aKey, const core::RequestId& aRequest,
+                std::uint64_t aAttempt, const request::claims::ClaimTarget& aTarget,
+                Done aDone) override;
+  void Release(const request::claims::ClaimKey& aKey, const core::RequestId& aRequest,
+               std::uint64_t aAttempt, Done aDone) override;
+  void Complete(const request::claims::ClaimKey& aKey, const core::RequestId& aRequest,
+                std::uint64_t aAttempt, const request::claims::ClaimOutcome& aOutcome,
+                Done aDone) override;
+  void Look(const request::claims::ClaimKey& aKey, Done aDone) override;
+
+private:
+  log::Group* Find(const core::DataCentreId& aHome) const;
+  void FailSoon(const core::DataCentreId& aHome, Done aDone);
+  void Propose(const request::claims::ClaimKey& aKey, state::proto::Command aCommand, Done aDone);
+
+  Options mOptions;
+  std::vector<core::TimerHandle> mFailures;
+};
+
+} // namespace cuminfield::process::claims
--- a/cuminfield/process/peer/PeerLinks.h
+++ b/cuminfield/process/peer/PeerLinks.h
@@ -17,6 +17,7 @@
   Membership = 3, ///< Upstreams announced, renewed, leaving.
   Capacity = 4,   ///< Demand and grants.
   Moves = 5,      ///< Observations of versions and verdicts on them.
+  Documents = 6,  ///< Accepted documents and the steps of their moves.
 };
 
 /// One message between two hosts: best effort. May be lost, repeated, delayed or overtaken, so
