--- /dev/null
+++ b/cuminfield/process/log/EntryLog.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "cuminfield/core/Ids.h"
+#include "cuminfield/process/log/Configuration.h"
+#include "cuminfield/process/log/log.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace cuminfield::process::log {
+
+/// The entries of a log that are held in memory, and the configurations among them. Entries up to
+/// the base were dropped; a snapshot stands for them.
+class EntryLog
+{
+public:
+  /// The last dropped position; 0 when nothing was dropped.
+  std::uint64_t Base() const { return mBase; }
+
+  /// The last position; the base when there is none.
+  std::uint64_t Last() const { return mBase + mEntries.size(); }
+
+  /// The term of the last position.
+  std::uint64_t LastTerm() const;
+
+  /// The term at a position; nothing when it is dropped or not there yet.
+  std::optional<std::uint64_t> TermAt(std::uint64_t aIndex) const;
+
+  /// The entry at a position in (Base, Last].
+  const proto::Entry& At(std::uint64_t aIndex) const { return mEntries[aIndex - mBase - 1]; }
+
+  /// The first position that has the same term as aIndex, as far as held.
+  std::uint64_t FirstOfTerm(std::uint64_t aIndex) const;
+
+  /// Adds the entry that follows the last one.
+  void Append(proto::Entry aEntry);
+
+  /// Drops aIndex and everything after it.
+  void TruncateFrom(std::uint64_t aIndex);
+
+  /// Drops everything up to aIndex, which is held.
+  void CompactTo(std::uint64_t aIndex);
+
+  /// Drops everything and starts over behind a snapshot.
+  void Reset(const proto::Snapshot& aSnapshot);
+
+  /// The latest configuration, committed or not: it is in force as soon as it is in the log.
+  const Configuration& Latest() const { return mConfigurations.back().configuration; }
+
+  /// The position of the latest configuration.
+  std::uint64_t LatestIndex() const { return mConfigurations.back().index; }
+
+  /// The configuration in force at a position.
+  const Configuration& ConfigurationAt(std::uint64_t aIndex) const;
+
+private:
+  struct Place
+  {
+    std::uint64_t index = 0;
+    Configuration configuration;
+  };
+
+  std::uint64_t mBase = 0;
+  std::uint64_t mBaseTerm = 0;
+  std::deque<proto::Entry> mEntries;
+  std::vector<Place> mConfigurations{ Place{} }; ///< By index; never empty.
+};
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/GroupClientSettings.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "cuminfield/core/Units.h"
+
+namespace cuminfield::process::log {
+
+/// Every tunable of a GroupClient.
+struct GroupClientSettings
+{
+  /// How often timeouts are checked and, while no leader is known, voters are asked for it.
+  core::Duration tick = std::chrono::milliseconds(50);
+
+  /// A request without answer for this long is sent again, to whoever leads then.
+  core::Duration resend = std::chrono::milliseconds(400);
+};
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -0,0 +1,323 @@
+#include "cuminfield/process/log/LogGroup.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <utility>
+
+namespace cuminfield::process::log {
+
+namespace {
+
+/// Low bits of an incarnation that are random, so that two folders made in the same microsecond
+/// differ.
+constexpr int kRandomBits = 10;
+
+/// Grows with civil time, and is never the one of a folder that was lost.
+core::Incarnation MakeIncarnation(core::WallTime aNow, core::Random& aRandom)
+{
+  const auto micros = static_cast<std::uint64_t>(aNow.time_since_epoch().count());
+  return core::Incarnation((micros << kRandomBits) + 1 +
+                           aRandom.Below((std::uint64_t{ 1 } << kRandomBits) - 1));
+}
+
+} // namespace
+
+LogGroup::LogGroup(LogGroupOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mClient({ .group = mOptions.group,
+              .self = mOptions.self,
+              .voters = mOptions.voters,
+              .timers = mOptions.timers,
+              .send =
+                [this](const core::HostId& aTo, proto::GroupMessage aMessage) {
+                  SendGroupMessage(aTo, std::move(aMessage));
+                },
+              .settings = mOptions.settings.client })
+{
+}
+
+LogGroup::~LogGroup()
+{
+  *mAlive = false;
+}
+
+core::Result<void> LogGroup::Start()
+{
+  const auto incarnation = MakeIncarnation(mOptions.timers.WallNow(), mOptions.random);
+  BOOST_OUTCOME_TRY(contents, mOptions.storage.Load(incarnation));
+  mLog.emplace(ReplicatedLogOptions{ .group = mOptions.group,
+                                     .self = mOptions.self,
+                                     .voters = mOptions.voters,
+                                     .contents = std::move(contents),
+                                     .random = mOptions.random,
+                                     .now = mOptions.timers.Now(),
+                                     .settings = mOptions.settings.log });
+  mServer.emplace(GroupServerOptions{
+    .group = mOptions.group,
+    .self = mOptions.self,
+    .log = *mLog,
+    .machine = mOptions.machine,
+    .send = [this](const core::HostId& aTo,
+                   proto::GroupMessage aMessage) { SendGroupMessage(aTo, std::move(aMessage)); },
+  });
+  mOptions.peers.OnMessage().connect(sigc::mem_fun(*this, &LogGroup::OnMessage));
+  mTick = mOptions.timers.Every(mOptions.settings.tick, [this] { Tick(); });
+  SchedulePump();
+  return core::Done();
+}
+
+void LogGroup::Propose(std::string aCommand, core::Duration aTimeout, Completion aDone)
+{
+  mClient.Submit(false, std::move(aCommand), aTimeout, std::move(aDone));
+}
+
+void LogGroup::Query(std::string aQuery, core::Duration aTimeout, Completion aDone)
+{
+  mClient.Submit(true, std::move(aQuery), aTimeout, std::move(aDone));
+}
+
+core::HostId LogGroup::Leader() const
+{
+  return mLog ? mLog->Leader() : core::HostId();
+}
+
+Role LogGroup::CurrentRole() const
+{
+  return mLog ? mLog->CurrentRole() : Role::Learner;
+}
+
+core::Term LogGroup::CurrentTerm() const
+{
+  return mLog ? mLog->CurrentTerm() : core::Term();
+}
+
+core::LogIndex LogGroup::CommitIndex() const
+{
+  return mLog ? mLog->CommitIndex() : core::LogIndex();
+}
+
+core::LogIndex LogGroup::AppliedIndex() const
+{
+  return mServer ? mServer->Applied() : core::LogIndex();
+}
+
+Member LogGroup::Self() const
+{
+  return mLog ? mLog->Self() : Member{ .host = mOptions.self, .incarnation = {} };
+}
+
+Configuration LogGroup::Voters() const
+{
+  return mLog ? mLog->Voters() : Configuration();
+}
+
+std::vector<MemberLag> LogGroup::Lags() const
+{
+  return mLog ? mLog->Lags(mOptions.timers.Now()) : std::vector<MemberLag>();
+}
+
+std::optional<core::Instant> LogGroup::LeaderSince() const
+{
+  return mLog && !mFailed ? mLog->LeaderSince() : std::nullopt;
+}
+
+std::optional<core::Instant> LogGroup::LeaseUntil() const
+{
+  if (!mLog || mFailed || !mLog->CommittedInTerm()) {
+    return std::nullopt;
+  }
+  const auto confirmed = mLog->QuorumConfirmed();
+  if (!confirmed) {
+    return std::nullopt;
+  }
+  return *confirmed + mOptions.settings.log.lease;
+}
+
+bool LogGroup::HoldsLease() const
+{
+  const auto until = LeaseUntil();
+  return until && *until > mOptions.timers.Now();
+}
+
+void LogGroup::OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage)
+{
+  if (mFailed) {
+    return;
+  }
+  if (aMessage.channel == peer::Channel::Log) {
+    OnLogMessage(aFrom, aMessage.payload);
+  } else if (aMessage.channel == peer::Channel::Group) {
+    OnGroupMessage(aFrom, aMessage.payload);
+  }
+}
+
+void LogGroup::OnLogMessage(const core::HostId& aFrom, const std::string& aPayload)
+{
+  proto::LogMessage message;
+  if (!message.ParseFromString(aPayload) || message.group() != mOptions.group.Text()) {
+    return;
+  }
+  mLog->Receive(aFrom, message, mOptions.timers.Now());
+  SchedulePump();
+}
+
+void LogGroup::OnGroupMessage(const core::HostId& aFrom, const std::string& aPayload)
+{
+  proto::GroupMessage message;
+  if (!message.ParseFromString(aPayload) || message.group() != mOptions.group.Text()) {
+    return;
+  }
+  HandleGroupMessage(aFrom, message);
+  SchedulePump();
+}
+
+void LogGroup::HandleGroupMessage(const core::HostId& aFrom, const proto::GroupMessage& aMessage)
+{
+  mServer->Receive(aFrom, aMessage, mOptions.timers.Now());
+  mClient.Receive(aFrom, aMessage);
+}
+
+void LogGroup::SendGroupMessage(const core::HostId& aTo, proto::GroupMessage aMessage)
+{
+  if (aTo == mOptions.self) {
+    mOwnMessages.push_back(std::move(aMessage));
+    SchedulePump();
+    return;
+  }
+  mOptions.peers.Send(aTo,
+                      { .channel = peer::Channel::Group, .payload = aMessage.SerializeAsString() });
+}
+
+void LogGroup::Tick()
+{
+  if (mFailed) {
+    return;
+  }
+  mLog->Tick(mOptions.timers.Now());
+  Pump();
+}
+
+void LogGroup::SchedulePump()
+{
+  if (mPumping) {
+    mPumpAgain = true;
+    return;
+  }
+  if (!mSoon.Active()) {
+    mSoon = mOptions.timers.After(core::Duration::zero(), [this] { Pump(); });
+  }
+}
+
+void LogGroup::Pump()
+{
+  if (mPumping) {
+    mPumpAgain = true;
+    return;
+  }
+  mPumping = true;
+  do {
+    mPumpAgain = false;
+    PumpOnce();
+  } while (mPumpAgain && !mFailed);
+  mPumping = false;
+}
+
+void LogGroup::PumpOnce()
+{
+  if (mFailed || !mLog) {
+    return;
+  }
+  DeliverOwnMessages();
+  SendMessages();
+  Persist();
+  if (mFailed) {
+    return;
+  }
+  Apply();
+  mServer->AnswerReads();
+  MaybeSnapshot();
+  WatchLeader();
+}
+
+void LogGroup::DeliverOwnMessages()
+{
+  const std::vector<proto::GroupMessage> messages = std::exchange(mOwnMessages, {});
+  for (const proto::GroupMessage& it : messages) {
+    HandleGroupMessage(mOptions.self, it);
+  }
+}
+
+void LogGroup::SendMessages()
+{
+  for (const OutgoingMessage& it : mLog->TakeMessages()) {
+    mOptions.peers.Send(
+      it.to, { .channel = peer::Channel::Log, .payload = it.message.SerializeAsString() });
+  }
+}
+
+void LogGroup::Persist()
+{
+  if (!mLog->HasBatch()) {
+    return;
+  }
+  mOptions.storage.Persist(mLog->TakeBatch(), [this, alive = mAlive](core::Result<void> aResult) {
+    if (*alive) {
+      OnPersisted(aResult);
+    }
+  });
+}
+
+void LogGroup::OnPersisted(const core::Result<void>& aResult)
+{
+  if (aResult.has_error()) {
+    mFailed = true;
+    mTick.Cancel();
+    mOnFailure.emit(aResult.error());
+    return;
+  }
+  mLog->Persisted(mOptions.timers.Now());
+  Pump();
+}
+
+void LogGroup::Apply()
+{
+  if (const auto snapshot = mLog->NextRestore()) {
+    mServer->Restore(*snapshot);
+    mEntriesSinceSnapshot = 0;
+    mBytesSinceSnapshot = 0;
+  }
+  while (const proto::Entry* entry = mLog->NextCommitted()) {
+    ++mEntriesSinceSnapshot;
+    mBytesSinceSnapshot += entry->command().size();
+    mServer->Apply(*entry);
+  }
+}
+
+void LogGroup::MaybeSnapshot()
+{
+  const LogGroupSettings& settings = mOptions.settings;
+  if (mEntriesSinceSnapshot < settings.snapshotEntries &&
+      mBytesSinceSnapshot < settings.snapshotBytes) {
+    return;
+  }
+  mEntriesSinceSnapshot = 0;
+  mBytesSinceSnapshot = 0;
+  mLog->Compact(mServer->Applied(), mOptions.machine.Snapshot());
+  mPumpAgain = true;
+}
+
+void LogGroup::WatchLeader()
+{
+  const core::HostId leader = mLog->Leader();
+  if (leader.Empty()) {
+    mClient.LeaderLost();
+  } else {
+    mClient.LeaderHeard(leader, mLog->CurrentTerm());
+  }
+  if (leader != mKnownLeader) {
+    mKnownLeader = leader;
+    mOnLeaderChanged.emit(leader);
+  }
+}
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/PosixDisk.cpp
@@ -0,0 +1,155 @@
+#include "cuminfield/process/log/PosixDisk.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <system_error>
+#include <unistd.h>
+
+namespace cuminfield::process::log {
+
+namespace {
+
+constexpr mode_t kFileMode = 0640;
+constexpr std::size_t kReadBytes = std::size_t{ 1024 } * 1024;
+
+auto IoError(const char* aWhat, const std::string& aPath, int aCode)
+{
+  return core::Fail(core::ErrorKind::Io,
+                    std::string("cannot ") + aWhat + " " + aPath + ": " + std::strerror(aCode) +
+                      "; check the disk and the folder's permissions, then start again");
+}
+
+} // namespace
+
+PosixDisk::~PosixDisk()
+{
+  Close();
+}
+
+void PosixDisk::Close()
+{
+  if (mFile >= 0) {
+    ::close(mFile);
+  }
+  mFile = -1;
+  mPath.clear();
+}
+
+core::Result<void> PosixDisk::Open(const std::string& aPath)
+{
+  if (mFile >= 0 && mPath == aPath) {
+    return core::Done();
+  }
+  Close();
+  mFile = ::open(aPath.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, kFileMode);
+  if (mFile < 0) {
+    return IoError("open", aPath, errno);
+  }
+  mPath = aPath;
+  return core::Done();
+}
+
+core::Result<void> PosixDisk::MakeFolder(const std::string& aPath)
+{
+  std::error_code ec;
+  std::filesystem::create_directories(aPath, ec);
+  if (ec) {
+    return IoError("make folder", aPath, ec.value());
+  }
+  return core::Done();
+}
+
+core::Result<std::optional<std::string>> PosixDisk::Read(const std::string& aPath)
+{
+  const int file = ::open(aPath.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0 && errno == ENOENT) {
+    return std::optional<std::string>();
+  }
+  if (file < 0) {
+    return IoError("read", aPath, errno);
+  }
+  std::string bytes;
+  std::string buf(kReadBytes, '\0');
+  ssize_t n = 0;
+  while ((n = ::read(file, buf.data(), buf.size())) > 0) {
+    bytes.append(buf, 0, static_cast<std::size_t>(n));
+  }
+  const int code = errno;
+  ::close(file);
+  if (n < 0) {
+    return IoError("read", aPath, code);
+  }
+  return std::optional<std::string>(std::move(bytes));
+}
+
+core::Result<void> PosixDisk::Append(const std::string& aPath, std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRYV(Open(aPath));
+  while (!aBytes.empty()) {
+    const ssize_t n = ::write(mFile, aBytes.data(), aBytes.size());
+    if (n < 0 && errno == EINTR) {
+      continue;
+    }
+    if (n < 0) {
+      return IoError("write", aPath, errno);
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return core::Done();
+}
+
+core::Result<void> PosixDisk::Truncate(const std::string& aPath, std::uint64_t aSize)
+{
+  if (::truncate(aPath.c_str(), static_cast<off_t>(aSize)) != 0) {
+    return IoError("truncate", aPath, errno);
+  }
+  return core::Done();
+}
+
+core::Result<void> PosixDisk::Sync(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRYV(Open(aPath));
+  if (::fdatasync(mFile) != 0) {
+    return IoError("sync", aPath, errno);
+  }
+  return core::Done();
+}
+
+core::Result<void> PosixDisk::Rename(const std::string& aFrom, const std::string& aTo)
+{
+  Close();
+  if (::rename(aFrom.c_str(), aTo.c_str()) != 0) {
+    return IoError("rename", aFrom, errno);
+  }
+  return core::Done();
+}
+
+core::Result<void> PosixDisk::Remove(const std::string& aPath)
+{
+  Close();
+  if (::unlink(aPath.c_str()) != 0 && errno != ENOENT) {
+    return IoError("remove", aPath, errno);
+  }
+  return core::Done();
+}
+
+core::Result<void> PosixDisk::SyncFolder(const std::string& aPath)
+{
+  const int folder = ::open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) {
+    return IoError("open folder", aPath, errno);
+  }
+  const int status = ::fsync(folder);
+  const int code = errno;
+  ::close(folder);
+  if (status != 0) {
+    return IoError("sync folder", aPath, code);
+  }
+  return core::Done();
+}
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/PosixDisk.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cuminfield/process/log/DiskOperations.h"
+
+#include <string>
+
+namespace cuminfield::process::log {
+
+/// The operating system's files. Keeps the file that was appended to last open.
+class PosixDisk : public DiskOperations
+{
+public:
+  PosixDisk() = default;
+  ~PosixDisk() override;
+  PosixDisk(const PosixDisk&) = delete;
+  PosixDisk& operator=(const PosixDisk&) = delete;
+
+  core::Result<void> MakeFolder(const std::string& aPath) override;
+  core::Result<std::optional<std::string>> Read(const std::string& aPath) override;
+  core::Result<void> Append(const std::string& aPath, std::string_view aBytes) override;
+  core::Result<void> Truncate(const std::string& aPath, std::uint64_t aSize) override;
+  core::Result<void> Sync(const std::string& aPath) override;
+  core::Result<void> Rename(const std::string& aFrom, const std::string& aTo) override;
+  core::Result<void> Remove(const std::string& aPath) override;
+  core::Result<void> SyncFolder(const std::string& aPath) override;
+
+private:
+  /// Opens a file for appending unless it is the open one.
+  core::Result<void> Open(const std::string& aPath);
+  void Close();
+
+  std::string mPath; ///< Of the open file.
+  int mFile = -1;
+};
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -0,0 +1,302 @@
+#pragma once
+
+#include "cuminfield/core/Ids.h"
+#include "cuminfield/core/Random.h"
+#include "cuminfield/core/Units.h"
+#include "cuminfield/process/log/Configuration.h"
+#include "cuminfield/process/log/EntryLog.h"
+#include "cuminfield/process/log/Founding.h"
+#include "cuminfield/process/log/LogStorage.h"
+#include "cuminfield/process/log/Progress.h"
+#include "cuminfield/process/log/ReplicatedLogSettings.h"
+#include "cuminfield/process/log/log.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cuminfield::process::log {
+
+/// A member's part in its group at the moment.
+enum class Role
+{
+  Learner,      ///< Follows without a vote: blank, or not (yet) in the configuration.
+  Follower,     ///< A voter that follows.
+  PreCandidate, ///< Asks whether it would be elected.
+  Candidate,    ///< Asks for votes.
+  Leader,
+};
+
+/// The role's name in lower case with hyphens.
+const char* ToString(Role aRole);
+
+/// A place in the log that no two different entries ever share.
+struct LogPosition
+{
+  core::LogIndex index;
+  core::Term term;
+
+  auto operator<=>(const LogPosition&) const = default;
+};
+
+/// A message and where it goes.
+struct OutgoingMessage
+{
+  core::HostId to;
+  proto::LogMessage message;
+};
+
+/// A leader's view of another member, for display.
+struct MemberLag
+{
+  Member member;
+  bool voter = false;
+  core::LogIndex match;       ///< Durable there up to here.
+  std::uint64_t behind = 0;   ///< Entries that are committed here and not known durable there.
+  core::Duration silent{ 0 }; ///< Since it last answered.
+};
+
+/// How to construct a ReplicatedLog.
+struct ReplicatedLogOptions
+{
+  core::GroupId group;
+  core::HostId self;
+  std::vector<core::HostId> voters; ///< The group's hosts by the settings, this one included.
+  LogContents contents;             ///< As loaded from storage.
+  core::Random random;
+  core::Instant now;
+  ReplicatedLogSettings settings;
+};
+
+/// The decisions of one member of a replicated log: who leads, what is committed, who votes. Has
+/// no clock, disk or link: time and messages are passed in, and what to store, send and apply is
+/// taken out. The same inputs give the same outputs.
+///
+/// The algorithm is Raft (Ongaro and Ousterhout 2014, "In Search of an Understandable Consensus
+/// Algorithm"; Ongaro 2014, "Consensus: Bridging Theory and Practice", cited by chapter). See
+/// docs/design/ReplicatedLog.md for each rule and its source.
+///
+/// After any call, take out in this order: TakeMessages(), then if HasBatch() persist TakeBatch()
+/// and call Persisted() when it is durable, then NextRestore(), NextCommitted() and TakeReads().
+/// Messages that promise something are held back until it is durable.
+class ReplicatedLog
+{
+public:
+  explicit ReplicatedLog(ReplicatedLogOptions aOptions);
+
+  /// Lets time pass; call every few tens of milliseconds.
+  void Tick(core::Instant aNow);
+
+  /// Takes in a message from another host.
+  void Receive(const core::HostId& aFrom, const proto::LogMessage& aMessage, core::Instant aNow);
+
+  /// Appends a command; nothing unless this is the leader and has room. Committed exactly when an
+  /// entry with this position comes out of NextCommitted().
+  std::optional<LogPosition> Propose(std::string aCommand, core::Instant aNow);
+
+  /// Asks for confirmation that this still leads; false unless it is the leader. The id comes out
+  /// of TakeReads() when every command committed before this call was also delivered, or out of
+  /// TakeFailedReads() when the leadership was lost.
+  bool RequestRead(std::uint64_t aId, core::Instant aNow);
+
+  /// Puts a snapshot of the state after aIndex, already delivered, in place of older entries.
+  void Compact(core::LogIndex aIndex, std::string aState);
+
+  /// True when something must be stored and nothing is being stored.
+  bool HasBatch() const { return !mStoring && Dirty(); }
+
+  /// What to store next. Until Persisted() no other batch is given out.
+  PersistBatch TakeBatch();
+
+  /// The batch taken last is durable.
+  void Persisted(core::Instant aNow);
+
+  /// What to send now.
+  std::vector<OutgoingMessage> TakeMessages();
+
+  /// A snapshot that replaces the applied state; null when there is none. Take it before entries.
+  std::shared_ptr<const proto::Snapshot> NextRestore();
+
+  /// The next committed entry to apply, in log order; null when there is none. Valid until the
+  /// next call.
+  const proto::Entry* NextCommitted();
+
+  /// Reads that may be answered from the state after everything delivered so far.
+  std::vector<std::uint64_t> TakeReads();
+
+  /// Reads that were not confirmed.
+  std::vector<std::uint64_t> TakeFailedReads();
+
+  Role CurrentRole() const { return mRole; }
+  core::Term CurrentTerm() const { return core::Term(mTerm); }
+  core::LogIndex CommitIndex() const { return core::LogIndex(mCommit); }
+  core::LogIndex LastIndex() const { return core::LogIndex(mLog.Last()); }
+
+  /// The leader of the current term; empty when unknown.
+  const core::HostId& Leader() const { return mLeader; }
+
+  /// This member.
+  const Member& Self() const { return mSelf; }
+
+  /// The voters as of the latest configuration in the log.
+  const Configuration& Voters() const { return mLog.Latest(); }
+
+  /// True when the leader has committed an entry of its own term, so that its commit index covers
+  /// everything ever acknowledged.
+  bool CommittedInTerm() const;
+
+  /// When the last round of heartbeats that a quorum answered was sent; nothing unless leading.
+  std::optional<core::Instant> QuorumConfirmed() const;
+
+  /// When this became leader; nothing unless leading.
+  std::optional<core::Instant> LeaderSince() const;
+
+  /// The other members as the leader sees them; empty unless leading.
+  std::vector<MemberLag> Lags(core::Instant aNow) const;
+
+private:
+  struct Held
+  {
+    std::uint64_t batch = 0; ///< Durable with this batch.
+    OutgoingMessage out;
+  };
+  struct Read
+  {
+    std::uint64_t id = 0;
+    std::uint64_t round = 0; ///< 0: waits for the first commit of the term.
+  };
+  struct IncomingSnapshot
+  {
+    std::uint64_t index = 0;
+    std::uint64_t leaderTerm = 0;
+    std::string state;
+  };
+
+  // Roles and terms.
+  void BecomeFollower(std::uint64_t aTerm, const core::HostId& aLeader);
+  void BecomeLeader();
+  void StartPreVote();
+  void StartElection();
+  void RequestVotes(bool aPreVote, std::uint64_t aTerm);
+  void CountVote(const Member& aMember);
+  void AdoptTerm(std::uint64_t aTerm);
+  void RestartElectionTimer();
+  bool Promotable() const;
+  bool HeardLeaderRecently() const;
+  void CheckQuorum();
+
+  // Founding and membership.
+  void Announce();
+  void SendAnnouncement(const core::HostId& aTo);
+  void TryFound();
+  void Found();
+  void HandleAnnouncement(const Member& aFrom, const proto::Announcement& aAnnouncement);
+  void ChangeVoters();
+  bool QuorumHeard(const Configuration& aConfiguration) const;
+  void ConfigurationChanged();
+  void DropSilentLearners();
+  bool HeardSince(const Member& aMember, core::Duration aAge) const;
+  bool Belongs() const;
+
+  // Messages.
+  void HandleVoteRequest(const Member& aFrom, std::uint64_t aTerm,
+                         const proto::VoteRequest& aRequest);
+  void HandleVoteReply(const Member& aFrom, std::uint64_t aTerm, const proto::VoteReply& aReply);
+  void HandleAppend(const Member& aFrom, std::uint64_t aTerm, const proto::AppendRequest& aRequest);
+  void HandleAppendReply(const Member& aFrom, const proto::AppendReply& aReply);
+  void HandleSnapshot(const Member& aFrom, std::uint64_t aTerm,
+                      const proto::SnapshotRequest& aRequest);
+  void HandleSnapshotReply(const Member& aFrom, const proto::SnapshotReply& aReply);
+  void HandleReply(const Member& aFrom, const proto::LogMessage& aMessage);
+  bool FollowLeader(const Member& aFrom, std::uint64_t aTerm);
+  bool UpToDate(const proto::VoteRequest& aRequest) const;
+  void AppendEntries(const proto::AppendRequest& aRequest);
+  void TruncateFrom(std::uint64_t aIndex);
+  std::uint64_t MismatchHint(std::uint64_t aPrevious) const;
+  void ReplyAppend(const Member& aTo, bool aSuccess, std::uint64_t aIndex, std::uint64_t aRejected,
+                   std::uint64_t aRound);
+  void InstallSnapshot(const proto::SnapshotRequest& aRequest);
+
+  // Replication.
+  void AppendOwn(proto::Entry aEntry);
+  void Replicate();
+  void StartRound();
+  void SendHeartbeat(const Member& aTo, Progress& aProgress);
+  bool SendEntries(const Member& aTo, Progress& aProgress, bool aRetry);
+  void SendAppend(const Member& aTo, Progress& aProgress);
+  bool SendSnapshot(const Member& aTo, Progress& aProgress);
+  void SendSnapshotPiece(const Member& aTo, Progress& aProgress);
+  void AdvanceCommit();
+  void SetCommit(std::uint64_t aIndex);
+  void ConfirmReads();
+  void FailReads();
+  std::uint64_t QuorumRound() const;
+  std::uint64_t QuorumMatch() const;
+  template<typename Value>
+  std::uint64_t QuorumValue(std::uint64_t aOwn, Value aValue) const;
+
+  // Durability.
+  bool Dirty() const;
+  std::uint64_t PendingBatch() const;
+  proto::LogMessage MakeMessage(const Member& aTo, std::uint64_t aTerm) const;
+  void SendNow(const Member& aTo, proto::LogMessage aMessage);
+  void SendDurable(const Member& aTo, proto::LogMessage aMessage);
+  void ReleaseHeld();
+
+  const core::GroupId mGroup;
+  const Member mSelf;
+  const std::vector<core::HostId> mHosts;
+  const ReplicatedLogSettings mSettings;
+  core::Random mRandom;
+  core::Instant mNow;
+
+  // Durable state as of the next batch.
+  std::uint64_t mTerm = 0;
+  std::optional<Member> mVote;
+  Founding mFounding;
+  EntryLog mLog;
+  std::shared_ptr<const proto::Snapshot> mSnapshot;
+
+  // What of it is stored.
+  bool mHardStateDirty = false;
+  bool mRewrite = false;             ///< The next batch replaces what is stored.
+  std::uint64_t mFirstUnsaved = 1;   ///< First entry that was not given out in a batch.
+  std::uint64_t mDurable = 0;        ///< Last entry that is durable here.
+  bool mStoring = false;             ///< A batch was given out and is not durable yet.
+  std::uint64_t mStoringLast = 0;    ///< Last entry of it that still stands.
+  std::uint64_t mLastBatch = 0;      ///< Number of the batch given out last.
+  std::vector<Held> mHeld;           ///< Messages that wait for a batch, oldest first.
+  std::vector<OutgoingMessage> mOut; ///< Messages that may be sent.
+
+  Role mRole = Role::Learner;
+  core::HostId mLeader;
+  std::uint64_t mCommit = 0;
+  std::uint64_t mDelivered = 0;
+  std::shared_ptr<const proto::Snapshot> mRestore;
+  std::optional<IncomingSnapshot> mIncoming;
+  core::Instant mLeaderHeard;
+  core::Instant mElectionDue;
+  core::Instant mAnnounceDue;
+
+  // As a candidate.
+  std::set<Member> mVotes;
+
+  // As the leader.
+  std::map<Member, Progress> mProgress;
+  core::Instant mLeaderFrom;
+  core::Instant mHeartbeatDue;
+  std::uint64_t mTermStart = 0; ///< Index of the no-op that opened the term.
+  std::uint64_t mRound = 0;
+  std::deque<std::pair<std::uint64_t, core::Instant>> mRoundTimes;
+  bool mRoundWanted = false;
+  std::deque<Read> mReads;
+  std::vector<std::uint64_t> mConfirmedReads;
+  std::vector<std::uint64_t> mFailedReads;
+};
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/ReplicatedLogElection.cpp
@@ -0,0 +1,200 @@
+// Who leads: the election rules of ReplicatedLog.
+#include "cuminfield/core/Invariant.h"
+#include "cuminfield/process/log/ReplicatedLog.h"
+
+namespace cuminfield::process::log {
+
+bool ReplicatedLog::Promotable() const
+{
+  return Voters().Contains(mSelf);
+}
+
+void ReplicatedLog::RestartElectionTimer()
+{
+  const core::Duration spread = mSettings.electionTimeoutMax - mSettings.electionTimeoutMin;
+  const auto extra = mRandom.Below(static_cast<std::uint64_t>(spread.count()) + 1);
+  mElectionDue = mNow + mSettings.electionTimeoutMin + core::Duration(extra);
+}
+
+bool ReplicatedLog::HeardLeaderRecently() const
+{
+  return mRole == Role::Leader || mNow - mLeaderHeard < mSettings.electionTimeoutMin;
+}
+
+void ReplicatedLog::AdoptTerm(std::uint64_t aTerm)
+{
+  if (aTerm > mTerm) {
+    BecomeFollower(aTerm, core::HostId());
+  }
+}
+
+void ReplicatedLog::BecomeFollower(std::uint64_t aTerm, const core::HostId& aLeader)
+{
+  CUMINFIELD_INVARIANT("log.term-grows", aTerm >= mTerm);
+  if (aTerm > mTerm) {
+    mTerm = aTerm;
+    mVote.reset();
+    mHardStateDirty = true;
+  }
+  if (mRole == Role::Leader) {
+    FailReads();
+    mProgress.clear();
+    RestartElectionTimer();
+  }
+  mVotes.clear();
+  mRole = Promotable() ? Role::Follower : Role::Learner;
+  mLeader = aLeader;
+}
+
+// Pre-vote (dissertation 9.6): a voter that cannot win, say one cut off, does not raise the term
+// and so does not disturb the others when it comes back.
+void ReplicatedLog::StartPreVote()
+{
+  RestartElectionTimer();
+  mRole = Role::PreCandidate;
+  mLeader = core::HostId();
+  mVotes.clear();
+  RequestVotes(true, mTerm + 1);
+  CountVote(mSelf);
+}
+
+void ReplicatedLog::StartElection()
+{
+  RestartElectionTimer();
+  mRole = Role::Candidate;
+  mVotes.clear();
+  ++mTerm;
+  mVote = mSelf;
+  mHardStateDirty = true;
+  RequestVotes(false, mTerm);
+  // The own vote counts as any other: when it is durable.
+  proto::LogMessage own = MakeMessage(mSelf, mTerm);
+  own.mutable_vote_reply()->set_granted(true);
+  SendDurable(mSelf, std::move(own));
+}
+
+void ReplicatedLog::RequestVotes(bool aPreVote, std::uint64_t aTerm)
+{
+  for (const Member& it : Voters().voters) {
+    if (it == mSelf) {
+      continue;
+    }
+    proto::LogMessage message = MakeMessage(it, aTerm);
+    proto::VoteRequest* request = message.mutable_vote_request();
+    request->set_pre_vote(aPreVote);
+    request->set_last_index(mLog.Last());
+    request->set_last_term(mLog.LastTerm());
+    SendDurable(it, std::move(message));
+  }
+}
+
+bool ReplicatedLog::UpToDate(const proto::VoteRequest& aRequest) const
+{
+  if (aRequest.last_term() != mLog.LastTerm()) {
+    return aRequest.last_term() > mLog.LastTerm();
+  }
+  return aRequest.last_index() >= mLog.Last();
+}
+
+void ReplicatedLog::HandleVoteRequest(const Member& aFrom, std::uint64_t aTerm,
+                                      const proto::VoteRequest& aRequest)
+{
+  const bool preVote = aRequest.pre_vote();
+  if (!preVote && HeardLeaderRecently()) {
+    return; // The leader may hold a lease on this voter's word (dissertation 4.2.3 and 6.4.1).
+  }
+  if (!preVote) {
+    AdoptTerm(aTerm);
+  }
+  bool granted = UpToDate(aRequest);
+  if (preVote) {
+    granted = granted && aTerm > mTerm && !HeardLeaderRecently();
+  } else {
+    granted = granted && aTerm == mTerm && (!mVote || *mVote == aFrom);
+  }
+  if (granted && !preVote) {
+    CUMINFIELD_INVARIANT("log.one-vote-per-term", !mVote || *mVote == aFrom);
+    mHardStateDirty = mHardStateDirty || !mVote;
+    mVote = aFrom;
+    RestartElectionTimer();
+  }
+  proto::LogMessage message = MakeMessage(aFrom, granted ? aTerm : mTerm);
+  message.mutable_vote_reply()->set_pre_vote(preVote);
+  message.mutable_vote_reply()->set_granted(granted);
+  SendDurable(aFrom, std::move(message));
+}
+
+void ReplicatedLog::HandleVoteReply(const Member& aFrom, std::uint64_t aTerm,
+                                    const proto::VoteReply& aReply)
+{
+  if (!aReply.granted()) {
+    AdoptTerm(aTerm);
+    return;
+  }
+  const bool preVote = mRole == Role::PreCandidate && aReply.pre_vote() && aTerm == mTerm + 1;
+  const bool vote = mRole == Role::Candidate && !aReply.pre_vote() && aTerm == mTerm;
+  if (preVote || vote) {
+    CountVote(aFrom);
+  }
+}
+
+void ReplicatedLog::CountVote(const Member& aMember)
+{
+  if (!Voters().Contains(aMember)) {
+    return; // A learner, or a life of the host that lost its disk.
+  }
+  mVotes.insert(aMember);
+  if (mVotes.size() < Voters().Majority()) {
+    return;
+  }
+  if (mRole == Role::PreCandidate) {
+    StartElection();
+  } else {
+    BecomeLeader();
+  }
+}
+
+void ReplicatedLog::BecomeLeader()
+{
+  CUMINFIELD_INVARIANT("log.leader-elected",
+                       mRole == Role::Candidate && mVotes.size() >= Voters().Majority());
+  mRole = Role::Leader;
+  mLeader = mSelf.host;
+  mLeaderFrom = mNow;
+  mVotes.clear();
+  mProgress.clear();
+  mRoundTimes.clear();
+  mRoundWanted = true;
+  ConfigurationChanged();
+  // Entries of earlier terms commit only under one of this term (Raft paper 5.4.2 and 8).
+  AppendOwn(proto::Entry());
+  mTermStart = mLog.Last();
+}
+
+// A leader that no quorum answers gives up (dissertation 6.2), so that its clients look elsewhere.
+void ReplicatedLog::CheckQuorum()
+{
+  if (!QuorumHeard(Voters())) {
+    BecomeFollower(mTerm, core::HostId());
+  }
+}
+
+bool ReplicatedLog::HeardSince(const Member& aMember, core::Duration aAge) const
+{
+  if (aMember == mSelf) {
+    return true;
+  }
+  const auto it = mProgress.find(aMember);
+  return it != mProgress.end() && mNow - it->second.heard <= aAge;
+}
+
+bool ReplicatedLog::QuorumHeard(const Configuration& aConfiguration) const
+{
+  std::size_t n = 0;
+  for (const Member& it : aConfiguration.voters) {
+    n += HeardSince(it, mSettings.electionTimeoutMax) ? 1 : 0;
+  }
+  return n >= aConfiguration.Majority();
+}
+
+} // namespace cuminfield::process::log
--- /dev/null
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -0,0 +1,161 @@
+// Who votes: founding and change of voters of ReplicatedLog.
+#include "cuminfield/core/Invariant.h"
+#include "cuminfield/process/log/ReplicatedLog.h"
+
+#include <algorithm>
+
+namespace cuminfield::process::log {
+
+namespace {
+
+/// A learner that was silent for so many of the longest election timeouts is forgotten; it
+/// announces itself again.
+constexpr int kSilentTimeouts = 5;
+
+/// Term of the entry that founds a group: the same on every founder, before any election.
+constexpr std::uint64_t kFoundingTerm = 1;
+
+} // namespace
+
+bool ReplicatedLog::Belongs() const
+{
+  return mLog.Last() > 0 || mTerm > 0;
+}
+
+void ReplicatedLog::Announce()
+{
+  if (mNow < mAnnounceDue || (!mLeader.Empty() && HeardLeaderRecently())) {
+    return;
+  }
+  mAnnounceDue = mNow + mSettings.announce;
+  TryFound();
+  for (const core::HostId& host : mHosts) {
+    if (host != mSelf.host) {
+      SendAnnouncement(host);
+    }
+  }
+}
+
+void ReplicatedLog::SendAnnouncement(const core::HostId& aTo)
+{
+  const Member anyLife{ .host = aTo, .incarnation = core::Incarnation() };
+  proto::LogMessage message = MakeMessage(anyLife, 0);
+  proto::Announcement* announcement = message.mutable_announcement();
+  announcement->set_belongs(Belongs());
+  if (!mFounding.Agreed().voters.empty()) {
+    *announcement->mutable_founding() = ToProto(mFounding.Agreed());
+  }
+  SendDurable(anyLife, std::move(message));
+}
+
+void ReplicatedLog::HandleAnnouncement(const Member& aFrom,
+                                       const proto::Announcement& aAnnouncement)
+{
+  const bool known = std::find(mHosts.begin(), mHosts.end(), aFrom.host) != mHosts.end();
+  if (!known || aFrom.host == mSelf.host) {
+    return;
+  }
+  if (mRole == Role::Leader && !Voters().Contains(aFrom)) {
+    Progress& progress = mProgress[aFrom];
+    progress.next = std::max(progress.next, mLog.Last() + 1);
+    progress.heard = mNow;
+  }
+  if (mLog.Last() == 0) {
+    mFounding.Hear(aFrom, aAnnouncement.belongs(), FromProto(aAnnouncement.founding()));
+    TryFound();
+  }
+  if (Belongs() && !aAnnouncement.belongs()) {
+    SendAnnouncement(aFrom.host);
+  }
+}
+
+void ReplicatedLog::TryFound()
+{
+  if (mLog.Last() > 0) {
+    return;
+  }
+  if (const auto founders = mFounding.Proposal(); founders && mTerm == 0) {
+    mFounding.Agree(*founders);
+    mHardStateDirty = true;
+    mAnnounceDue = mNow;
+  }
+  if (mFounding.Unanimous()) {
+    Found();
+  }
+}
+
+void ReplicatedLog::Found()
+{
+  proto::Entry entry;
+  entry.set_index(1);
+  entry.set_term(kFoundingTerm);
+  *entry.mutable_configuration() = ToProto(mFounding.Agreed());
+  mTerm = std::max(mTerm, kFoundingTerm);
+  mHardStateDirty = true;
+  mLog.Append(std::move(entry));
+  ConfigurationChanged();
+  RestartElectionTimer();
+}
+
+void ReplicatedLog::ConfigurationChanged()
+{
+  if (mRole == Role::Leader) {
+    for (const Member& it : Voters().voters) {
+      if (it == mSelf || mProgress.contains(it)) {
+        continue;
+      }
+      Progress progress;
+      progress.next = mLog.Last() + 1;
+      progress.heard = mNow;
+      mProgress.emplace(it, progress);
+    }
+    return;
+  }
+  if (mRole == Role::Learner && Promotable()) {
+    mRole = Role::Follower;
+  }
+  if (mRole == Role::Follower && !Promotable()) {
+    mRole = Role::Learner;
+  }
+}
+
+void ReplicatedLog::DropSilentLearners()
+{
+  const core::Duration limit = mSettings.electionTimeoutMax * kSilentTimeouts;
+  std::erase_if(mProgress, [&](const auto& aItem) {
+    return !Voters().Contains(aItem.first) && mNow - aItem.second.heard > limit;
+  });
+}
+
+// Replaces a voter whose disk was lost: its dead life goes first, then the new one comes in. One
+// voter at a time (dissertation 4.1), and only when an entry of the leader's own term is committed
+// (Ongaro 2015, "bug in single-server membership changes", raft-dev).
+void ReplicatedLog::ChangeVoters()
+{
+  if (!CommittedInTerm() || mLog.LatestIndex() > mCommit) {
+    return;
+  }
+  for (const auto& [member, progress] : mProgress) {
+    const bool voter = Voters().Contains(member);
+    const bool caughtUp = !progress.snapshot && progress.match + mSettings.learnerLag >= mCommit;
+    const bool alive = HeardSince(member, mSettings.electionTimeoutMin);
+    if (voter || member.host == mSelf.host || progress.match == 0 || !caughtUp || !alive) {
+      continue;
+    }
+    const Member* former = Voters().Find(member.host);
+    if (former && HeardSince(*former, mSettings.electionTimeoutMax)) {
+      continue; // Two lives of one host answer: never take a vote from a living one.
+    }
+    const Configuration next = former ? Voters().Without(*former) : Voters().With(member);
+    if (!QuorumHeard(next)) {
+      continue;
+    }
+    CUMINFIELD_INVARIANT("log.one-change-at-a-time", Configuration::Distance(Voters(), next) == 1);
+    proto::Entry entry;
+    *entry.mutable_configuration() = ToProto(next);
+    AppendOwn(std::move(entry));
+    return;
+  }
+}
+
+} // namespace cuminfield::process::log
