Measurement of the decisions in virtual time against model engines

The decisions had no measurement. Model engines batch continuously, know no priorities, cache prefixes in limited memory and report late; both users' loads come in bursts with hundredfold lengths from three regions. Random, round robin and least reported load run behind the same interface. Room for higher tiers is now kept after their recent peak.

--- /dev/null
+++ b/Build/measure.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Runs one measurement by name, building first: Build/measure.sh NAME [--key value]...
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Build/build.sh PerformanceTest >/dev/null
+exec "${BUILD_FOLDER:-build}/PerformanceTest" "$@"
--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,4 +1,29 @@
-int main()
+#include "PerformanceTest/decisions/DecisionMeasurements.h"
+
+#include <cstdio>
+#include <map>
+#include <string>
+
+using namespace cuminfield::performance_test;
+
+int main(int argc, char** argv)
 {
-  return 0;
+  using Measurement = int (*)(const std::string& aName, int aCount, char** aValues);
+  const std::map<std::string, Measurement> measurements = {
+    { "goodput", decisions::RunDecisionMeasurement },
+    { "leave", decisions::RunDecisionMeasurement },
+    { "prefill", decisions::RunDecisionMeasurement },
+    { "regions", decisions::RunDecisionMeasurement },
+    { "straggler", decisions::RunDecisionMeasurement },
+  };
+  const auto found = measurements.find(argc > 1 ? argv[1] : "");
+  if (found == measurements.end()) {
+    std::fprintf(stderr, "usage: PerformanceTest NAME [--key value]...; names:");
+    for (const auto& it : measurements) {
+      std::fprintf(stderr, " %s", it.first.c_str());
+    }
+    std::fprintf(stderr, "\n");
+    return 2;
+  }
+  return found->second(argv[1], argc - 2, argv + 2);
 }
--- /dev/null
+++ b/PerformanceTest/decisions/BaselineScheduler.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "cuminfield/core/Random.h"
+#include "cuminfield/request/Scheduler.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cuminfield::performance_test::decisions {
+
+/// How a BaselineScheduler picks an upstream.
+enum class BaselinePolicy
+{
+  Random,
+  RoundRobin,
+  LeastLoad, ///< The least running and waiting requests in the last report.
+};
+
+/// The usual balancers, to compare with: no queue, no tiers, all upstreams of the service.
+class BaselineScheduler : public request::Scheduler
+{
+public:
+  BaselineScheduler(BaselinePolicy aPolicy, core::Random& aRandom,
+                    request::SchedulerListener& aListener);
+
+  void Submit(request::RequestSpec aSpec) override;
+  void Withdraw(const core::RequestId&) override {}
+  void FirstToken(const core::RequestId&) override {}
+  void Token(const core::RequestId&) override {}
+  void Finished(const core::RequestId& aRequest, request::TryOutcome aOutcome) override;
+  void UpstreamUp(const request::UpstreamAnnouncement& aUpstream) override;
+  void UpstreamGone(const core::UpstreamId& aUpstream) override;
+  void Load(const request::LoadReport& aReport) override;
+  void Cache(const request::CacheEvent&) override {}
+
+private:
+  struct Known
+  {
+    request::UpstreamAnnouncement announcement;
+    std::uint32_t load = 0;
+  };
+
+  void Send(const core::RequestId& aRequest, const core::ServiceId& aService);
+
+  BaselinePolicy mPolicy;
+  core::Random& mRandom;
+  request::SchedulerListener& mListener;
+  std::map<core::ServiceId, std::vector<Known>> mUpstreams;
+  std::map<core::RequestId, core::ServiceId> mServiceOf;
+  std::size_t mNext = 0;
+};
+
+} // namespace cuminfield::performance_test::decisions
--- /dev/null
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -0,0 +1,284 @@
+#include "PerformanceTest/decisions/DecisionMeasurements.h"
+
+#include "PerformanceTest/decisions/Simulation.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <future>
+#include <map>
+#include <sstream>
+
+namespace cuminfield::performance_test::decisions {
+
+namespace {
+
+constexpr std::size_t kThreads = 3; ///< Runs side by side.
+
+/// What the command line asks for.
+struct Request
+{
+  std::uint64_t seeds = 10;
+  std::vector<std::string> policies;
+  std::vector<double> loads;
+  Fault fault = Fault::None;
+};
+
+/// The runs of one policy at one load, one for each seed.
+using Runs = std::vector<SimulationResult>;
+
+/// A figure of one run.
+using Figure = std::function<double(const SimulationResult&)>;
+
+std::vector<std::string> Split(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::istringstream stream(aText);
+  std::string part;
+  while (std::getline(stream, part, ',')) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+/// A policy's name is a scheduler's, with `-circuit` or `-unwatched` for its health policy.
+SimulationOptions OptionsOf(const std::string& aPolicy, double aLoad, std::uint64_t aSeed,
+                            Fault aFault)
+{
+  SimulationOptions options;
+  options.policy = aPolicy;
+  options.seed = aSeed;
+  options.fault = aFault;
+  options.workload.load = aLoad;
+  options.workload.consortium = aSeed % 2 == 1;
+  if (aPolicy == "tiered-circuit") {
+    options.settings.router.health = request::routing::HealthPolicy::Circuit;
+  }
+  if (aPolicy == "tiered-unwatched") {
+    options.settings.router.health = request::routing::HealthPolicy::None;
+  }
+  return options;
+}
+
+Runs RunSeeds(const std::string& aPolicy, double aLoad, const Request& aRequest)
+{
+  Runs runs(aRequest.seeds);
+  std::vector<std::future<void>> workers;
+  for (std::size_t worker = 0; worker < kThreads; ++worker) {
+    workers.push_back(std::async(std::launch::async, [&, worker] {
+      for (std::size_t n = worker; n < runs.size(); n += kThreads) {
+        Simulation simulation(OptionsOf(aPolicy, aLoad, n + 1, aRequest.fault));
+        runs[n] = simulation.Run();
+      }
+    }));
+  }
+  for (auto& it : workers) {
+    it.get();
+  }
+  return runs;
+}
+
+std::vector<double> Sorted(const Runs& aRuns, const Figure& aFigure)
+{
+  std::vector<double> values;
+  for (const SimulationResult& it : aRuns) {
+    values.push_back(aFigure(it));
+  }
+  std::sort(values.begin(), values.end());
+  return values;
+}
+
+double Median(const Runs& aRuns, const Figure& aFigure)
+{
+  const std::vector<double> values = Sorted(aRuns, aFigure);
+  return (values[(values.size() - 1) / 2] + values[values.size() / 2]) / 2;
+}
+
+double Least(const Runs& aRuns, const Figure& aFigure)
+{
+  return Sorted(aRuns, aFigure).front();
+}
+
+double Most(const Runs& aRuns, const Figure& aFigure)
+{
+  return Sorted(aRuns, aFigure).back();
+}
+
+Figure Tier(std::size_t aTier)
+{
+  return [aTier](const SimulationResult& aRun) { return aRun.TierShare(aTier) * 100; };
+}
+
+void PrintHead()
+{
+  std::printf("%-17s %4s | %-13s %-13s %-13s %-13s | %-13s %-6s | %9s %9s | %s\n", "policy", "load",
+              "tier 0 %", "tier 1 %", "tier 2 %", "tier 3 %", "of bound %", "plain%", "wasted kt",
+              "region kB", "by tier: shed/late/slow");
+  std::printf(
+    "%-17s %4s | median worst  median worst  median worst  median worst  | median worst\n", "", "");
+}
+
+void PrintRow(const std::string& aPolicy, double aLoad, const Runs& aRuns)
+{
+  std::printf("%-17s %4.1f |", aPolicy.c_str(), aLoad);
+  for (std::size_t tier = 0; tier < 4; ++tier) {
+    std::printf(" %6.2f %6.2f", Median(aRuns, Tier(tier)), Least(aRuns, Tier(tier)));
+  }
+  const Figure bound = [aLoad](const SimulationResult& aRun) { return aRun.OfBound(aLoad) * 100; };
+  const Figure plain = [](const SimulationResult& aRun) {
+    return 100.0 * static_cast<double>(aRun.plainInTime) /
+           static_cast<double>(std::max<std::uint64_t>(1, aRun.plainOffered));
+  };
+  const Figure wasted = [](const SimulationResult& aRun) { return aRun.wasted / 1'000; };
+  const Figure bytes = [](const SimulationResult& aRun) { return aRun.regionBytes / 1'000; };
+  std::printf(" | %6.2f %6.2f %6.2f | %9.0f %9.0f |", Median(aRuns, bound), Least(aRuns, bound),
+              Median(aRuns, plain), Median(aRuns, wasted), Median(aRuns, bytes));
+  for (std::size_t tier = 0; tier < 4; ++tier) {
+    const Figure shed = [tier](const SimulationResult& aRun) { return double(aRun.shed[tier]); };
+    const Figure first = [tier](const SimulationResult& aRun) {
+      return double(aRun.lateFirst[tier]);
+    };
+    const Figure gaps = [tier](const SimulationResult& aRun) {
+      return double(aRun.lateGaps[tier]);
+    };
+    std::printf(" %.0f/%.0f/%.0f", Median(aRuns, shed), Median(aRuns, first), Median(aRuns, gaps));
+  }
+  std::printf("\n");
+  std::fflush(stdout);
+}
+
+bool IsOurs(const std::string& aPolicy)
+{
+  return aPolicy.rfind("tiered", 0) == 0;
+}
+
+/// All runs by policy and load.
+using Table = std::map<std::pair<std::string, double>, Runs>;
+
+void PrintFigures(const std::string& aName, const Request& aRequest, const Table& aTable)
+{
+  std::printf("measurement=%s seeds=%lu", aName.c_str(),
+              static_cast<unsigned long>(aRequest.seeds));
+  const auto topWork = [](const SimulationResult& aRun) {
+    return static_cast<double>(aRun.inTime[0]);
+  };
+  const auto wasted = [](const SimulationResult& aRun) { return aRun.wasted; };
+  const auto bytes = [](const SimulationResult& aRun) { return aRun.regionBytes; };
+  for (const double load : aRequest.loads) {
+    const auto ours = aTable.find({ "tiered", load });
+    if (ours == aTable.end()) {
+      continue;
+    }
+    const Figure bound = [load](const SimulationResult& aRun) { return aRun.OfBound(load) * 100; };
+    std::printf(" tier0_%.1f=%.2f tier0_worst_%.1f=%.2f of_bound_%.1f=%.2f", load,
+                Median(ours->second, Tier(0)), load, Least(ours->second, Tier(0)), load,
+                Median(ours->second, bound));
+    double bestTop = 0;
+    double leastWasted = 0;
+    double leastBytes = 0;
+    for (const auto& [key, runs] : aTable) {
+      if (IsOurs(key.first) || key.second != load) {
+        continue;
+      }
+      const bool first = bestTop == 0;
+      bestTop = std::max(bestTop, Median(runs, topWork));
+      leastWasted = first ? Median(runs, wasted) : std::min(leastWasted, Median(runs, wasted));
+      leastBytes = first ? Median(runs, bytes) : std::min(leastBytes, Median(runs, bytes));
+    }
+    if (bestTop > 0) {
+      std::printf(" tier0_ratio_%.1f=%.2f wasted_ratio_%.1f=%.3f bytes_ratio_%.1f=%.3f", load,
+                  Median(ours->second, topWork) / bestTop, load,
+                  Median(ours->second, wasted) / std::max(leastWasted, 1.0), load,
+                  Median(ours->second, bytes) / std::max(leastBytes, 1.0));
+    }
+  }
+  std::printf("\n");
+}
+
+void PrintLeave(const Table& aTable)
+{
+  for (const auto& [key, runs] : aTable) {
+    std::printf(
+      "%s: dispatched to the leaving upstream 3 s or more after it left: worst %.0f; "
+      "cut off in flight: worst %.0f; dispatched again after something ran: worst %.0f\n",
+      key.first.c_str(),
+      Most(runs,
+           [](const SimulationResult& aRun) { return static_cast<double>(aRun.lateDispatches); }),
+      Most(runs, [](const SimulationResult& aRun) { return static_cast<double>(aRun.cutOff); }),
+      Most(runs, [](const SimulationResult& aRun) { return static_cast<double>(aRun.sentTwice); }));
+  }
+}
+
+void ReadArguments(Request& aRequest, int aCount, char** aValues)
+{
+  for (int n = 0; n + 1 < aCount; n += 2) {
+    const std::string key = aValues[n];
+    const std::string value = aValues[n + 1];
+    if (key == "--seeds") {
+      aRequest.seeds = std::stoull(value);
+    }
+    if (key == "--policies") {
+      aRequest.policies = Split(value);
+    }
+    if (key == "--loads") {
+      aRequest.loads.clear();
+      for (const std::string& it : Split(value)) {
+        aRequest.loads.push_back(std::stod(it));
+      }
+    }
+  }
+}
+
+bool Prepare(const std::string& aName, Request& aRequest)
+{
+  aRequest.policies = { "random", "round-robin", "least-load", "tiered" };
+  aRequest.loads = { 1.5 };
+  if (aName == "goodput") {
+    aRequest.loads = { 0.7, 1.0, 1.5, 3.0 };
+    return true;
+  }
+  if (aName == "prefill" || aName == "regions") {
+    aRequest.loads = { 0.7, 1.0, 1.5 };
+    return true;
+  }
+  if (aName == "straggler") {
+    aRequest.policies = { "least-load", "tiered-unwatched", "tiered-circuit", "tiered" };
+    aRequest.loads = { 0.7, 1.0 };
+    aRequest.fault = Fault::Straggler;
+    return true;
+  }
+  if (aName == "leave") {
+    aRequest.policies = { "least-load", "tiered" };
+    aRequest.loads = { 0.7 };
+    aRequest.fault = Fault::Leave;
+    return true;
+  }
+  return false;
+}
+
+} // namespace
+
+int RunDecisionMeasurement(const std::string& aName, int aCount, char** aValues)
+{
+  Request request;
+  if (!Prepare(aName, request)) {
+    std::fprintf(stderr, "no measurement named %s\n", aName.c_str());
+    return 2;
+  }
+  ReadArguments(request, aCount, aValues);
+  Table table;
+  PrintHead();
+  for (const double load : request.loads) {
+    for (const std::string& policy : request.policies) {
+      table[{ policy, load }] = RunSeeds(policy, load, request);
+      PrintRow(policy, load, table[{ policy, load }]);
+    }
+  }
+  if (request.fault == Fault::Leave) {
+    PrintLeave(table);
+  }
+  PrintFigures(aName, request, table);
+  return 0;
+}
+
+} // namespace cuminfield::performance_test::decisions
--- a/cuminfield/request/admission/PoolQueues.h
+++ b/cuminfield/request/admission/PoolQueues.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Units.h"
 #include "cuminfield/request/admission/FairQueue.h"
+#include "cuminfield/request/admission/TierReserve.h"
 #include "cuminfield/request/routing/RouterSettings.h"
 
 #include <array>
@@ -11,9 +12,15 @@
 /// The waiting requests of one pool, a fair queue for each tier, and the pace they leave at.
 struct PoolQueues
 {
+  explicit PoolQueues(const TierReserveSettings& aReserve)
+    : reserve(aReserve)
+  {
+  }
+
   std::array<FairQueue, routing::kTiers> tiers;
   std::array<double, routing::kTiers> interval{}; ///< Microseconds between dispatches, averaged.
   std::array<core::Instant, routing::kTiers> lastDispatch{};
+  TierReserve reserve;     ///< Room kept for higher tiers.
   std::size_t waiting = 0; ///< Over all tiers.
   bool dirty = false;      ///< Waits for a run of the queues.
 
--- a/cuminfield/request/admission/SchedulerSettings.h
+++ b/cuminfield/request/admission/SchedulerSettings.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Units.h"
 #include "cuminfield/request/admission/RetryBudget.h"
+#include "cuminfield/request/admission/TierReserve.h"
 #include "cuminfield/request/routing/RouterSettings.h"
 
 #include <cstdint>
@@ -19,6 +20,7 @@
   core::Duration retryAfter{ 1'000'000 };
   /// Left for the network when a request is spilled at the last moment.
   core::Duration spillMargin{ 50'000 };
+  TierReserveSettings reserve;
   RetryBudgetSettings retry;
   routing::RouterSettings router;
 };
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -56,7 +56,7 @@
   const core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.point);
   const routing::PoolIndex pool = mFleet.PoolOf(spec.service, version);
   while (mQueues.size() <= pool) {
-    mQueues.emplace_back();
+    mQueues.emplace_back(mSettings.reserve);
     mDirty.reserve(mQueues.size());
   }
   return pool;
@@ -72,6 +72,7 @@
   const auto cost = static_cast<double>((state.spec.prompt + state.spec.maxAnswer).value) + 1;
   queues.tiers[tier].Push(aRequest, state.workspace, cost, state.spec.weight);
   ++queues.waiting;
+  queues.reserve.Wait(tier, 1);
   ArmExpiry(aRequest);
   MarkDirty(state.pool);
 }
@@ -210,7 +211,7 @@
     }
     const RequestSpec& spec = mRequests.At(front).spec;
     const core::Tokens uncached = mRouter.Uncached(aUpstream, spec);
-    if (mRouter.Fits(aUpstream, spec, uncached, mTimers.Now())) {
+    if (mRouter.Fits(mFleet.PoolAt(aPool), aUpstream, spec, uncached, mTimers.Now())) {
       return front;
     }
   }
@@ -233,6 +234,7 @@
   routing::UpstreamState& upstream = mFleet.At(aPlacement.upstream);
   state.phase = RequestPhase::Sent;
   state.upstream = aPlacement.upstream;
+  mQueues[state.pool].reserve.Run(tier, 1);
   state.uncached = aPlacement.uncached;
   state.ahead = mRouter.Backlog(upstream, now);
   state.sentAt = now;
@@ -259,10 +261,12 @@
     queue.Remove(aRequest);
   }
   --queues.waiting;
+  queues.reserve.Wait(TierOf(state.spec.tier), -1);
 }
 
 void TieredScheduler::TakeFromUpstream(RequestState& aState)
 {
+  mQueues[aState.pool].reserve.Run(TierOf(aState.spec.tier), -1);
   routing::UpstreamState& upstream = mFleet.At(aState.upstream);
   if (aState.phase == RequestPhase::Sent) {
     upstream.load.Prefilled(aState.uncached, mTimers.Now());
@@ -464,6 +468,10 @@
     mFleet.Grants(*mCapacity);
   }
   mFleet.Tick(mTimers.Now());
+  for (routing::PoolIndex pool = 0; pool < mQueues.size(); ++pool) {
+    mQueues[pool].reserve.Update();
+    mFleet.ShareOut(pool, mQueues[pool].reserve.Shares(mFleet.OwnCapacity(pool)));
+  }
   ShedExpired();
   MarkAllDirty();
   RunQueues();
--- a/cuminfield/request/routing/Fleet.cpp
+++ b/cuminfield/request/routing/Fleet.cpp
@@ -139,11 +139,24 @@
   }
   const auto index = static_cast<PoolIndex>(mPools.size());
   mPools.push_back(Pool{ .service = aService, .version = aVersion, .local = {}, .remote = {} });
+  mPools.back().tierShare.fill(1.0);
   mPoolByName[key] = index;
   RebuildPool(mPools.back());
   return index;
 }
 
+double Fleet::OwnCapacity(PoolIndex aPool) const
+{
+  double sum = 0;
+  for (const UpstreamIndex it : mPools[aPool].local) {
+    const UpstreamState& state = At(it);
+    const double others = state.load.InFlight() - state.load.Own();
+    const bool granted = state.grant != capacity::CapacityView::kUnlimited;
+    sum += granted ? state.grant : std::max(0.0, state.limit.Value() - others);
+  }
+  return sum;
+}
+
 void Fleet::Rebuild()
 {
   for (Pool& it : mPools) {
--- a/cuminfield/request/routing/Fleet.h
+++ b/cuminfield/request/routing/Fleet.h
@@ -4,6 +4,7 @@
 #include "cuminfield/request/routing/PrefixIndex.h"
 #include "cuminfield/request/routing/UpstreamState.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -20,9 +21,10 @@
 {
   core::ServiceId service;
   core::VersionId version;
-  std::vector<UpstreamIndex> local;  ///< Live, in the host's own region.
-  std::vector<UpstreamIndex> remote; ///< Live, in other regions.
-  UpstreamIndex fastest = 0;         ///< The one with the highest prefill rate.
+  std::vector<UpstreamIndex> local;       ///< Live, in the host's own region.
+  std::vector<UpstreamIndex> remote;      ///< Live, in other regions.
+  std::array<double, kTiers> tierShare{}; ///< Of a limit that each tier may fill, as of now.
+  UpstreamIndex fastest = 0;              ///< The one with the highest prefill rate.
 
   bool Empty() const { return local.empty() && remote.empty(); }
 };
@@ -54,6 +56,15 @@
   /// The pool of a service and version, made when it is first asked for.
   PoolIndex PoolOf(const core::ServiceId& aService, const core::VersionId& aVersion);
 
+  /// Sets what share of its upstreams' limits each tier may fill.
+  void ShareOut(PoolIndex aPool, const std::array<double, kTiers>& aShares)
+  {
+    mPools[aPool].tierShare = aShares;
+  }
+
+  /// Requests that this host can have in flight in its own region, given the load of others.
+  double OwnCapacity(PoolIndex aPool) const;
+
   const Pool& PoolAt(PoolIndex aIndex) const { return mPools[aIndex]; }
   std::size_t PoolCount() const { return mPools.size(); }
 
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -28,40 +28,41 @@
 {
   const PrefixHolders holders = mFleet.Prefixes().Find(aSpec.prefix);
   Best best;
-  ScanList(aPool.local, aSpec, holders, aNow, best);
+  ScanList(aPool, aPool.local, aSpec, holders, aNow, best);
   if (!best.placement && aRemote) {
-    ScanList(aPool.remote, aSpec, holders, aNow, best);
+    ScanList(aPool, aPool.remote, aSpec, holders, aNow, best);
   }
   return best.placement;
 }
 
-void Router::ScanList(const std::vector<UpstreamIndex>& aList, const RequestSpec& aSpec,
-                      const PrefixHolders& aHolders, core::Instant aNow, Best& aBest)
+void Router::ScanList(const Pool& aPool, const std::vector<UpstreamIndex>& aList,
+                      const RequestSpec& aSpec, const PrefixHolders& aHolders, core::Instant aNow,
+                      Best& aBest)
 {
   if (aList.size() <= mSettings.choices) {
     for (const UpstreamIndex it : aList) {
-      Consider(it, aSpec, aHolders.Cached(it), aNow, aBest);
+      Consider(aPool, it, aSpec, aHolders.Cached(it), aNow, aBest);
     }
     return;
   }
   for (std::size_t n = 0; n < aHolders.count; ++n) {
     const PrefixHolder& it = aHolders.holders[n];
     if (std::binary_search(aList.begin(), aList.end(), it.upstream)) {
-      Consider(it.upstream, aSpec, it.cached, aNow, aBest);
+      Consider(aPool, it.upstream, aSpec, it.cached, aNow, aBest);
     }
   }
   for (std::uint32_t n = 0; n < mSettings.choices; ++n) {
     const UpstreamIndex it = aList[mRandom.Below(aList.size())];
-    Consider(it, aSpec, aHolders.Cached(it), aNow, aBest);
+    Consider(aPool, it, aSpec, aHolders.Cached(it), aNow, aBest);
   }
 }
 
-void Router::Consider(UpstreamIndex aUpstream, const RequestSpec& aSpec, core::Tokens aCached,
-                      core::Instant aNow, Best& aBest)
+void Router::Consider(const Pool& aPool, UpstreamIndex aUpstream, const RequestSpec& aSpec,
+                      core::Tokens aCached, core::Instant aNow, Best& aBest)
 {
   const UpstreamState& state = mFleet.At(aUpstream);
   const core::Tokens uncached = UncachedAt(state, aSpec, aCached);
-  if (!Fits(aUpstream, aSpec, uncached, aNow)) {
+  if (!Fits(aPool, aUpstream, aSpec, uncached, aNow)) {
     return;
   }
   const double score = Score(state, aSpec, uncached, aNow);
@@ -71,11 +72,11 @@
   }
 }
 
-bool Router::Fits(UpstreamIndex aUpstream, const RequestSpec& aSpec, core::Tokens aUncached,
-                  core::Instant aNow) const
+bool Router::Fits(const Pool& aPool, UpstreamIndex aUpstream, const RequestSpec& aSpec,
+                  core::Tokens aUncached, core::Instant aNow) const
 {
   const UpstreamState& state = mFleet.At(aUpstream);
-  return state.live && Healthy(state, aNow) && HasRoom(state, aSpec) &&
+  return state.live && Healthy(state, aNow) && HasRoom(aPool, state, aSpec) &&
          InTime(state, aSpec, aUncached, aNow);
 }
 
@@ -93,10 +94,10 @@
   return !aState.health.probation || aState.load.Own() < mSettings.peers.probes;
 }
 
-bool Router::HasRoom(const UpstreamState& aState, const RequestSpec& aSpec) const
+bool Router::HasRoom(const Pool& aPool, const UpstreamState& aState, const RequestSpec& aSpec) const
 {
   const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
-  const double share = mSettings.tierShare[tier] * (aState.local ? 1.0 : mSettings.remoteShare);
+  const double share = aPool.tierShare[tier] * (aState.local ? 1.0 : mSettings.remoteShare);
   if (aState.grant != capacity::CapacityView::kUnlimited) {
     const double granted = std::max(1.0, static_cast<double>(aState.grant) * share);
     return aState.grant > 0 && aState.load.Own() + 1 <= granted;
@@ -179,6 +180,9 @@
   const double fill = aState.load.InFlight() / std::max(1.0, aState.limit.Value());
   double score = own * mSettings.prefillWeight + queued;
   score += fill * static_cast<double>(mSettings.batchWeight.count());
+  if (aState.takesLong && aState.rates.Prefill(aUncached) <= mSettings.longPrefill) {
+    score += static_cast<double>(mSettings.longPenalty.count());
+  }
   if (!aState.local) {
     const auto tokens = static_cast<double>((aSpec.prompt + aSpec.maxAnswer).value);
     score += tokens * mSettings.bytesPerToken * mSettings.microsPerRegionByte;
--- a/cuminfield/request/routing/Router.h
+++ b/cuminfield/request/routing/Router.h
@@ -31,8 +31,8 @@
 
   /// Whether the upstream can take the request now: it has room for its tier, and the predicted
   /// first token is in time.
-  bool Fits(UpstreamIndex aUpstream, const RequestSpec& aSpec, core::Tokens aUncached,
-            core::Instant aNow) const;
+  bool Fits(const Pool& aPool, UpstreamIndex aUpstream, const RequestSpec& aSpec,
+            core::Tokens aUncached, core::Instant aNow) const;
 
   /// Prompt tokens that the upstream must probably compute.
   core::Tokens Uncached(UpstreamIndex aUpstream, const RequestSpec& aSpec) const;
@@ -54,14 +54,15 @@
     double score = 0;
   };
 
-  void ScanList(const std::vector<UpstreamIndex>& aList, const RequestSpec& aSpec,
-                const PrefixHolders& aHolders, core::Instant aNow, Best& aBest);
-  void Consider(UpstreamIndex aUpstream, const RequestSpec& aSpec, core::Tokens aCached,
-                core::Instant aNow, Best& aBest);
+  void ScanList(const Pool& aPool, const std::vector<UpstreamIndex>& aList,
+                const RequestSpec& aSpec, const PrefixHolders& aHolders, core::Instant aNow,
+                Best& aBest);
+  void Consider(const Pool& aPool, UpstreamIndex aUpstream, const RequestSpec& aSpec,
+                core::Tokens aCached, core::Instant aNow, Best& aBest);
   core::Tokens UncachedAt(const UpstreamState& aState, const RequestSpec& aSpec,
                           core::Tokens aCached) const;
   bool Healthy(const UpstreamState& aState, core::Instant aNow) const;
-  bool HasRoom(const UpstreamState& aState, const RequestSpec& aSpec) const;
+  bool HasRoom(const Pool& aPool, const UpstreamState& aState, const RequestSpec& aSpec) const;
   bool InTime(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
               core::Instant aNow) const;
   double Score(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -7,7 +7,7 @@
 #include "cuminfield/request/routing/PrefixIndex.h"
 #include "cuminfield/request/routing/RateEstimator.h"
 
-#include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace cuminfield::request::routing {
@@ -26,14 +26,14 @@
 /// Tunables of Router and Fleet and of the classes that they are made of.
 struct RouterSettings
 {
-  /// Share of an upstream's in-flight limit that each tier may fill, highest tier first.
-  std::array<double, kTiers> tierShare{ 1.0, 0.95, 0.85, 0.8, 0.8, 0.8, 0.8, 0.8 };
   /// Prefill queued at an upstream, in time, ahead of a request below the highest tier.
   core::Duration lowerBacklog{ 150'000 };
   /// A request with a longer prefill of its own counts as long.
   core::Duration longPrefill{ 120'000 };
   /// Share of a pool's local upstreams that take long requests; the others stay quick.
   double longShare = 0.5;
+  /// Counted against an upstream that takes long requests when a quick one is placed.
+  core::Duration longPenalty{ 150'000 };
   /// Upstreams sampled for one decision, besides those that hold the request's prefix.
   std::uint32_t choices = 8;
   /// Weight of uncached prefill against waiting time when upstreams are compared.
