Version moves: director, judges, and the hosts' choice of version

Cause: operators state a move in the document; someone has to raise the share by steps, and take the version back everywhere within seconds when it is bad. Ruled out: comparing with a version seen earlier (load and callers change), and a last control of a few per cent (its few requests carry too little evidence against a mild fault).

--- /dev/null
+++ b/cuminfield/version/moves/DecayedCounts.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cuminfield/version/moves/Observation.h"
+
+#include <array>
+
+namespace cuminfield::version::moves {
+
+/// Counts of requests in which older ones weigh less, so that rates follow the present.
+class DecayedCounts
+{
+public:
+  /// aCapacity: about how many of the latest requests the rates speak of.
+  explicit DecayedCounts(double aCapacity)
+    : mCapacity(aCapacity)
+  {
+  }
+
+  /// Counts what was seen; beyond the capacity, all counts are scaled down to it.
+  void Add(const Observation& aObservation);
+
+  /// Weight of all requests.
+  double Requests() const { return mSucceeded + mFailed; }
+
+  /// Part of the requests that failed; 0 when there were none.
+  double FailureRate() const;
+
+  /// Weight of the requests with a time to first token, and the part of them above class aClass.
+  double FirstTokens() const { return Sum(mFirstToken); }
+  double FirstTokensAbove(std::size_t aClass) const { return Above(mFirstToken, aClass); }
+
+  /// Weight of the requests with a token gap, and the part of them above class aClass.
+  double TokenGaps() const { return Sum(mTokenGap); }
+  double TokenGapsAbove(std::size_t aClass) const { return Above(mTokenGap, aClass); }
+
+private:
+  using Weights = std::array<double, kLatencyBounds.size() + 1>;
+
+  static double Sum(const Weights& aWeights);
+  static double Above(const Weights& aWeights, std::size_t aClass);
+  static void AddWeights(Weights& aWeights, const LatencyCounts& aCounts);
+  static void Scale(Weights& aWeights, double aFactor);
+
+  double mCapacity;
+  double mSucceeded = 0.0;
+  double mFailed = 0.0;
+  Weights mFirstToken{};
+  Weights mTokenGap{};
+};
+
+} // namespace cuminfield::version::moves
--- /dev/null
+++ b/cuminfield/version/moves/MoveShares.cpp
@@ -0,0 +1,150 @@
+#include "cuminfield/version/moves/MoveShares.h"
+
+#include "cuminfield/core/Invariant.h"
+
+#include <algorithm>
+
+namespace cuminfield::version::moves {
+
+MoveShares::MoveShares(core::DataCentreId aDataCentre, core::TimerService& aTimers,
+                       const MoveSharesSettings& aSettings)
+  : mDataCentre(std::move(aDataCentre))
+  , mTimers(aTimers)
+  , mSettings(aSettings)
+{
+}
+
+void MoveShares::SetDocument(const document::Document& aDocument)
+{
+  mVersions.clear();
+  for (const document::ServiceSettings& it : aDocument.services) {
+    mVersions[it.id] = it.version;
+  }
+  std::map<core::ServiceId, std::vector<Move>> before = std::move(mMoves);
+  std::set<core::MoveId> named;
+  mMoves.clear();
+  for (const document::MoveSettings& settings : aDocument.moves) {
+    named.insert(settings.id);
+    Move move;
+    for (const Move& known : before[settings.service]) {
+      // Other versions under the same name are another move: nothing carries over.
+      if (known.settings.id == settings.id && known.settings.to == settings.to) {
+        move = known;
+      }
+    }
+    move.settings = settings;
+    mMoves[settings.service].push_back(std::move(move));
+  }
+  std::erase_if(mTakenBack, [&](const core::MoveId& aMove) { return !named.contains(aMove); });
+  std::erase_if(mTripped, [&](const core::MoveId& aMove) { return !named.contains(aMove); });
+}
+
+void MoveShares::OnShares(const ShareUpdate& aUpdate)
+{
+  if (aUpdate.dataCentre != mDataCentre) {
+    return;
+  }
+  for (Move& move : mMoves[aUpdate.service]) {
+    if (move.settings.id != aUpdate.move || move.settings.to != aUpdate.to) {
+      continue;
+    }
+    if (move.everHeard && aUpdate.revision < move.update.revision) {
+      return;
+    }
+    move.update = aUpdate;
+    move.everHeard = true;
+    move.heard = mTimers.Now();
+    if (IsTakenBack(aUpdate.phase)) {
+      mTakenBack.insert(aUpdate.move);
+    }
+    if (aUpdate.phase == MovePhase::Done) {
+      mTripped.erase(aUpdate.move); // The old version goes away; there is nothing to stay with.
+    }
+  }
+}
+
+void MoveShares::OnVerdict(const MoveVerdict& aVerdict)
+{
+  if (aVerdict.bad) {
+    mTakenBack.insert(aVerdict.move);
+  }
+}
+
+void MoveShares::Trip(const core::MoveId& aMove)
+{
+  mTripped.insert(aMove);
+}
+
+core::VersionId MoveShares::Choose(const core::ServiceId& aService, const core::RouteId& /*aRoute*/,
+                                   double aPoint) const
+{
+  const auto version = mVersions.find(aService);
+  core::VersionId inForce = version == mVersions.end() ? core::VersionId() : version->second;
+  const auto moves = mMoves.find(aService);
+  if (moves == mMoves.end()) {
+    return inForce;
+  }
+  for (const Move& move : moves->second) {
+    if (aPoint >= ShareOf(move) || !SpendAllowance(move)) {
+      continue;
+    }
+    CUMINFIELD_INVARIANT("moves.no-traffic-after-verdict",
+                         !mTakenBack.contains(move.settings.id) && !IsTakenBack(move.update.phase));
+    return move.settings.to;
+  }
+  return inForce;
+}
+
+double MoveShares::ShareOf(const core::MoveId& aMove) const
+{
+  for (const auto& [service, moves] : mMoves) {
+    for (const Move& it : moves) {
+      if (it.settings.id == aMove) {
+        return ShareOf(it);
+      }
+    }
+  }
+  return 0.0;
+}
+
+bool MoveShares::IsLeft(const core::MoveId& aMove) const
+{
+  return mTakenBack.contains(aMove) || mTripped.contains(aMove);
+}
+
+double MoveShares::ShareOf(const Move& aMove) const
+{
+  if (!aMove.everHeard || IsLeft(aMove.settings.id)) {
+    return 0.0;
+  }
+  const ShareUpdate& update = aMove.update;
+  if (update.phase == MovePhase::Done) {
+    return 1.0;
+  }
+  if (aMove.settings.undo || mTimers.Now() - aMove.heard > mSettings.stale) {
+    return 0.0;
+  }
+  if (update.phase == MovePhase::Canary) {
+    return std::min(update.share, mSettings.canaryCeiling);
+  }
+  return update.phase == MovePhase::Advancing ? update.share : 0.0;
+}
+
+bool MoveShares::SpendAllowance(const Move& aMove) const
+{
+  const double rate = aMove.update.ratePerSecond;
+  if (rate <= 0.0) {
+    return true;
+  }
+  const core::Instant now = mTimers.Now();
+  const double seconds = std::chrono::duration<double>(now - aMove.refilled).count();
+  aMove.allowance = std::min(mSettings.rateBurst, aMove.allowance + rate * seconds);
+  aMove.refilled = now;
+  if (aMove.allowance < 1.0) {
+    return false;
+  }
+  aMove.allowance -= 1.0;
+  return true;
+}
+
+} // namespace cuminfield::version::moves
--- a/cuminfield/version/moves/MoveState.h
+++ b/cuminfield/version/moves/MoveState.h
@@ -81,10 +81,10 @@
 /// The end of a move, from the director or one data centre's judge.
 struct MoveVerdict
 {
-  core::MoveId move;
-  core::DataCentreId judge; ///< Empty: the director.
+  core::MoveId move{};
+  core::DataCentreId judge{}; ///< Empty: the director.
   bool bad = false;
-  std::string reason;
+  std::string reason{};
 };
 
 /// How many upstreams of a version one data centre should have.
--- /dev/null
+++ b/cuminfield/version/moves/RouteEvidence.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "cuminfield/version/moves/OldBaseline.h"
+
+#include <array>
+#include <string>
+
+namespace cuminfield::version::moves {
+
+/// What a new version is watched on.
+enum class Metric
+{
+  Failures,
+  FirstToken,     ///< Part of requests slower than the old version's upper quartile or so.
+  FirstTokenTail, ///< Part of requests slower than nearly all of the old version's.
+  Pace,
+  PaceTail,
+};
+
+inline constexpr std::size_t kMetrics = 5;
+
+/// Tunables of RouteEvidence.
+struct RouteEvidenceSettings
+{
+  OldBaselineSettings baseline;
+  SequentialTestSettings test;
+  double bulkQuantile = 0.30;  ///< At most this part of the old version's requests counts as slow.
+  double tailQuantile = 0.03;  ///< The same for the tail.
+  double recentRequests = 200; ///< Requests that reason texts speak of.
+};
+
+/// The evidence on one route, or on all routes together: compares the new version round by round
+/// with the old one as seen in the same round.
+class RouteEvidence
+{
+public:
+  explicit RouteEvidence(const RouteEvidenceSettings& aSettings = {});
+
+  /// Requests of this round. Add may be called any number of times in a round.
+  void AddOld(const Observation& aOld);
+  void AddNew(const Observation& aNew);
+
+  /// Judges the round's requests against what was learned before them, then learns from them.
+  void EndRound();
+
+  /// Looks from now on also for faults that begin now.
+  void AddStart();
+
+  /// Natural logarithm of the evidence against the new version in one metric.
+  double LogValue(Metric aMetric) const;
+
+  /// Requests judged.
+  std::uint64_t NewRequests() const { return mNewRequests; }
+  std::uint64_t OldRequests() const { return mOldRequests; }
+
+  /// For operators: how the versions compare in this metric.
+  std::string Describe(Metric aMetric) const;
+
+private:
+  void TestLatency(Metric aMetric, const std::optional<LatencyBound>& aBound,
+                   LatencyCounts Observation::*aCounts);
+  SequentialTest& Test(Metric aMetric) { return mTests[static_cast<std::size_t>(aMetric)]; }
+
+  RouteEvidenceSettings mSettings;
+  OldBaseline mBaseline;
+  std::array<SequentialTest, kMetrics> mTests;
+  Observation mOld;         ///< This round.
+  Observation mNew;         ///< This round.
+  DecayedCounts mRecentNew; ///< For reason texts only.
+  std::uint64_t mNewRequests = 0;
+  std::uint64_t mOldRequests = 0;
+};
+
+} // namespace cuminfield::version::moves
