Stand-ins: a model engine and a plain service

Both announce themselves, renew, leave, keep a record of what they ran and show faults by switch and at run time (POST /faults). The engine batches continuously, caches prefixes, resumes and cancels streams and takes orders.

--- /dev/null
+++ b/TestFramework/StandInEngine.cpp
@@ -0,0 +1,36 @@
+#include "TestFramework/engine/Engine.h"
+
+#include <iostream>
+
+using namespace cuminfield::test_framework;
+
+int main(int aCount, char** aArguments)
+{
+  namespace po = boost::program_options;
+  upstream::UpstreamOptions options;
+  engine::EngineOptions engineOptions;
+  po::options_description description("StandInEngine: a model engine for tests");
+  upstream::AddOptions(description, options);
+  auto add = description.add_options();
+  add("speed", po::value(&engineOptions.speed), "2 is twice as fast");
+  add("cache-tokens", po::value(&engineOptions.cacheTokens), "tokens of prefix cache");
+  add("report-lag", po::value(&engineOptions.reportLagMs), "age of load reports, in ms");
+  add("cache-event-loss", po::value(&engineOptions.cacheEventLoss), "chance of a lost event");
+  add("fences", po::value(&engineOptions.fences), "refuses orders with old fencing numbers");
+  add("remembered", po::value(&engineOptions.remembered), "finished answers kept to resume");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, description), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "; see --help\n";
+    return 2;
+  }
+  if (values.contains("help")) {
+    std::cout << description;
+    return 0;
+  }
+  time::LoopTimerService timers;
+  engine::Engine(timers, options, engineOptions).Run();
+  return 0;
+}
--- /dev/null
+++ b/TestFramework/engine/Answer.cpp
@@ -0,0 +1,75 @@
+#include "TestFramework/engine/Answer.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <string_view>
+
+namespace cuminfield::test_framework::engine {
+
+namespace {
+
+constexpr std::size_t kBlockBytes = 256;
+constexpr std::size_t kTokenBytes = 4;
+constexpr std::string_view kConsonants = "bdfgklmnprstvz";
+constexpr std::string_view kVowels = "aeiou";
+constexpr int kSyllables = 3;
+
+} // namespace
+
+std::string PromptOf(const nlohmann::json& aCall)
+{
+  if (aCall.contains("prompt") && aCall["prompt"].is_string()) {
+    return aCall["prompt"];
+  }
+  std::string prompt;
+  for (const auto& it : aCall.value("messages", nlohmann::json::array())) {
+    prompt += it.value("role", "") + "\n" + it.value("content", "") + "\n";
+  }
+  return prompt;
+}
+
+std::int64_t CountTokens(const std::string& aPrompt)
+{
+  return static_cast<std::int64_t>((aPrompt.size() + kTokenBytes - 1) / kTokenBytes);
+}
+
+std::string AnswerWord(const std::string& aPrompt, std::int64_t aIndex)
+{
+  std::uint64_t hash = XXH64(aPrompt.data(), aPrompt.size(), static_cast<std::uint64_t>(aIndex));
+  std::string word;
+  for (int i = 0; i < kSyllables; ++i) {
+    word += kConsonants[hash % kConsonants.size()];
+    hash /= kConsonants.size();
+    word += kVowels[hash % kVowels.size()];
+    hash /= kVowels.size();
+  }
+  return word + " ";
+}
+
+std::string Answer(const std::string& aPrompt, std::int64_t aTokens)
+{
+  std::string text;
+  for (std::int64_t i = 0; i < aTokens; ++i) {
+    text += AnswerWord(aPrompt, i);
+  }
+  return text;
+}
+
+std::vector<std::uint64_t> PrefixHashes(const std::string& aPrompt)
+{
+  std::vector<std::uint64_t> hashes;
+  std::uint64_t last = 0;
+  for (std::size_t i = 0; i + kBlockBytes <= aPrompt.size(); i += kBlockBytes) {
+    last = XXH64(aPrompt.data() + i, kBlockBytes, last);
+    hashes.push_back(last);
+  }
+  return hashes;
+}
+
+std::string HashText(std::uint64_t aHash)
+{
+  return fmt::format("{:016x}", aHash);
+}
+
+} // namespace cuminfield::test_framework::engine
--- /dev/null
+++ b/TestFramework/http/Client.cpp
@@ -0,0 +1,148 @@
+#include "TestFramework/http/Client.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace cuminfield::test_framework::http {
+
+namespace {
+
+/// One request under way; deletes itself after its end.
+struct Call
+{
+  event_base* base = nullptr;
+  evhttp_connection* connection = nullptr;
+  Client::End end{};
+  Client::Data data{};
+  ClientResponse response{};
+  bool failed = false;
+};
+
+std::string Lower(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return aText;
+}
+
+std::string ReadAll(evbuffer* aBuffer)
+{
+  std::string text(evbuffer_get_length(aBuffer), '\0');
+  evbuffer_remove(aBuffer, text.data(), text.size());
+  return text;
+}
+
+void ReadHead(Call& aCall, evhttp_request* aRequest)
+{
+  aCall.response.status = evhttp_request_get_response_code(aRequest);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* it = headers->tqh_first; it != nullptr; it = it->next.tqe_next) {
+    aCall.response.headers[Lower(it->key)] = it->value;
+  }
+}
+
+int OnHead(evhttp_request* aRequest, void* aCall)
+{
+  ReadHead(*static_cast<Call*>(aCall), aRequest);
+  return 0;
+}
+
+void OnData(evhttp_request* aRequest, void* aCall)
+{
+  auto& call = *static_cast<Call*>(aCall);
+  const std::string text = ReadAll(evhttp_request_get_input_buffer(aRequest));
+  if (call.data) {
+    call.data(call.response, text);
+  } else {
+    call.response.body += text;
+  }
+}
+
+void OnError(evhttp_request_error /*aError*/, void* aCall)
+{
+  static_cast<Call*>(aCall)->failed = true;
+}
+
+void Finish(int /*aSocket*/, short /*aWhat*/, void* aCall)
+{
+  auto* call = static_cast<Call*>(aCall);
+  evhttp_connection_free(call->connection);
+  call->end(call->response);
+  delete call;
+}
+
+/// The connection may not be freed inside its own callback: the end is told from the loop.
+void FinishLater(Call* aCall)
+{
+  const timeval now{};
+  event_base_once(aCall->base, -1, EV_TIMEOUT, &Finish, aCall, &now);
+}
+
+void OnDone(evhttp_request* aRequest, void* aCall)
+{
+  auto* call = static_cast<Call*>(aCall);
+  const bool answered = aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0;
+  call->response.whole = answered && !call->failed;
+  FinishLater(call);
+}
+
+evhttp_cmd_type Command(const std::string& aMethod)
+{
+  if (aMethod == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (aMethod == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  return aMethod == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_GET;
+}
+
+evhttp_request* MakeRequest(const ClientRequest& aRequest, Call* aCall)
+{
+  evhttp_request* request = evhttp_request_new(&OnDone, aCall);
+  evhttp_request_set_header_cb(request, &OnHead);
+  evhttp_request_set_chunked_cb(request, &OnData);
+  evhttp_request_set_error_cb(request, &OnError);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", aRequest.to.Text().c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  for (const auto& [name, value] : aRequest.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request), aRequest.body.data(),
+               aRequest.body.size());
+  return request;
+}
+
+} // namespace
+
+std::string ClientResponse::Header(const std::string& aName) const
+{
+  const auto it = headers.find(Lower(aName));
+  return it == headers.end() ? std::string() : it->second;
+}
+
+void Client::Send(const ClientRequest& aRequest, End aEnd, Data aData)
+{
+  auto* call = new Call{ .base = mBase, .end = std::move(aEnd), .data = std::move(aData) };
+  call->connection =
+    evhttp_connection_base_new(mBase, nullptr, aRequest.to.address.c_str(), aRequest.to.port);
+  const auto micros = aRequest.timeout.count();
+  const timeval timeout{ .tv_sec = micros / 1'000'000, .tv_usec = micros % 1'000'000 };
+  evhttp_connection_set_timeout_tv(call->connection, &timeout);
+  evhttp_request* request = MakeRequest(aRequest, call);
+  const int rc = evhttp_make_request(call->connection, request, Command(aRequest.method),
+                                     aRequest.target.c_str());
+  if (rc != 0) {
+    FinishLater(call);
+  }
+}
+
+} // namespace cuminfield::test_framework::http
--- /dev/null
+++ b/TestFramework/http/Exchange.cpp
@@ -0,0 +1,150 @@
+#include "TestFramework/http/Exchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <sys/socket.h>
+
+namespace cuminfield::test_framework::http {
+
+namespace {
+
+std::string MethodName(evhttp_cmd_type aMethod)
+{
+  switch (aMethod) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "POST";
+  }
+}
+
+std::string ReadAll(evbuffer* aBuffer)
+{
+  std::string text(evbuffer_get_length(aBuffer), '\0');
+  evbuffer_remove(aBuffer, text.data(), text.size());
+  return text;
+}
+
+} // namespace
+
+Exchange::Exchange(evhttp_request* aRequest)
+  : mRequest(aRequest)
+  , mMethod(MethodName(evhttp_request_get_command(aRequest)))
+  , mTarget(evhttp_request_get_uri(aRequest))
+  , mBody(ReadAll(evhttp_request_get_input_buffer(aRequest)))
+{
+  mPath = mTarget.substr(0, mTarget.find('?'));
+}
+
+Exchange::~Exchange()
+{
+  if (Ended()) {
+    return;
+  }
+  if (mBegun) {
+    Break();
+  } else {
+    Reply(500, "{}");
+  }
+}
+
+std::optional<std::string> Exchange::Header(const std::string& aName) const
+{
+  if (Ended()) {
+    return std::nullopt;
+  }
+  const char* value = evhttp_find_header(evhttp_request_get_input_headers(mRequest), aName.c_str());
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+std::optional<std::string> Exchange::Parameter(const std::string& aName) const
+{
+  const auto mark = mTarget.find('?');
+  if (mark == std::string::npos) {
+    return std::nullopt;
+  }
+  evkeyvalq query{};
+  evhttp_parse_query_str(mTarget.c_str() + mark + 1, &query);
+  const char* value = evhttp_find_header(&query, aName.c_str());
+  auto result = value == nullptr ? std::nullopt : std::optional<std::string>(value);
+  evhttp_clear_headers(&query);
+  return result;
+}
+
+void Exchange::SetHeader(const std::string& aName, const std::string& aValue)
+{
+  if (Ended()) {
+    return;
+  }
+  evkeyvalq* headers = evhttp_request_get_output_headers(mRequest);
+  evhttp_remove_header(headers, aName.c_str());
+  evhttp_add_header(headers, aName.c_str(), aValue.c_str());
+}
+
+void Exchange::Reply(int aStatus, const std::string& aBody, const std::string& aType)
+{
+  if (Ended()) {
+    return;
+  }
+  SetHeader("Content-Type", aType);
+  evbuffer* buf = evbuffer_new();
+  evbuffer_add(buf, aBody.data(), aBody.size());
+  evhttp_send_reply(mRequest, aStatus, nullptr, buf);
+  evbuffer_free(buf);
+  mRequest = nullptr;
+}
+
+void Exchange::Begin(int aStatus, const std::string& aType)
+{
+  if (Ended()) {
+    return;
+  }
+  SetHeader("Content-Type", aType);
+  evhttp_send_reply_start(mRequest, aStatus, nullptr);
+  mBegun = true;
+}
+
+void Exchange::Write(const std::string& aText)
+{
+  if (Ended()) {
+    return;
+  }
+  evbuffer* buf = evbuffer_new();
+  evbuffer_add(buf, aText.data(), aText.size());
+  evhttp_send_reply_chunk(mRequest, buf);
+  evbuffer_free(buf);
+}
+
+void Exchange::End()
+{
+  if (Ended()) {
+    return;
+  }
+  evhttp_send_reply_end(mRequest);
+  mRequest = nullptr;
+}
+
+void Exchange::Break()
+{
+  if (Ended()) {
+    return;
+  }
+  evhttp_connection* connection = evhttp_request_get_connection(mRequest);
+  if (connection != nullptr) {
+    const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    shutdown(socket, SHUT_RDWR);
+  }
+  if (!mBegun) {
+    Begin(500, "text/plain");
+  }
+  End();
+}
+
+} // namespace cuminfield::test_framework::http
--- /dev/null
+++ b/TestFramework/http/Server.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "TestFramework/http/Exchange.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+struct event_base;
+struct evhttp;
+struct evhttp_request;
+
+namespace cuminfield::test_framework::http {
+
+/// An HTTP server on a loop: hands each complete request to one handler.
+class Server
+{
+public:
+  using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+
+  /// Listens at once; port 0 takes a free one. Ends the program when the address is taken.
+  Server(event_base* aBase, const std::string& aAddress, std::uint16_t aPort, Handler aHandler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// The port that it listens on.
+  std::uint16_t Port() const { return mPort; }
+
+private:
+  static void Received(evhttp_request* aRequest, void* aSelf);
+
+  evhttp* mHttp;
+  std::uint16_t mPort = 0;
+  Handler mHandler;
+};
+
+} // namespace cuminfield::test_framework::http
--- /dev/null
+++ b/TestFramework/upstream/Upstream.cpp
@@ -0,0 +1,198 @@
+#include "TestFramework/upstream/Upstream.h"
+
+#include <boost/algorithm/string.hpp>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
+namespace cuminfield::test_framework::upstream {
+
+namespace {
+
+/// A new request may be under way from a host for this long after the upstream left.
+constexpr core::Duration kLeaveGrace = std::chrono::seconds(3);
+constexpr core::Duration kIdlePoll = std::chrono::milliseconds(50);
+
+FaultSettings FaultsOrExit(const std::string& aText)
+{
+  const auto faults = ParseFaults(nlohmann::json::parse(aText, nullptr, false));
+  if (!faults) {
+    spdlog::error("--faults: {}", core::Describe(faults.error()));
+    std::exit(2);
+  }
+  return faults.value();
+}
+
+} // namespace
+
+void AddOptions(boost::program_options::options_description& aDescription,
+                UpstreamOptions& aOptions)
+{
+  namespace po = boost::program_options;
+  auto add = aDescription.add_options();
+  add("help", "print this");
+  add("address", po::value(&aOptions.address), "IP number to listen on");
+  add("port", po::value(&aOptions.port), "port to listen on; 0 takes a free one");
+  add("announce", po::value(&aOptions.announce), "control addresses of hosts: IP:PORT,IP:PORT");
+  add("id", po::value(&aOptions.id), "name of this upstream");
+  add("service", po::value(&aOptions.service), "service that it offers");
+  add("version-name", po::value(&aOptions.version), "version of the service");
+  add("data-centre", po::value(&aOptions.dataCentre), "data centre");
+  add("region", po::value(&aOptions.region), "region");
+  add("slots", po::value(&aOptions.slots), "requests at once before its pace falls");
+  add("record", po::value(&aOptions.record), "file to which each run is appended as JSON");
+  add("faults", po::value(&aOptions.faults), "JSON as in POST /faults");
+  add("seed", po::value(&aOptions.seed), "seed of its randomness");
+  add("time-scale", po::value(&aOptions.timeScale), "0.1 runs ten times faster");
+}
+
+std::vector<process::settings::Endpoint> ParseEndpoints(const std::string& aText)
+{
+  std::vector<process::settings::Endpoint> endpoints;
+  std::vector<std::string> parts;
+  boost::split(parts, aText, boost::is_any_of(","), boost::token_compress_on);
+  for (const std::string& it : parts) {
+    if (it.empty()) {
+      continue;
+    }
+    const auto colon = it.rfind(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(it.c_str() + colon + 1);
+    if (port <= 0) {
+      spdlog::error("'{}' is no address; write IP:PORT", it);
+      std::exit(2);
+    }
+    endpoints.push_back(
+      { .address = it.substr(0, colon), .port = static_cast<std::uint16_t>(port) });
+  }
+  return endpoints;
+}
+
+Upstream::Upstream(time::LoopTimerService& aTimers, UpstreamOptions aOptions,
+                   core::Tokens aCacheCapacity, bool aResumes)
+  : mTimers(aTimers)
+  , mOptions(std::move(aOptions))
+  , mFaults(FaultsOrExit(mOptions.faults), mOptions.seed)
+  , mRecord(mOptions.id, mOptions.version, mOptions.record)
+  , mCalls(aTimers.Base())
+  , mServer(aTimers.Base(), mOptions.address, mOptions.port,
+            [this](const std::shared_ptr<http::Exchange>& aExchange) { Received(aExchange); })
+  , mAnnouncer(aTimers, mCalls, MakeAnnouncement(aCacheCapacity, aResumes),
+               [this] { return Report(); })
+{
+}
+
+void Upstream::Run()
+{
+  spdlog::info("listening id={} address={}:{}", mOptions.id, mOptions.address, mServer.Port());
+  mTimers.OnStopSignal([this] { Stop(); });
+  mAnnouncer.Start();
+  mTimers.Run();
+}
+
+std::string Upstream::IdOf(const http::Exchange& aExchange)
+{
+  const auto id = aExchange.Header("X-Request-Id");
+  return id ? *id : mOptions.id + "-" + std::to_string(++mUnnamed);
+}
+
+void Upstream::RecordBegin(const http::Exchange& aExchange, const std::string& aId,
+                           upstream::Run aRun)
+{
+  aRun.requestId = aId;
+  aRun.key = aExchange.Header("Idempotency-Key").value_or("");
+  aRun.method = aExchange.Method();
+  aRun.path = aExchange.Path();
+  mRecord.Begin(aRun, mTimers.WallNow());
+}
+
+void Upstream::RecordEnd(const std::string& aRequestId, const std::string& aOutcome)
+{
+  mRecord.End(aRequestId, aOutcome, mTimers.WallNow());
+}
+
+void Upstream::Refuse(http::Exchange& aExchange)
+{
+  aExchange.SetHeader("X-Outcome", "not-run");
+  aExchange.Reply(503, R"({"detail":"refused; nothing ran"})");
+}
+
+core::Duration Upstream::Scaled(core::Duration aDuration) const
+{
+  const double scaled = static_cast<double>(aDuration.count()) * mOptions.timeScale;
+  return core::Duration(static_cast<std::int64_t>(scaled));
+}
+
+void Upstream::Received(const std::shared_ptr<http::Exchange>& aExchange)
+{
+  const std::string& path = aExchange->Path();
+  if (path == "/record") {
+    aExchange->Reply(200, mRecord.Json().dump());
+    return;
+  }
+  if (path == "/health") {
+    aExchange->Reply(200, "ready", "text/plain");
+    return;
+  }
+  if (path == "/faults") {
+    SetFaults(*aExchange);
+    return;
+  }
+  if (const auto id = aExchange->Header("X-Request-Id")) {
+    aExchange->SetHeader("X-Request-Id", *id);
+  }
+  Serve(aExchange);
+}
+
+void Upstream::SetFaults(http::Exchange& aExchange)
+{
+  const auto faults = ParseFaults(nlohmann::json::parse(aExchange.Body(), nullptr, false));
+  if (!faults) {
+    aExchange.Reply(400, nlohmann::json{ { "detail", faults.error().message } }.dump());
+    return;
+  }
+  mFaults.Set(faults.value());
+  aExchange.Reply(200, "{}");
+}
+
+void Upstream::Stop()
+{
+  if (mStopping) {
+    mTimers.Stop();
+    return;
+  }
+  mStopping = true;
+  spdlog::info("leaving id={}", mOptions.id);
+  mAnnouncer.Leave([this] {
+    const core::Duration grace = mOptions.announce.empty() ? core::Duration(0) : kLeaveGrace;
+    mExit = mTimers.After(grace, [this] { ExitWhenIdle(); });
+  });
+}
+
+void Upstream::ExitWhenIdle()
+{
+  if (Busy() == 0) {
+    mTimers.Stop();
+    return;
+  }
+  mExit = mTimers.After(kIdlePoll, [this] { ExitWhenIdle(); });
+}
+
+AnnouncerOptions Upstream::MakeAnnouncement(core::Tokens aCacheCapacity, bool aResumes) const
+{
+  const auto started = mTimers.WallNow().time_since_epoch();
+  return { .hosts = ParseEndpoints(mOptions.announce),
+           .announcement = { .id = core::UpstreamId(mOptions.id),
+                             .incarnation =
+                               core::Incarnation(static_cast<std::uint64_t>(started.count())),
+                             .service = core::ServiceId(mOptions.service),
+                             .version = core::VersionId(mOptions.version),
+                             .dataCentre = core::DataCentreId(mOptions.dataCentre),
+                             .region = core::RegionId(mOptions.region),
+                             .address = mOptions.address,
+                             .port = mServer.Port(),
+                             .slots = mOptions.slots,
+                             .cacheCapacity = aCacheCapacity,
+                             .resumes = aResumes } };
+}
+
+} // namespace cuminfield::test_framework::upstream
--- /dev/null
+++ b/UnitTests/test_framework/AnnouncerTest.cpp
@@ -0,0 +1,121 @@
+#include "TestFramework/upstream/Announcer.h"
+#include "TestFramework/time/ManualTimerService.h"
+#include "TestFramework/upstream/Faults.h"
+#include "TestFramework/upstream/RunRecord.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <unistd.h>
+
+using namespace std::chrono_literals;
+using namespace cuminfield::test_framework;
+using cuminfield::core::WallTime;
+using cuminfield::process::settings::Endpoint;
+
+namespace {
+
+/// Answers each control call at once by the status that a test sets for its host.
+class FakeCalls : public upstream::ControlCalls
+{
+public:
+  void Post(const Endpoint& aHost, const std::string& aPath, const nlohmann::json& /*aBody*/,
+            Answer aAnswer) override
+  {
+    calls.push_back(std::to_string(aHost.port) + aPath);
+    aAnswer(status[aHost.port], nlohmann::json{ { "renew_ms", 500 } });
+  }
+
+  std::map<int, int> status;
+  std::vector<std::string> calls;
+};
+
+} // namespace
+
+TEST_GROUP(Announcer)
+{
+  time::ManualTimerService timers;
+  FakeCalls calls;
+  upstream::Announcer announcer{ timers,
+                                 calls,
+                                 { .hosts = { { .port = 1 }, { .port = 2 } }, .announcement = {} },
+                                 [] { return nlohmann::json::object(); } };
+};
+
+TEST(Announcer, RenewsWhereItWasTakenIn)
+{
+  calls.status = { { 1, 200 } };
+  announcer.Start();
+  timers.Advance(1s);
+  CHECK(announcer.Announced());
+  LONGS_EQUAL(3, calls.calls.size());
+  STRCMP_EQUAL("1/upstreams/renew", calls.calls.back().c_str());
+}
+
+TEST(Announcer, GoesToTheNextHostWhenOneDoesNotAnswer)
+{
+  calls.status = { { 1, 0 }, { 2, 200 } };
+  announcer.Start();
+  timers.Advance(100ms);
+  CHECK(announcer.Announced());
+  STRCMP_EQUAL("2/upstreams/announce", calls.calls.back().c_str());
+}
+
+TEST(Announcer, AnnouncesAgainAfter404)
+{
+  calls.status = { { 1, 200 }, { 2, 200 } };
+  announcer.Start();
+  calls.status[1] = 404;
+  timers.Advance(700ms);
+  CHECK(announcer.Announced());
+  STRCMP_EQUAL("2/upstreams/announce", calls.calls.back().c_str());
+}
+
+TEST(Announcer, LeavesThroughAnotherHost)
+{
+  calls.status = { { 1, 200 }, { 2, 200 } };
+  announcer.Start();
+  calls.status[1] = 0;
+  bool left = false;
+  announcer.Leave([&] { left = true; });
+  timers.Advance(2s);
+  CHECK(left);
+  STRCMP_EQUAL("2/upstreams/leave", calls.calls.back().c_str());
+}
+
+TEST_GROUP(Faults){};
+
+TEST(Faults, UnknownOneIsAnError)
+{
+  CHECK_FALSE(upstream::ParseFaults(nlohmann::json{ { "sloww", 2 } }).has_value());
+}
+
+TEST(Faults, ShowOnTheirPathAndUnderLoadOnly)
+{
+  const auto settings =
+    upstream::ParseFaults(nlohmann::json{ { "fail", 1 }, { "path", "/payouts" }, { "above", 2 } });
+  upstream::Faults faults(settings.value(), 1);
+  CHECK(faults.Draw("/payouts", 3).fail);
+  CHECK_FALSE(faults.Draw("/payouts", 2).fail);
+  CHECK_FALSE(faults.Draw("/stock", 3).fail);
+}
+
+TEST_GROUP(RunRecord){};
+
+TEST(RunRecord, FileHasEachRunAtOnce)
+{
+  const auto folder = std::filesystem::temp_directory_path();
+  const std::string file = folder / ("run-record-test-" + std::to_string(getpid()));
+  upstream::RunRecord record("u", "1", file);
+  record.Begin({ .requestId = "r", .key = "k" }, WallTime(1s));
+  std::ifstream stream(file);
+  std::string line;
+  CHECK(static_cast<bool>(std::getline(stream, line)));
+  const auto event = nlohmann::json::parse(line);
+  STRCMP_EQUAL("k", event["key"].get<std::string>().c_str());
+  LONGS_EQUAL(1, record.Json()["events"].size());
+  std::remove(file.c_str());
+}
--- /dev/null
+++ b/UnitTests/test_framework/AnswerTest.cpp
@@ -0,0 +1,42 @@
+#include "TestFramework/engine/Answer.h"
+#include "TestFramework/plain/PlainAnswer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield::test_framework;
+
+TEST_GROUP(Answer){};
+
+TEST(Answer, IsMadeOfItsWordsInOrder)
+{
+  const std::string whole =
+    engine::AnswerWord("p", 0) + engine::AnswerWord("p", 1) + engine::AnswerWord("p", 2);
+  STRCMP_EQUAL(whole.c_str(), engine::Answer("p", 3).c_str());
+}
+
+TEST(Answer, DiffersBetweenPrompts)
+{
+  CHECK(engine::Answer("a", 4) != engine::Answer("b", 4));
+}
+
+TEST(Answer, TakesThePromptFromMessages)
+{
+  const auto call = nlohmann::json::parse(R"({"messages":[{"role":"user","content":"hello"}]})");
+  STRCMP_EQUAL("user\nhello\n", engine::PromptOf(call).c_str());
+}
+
+TEST(Answer, HashesAreChainedOverWholeBlocks)
+{
+  const std::string block(256, 'x');
+  const auto one = engine::PrefixHashes(block + "rest");
+  const auto two = engine::PrefixHashes(block + block);
+  LONGS_EQUAL(1, one.size());
+  LONGS_EQUAL(2, two.size());
+  CHECK(one[0] == two[0]);
+  CHECK(two[0] != two[1]);
+}
+
+TEST(Answer, OfAPlainCallDependsOnItsBody)
+{
+  CHECK(plain::PlainAnswer("POST", "/payouts", "a") != plain::PlainAnswer("POST", "/payouts", "b"));
+}
