--- a/Build/lint.sh
+++ b/Build/lint.sh
@@ -19,17 +19,27 @@
   exit 0
 fi
 clang-format --dry-run --Werror "${files[@]}"
-# A file that passed is not linted again until it, a header or the rules change.
-stamps=${LINT_CACHE:-$build/lint}
-mkdir -p "$stamps"
-rules=$(cat .clang-tidy $(git ls-files -co --exclude-standard '*.h') | sha256sum | cut -c1-16)
+# A verdict of 'clean' is kept until the file, a header that it includes, or the rules change.
+verdicts=${LINT_CACHE:-$HOME/.cache/cuminfield-lint}
+mkdir -p "$verdicts"
+# source, key, folder of verdicts, build folder
 lint_one() {
-  local key
-  key=$(echo "$2 $1 $(sha256sum <"$1")" | sha256sum | cut -c1-32)
-  [ -e "$3/$key" ] && return 0
-  clang-tidy --quiet -p "$4" "$1" 2>/dev/null && touch "$3/$key"
+  [ -e "$3/$2" ] && return 0
+  clang-tidy --quiet -p "$4" "$1" 2>/dev/null && touch "$3/$2"
 }
 export -f lint_one
-printf '%s\n' "${files[@]}" | grep '\.cpp$' |
-  xargs -P "$(nproc)" -I{} bash -c 'lint_one "$@" || { echo "lint failed: $1"; exit 255; }' _ {} "$rules" "$stamps" "$build"
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cpp$' || true)
+if [ ${#sources[@]} -gt 0 ]; then
+  python3 Build/lint_keys.py "${sources[@]}" |
+    xargs -P "${LINT_JOBS:-$(nproc)}" -L1 bash -c 'lint_one "$3" "$4" "$1" "$2" || { echo "lint failed: $3"; exit 1; }' _ "$verdicts" "$build" 2>&1 |
+    grep -v '^xargs' || true
+fi
+# Judged again from the kept verdicts, so that the exit code cannot be lost in the pipe.
+bad=0
+if [ ${#sources[@]} -gt 0 ]; then
+  while read -r source key; do
+    [ -e "$verdicts/$key" ] || { echo "not clean: $source"; bad=1; }
+  done < <(python3 Build/lint_keys.py "${sources[@]}")
+fi
+[ $bad -eq 0 ] || exit 1
 echo "format and lint: ok (${#files[@]} files)"
--- a/cuminfield/Main.cpp
+++ b/cuminfield/Main.cpp
@@ -1,4 +1,7 @@
-int main()
+#include "cuminfield/process/command/Commands.h"
+
+int main(int aCount, char** aArguments)
 {
-  return 0;
+  using namespace cuminfield::process::command;
+  return static_cast<int>(Run({ aArguments + 1, aArguments + aCount }));
 }
--- a/cuminfield/process/claims/GroupClaimKeeper.cpp
+++ b/cuminfield/process/claims/GroupClaimKeeper.cpp
@@ -66,7 +66,7 @@
       return ClaimVerdict::DigestDiffers;
     case state::proto::CLAIM_VERDICT_TOO_OLD:
     case state::proto::CLAIM_VERDICT_FROM_FUTURE:
-    case state::proto::CLAIM_VERDICT_INVALID_KEY:
+    case state::proto::CLAIM_VERDICT_INVALID:
       return ClaimVerdict::TooOld;
     case state::proto::CLAIM_VERDICT_FULL:
       return ClaimVerdict::Full;
--- /dev/null
+++ b/cuminfield/process/command/Commands.cpp
@@ -0,0 +1,394 @@
+#include "cuminfield/process/command/Commands.h"
+
+#include "cuminfield/connection/Query.h"
+#include "cuminfield/core/EventLoop.h"
+#include "cuminfield/process/command/ControlClient.h"
+#include "cuminfield/process/command/ShowTable.h"
+#include "cuminfield/process/host/Host.h"
+#include "cuminfield/process/logging/EventLog.h"
+#include "cuminfield/process/settings/HostSettings.h"
+#include "cuminfield/version/document/Document.h"
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <sstream>
+
+namespace cuminfield::process::command {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kTries = 5; ///< Of a change whose answer was lost; the same request id each time.
+
+ExitCode Complain(const std::string& aMessage, ExitCode aCode)
+{
+  std::cerr << "cuminfield: " << aMessage << "\n";
+  return aCode;
+}
+
+/// What a command line holds once read, or the exit code where it ends there.
+struct Parsed
+{
+  po::variables_map values;
+  std::optional<ExitCode> end;
+};
+
+Parsed Parse(const std::string& aCommand, const std::string& aSummary,
+             const std::vector<std::string>& aArguments, po::options_description& aOptions,
+             const char* aPositional)
+{
+  Parsed parsed;
+  aOptions.add_options()("help", "prints this");
+  po::positional_options_description positional;
+  if (aPositional) {
+    positional.add(aPositional, 1);
+  }
+  try {
+    po::store(po::command_line_parser(aArguments).options(aOptions).positional(positional).run(),
+              parsed.values);
+    if (parsed.values.contains("help")) {
+      std::cout << "cuminfield " << aCommand << (aPositional ? " FILE" : "") << ": " << aSummary
+                << "\n"
+                << aOptions;
+      parsed.end = ExitCode::Ok;
+      return parsed;
+    }
+    po::notify(parsed.values);
+  } catch (const po::error& error) {
+    parsed.end = Complain(std::string(error.what()) + "; see cuminfield " + aCommand + " --help",
+                          ExitCode::Usage);
+  }
+  return parsed;
+}
+
+std::optional<std::string> ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+ExitCode Serve(const std::vector<std::string>& aArguments)
+{
+  po::options_description options;
+  std::string path;
+  options.add_options()("settings", po::value(&path)->required(), "host settings file (INI)");
+  const Parsed parsed =
+    Parse("serve", "runs one host until SIGTERM or SIGINT", aArguments, options, nullptr);
+  if (parsed.end) {
+    return *parsed.end;
+  }
+  const auto settings = settings::LoadHostSettings(path);
+  if (!settings) {
+    return Complain(core::Describe(settings.error()), ExitCode::Failed);
+  }
+  logging::SetUp(settings.value().logLevel, settings.value().logFormat, settings.value().id);
+  std::signal(SIGPIPE, SIG_IGN);
+  core::EventLoop loop;
+  host::Host host({ .settings = settings.value(), .loop = loop });
+  if (const auto started = host.Start(); !started) {
+    return Complain(core::Describe(started.error()), ExitCode::Failed);
+  }
+  loop.OnSignal(SIGTERM, [&host] { host.Shutdown(); });
+  loop.OnSignal(SIGINT, [&host] { host.Shutdown(); });
+  loop.Run();
+  return host.ExitCode() == 0 ? ExitCode::Ok : ExitCode::Failed;
+}
+
+ExitCode Check(const std::vector<std::string>& aArguments)
+{
+  po::options_description options;
+  std::string path;
+  options.add_options()("file", po::value(&path)->required(),
+                        "host settings file or environment document");
+  const Parsed parsed = Parse("check", "checks a host settings file or an environment document",
+                              aArguments, options, "file");
+  if (parsed.end) {
+    return *parsed.end;
+  }
+  const auto text = ReadFile(path);
+  if (!text) {
+    return Complain("cannot read " + path + "; check its name and permissions", ExitCode::Failed);
+  }
+  const bool isDocument = text->find("[environment]") != std::string::npos;
+  std::optional<core::Error> fault;
+  if (isDocument) {
+    if (const auto document = version::document::ParseDocument(*text, path); !document) {
+      fault = document.error();
+    }
+  } else if (const auto settings = settings::ParseHostSettings(*text, path); !settings) {
+    fault = settings.error();
+  }
+  if (fault) {
+    return Complain(core::Describe(*fault), ExitCode::Failed);
+  }
+  std::cout << path << ": ok, " << (isDocument ? "an environment document" : "host settings")
+            << "\n";
+  return ExitCode::Ok;
+}
+
+/// Options that every command to a host shares.
+void AddControlOption(po::options_description& aOptions, std::string& aControl)
+{
+  aOptions.add_options()("control", po::value(&aControl)->required(),
+                         "control addresses of hosts, ADDRESS:PORT[,...]; the first that answers");
+}
+
+std::string Detail(const ControlAnswer& aAnswer)
+{
+  const auto body = nlohmann::json::parse(aAnswer.body, nullptr, false);
+  return body.is_object() ? body.value("detail", aAnswer.body) : aAnswer.body;
+}
+
+/// The revision in force, or the exit code where it cannot be told.
+std::variant<std::uint64_t, ExitCode> RevisionInForce(ControlClient& aClient,
+                                                      const std::string& aEnvironment)
+{
+  const auto answer = aClient.Ask("GET", "/documents/" + aEnvironment, "");
+  if (!answer) {
+    return Complain(answer.error().message, ExitCode::Unreachable);
+  }
+  if (answer.value().status == connection::kStatusNotFound) {
+    return std::uint64_t{ 0 };
+  }
+  if (answer.value().status != connection::kStatusOk) {
+    return Complain(Detail(answer.value()), ExitCode::Unreachable);
+  }
+  const std::string tag(connection::FindHeader(answer.value().headers, "ETag"));
+  return std::stoull(tag.size() > 2 ? tag.substr(1) : "0");
+}
+
+ExitCode Report(const ControlAnswer& aAnswer)
+{
+  switch (aAnswer.status) {
+    case connection::kStatusOk: {
+      const auto body = nlohmann::json::parse(aAnswer.body, nullptr, false);
+      std::cout << body.value("environment", "") << ": accepted as revision "
+                << body.value("revision", 0) << "\n";
+      return ExitCode::Ok;
+    }
+    case connection::kStatusConflict:
+      return Complain(Detail(aAnswer), ExitCode::Conflict);
+    case connection::kStatusUnavailable:
+    case connection::kStatusGatewayTimeout:
+      return Complain(Detail(aAnswer), ExitCode::Unreachable);
+    default:
+      return Complain(Detail(aAnswer), ExitCode::Failed);
+  }
+}
+
+/// Sends a change until an answer comes; each time with the same request id, so that it takes
+/// effect once whatever answers are lost.
+ExitCode SendChange(ControlClient& aClient, const std::string& aMethod, const std::string& aTarget,
+                    const std::string& aBody)
+{
+  ExitCode code = ExitCode::Unreachable;
+  for (int n = 0; n < kTries; ++n) {
+    const auto answer = aClient.Ask(aMethod, aTarget, aBody);
+    if (!answer) {
+      code = Complain(answer.error().message, ExitCode::Unreachable);
+      continue;
+    }
+    code = Report(answer.value());
+    if (code != ExitCode::Unreachable) {
+      return code;
+    }
+  }
+  return code;
+}
+
+/// Options of a change that `apply` and `promote` share.
+struct ChangeOptions
+{
+  std::string control;
+  std::string environment;
+  std::string operatorName;
+  std::string requestId;
+  std::optional<std::uint64_t> base;
+
+  void AddTo(po::options_description& aOptions, const char* aEnvironmentOption)
+  {
+    AddControlOption(aOptions, control);
+    auto add = aOptions.add_options();
+    add(aEnvironmentOption, po::value(&environment)->required(), "environment to change");
+    add("operator", po::value(&operatorName)->required(), "who makes the change");
+    add("base", po::value<std::uint64_t>()->notifier([this](std::uint64_t aBase) { base = aBase; }),
+        "revision that the change was made from; may be left out for the first one");
+    add("request", po::value(&requestId)->default_value(NewRequestId(), "a new one"),
+        "request id; give the same one to send a change again");
+  }
+
+  std::string Query(std::uint64_t aBase) const
+  {
+    return "?base=" + std::to_string(aBase) +
+           "&operator=" + connection::EncodeQueryValue(operatorName) +
+           "&request=" + connection::EncodeQueryValue(requestId);
+  }
+};
+
+/// The base to send: as given, or 0 where nothing is in force yet.
+std::variant<std::uint64_t, ExitCode> BaseOf(const ChangeOptions& aChange, ControlClient& aClient)
+{
+  if (aChange.base) {
+    return *aChange.base;
+  }
+  const auto revision = RevisionInForce(aClient, aChange.environment);
+  const auto* number = std::get_if<std::uint64_t>(&revision);
+  if (number && *number > 0) {
+    return Complain("revision " + std::to_string(*number) + " of " + aChange.environment +
+                      " is in force; give --base " + std::to_string(*number) +
+                      " if the change was made from it",
+                    ExitCode::Conflict);
+  }
+  return revision;
+}
+
+ExitCode Apply(const std::vector<std::string>& aArguments)
+{
+  po::options_description options;
+  ChangeOptions change;
+  std::string path;
+  change.AddTo(options, "environment");
+  options.add_options()("file", po::value(&path)->required(), "environment document (INI)");
+  const Parsed parsed =
+    Parse("apply", "puts an environment document in force", aArguments, options, "file");
+  if (parsed.end) {
+    return *parsed.end;
+  }
+  const auto text = ReadFile(path);
+  if (!text) {
+    return Complain("cannot read " + path + "; check its name and permissions", ExitCode::Failed);
+  }
+  if (const auto document = version::document::ParseDocument(*text, path); !document) {
+    return Complain(core::Describe(document.error()), ExitCode::Failed);
+  }
+  const auto hosts = ParseEndpoints(change.control);
+  if (!hosts) {
+    return Complain(hosts.error().message, ExitCode::Usage);
+  }
+  ControlClient client({ .hosts = hosts.value() });
+  const auto base = BaseOf(change, client);
+  if (const auto* code = std::get_if<ExitCode>(&base)) {
+    return *code;
+  }
+  const std::string target =
+    "/documents/" + change.environment + change.Query(std::get<std::uint64_t>(base));
+  return SendChange(client, "PUT", target, *text);
+}
+
+ExitCode Promote(const std::vector<std::string>& aArguments)
+{
+  po::options_description options;
+  ChangeOptions change;
+  std::string from;
+  change.AddTo(options, "to");
+  options.add_options()("from", po::value(&from)->required(), "environment to copy from");
+  const Parsed parsed = Parse("promote", "copies an accepted document to another environment",
+                              aArguments, options, nullptr);
+  if (parsed.end) {
+    return *parsed.end;
+  }
+  const auto hosts = ParseEndpoints(change.control);
+  if (!hosts) {
+    return Complain(hosts.error().message, ExitCode::Usage);
+  }
+  ControlClient client({ .hosts = hosts.value() });
+  const auto base = BaseOf(change, client);
+  if (const auto* code = std::get_if<ExitCode>(&base)) {
+    return *code;
+  }
+  const std::string target = "/documents/" + change.environment + "/promote" +
+                             change.Query(std::get<std::uint64_t>(base)) +
+                             "&from=" + connection::EncodeQueryValue(from);
+  return SendChange(client, "POST", target, "");
+}
+
+ExitCode Show(const std::vector<std::string>& aArguments)
+{
+  po::options_description options;
+  std::string control;
+  AddControlOption(options, control);
+  options.add_options()("json", po::bool_switch(), "prints JSON");
+  const Parsed parsed = Parse("show",
+                              "tells what a host knows: revision in force, moves, upstreams, "
+                              "tiers, groups",
+                              aArguments, options, nullptr);
+  if (parsed.end) {
+    return *parsed.end;
+  }
+  const auto hosts = ParseEndpoints(control);
+  if (!hosts) {
+    return Complain(hosts.error().message, ExitCode::Usage);
+  }
+  ControlClient client({ .hosts = hosts.value() });
+  const auto answer = client.Ask("GET", "/show", "");
+  if (!answer) {
+    return Complain(answer.error().message, ExitCode::Unreachable);
+  }
+  const std::string& body = answer.value().body;
+  std::cout << (parsed.values["json"].as<bool>() ? body + "\n" : FormatShow(body));
+  return ExitCode::Ok;
+}
+
+ExitCode Version(const std::vector<std::string>&)
+{
+  std::cout << "cuminfield " << CUMINFIELD_VERSION << "\n";
+  return ExitCode::Ok;
+}
+
+struct Command
+{
+  const char* name;
+  const char* summary;
+  ExitCode (*run)(const std::vector<std::string>&);
+};
+
+constexpr Command kCommands[] = {
+  { "serve", "runs one host", Serve },
+  { "check", "checks a host settings file or an environment document", Check },
+  { "apply", "puts an environment document in force", Apply },
+  { "promote", "copies an accepted document to another environment", Promote },
+  { "show", "tells what a host knows", Show },
+  { "version", "prints the version", Version },
+};
+
+void PrintUsage(std::ostream& aStream)
+{
+  aStream << "cuminfield COMMAND [OPTIONS]; COMMAND --help tells more\n";
+  for (const Command& it : kCommands) {
+    aStream << "  " << it.name << ": " << it.summary << "\n";
+  }
+}
+
+} // namespace
+
+ExitCode Run(const std::vector<std::string>& aArguments)
+{
+  if (aArguments.empty()) {
+    PrintUsage(std::cerr);
+    return ExitCode::Usage;
+  }
+  const std::string& name = aArguments.front();
+  if (name == "--help" || name == "help") {
+    PrintUsage(std::cout);
+    return ExitCode::Ok;
+  }
+  for (const Command& it : kCommands) {
+    if (name == it.name) {
+      return it.run({ aArguments.begin() + 1, aArguments.end() });
+    }
+  }
+  return Complain("no command '" + name + "'; see cuminfield --help", ExitCode::Usage);
+}
+
+} // namespace cuminfield::process::command
--- /dev/null
+++ b/cuminfield/process/command/ShowTable.cpp
@@ -0,0 +1,78 @@
+#include "cuminfield/process/command/ShowTable.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
+namespace cuminfield::process::command {
+
+namespace {
+
+using nlohmann::json;
+
+std::string CellOf(const json& aLine, const std::string& aColumn)
+{
+  const auto it = aLine.find(aColumn);
+  if (it == aLine.end() || it->is_null()) {
+    return "-";
+  }
+  if (it->is_string()) {
+    return it->get<std::string>();
+  }
+  if (it->is_boolean()) {
+    return it->get<bool>() ? "yes" : "no";
+  }
+  return it->dump();
+}
+
+void AddTable(std::string& aText, const std::string& aTitle, const json& aLines,
+              const std::vector<std::string>& aColumns)
+{
+  fmt::format_to(std::back_inserter(aText), "\n{}\n", aTitle);
+  if (!aLines.is_array() || aLines.empty()) {
+    aText += "  none\n";
+    return;
+  }
+  for (const json& line : aLines) {
+    aText += " ";
+    for (const std::string& column : aColumns) {
+      fmt::format_to(std::back_inserter(aText), " {}={}", column, CellOf(line, column));
+    }
+    aText += "\n";
+  }
+}
+
+} // namespace
+
+std::string FormatShow(const std::string& aJson)
+{
+  json body = json::parse(aJson, nullptr, false);
+  if (!body.is_object()) {
+    return {};
+  }
+  std::string text;
+  fmt::format_to(std::back_inserter(text),
+                 "host {} in {} serves {} at revision {}, {} requests in flight{}\n",
+                 CellOf(body, "host"), CellOf(body, "data_centre"), CellOf(body, "environment"),
+                 CellOf(body, "revision"), CellOf(body, "in_flight"),
+                 body.value("stopping", false) ? ", stopping" : "");
+  json revisions = json::array();
+  const json elsewhere = body.value("revisions_elsewhere", json::object());
+  for (const auto& [host, revision] : elsewhere.items()) {
+    revisions.push_back({ { "host", host }, { "revision", revision } });
+  }
+  AddTable(text, "revisions elsewhere", revisions, { "host", "revision" });
+  AddTable(text, "moves", body["moves"], { "move", "state", "share", "reason" });
+  AddTable(text, "upstreams", body["upstreams"],
+           { "id", "service", "version", "data_centre", "up", "running", "waiting" });
+  AddTable(text, "tiers", body["tiers"],
+           { "tier", "ended", "in_time", "not_run", "unknown", "broken", "left" });
+  AddTable(text, "groups", body["groups"],
+           { "group", "role", "leader", "term", "committed", "applied", "voters" });
+  return text;
+}
+
+} // namespace cuminfield::process::command
--- a/cuminfield/process/control/ControlHandler.cpp
+++ b/cuminfield/process/control/ControlHandler.cpp
@@ -163,13 +163,13 @@
                "give base, operator and request (and from, to promote); see docs/Protocols.md");
     return;
   }
-  documents::DocumentChange change{ .environment = environment,
+  const documents::DocumentChange change{ .environment = environment,
                                     .from = core::EnvironmentId(promote ? query["from"] : ""),
                                     .base = revision,
                                     .operatorName = query["operator"],
                                     .requestId = query["request"],
                                     .text = aRequest.body };
-  mOptions.operators.Change(std::move(change),
+  mOptions.operators.Change(change,
                             [aRequest, aChannel](const documents::OperatorAnswer& aAnswer) {
                               SendJson(aRequest, *aChannel, aAnswer.status, aAnswer.body);
                             });
--- a/cuminfield/process/documents/OperatorService.cpp
+++ b/cuminfield/process/documents/OperatorService.cpp
@@ -49,7 +49,7 @@
 {
 }
 
-void OperatorService::Change(DocumentChange aChange, Done aDone)
+void OperatorService::Change(const DocumentChange& aChange, const Done& aDone)
 {
   if (aChange.operatorName.empty() || aChange.requestId.empty()) {
     aDone(Explain(connection::kStatusBadRequest, "name the operator and a request id"));
--- a/cuminfield/process/documents/OperatorService.h
+++ b/cuminfield/process/documents/OperatorService.h
@@ -48,7 +48,7 @@
 
   /// Accepts a document, or promotes one. Answers 200, 400, 404, 409, 503 (did not and will not
   /// take effect) or 504 (may have: send it again with the same request id).
-  void Change(DocumentChange aChange, Done aDone);
+  void Change(const DocumentChange& aChange, const Done& aDone);
 
   /// The environment's record as the group has it now.
   void Read(const core::EnvironmentId& aEnvironment,
--- /dev/null
+++ b/cuminfield/process/host/Groups.cpp
@@ -0,0 +1,108 @@
+#include "cuminfield/process/host/Groups.h"
+
+#include "cuminfield/process/log/FileLogStorage.h"
+#include "cuminfield/process/log/PosixDisk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfield::process::host {
+
+const core::GroupId Groups::kDocuments("documents");
+
+log::Group& Groups::Entry::Group() const
+{
+  if (voter) {
+    return *voter;
+  }
+  return *remote;
+}
+
+Groups::Groups(Options aOptions)
+  : mOptions(aOptions)
+  , mDisk(std::make_unique<log::PosixDisk>())
+{
+  for (const settings::GroupSettings& it : mOptions.settings.groups) {
+    Add(it);
+  }
+}
+
+core::Result<void> Groups::Start()
+{
+  for (auto& [id, entry] : mEntries) {
+    if (!entry.voter) {
+      continue;
+    }
+    entry.voter->OnFailure().connect(
+      [this](const core::Error& aError) { mOnFailure.emit(aError); });
+    if (auto started = entry.voter->Start(); !started) {
+      return started.error();
+    }
+  }
+  return core::Done();
+}
+
+Groups::Entry& Groups::Documents()
+{
+  return mEntries.at(kDocuments);
+}
+
+Groups::Entry* Groups::Find(const core::GroupId& aId)
+{
+  const auto it = mEntries.find(aId);
+  return it == mEntries.end() ? nullptr : &it->second;
+}
+
+std::map<core::DataCentreId, log::Group*> Groups::Homes() const
+{
+  std::map<core::DataCentreId, log::Group*> homes;
+  for (const auto& [id, entry] : mEntries) {
+    if (id != kDocuments) {
+      homes[core::DataCentreId(id.Text())] = &entry.Group();
+    }
+  }
+  return homes;
+}
+
+bool Groups::Votes(const settings::GroupSettings& aGroup) const
+{
+  const auto& voters = aGroup.voters;
+  const bool named = std::find(voters.begin(), voters.end(), mOptions.settings.id) != voters.end();
+  return named && mOptions.settings.dataFolder.has_value();
+}
+
+void Groups::Add(const settings::GroupSettings& aGroup)
+{
+  Entry& entry = mEntries[aGroup.id];
+  if (!Votes(aGroup)) {
+    entry.remote = std::make_unique<log::RemoteGroup>(log::RemoteGroupOptions{
+      .group = aGroup.id,
+      .self = mOptions.settings.id,
+      .voters = aGroup.voters,
+      .peers = mOptions.links,
+      .timers = mOptions.loop,
+      .settings = {},
+    });
+    return;
+  }
+  const auto kind =
+    aGroup.id == kDocuments ? state::GroupKind::Documents : state::GroupKind::DataCentre;
+  state::GroupStateMachine::Settings machineSettings;
+  machineSettings.kind = kind;
+  entry.machine = std::make_unique<state::GroupStateMachine>(machineSettings);
+  entry.storage = std::make_unique<log::FileLogStorage>(log::FileLogStorageOptions{
+    .folder = *mOptions.settings.dataFolder, .group = aGroup.id, .disk = *mDisk });
+  entry.voter = std::make_unique<log::LogGroup>(log::LogGroupOptions{
+    .group = aGroup.id,
+    .self = mOptions.settings.id,
+    .voters = aGroup.voters,
+    .peers = mOptions.links,
+    .timers = mOptions.loop,
+    .storage = *entry.storage,
+    .machine = *entry.machine,
+    .random = core::Random(mOptions.random.Bits()),
+    .settings = {},
+  });
+}
+
+} // namespace cuminfield::process::host
--- /dev/null
+++ b/cuminfield/process/host/Host.cpp
@@ -0,0 +1,269 @@
+#include "cuminfield/process/host/Host.h"
+
+#include "cuminfield/process/host/ShowReport.h"
+#include "cuminfield/process/logging/EventLog.h"
+
+#include <random>
+#include <utility>
+
+namespace cuminfield::process::host {
+
+namespace {
+
+constexpr core::Duration kLearnPeriod = std::chrono::milliseconds(100);
+constexpr core::Duration kDrainCheck = std::chrono::milliseconds(20);
+/// Time for answers that were just finished to leave the socket.
+constexpr core::Duration kLastWrites = std::chrono::milliseconds(200);
+
+std::uint64_t Seed(const settings::HostSettings& aSettings)
+{
+  return aSettings.seed != 0 ? aSettings.seed : std::random_device()();
+}
+
+connection::caller::HttpServerSettings ServerSettings(const settings::HostSettings& aSettings)
+{
+  return { .maxBody = aSettings.maxBody,
+           .callerBuffer = aSettings.callerBuffer,
+           .maxOpen = aSettings.maxCallers,
+           .idle = aSettings.callerIdle };
+}
+
+} // namespace
+
+Host::Host(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(Seed(mOptions.settings))
+  , mLife(static_cast<std::uint64_t>(mOptions.loop.WallNow().time_since_epoch().count()))
+  , mMetrics({})
+  , mObservations(mOptions.settings.id, mOptions.settings.dataCentre, core::Incarnation(mLife))
+  , mShares(mOptions.settings.dataCentre, mOptions.loop)
+  , mWatch(mMetrics, mObservations)
+  , mTransport({ .settings = { .connect = mOptions.settings.upstreamConnect,
+                               .stall = mOptions.settings.upstreamStall },
+                 .loop = mOptions.loop })
+{
+  const settings::HostSettings& settings = mOptions.settings;
+  core::EventLoop& loop = mOptions.loop;
+
+  // What hosts share.
+  mLinks = std::make_unique<peer::GrpcPeerLinks>(peer::GrpcPeerLinks::Options{
+    .self = settings.id, .listen = settings.peersListen, .peers = settings.peers, .loop = loop });
+  mGroups = std::make_unique<Groups>(
+    Groups::Options{ .settings = settings, .loop = loop, .links = *mLinks, .random = mRandom });
+  mSpread = std::make_unique<documents::DocumentSpread>(
+    documents::DocumentSpread::Options{ .dataCentre = settings.dataCentre,
+                                        .peers = settings.peers,
+                                        .timers = loop,
+                                        .random = mRandom,
+                                        .links = *mLinks });
+  mOperators = std::make_unique<documents::OperatorService>(documents::OperatorService::Options{
+    .timers = loop, .group = mGroups->Documents().Group(), .spread = *mSpread });
+  mDirectory = std::make_unique<membership::UpstreamDirectory>(
+    membership::UpstreamDirectory::Options{ .settings = { .lease = settings.upstreamLease },
+                                            .self = settings.id,
+                                            .dataCentre = settings.dataCentre,
+                                            .peers = settings.peers,
+                                            .timers = loop,
+                                            .links = *mLinks });
+  mClaims = std::make_unique<claims::GroupClaimKeeper>(claims::GroupClaimKeeper::Options{
+    .host = settings.id, .timers = loop, .homes = mGroups->Homes() });
+
+  // The way of a request.
+  mExchanges = std::make_unique<request::exchange::ExchangeTable>(
+    request::exchange::ExchangeTable::Options{ .host = settings.id,
+                                               .life = mLife,
+                                               .timers = loop,
+                                               .claims = *mClaims,
+                                               .transport = mTransport,
+                                               .observer = mWatch,
+                                               .document = [this] { return mDocument; } });
+  mScheduler = std::make_unique<request::admission::TieredScheduler>(
+    request::admission::TieredSchedulerOptions{ .settings = {},
+                                                .timers = loop,
+                                                .random = mRandom,
+                                                .listener = *mExchanges,
+                                                .versions = mShares,
+                                                .host = settings.id,
+                                                .dataCentre = settings.dataCentre,
+                                                .region = settings.region });
+  mExchanges->Attach(*mScheduler);
+
+  // The addresses.
+  mControl = std::make_unique<control::ControlHandler>(
+    control::ControlHandler::Options{ .directory = *mDirectory,
+                                      .operators = *mOperators,
+                                      .show = [this] { return Show(); },
+                                      .metrics = [this] { return Expose(); },
+                                      .stopping = [this] { return mStopping; } });
+  mCallerServer = std::make_unique<connection::caller::HttpServer>(
+    connection::caller::HttpServer::Options{ .settings = ServerSettings(settings),
+                                             .listen = settings.callers,
+                                             .loop = loop,
+                                             .handler = *mExchanges });
+  mControlServer = std::make_unique<connection::caller::HttpServer>(
+    connection::caller::HttpServer::Options{ .settings = ServerSettings(settings),
+                                             .listen = settings.control,
+                                             .loop = loop,
+                                             .handler = *mControl });
+  Connect();
+}
+
+Host::~Host()
+{
+  mLinks->Stop();
+}
+
+void Host::Connect()
+{
+  mDirectory->OnUp().connect([this](const request::UpstreamAnnouncement& aUpstream) {
+    logging::Event(logging::Level::Info, "upstream-up",
+                   { { "upstream", aUpstream.id.Text() },
+                     { "service", aUpstream.service.Text() },
+                     { "version", aUpstream.version.Text() } });
+    mScheduler->UpstreamUp(aUpstream);
+  });
+  mDirectory->OnGone().connect([this](const core::UpstreamId& aUpstream) {
+    logging::Event(logging::Level::Info, "upstream-gone", { { "upstream", aUpstream.Text() } });
+    mScheduler->UpstreamGone(aUpstream);
+  });
+  mDirectory->OnLoad().connect(
+    [this](const request::LoadReport& aReport) { mScheduler->Load(aReport); });
+  mDirectory->OnCache().connect(
+    [this](const request::CacheEvent& aEvent) { mScheduler->Cache(aEvent); });
+  mSpread->OnNewer().connect(
+    [this](const state::proto::EnvironmentRecord& aRecord) { OnRecord(aRecord); });
+  mGroups->OnFailure().connect([this](const core::Error& aError) { Fail(aError); });
+}
+
+core::Result<void> Host::Start()
+{
+  if (auto started = mGroups->Start(); !started) {
+    return started.error();
+  }
+  if (auto started = mLinks->Start(); !started) {
+    return started.error();
+  }
+  if (auto started = mControlServer->Start(); !started) {
+    return started.error();
+  }
+  if (auto started = mCallerServer->Start(); !started) {
+    return started.error();
+  }
+  mLearnTimer = mOptions.loop.Every(kLearnPeriod, [this] { LearnDocuments(); });
+  const settings::HostSettings& settings = mOptions.settings;
+  logging::Event(logging::Level::Info, "host-started",
+                 { { "host", settings.id.Text() },
+                   { "data_centre", settings.dataCentre.Text() },
+                   { "callers", settings.callers.Text() },
+                   { "control", settings.control.Text() },
+                   { "peers", settings.peersListen.Text() } });
+  return core::Done();
+}
+
+void Host::LearnDocuments()
+{
+  // A voter applies what is committed to its own state: from there it goes out to all hosts.
+  const auto& machine = mGroups->Documents().machine;
+  if (!machine) {
+    return;
+  }
+  state::proto::Query list;
+  list.mutable_revisions();
+  const state::proto::QueryAnswer revisions = machine->Look(list);
+  for (const auto& it : revisions.revisions().environments()) {
+    state::proto::Query query;
+    query.mutable_environment()->set_environment(it.environment());
+    mSpread->Offer(machine->Look(query).environment().record());
+  }
+}
+
+void Host::OnRecord(const state::proto::EnvironmentRecord& aRecord)
+{
+  if (aRecord.environment() != mOptions.settings.environment.Text()) {
+    return;
+  }
+  if (mDocument && mDocument->Revision().Value() == aRecord.revision()) {
+    return;
+  }
+  auto parsed = version::document::ParseDocument(aRecord.text(), aRecord.environment());
+  if (!parsed) {
+    // Accepted by a host of a newer version of the program: what is in force stays.
+    logging::Event(logging::Level::Error, "document-unreadable",
+                   { { "revision", aRecord.revision() }, { "error", parsed.error().message } });
+    return;
+  }
+  mShares.SetDocument(parsed.value());
+  mDocument = std::make_shared<const version::document::DocumentIndex>(
+    std::move(parsed.value()), core::Revision(aRecord.revision()));
+  logging::Event(logging::Level::Info, "document-in-force",
+                 { { "environment", aRecord.environment() },
+                   { "revision", aRecord.revision() },
+                   { "by", aRecord.by() } });
+}
+
+void Host::Shutdown()
+{
+  if (std::exchange(mStopping, true)) {
+    CutOff();
+    return;
+  }
+  logging::Event(logging::Level::Info, "shutdown-begun", { { "in_flight", mExchanges->Size() } });
+  mExchanges->BeginShutdown();
+  mCallerServer->StopAccepting();
+  mDrainTimer = mOptions.loop.Every(kDrainCheck, [this] { CheckDrained(); });
+  mLimitTimer = mOptions.loop.After(mOptions.settings.shutdown, [this] { CutOff(); });
+}
+
+void Host::CheckDrained()
+{
+  if (mExchanges->Size() > 0) {
+    return;
+  }
+  logging::Event(logging::Level::Info, "shutdown-done", { { "cut", 0 } });
+  mDrainTimer = mOptions.loop.After(kLastWrites, [this] { mOptions.loop.Stop(); });
+}
+
+void Host::CutOff()
+{
+  const std::size_t cut = mExchanges->Size();
+  mExitCode = cut > 0 ? 1 : mExitCode;
+  logging::Event(logging::Level::Warning, "shutdown-done", { { "cut", cut } });
+  mExchanges->CutOffAll();
+  mDrainTimer = mOptions.loop.After(kLastWrites, [this] { mOptions.loop.Stop(); });
+}
+
+void Host::Fail(const core::Error& aError)
+{
+  // What the disk holds is unknown: starting again reads it anew.
+  logging::Event(logging::Level::Error, "storage-failed", { { "error", core::Describe(aError) } });
+  mExitCode = 1;
+  CutOff();
+}
+
+std::string Host::Show()
+{
+  return ShowReport({ .settings = mOptions.settings,
+                      .groups = *mGroups,
+                      .spread = *mSpread,
+                      .directory = *mDirectory,
+                      .metrics = mMetrics,
+                      .shares = mShares,
+                      .links = *mLinks,
+                      .document = mDocument,
+                      .inFlight = mExchanges->Size(),
+                      .stopping = mStopping })
+    .ToJson();
+}
+
+std::string Host::Expose()
+{
+  mMetrics.SetGauge("requests_in_flight", static_cast<double>(mExchanges->Size()));
+  mMetrics.SetGauge("upstreams_known", static_cast<double>(mDirectory->List().size()));
+  mMetrics.SetGauge("document_revision",
+                    mDocument ? static_cast<double>(mDocument->Revision().Value()) : 0.0);
+  mMetrics.SetGauge("peer_bytes_sent", static_cast<double>(mLinks->BytesSent().value));
+  mMetrics.SetGauge("peer_bytes_received", static_cast<double>(mLinks->BytesReceived().value));
+  return mMetrics.Expose();
+}
+
+} // namespace cuminfield::process::host
--- /dev/null
+++ b/cuminfield/process/host/Host.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "cuminfield/connection/caller/HttpServer.h"
+#include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
+#include "cuminfield/core/EventLoop.h"
+#include "cuminfield/core/Random.h"
+#include "cuminfield/process/claims/GroupClaimKeeper.h"
+#include "cuminfield/process/control/ControlHandler.h"
+#include "cuminfield/process/documents/DocumentSpread.h"
+#include "cuminfield/process/documents/OperatorService.h"
+#include "cuminfield/process/host/Groups.h"
+#include "cuminfield/process/host/RequestWatch.h"
+#include "cuminfield/process/membership/UpstreamDirectory.h"
+#include "cuminfield/process/metrics/Metrics.h"
+#include "cuminfield/process/peer/GrpcPeerLinks.h"
+#include "cuminfield/process/settings/HostSettings.h"
+#include "cuminfield/request/admission/TieredScheduler.h"
+#include "cuminfield/request/exchange/ExchangeTable.h"
+#include "cuminfield/version/document/DocumentIndex.h"
+#include "cuminfield/version/moves/MoveShares.h"
+#include "cuminfield/version/moves/ObservationLog.h"
+
+#include <memory>
+#include <string>
+
+namespace cuminfield::process::host {
+
+/// One host of the system: makes all parts, joins them, and ends them in order. Lives for the
+/// process; everything runs on the loop's thread.
+class Host
+{
+public:
+  struct Options
+  {
+    settings::HostSettings settings;
+    core::EventLoop& loop;
+  };
+
+  explicit Host(Options aOptions);
+  ~Host();
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  /// Reads the data folder, listens and serves. The error names the remedy.
+  core::Result<void> Start();
+
+  /// Graceful shutdown: takes nothing new, lets every request in flight end whole, then stops the
+  /// loop. Called again, or after the limit of the settings, it cuts off what is left and says so.
+  void Shutdown();
+
+  /// Exit code of the process: 0 after a graceful shutdown, 1 when requests were cut off or a part
+  /// failed.
+  int ExitCode() const { return mExitCode; }
+
+private:
+  void Connect();
+  void LearnDocuments();
+  void OnRecord(const state::proto::EnvironmentRecord& aRecord);
+  void CheckDrained();
+  void CutOff();
+  void Fail(const core::Error& aError);
+  std::string Show();
+  std::string Expose();
+
+  Options mOptions;
+  core::Random mRandom;
+  std::uint64_t mLife; ///< Differs for each life of this host.
+  std::unique_ptr<peer::GrpcPeerLinks> mLinks;
+  std::unique_ptr<Groups> mGroups;
+  std::unique_ptr<documents::DocumentSpread> mSpread;
+  std::unique_ptr<documents::OperatorService> mOperators;
+  std::unique_ptr<membership::UpstreamDirectory> mDirectory;
+  std::unique_ptr<claims::GroupClaimKeeper> mClaims;
+  metrics::Metrics mMetrics;
+  version::moves::ObservationLog mObservations;
+  version::moves::MoveShares mShares;
+  RequestWatch mWatch;
+  connection::upstream::HttpUpstreamTransport mTransport;
+  std::unique_ptr<request::exchange::ExchangeTable> mExchanges;
+  std::unique_ptr<request::admission::TieredScheduler> mScheduler;
+  std::unique_ptr<control::ControlHandler> mControl;
+  std::unique_ptr<connection::caller::HttpServer> mCallerServer;
+  std::unique_ptr<connection::caller::HttpServer> mControlServer;
+  std::shared_ptr<const version::document::DocumentIndex> mDocument;
+  core::TimerHandle mLearnTimer;
+  core::TimerHandle mDrainTimer;
+  core::TimerHandle mLimitTimer;
+  bool mStopping = false;
+  int mExitCode = 0;
+};
+
+} // namespace cuminfield::process::host
--- /dev/null
+++ b/cuminfield/process/host/RequestWatch.cpp
@@ -0,0 +1,88 @@
+#include "cuminfield/process/host/RequestWatch.h"
+
+#include "cuminfield/process/logging/EventLog.h"
+
+namespace cuminfield::process::host {
+
+namespace {
+
+/// First token that a prompt's length predicts. Only ratios between versions on the same route are
+/// compared, so the line need not fit any one engine.
+constexpr core::Duration kFirstTokenBase = std::chrono::milliseconds(20);
+constexpr core::Duration kFirstTokenPerToken = std::chrono::microseconds(100);
+
+const char* ToString(request::exchange::ExchangeEnd aEnd)
+{
+  using request::exchange::ExchangeEnd;
+  switch (aEnd) {
+    case ExchangeEnd::Answered:
+      return "answered";
+    case ExchangeEnd::NotRun:
+      return "not-run";
+    case ExchangeEnd::Unknown:
+      return "unknown";
+    case ExchangeEnd::Broken:
+      return "broken";
+    case ExchangeEnd::Left:
+      return "left";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+RequestWatch::RequestWatch(metrics::Metrics& aMetrics,
+                           version::moves::ObservationLog& aObservations)
+  : mMetrics(aMetrics)
+  , mObservations(aObservations)
+{
+}
+
+void RequestWatch::OnEnded(const request::exchange::IncomingRequest& aRequest,
+                           const request::exchange::ExchangeSummary& aSummary)
+{
+  mMetrics.Record(aRequest, aSummary);
+  Observe(aRequest, aSummary);
+  const auto milliseconds = [](core::Duration aDuration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+  };
+  const request::RequestSpec& spec = aRequest.spec;
+  logging::Event(
+    logging::Level::Info, "request-ended",
+    { { "request", spec.id.Text() },
+      { "workspace", spec.workspace.Text() },
+      { "rank", spec.tier },
+      { "route", spec.route.Text() },
+      { "end", ToString(aSummary.end) },
+      { "status", aSummary.status },
+      { "upstream", aSummary.upstream ? aSummary.upstream->id.Text() : "" },
+      { "version", aSummary.upstream ? aSummary.upstream->version.Text() : "" },
+      { "first_token_ms", aSummary.firstToken ? milliseconds(*aSummary.firstToken) : -1 },
+      { "total_ms", milliseconds(aSummary.total) },
+      { "tokens", aSummary.tokens },
+      { "followed", aSummary.followed ? "yes" : "no" } });
+}
+
+void RequestWatch::Observe(const request::exchange::IncomingRequest& aRequest,
+                           const request::exchange::ExchangeSummary& aSummary)
+{
+  if (!aSummary.upstream || !aSummary.tryOutcome) {
+    return;
+  }
+  version::moves::RequestSample sample{
+    .service = aSummary.upstream->service,
+    .version = aSummary.upstream->version,
+    .route = aRequest.spec.route,
+    .outcome = *aSummary.tryOutcome,
+    .firstToken = aSummary.upstreamFirstToken,
+    .predictedFirstToken = kFirstTokenBase + kFirstTokenPerToken * aRequest.spec.prompt.value,
+    .tokenGap = std::nullopt,
+  };
+  if (aSummary.tokens > 1) {
+    sample.tokenGap = aSummary.meanGap;
+  }
+  mObservations.Record(sample);
+  mOnSample.emit(sample);
+}
+
+} // namespace cuminfield::process::host
--- /dev/null
+++ b/cuminfield/process/host/RequestWatch.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "cuminfield/process/metrics/Metrics.h"
+#include "cuminfield/request/exchange/ExchangeObserver.h"
+#include "cuminfield/version/moves/ObservationLog.h"
+
+#include <sigc++/sigc++.h>
+
+namespace cuminfield::process::host {
+
+/// Passes every ended request on to metrics, log and the watch over versions.
+class RequestWatch : public request::exchange::ExchangeObserver
+{
+public:
+  RequestWatch(metrics::Metrics& aMetrics, version::moves::ObservationLog& aObservations);
+
+  void OnEnded(const request::exchange::IncomingRequest& aRequest,
+               const request::exchange::ExchangeSummary& aSummary) override;
+
+  /// Emitted with each finished try, after it was counted.
+  sigc::signal<void(const version::moves::RequestSample&)>& OnSample() { return mOnSample; }
+
+private:
+  void Observe(const request::exchange::IncomingRequest& aRequest,
+               const request::exchange::ExchangeSummary& aSummary);
+
+  metrics::Metrics& mMetrics;
+  version::moves::ObservationLog& mObservations;
+  sigc::signal<void(const version::moves::RequestSample&)> mOnSample;
+};
+
+} // namespace cuminfield::process::host
