Replicated claims, leases and documents

Non-idempotent calls, leases and accepted documents need state that every replica of a group decides alike. GroupStateMachine combines ClaimStore (at most one dispatch per granted attempt, keys by their own time), LeaseStore and LeaseHolder (fencing numbers; a new holder waits out the old one by its own clock) and DocumentStore (revisions by compare and set, remembered answers, rules of version moves) behind log::StateMachine.

--- /dev/null
+++ b/UnitTests/process/state/LeaseStoreTest.cpp
@@ -0,0 +1,392 @@
+#include "UnitTests/process/state/StateTest.h"
+#include "cuminfield/process/state/LeaseHolder.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace cuminfield;
+using namespace cuminfield::unit_tests::state;
+using namespace std::chrono_literals;
+using process::state::LeaseHolder;
+
+namespace {
+
+struct LeaseOracle
+{
+  /// Fencing numbers grow with every grant.
+  struct Witness
+  {
+    std::uint64_t last = 0;
+    std::map<std::uint64_t, std::string> grants;
+
+    bool Agrees(const proto::Command& aCommand, const proto::Answer& aAnswer)
+    {
+      if (aAnswer.lease().verdict() != proto::LEASE_VERDICT_GRANTED) {
+        return true;
+      }
+      const proto::AcquireLease& lease = aCommand.acquire_lease();
+      const std::string grant = lease.name() + "/" + lease.holder() + "/" + lease.request_id();
+      const std::uint64_t fencing = aAnswer.lease().fencing();
+      if (grants.contains(fencing)) {
+        return grants[fencing] == grant;
+      }
+      grants[fencing] = grant;
+      return fencing > std::exchange(last, fencing);
+    }
+  };
+
+  struct Lease
+  {
+    std::string owner; ///< Holder and request id.
+    std::string holder;
+    std::uint64_t fencing = 0;
+    std::int64_t term = 0; ///< Duration and drift.
+    std::int64_t renewed = 0;
+    std::int64_t wait = 0;
+    bool held = false;
+  };
+
+  std::int64_t now = 0;
+  std::uint64_t last = 0;
+  std::map<std::string, Lease> leases;
+
+  proto::Command Random() const
+  {
+    proto::Command command;
+    command.set_now(RandomTime(now));
+    const std::string name = OneOf({ "moves", "moves", "other" });
+    const std::string holder = OneOf({ "g1", "g2" });
+    const std::uint64_t known = leases.contains(name) ? leases.at(name).fencing : 0;
+    const std::uint64_t fencing = *rc::gen::inRange(0, 5) == 0 ? known - 1 : known;
+    const bool waited = *rc::gen::arbitrary<bool>();
+    const auto fill = [&](auto& aMessage) {
+      aMessage.set_name(name);
+      aMessage.set_holder(holder);
+      aMessage.set_fencing(fencing);
+      aMessage.set_waited(waited);
+    };
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        fill(*command.mutable_renew_lease());
+        break;
+      case 1:
+        fill(*command.mutable_release_lease());
+        break;
+      default:
+        command.mutable_acquire_lease()->set_name(name);
+        command.mutable_acquire_lease()->set_holder(holder);
+        command.mutable_acquire_lease()->set_request_id(OneOf({ "r1", "r2", "r3" }));
+        command.mutable_acquire_lease()->set_duration(*rc::gen::inRange(1, 3) * kSecond);
+        break;
+    }
+    return command;
+  }
+
+  std::string Decide(const proto::Command& aCommand)
+  {
+    now = std::max(now, aCommand.now());
+    if (aCommand.has_acquire_lease()) {
+      return Acquire(aCommand.acquire_lease());
+    }
+    if (aCommand.has_renew_lease()) {
+      const proto::RenewLease& renew = aCommand.renew_lease();
+      Lease& lease = leases[renew.name()];
+      if (!lease.held || lease.holder != renew.holder() || lease.fencing != renew.fencing()) {
+        return "STALE";
+      }
+      lease.renewed = now;
+      lease.wait = renew.waited() ? 0 : lease.wait;
+      return "RENEWED";
+    }
+    const proto::ReleaseLease& release = aCommand.release_lease();
+    Lease& lease = leases[release.name()];
+    const bool same = lease.holder == release.holder() && lease.fencing == release.fencing();
+    if (lease.fencing == 0 || !same) {
+      return "STALE";
+    }
+    lease.wait = lease.held && release.waited() ? 0 : lease.wait;
+    lease.held = false;
+    return "RELEASED";
+  }
+
+  std::string Acquire(const proto::AcquireLease& aCommand)
+  {
+    Lease& lease = leases[aCommand.name()];
+    const std::string owner = aCommand.holder() + "/" + aCommand.request_id();
+    if (lease.owner == owner) {
+      return lease.held ? Granted(lease) : "STALE";
+    }
+    if (lease.held && now <= lease.renewed + lease.term) {
+      return "HELD " + std::to_string(lease.renewed + lease.term - now);
+    }
+    if (lease.held) {
+      lease.wait = std::max(lease.wait, lease.term);
+    }
+    last = std::max<std::uint64_t>(last + 1, now / 1000);
+    lease = { .owner = owner,
+              .holder = aCommand.holder(),
+              .fencing = last,
+              .term = aCommand.duration() / 100 * 101,
+              .renewed = now,
+              .wait = lease.wait,
+              .held = true };
+    return Granted(lease);
+  }
+
+  static std::string Granted(const Lease& aLease)
+  {
+    return "GRANTED " + std::to_string(aLease.fencing) + " " + std::to_string(aLease.wait);
+  }
+
+  static std::string Text(const proto::Answer& aAnswer)
+  {
+    const proto::LeaseAnswer& answer = aAnswer.lease();
+    const char* const verdicts[] = { "NONE", "GRANTED", "RENEWED", "RELEASED",
+                                     "HELD", "STALE",   "INVALID" };
+    std::string verdict = verdicts[answer.verdict()];
+    if (answer.verdict() == proto::LEASE_VERDICT_GRANTED) {
+      return verdict + " " + std::to_string(answer.fencing()) + " " + std::to_string(answer.wait());
+    }
+    if (answer.verdict() == proto::LEASE_VERDICT_HELD) {
+      return verdict + " " + std::to_string(answer.retry_after());
+    }
+    return verdict;
+  }
+};
+
+/// What a planted holder does wrong.
+enum class HolderFault
+{
+  None,
+  IgnoresWait,      ///< Acts at once after taking over an expired lease.
+  CountsFromAnswer, ///< Counts its term from the answer instead of from before sending.
+};
+
+/// Hosts with drifting monotonic clocks, civil clocks that jump, and messages that take any time.
+class LeaseWorld
+{
+public:
+  explicit LeaseWorld(HolderFault aFault)
+    : mFault(aFault)
+  {
+    constexpr std::int64_t kRates[] = { 995, 1000, 1005 };
+    for (const std::int64_t rate : kRates) {
+      mHosts.emplace_back().rate = rate;
+    }
+  }
+
+  void RandomEvent()
+  {
+    // A host acts for a while, during which the others stand still and their messages wait.
+    if (*rc::gen::inRange(0, 12) == 0) {
+      mActing = *rc::gen::inRange<std::size_t>(0, mHosts.size());
+    }
+    Host& host = mHosts[mActing];
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        mTime += *rc::gen::elementOf(std::vector<std::int64_t>{ 1, 100'000, 300'000, 1'200'000 });
+        break;
+      case 1:
+        Send(host);
+        break;
+      case 2:
+        mCivil = RandomTime(mCivil);
+        break;
+      default:
+        Deliver(host);
+        break;
+    }
+  }
+
+  std::size_t Holders() const
+  {
+    return std::ranges::count_if(
+      mHosts, [this](const Host& aHost) { return aHost.holder.Holds(Local(aHost)); });
+  }
+
+private:
+  static constexpr core::Duration kDuration = 1s;
+
+  struct Host
+  {
+    LeaseHolder holder{ kDuration };
+    std::int64_t rate = 1000; ///< Of its monotonic clock, per mille of true time.
+    proto::Command request;   ///< In flight, or answered but not yet back.
+    proto::Answer answer;
+    core::Instant sentAt{};
+    int sent = 0;
+  };
+
+  core::Instant Local(const Host& aHost) const
+  {
+    return core::Instant(core::Duration(mTime * aHost.rate / 1000));
+  }
+
+  void Send(Host& aHost)
+  {
+    const std::string name = "g" + std::to_string(aHost.rate);
+    const bool waited = aHost.holder.Waited(Local(aHost));
+    proto::Command command;
+    if (aHost.holder.RenewalDue(Local(aHost)) && *rc::gen::inRange(0, 4) != 0) {
+      command.mutable_renew_lease()->set_name("moves");
+      command.mutable_renew_lease()->set_holder(name);
+      command.mutable_renew_lease()->set_fencing(aHost.holder.Fencing().Value());
+      command.mutable_renew_lease()->set_waited(waited);
+    } else if (waited && *rc::gen::inRange(0, 4) == 0) {
+      command.mutable_release_lease()->set_name("moves");
+      command.mutable_release_lease()->set_holder(name);
+      command.mutable_release_lease()->set_fencing(aHost.holder.Fencing().Value());
+      command.mutable_release_lease()->set_waited(true);
+      aHost.holder.Lost();
+    } else {
+      command.mutable_acquire_lease()->set_name("moves");
+      command.mutable_acquire_lease()->set_holder(name);
+      command.mutable_acquire_lease()->set_request_id(std::to_string(++aHost.sent));
+      command.mutable_acquire_lease()->set_duration(kDuration.count());
+    }
+    aHost.request = command;
+    aHost.answer.Clear();
+    aHost.sentAt = Local(aHost);
+  }
+
+  /// Applies the host's request, or brings its answer back.
+  void Deliver(Host& aHost)
+  {
+    if (aHost.request.kind_case() == proto::Command::KIND_NOT_SET) {
+      return;
+    }
+    if (aHost.answer.kind_case() == proto::Answer::KIND_NOT_SET) {
+      aHost.request.set_now(mCivil);
+      aHost.answer = mMachine.Decide(aHost.request);
+      return;
+    }
+    const proto::LeaseAnswer& answer = aHost.answer.lease();
+    const bool late = mFault == HolderFault::CountsFromAnswer;
+    const core::Instant sentAt = late ? Local(aHost) : aHost.sentAt;
+    const core::FencingNumber fencing(answer.fencing());
+    if (answer.verdict() == proto::LEASE_VERDICT_GRANTED) {
+      const core::Duration wait(mFault == HolderFault::IgnoresWait ? 0 : answer.wait());
+      aHost.holder.Granted(fencing, wait, sentAt, Local(aHost));
+    } else if (answer.verdict() == proto::LEASE_VERDICT_RENEWED) {
+      aHost.holder.Renewed(fencing, sentAt);
+    }
+    aHost.request.Clear();
+  }
+
+  HolderFault mFault;
+  std::int64_t mTime = 0;
+  std::int64_t mCivil = kStart;
+  std::vector<Host> mHosts;
+  std::size_t mActing = 0;
+  GroupStateMachine mMachine{ GroupStateMachine::Settings() };
+};
+
+bool NeverTwoHolders(HolderFault aFault)
+{
+  const auto property = [aFault] {
+    LeaseWorld world(aFault);
+    constexpr int kEvents = 600;
+    for (int i = 0; i < kEvents; ++i) {
+      world.RandomEvent();
+      RC_ASSERT(world.Holders() <= 1U);
+    }
+  };
+  return Holds(property, true);
+}
+
+core::Instant At(core::Duration aTime)
+{
+  return core::Instant(aTime);
+}
+
+} // namespace
+
+TEST_GROUP(LeaseStore){};
+
+TEST(LeaseStore, AgreesWithTheOracle)
+{
+  CHECK(Agree<LeaseOracle>({}, {}));
+}
+
+TEST(LeaseStore, OracleCatchesAForgottenFencingNumber)
+{
+  CHECK(!Agree<LeaseOracle>({}, { .distort = {}, .forget = [](proto::Snapshot& aSnapshot) {
+                                   aSnapshot.mutable_leases()->set_last_fencing(0);
+                                 } }));
+}
+
+TEST(LeaseStore, OracleCatchesAnEarlyExpiry)
+{
+  CHECK(!Agree<LeaseOracle>({}, { .distort = {}, .forget = [](proto::Snapshot& aSnapshot) {
+                                   for (auto& record :
+                                        *aSnapshot.mutable_leases()->mutable_records()) {
+                                     record.set_held(false);
+                                   }
+                                 } }));
+}
+
+TEST(LeaseStore, FencingNumbersGrowOverAFoundingAnew)
+{
+  proto::Command command;
+  command.set_now(kStart);
+  command.mutable_acquire_lease()->set_name("moves");
+  command.mutable_acquire_lease()->set_holder("g1");
+  command.mutable_acquire_lease()->set_request_id("r1");
+  command.mutable_acquire_lease()->set_duration(kSecond);
+  const std::uint64_t former = GroupStateMachine({}).Decide(command).lease().fencing();
+  command.set_now(kStart + kSecond);
+  CHECK(GroupStateMachine({}).Decide(command).lease().fencing() > former);
+}
+
+TEST_GROUP(LeaseHolder){};
+
+TEST(LeaseHolder, NeverTwoAtOnce)
+{
+  CHECK(NeverTwoHolders(HolderFault::None));
+}
+
+TEST(LeaseHolder, IgnoredWaitIsCaught)
+{
+  CHECK(!NeverTwoHolders(HolderFault::IgnoresWait));
+}
+
+TEST(LeaseHolder, CountingFromTheAnswerIsCaught)
+{
+  CHECK(!NeverTwoHolders(HolderFault::CountsFromAnswer));
+}
+
+TEST(LeaseHolder, CountsFromBeforeSendingAndShrinksByTheDrift)
+{
+  LeaseHolder holder(1s);
+  holder.Granted(core::FencingNumber(7), 0s, At(100ms), At(400ms));
+  CHECK(holder.Holds(At(400ms)));
+  CHECK(holder.Holds(At(1089ms)));
+  CHECK(!holder.Holds(At(1090ms)));
+  holder.Renewed(core::FencingNumber(7), At(500ms));
+  CHECK(holder.Holds(At(1489ms)));
+  holder.Renewed(core::FencingNumber(6), At(5s));
+  CHECK(!holder.Holds(At(1490ms)));
+}
+
+TEST(LeaseHolder, FrozenHolderFindsItsLeaseGone)
+{
+  LeaseHolder holder(1s);
+  holder.Granted(core::FencingNumber(7), 0s, At(0s), At(10ms));
+  CHECK(holder.Holds(At(20ms)));
+  // Stopped here, between the check and the effect, for a minute.
+  CHECK(!holder.Holds(At(60s)));
+  CHECK(holder.RenewalDue(At(60s)));
+}
+
+TEST(LeaseHolder, NewHolderWaitsOutTheOldLease)
+{
+  LeaseHolder holder(2s);
+  holder.Granted(core::FencingNumber(8), 1s, At(0s), At(100ms));
+  CHECK(!holder.Holds(At(1109ms)));
+  CHECK(holder.Holds(At(1110ms)));
+  holder.Granted(core::FencingNumber(8), 1s, At(0s), At(1200ms)); // The same answer again.
+  CHECK(holder.Holds(At(1200ms)));
+  holder.Lost();
+  CHECK(!holder.Holds(At(1200ms)));
+}
--- /dev/null
+++ b/UnitTests/process/state/StateTest.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include "cuminfield/core/Invariant.h"
+#include "cuminfield/process/state/GroupStateMachine.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+/// Runs random commands against a group's state machine and an oracle of plain maps. Commands are
+/// repeated and reordered, clocks jump, and the machine is replaced by one restored from its
+/// snapshot. An oracle has: Random() for a command that fits its state, Decide() for the answer
+/// expected, Text() for the compared part of an answer, and a Witness that checks what must hold
+/// over all answers whatever the rules.
+namespace cuminfield::unit_tests::state {
+
+namespace proto = process::state::proto;
+using process::state::GroupKind;
+using process::state::GroupStateMachine;
+
+/// 2026-12-04T04:00:00Z in microseconds.
+inline constexpr std::int64_t kStart = 1'796'356'800'000'000;
+inline constexpr std::int64_t kSecond = 1'000'000;
+inline constexpr std::int64_t kMinute = 60 * kSecond;
+
+/// A planted fault: changes commands before, or the state after, each one.
+struct Fault
+{
+  std::function<void(proto::Command&)> distort;
+  std::function<void(proto::Snapshot&)> forget;
+};
+
+inline void ThrowInvariant(const char* aName)
+{
+  throw std::runtime_error(aName);
+}
+
+/// The machine under test, with a fault or without.
+class Machine
+{
+public:
+  Machine(GroupStateMachine::Settings aSettings, Fault aFault)
+    : mSettings(aSettings)
+    , mFault(std::move(aFault))
+    , mMachine(std::make_unique<GroupStateMachine>(mSettings))
+  {
+  }
+
+  proto::Answer Decide(proto::Command aCommand)
+  {
+    if (mFault.distort) {
+      mFault.distort(aCommand);
+    }
+    proto::Answer answer;
+    const std::string bytes = aCommand.SerializeAsString();
+    RC_ASSERT(answer.ParseFromString(mMachine->Apply(core::LogIndex(1), bytes)));
+    if (mFault.forget) {
+      proto::Snapshot snapshot;
+      RC_ASSERT(snapshot.ParseFromString(mMachine->Snapshot()));
+      mFault.forget(snapshot);
+      mMachine->Restore(snapshot.SerializeAsString());
+    }
+    return answer;
+  }
+
+  /// Goes on with a new machine that has only the snapshot.
+  void Restart()
+  {
+    const std::string snapshot = mMachine->Snapshot();
+    mMachine = std::make_unique<GroupStateMachine>(mSettings);
+    mMachine->Restore(snapshot);
+    RC_ASSERT(mMachine->Snapshot() == snapshot);
+  }
+
+private:
+  GroupStateMachine::Settings mSettings;
+  Fault mFault;
+  std::unique_ptr<GroupStateMachine> mMachine;
+};
+
+template<typename Oracle>
+struct Model
+{
+  Oracle oracle;
+  std::vector<proto::Command> history;
+};
+
+template<typename Oracle>
+struct Sut
+{
+  Machine machine;
+  typename Oracle::Witness witness;
+};
+
+template<typename Oracle>
+class ProposeCommand : public rc::state::Command<Model<Oracle>, Sut<Oracle>>
+{
+public:
+  explicit ProposeCommand(proto::Command aCommand)
+    : mCommand(std::move(aCommand))
+  {
+  }
+
+  void apply(Model<Oracle>& aModel) const override
+  {
+    aModel.oracle.Decide(mCommand);
+    aModel.history.push_back(mCommand);
+  }
+
+  void run(const Model<Oracle>& aModel, Sut<Oracle>& aSut) const override
+  {
+    Oracle oracle = aModel.oracle;
+    const std::string expected = oracle.Decide(mCommand);
+    const proto::Answer answer = aSut.machine.Decide(mCommand);
+    RC_ASSERT(Oracle::Text(answer) == expected);
+    RC_ASSERT(aSut.witness.Agrees(mCommand, answer));
+  }
+
+  void show(std::ostream& aStream) const override
+  {
+    aStream << "at " << mCommand.now() - kStart << " kind " << mCommand.kind_case() << " "
+            << rc::toString(mCommand.SerializeAsString());
+  }
+
+private:
+  proto::Command mCommand;
+};
+
+template<typename Oracle>
+class RestartCommand : public rc::state::Command<Model<Oracle>, Sut<Oracle>>
+{
+public:
+  void run(const Model<Oracle>&, Sut<Oracle>& aSut) const override { aSut.machine.Restart(); }
+  void show(std::ostream& aStream) const override { aStream << "restart"; }
+};
+
+/// A new command, an earlier one again, or a restart.
+template<typename Oracle>
+std::shared_ptr<const rc::state::Command<Model<Oracle>, Sut<Oracle>>> RandomStep(
+  const Model<Oracle>& aModel)
+{
+  const int choice = *rc::gen::inRange(0, 10);
+  if (choice == 0) {
+    return std::make_shared<const RestartCommand<Oracle>>();
+  }
+  if (choice <= 2 && !aModel.history.empty()) {
+    const auto index = *rc::gen::inRange<std::size_t>(0, aModel.history.size());
+    return std::make_shared<const ProposeCommand<Oracle>>(aModel.history[index]);
+  }
+  return std::make_shared<const ProposeCommand<Oracle>>(aModel.oracle.Random());
+}
+
+/// True when aProperty holds in every run; says why not unless aQuiet.
+template<typename Property>
+bool Holds(Property aProperty, bool aQuiet)
+{
+  core::SetInvariantHandler(ThrowInvariant);
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  params.disableShrinking = aQuiet;
+  const auto result = rc::detail::checkTestable(aProperty, rc::detail::TestMetadata(), params);
+  core::SetInvariantHandler(nullptr);
+  const bool success = result.template is<rc::detail::SuccessResult>();
+  if (!success && !aQuiet) {
+    rc::detail::printResultMessage(result, std::cerr);
+  }
+  return success;
+}
+
+/// True when machine and oracle agree in every run.
+template<typename Oracle>
+bool Agree(const GroupStateMachine::Settings& aSettings, const Fault& aFault)
+{
+  const auto property = [&] {
+    Sut<Oracle> sut{ .machine = Machine(aSettings, aFault), .witness = {} };
+    rc::state::check(Model<Oracle>(), sut, [](const Model<Oracle>& aModel) {
+      return rc::gen::exec([aModel] { return RandomStep(aModel); });
+    });
+  };
+  return Holds(property, aFault.distort || aFault.forget);
+}
+
+/// An element of a fixed list.
+inline std::string OneOf(std::vector<std::string> aWords)
+{
+  return *rc::gen::elementOf(std::move(aWords));
+}
+
+/// Civil time of a command after aNow: mostly a little later, sometimes a jump either way.
+inline std::int64_t RandomTime(std::int64_t aNow)
+{
+  const std::int64_t step = *rc::gen::elementOf(std::vector<std::int64_t>{
+    0, 1, kSecond / 2, kSecond, 3 * kSecond, kMinute, -kMinute, 20 * kMinute });
+  return std::max(aNow, kStart) + step;
+}
+
+} // namespace cuminfield::unit_tests::state
--- /dev/null
+++ b/cuminfield/process/state/DocumentStore.cpp
@@ -0,0 +1,261 @@
+#include "cuminfield/process/state/DocumentStore.h"
+
+#include "cuminfield/core/Invariant.h"
+#include "cuminfield/process/state/MoveRules.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace cuminfield::process::state {
+
+namespace {
+
+constexpr std::size_t kMaxField = 256;
+
+proto::DocumentAnswer Verdict(proto::DocumentVerdict aVerdict)
+{
+  proto::DocumentAnswer answer;
+  answer.set_verdict(aVerdict);
+  return answer;
+}
+
+proto::MoveAnswer Verdict(proto::MoveVerdict aVerdict, const proto::MoveRecord& aRecord)
+{
+  proto::MoveAnswer answer;
+  answer.set_verdict(aVerdict);
+  *answer.mutable_record() = aRecord;
+  return answer;
+}
+
+/// Tells a resent request from another one with the same id.
+std::uint64_t HashOf(const google::protobuf::MessageLite& aCommand)
+{
+  const std::string bytes = aCommand.SerializeAsString();
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+bool Fits(const std::string& aField)
+{
+  return !aField.empty() && aField.size() <= kMaxField;
+}
+
+} // namespace
+
+DocumentStore::DocumentStore(const GroupClock& aClock, Settings aSettings)
+  : mClock(aClock)
+  , mSettings(aSettings)
+{
+}
+
+proto::DocumentAnswer DocumentStore::Apply(const proto::ApplyDocument& aCommand)
+{
+  const std::uint64_t hash = HashOf(aCommand);
+  if (const proto::RememberedAnswer* earlier = Remembered(aCommand.request_id())) {
+    return earlier->content_hash() == hash ? earlier->answer()
+                                           : Verdict(proto::DOCUMENT_VERDICT_REQUEST_REUSED);
+  }
+  const Change change{ .environment = aCommand.environment(),
+                       .base = aCommand.base_revision(),
+                       .by = aCommand.operator_name(),
+                       .requestId = aCommand.request_id(),
+                       .text = aCommand.text() };
+  if (!Valid(change)) {
+    return Verdict(proto::DOCUMENT_VERDICT_INVALID);
+  }
+  return Remember(change.requestId, hash, Decide(change));
+}
+
+proto::DocumentAnswer DocumentStore::Promote(const proto::PromoteDocument& aCommand)
+{
+  const std::uint64_t hash = HashOf(aCommand);
+  if (const proto::RememberedAnswer* earlier = Remembered(aCommand.request_id())) {
+    return earlier->content_hash() == hash ? earlier->answer()
+                                           : Verdict(proto::DOCUMENT_VERDICT_REQUEST_REUSED);
+  }
+  const auto from = mEnvironments.find(aCommand.from());
+  if (from == mEnvironments.end()) {
+    return Verdict(proto::DOCUMENT_VERDICT_NOT_FOUND);
+  }
+  const Change change{ .environment = aCommand.to(),
+                       .base = aCommand.base_revision(),
+                       .by = aCommand.operator_name(),
+                       .requestId = aCommand.request_id(),
+                       .text = from->second.record.text() };
+  if (!Valid(change) || aCommand.from() == aCommand.to()) {
+    return Verdict(proto::DOCUMENT_VERDICT_INVALID);
+  }
+  if (from->second.record.revision() != aCommand.from_revision()) {
+    const auto answer = InForce(proto::DOCUMENT_VERDICT_CONFLICT, aCommand.from());
+    return Remember(change.requestId, hash, answer);
+  }
+  return Remember(change.requestId, hash, Decide(change));
+}
+
+bool DocumentStore::Valid(const Change& aChange) const
+{
+  const bool named = Fits(aChange.environment) && Fits(aChange.by) && Fits(aChange.requestId);
+  const bool sized = aChange.text.size() <= static_cast<std::size_t>(mSettings.maxText.value);
+  const bool room =
+    mEnvironments.size() < mSettings.maxEnvironments || mEnvironments.contains(aChange.environment);
+  return named && sized && room;
+}
+
+proto::DocumentAnswer DocumentStore::Decide(const Change& aChange)
+{
+  const auto it = mEnvironments.find(aChange.environment);
+  const std::uint64_t current = it == mEnvironments.end() ? 0 : it->second.record.revision();
+  if (aChange.base != current) {
+    return InForce(proto::DOCUMENT_VERDICT_CONFLICT, aChange.environment);
+  }
+  return Accept(aChange);
+}
+
+proto::DocumentAnswer DocumentStore::Accept(const Change& aChange)
+{
+  proto::EnvironmentRecord& record = mEnvironments[aChange.environment].record;
+  const std::uint64_t revision = aChange.base + 1;
+  CUMINFIELD_INVARIANT("document.revision-never-falls", revision > record.revision());
+  record.set_environment(aChange.environment);
+  record.set_revision(revision);
+  record.set_text(aChange.text);
+  record.set_by(aChange.by);
+  record.set_at(ToMicros(mClock.Now()));
+  record.set_request_id(aChange.requestId);
+  return InForce(proto::DOCUMENT_VERDICT_ACCEPTED, aChange.environment);
+}
+
+proto::DocumentAnswer DocumentStore::InForce(proto::DocumentVerdict aVerdict,
+                                             const std::string& aName) const
+{
+  proto::DocumentAnswer answer = Verdict(aVerdict);
+  answer.set_environment(aName);
+  const auto it = mEnvironments.find(aName);
+  if (it != mEnvironments.end()) {
+    answer.set_revision(it->second.record.revision());
+    answer.set_by(it->second.record.by());
+    answer.set_at(it->second.record.at());
+  }
+  return answer;
+}
+
+const proto::RememberedAnswer* DocumentStore::Remembered(const std::string& aRequestId) const
+{
+  const auto it = std::ranges::find(mAnswers, aRequestId, &proto::RememberedAnswer::request_id);
+  return it == mAnswers.end() ? nullptr : &*it;
+}
+
+proto::DocumentAnswer DocumentStore::Remember(const std::string& aRequestId,
+                                              std::uint64_t aContentHash,
+                                              const proto::DocumentAnswer& aAnswer)
+{
+  proto::RememberedAnswer& remembered = mAnswers.emplace_back();
+  remembered.set_request_id(aRequestId);
+  remembered.set_content_hash(aContentHash);
+  *remembered.mutable_answer() = aAnswer;
+  if (mAnswers.size() > mSettings.maxAnswers) {
+    ForgetOldest();
+  }
+  return aAnswer;
+}
+
+void DocumentStore::ForgetOldest()
+{
+  const auto it = std::ranges::find_if_not(
+    mAnswers, [this](const proto::RememberedAnswer& aAnswer) { return IsInForce(aAnswer); });
+  if (it != mAnswers.end()) {
+    mAnswers.erase(it);
+  }
+}
+
+bool DocumentStore::IsInForce(const proto::RememberedAnswer& aAnswer) const
+{
+  const auto it = mEnvironments.find(aAnswer.answer().environment());
+  return it != mEnvironments.end() && it->second.record.request_id() == aAnswer.request_id();
+}
+
+proto::MoveAnswer DocumentStore::Step(const proto::MoveStep& aCommand)
+{
+  const auto it = mEnvironments.find(aCommand.environment());
+  if (it == mEnvironments.end()) {
+    return Verdict(proto::MOVE_VERDICT_NOT_FOUND, {});
+  }
+  Environment& environment = it->second;
+  const auto known = environment.moves.find(aCommand.move());
+  const bool isNew = known == environment.moves.end();
+  const proto::MoveRecord current = isNew ? proto::MoveRecord() : known->second;
+  const bool room = !isNew || environment.moves.size() < mSettings.maxMoves;
+  if (!room || !Fits(aCommand.move()) || aCommand.reason().size() > kMaxReason) {
+    return Verdict(proto::MOVE_VERDICT_INVALID, current);
+  }
+  const proto::MoveVerdict verdict = CheckStep(current, aCommand, environment.record.revision());
+  if (verdict != proto::MOVE_VERDICT_ACCEPTED || IsResent(current, aCommand)) {
+    return Verdict(verdict, current);
+  }
+  CUMINFIELD_INVARIANT("move.final-stays", !IsFinal(current.state()));
+  CUMINFIELD_INVARIANT("move.fencing-never-falls", aCommand.fencing() >= current.fencing());
+  const proto::MoveRecord next = AfterStep(current, aCommand);
+  environment.moves[aCommand.move()] = next;
+  return Verdict(proto::MOVE_VERDICT_ACCEPTED, next);
+}
+
+proto::EnvironmentRecord DocumentStore::Whole(const Environment& aEnvironment) const
+{
+  proto::EnvironmentRecord record = aEnvironment.record;
+  for (const auto& [name, move] : aEnvironment.moves) {
+    *record.add_moves() = move;
+  }
+  return record;
+}
+
+proto::EnvironmentFound DocumentStore::Lookup(const proto::EnvironmentLookup& aQuery) const
+{
+  proto::EnvironmentFound found;
+  const auto it = mEnvironments.find(aQuery.environment());
+  if (it != mEnvironments.end()) {
+    found.set_found(true);
+    *found.mutable_record() = Whole(it->second);
+  }
+  return found;
+}
+
+proto::Revisions DocumentStore::List() const
+{
+  proto::Revisions revisions;
+  for (const auto& [name, environment] : mEnvironments) {
+    proto::EnvironmentRecord& record = *revisions.add_environments();
+    record.set_environment(name);
+    record.set_revision(environment.record.revision());
+    record.set_by(environment.record.by());
+    record.set_at(environment.record.at());
+  }
+  return revisions;
+}
+
+proto::DocumentSnapshot DocumentStore::Snapshot() const
+{
+  proto::DocumentSnapshot snapshot;
+  for (const auto& [name, environment] : mEnvironments) {
+    *snapshot.add_environments() = Whole(environment);
+  }
+  for (const proto::RememberedAnswer& answer : mAnswers) {
+    *snapshot.add_answers() = answer;
+  }
+  return snapshot;
+}
+
+void DocumentStore::Restore(const proto::DocumentSnapshot& aSnapshot)
+{
+  mEnvironments.clear();
+  for (const proto::EnvironmentRecord& record : aSnapshot.environments()) {
+    Environment& environment = mEnvironments[record.environment()];
+    environment.record = record;
+    environment.record.clear_moves();
+    for (const proto::MoveRecord& move : record.moves()) {
+      environment.moves[move.move()] = move;
+    }
+  }
+  mAnswers.assign(aSnapshot.answers().begin(), aSnapshot.answers().end());
+}
+
+} // namespace cuminfield::process::state
--- /dev/null
+++ b/cuminfield/process/state/GroupStateMachine.cpp
@@ -0,0 +1,204 @@
+#include "cuminfield/process/state/GroupStateMachine.h"
+
+#include "cuminfield/core/Invariant.h"
+
+#include <limits>
+
+namespace cuminfield::process::state {
+
+namespace {
+
+/// Format of snapshots; a program refuses those of another.
+constexpr std::uint32_t kSnapshotFormat = 1;
+
+constexpr const char* kMalformed = "malformed message; use the same version on every host";
+constexpr const char* kWrongGroup = "not a command of this group; send it to the other kind";
+
+/// Times beyond the years 1970 to 2200 come from a broken clock.
+constexpr std::int64_t kLatest = 7'258'118'400'000'000;
+
+template<typename Message>
+bool Parse(std::string_view aBytes, Message& aMessage)
+{
+  constexpr std::size_t kMaxSize = std::numeric_limits<int>::max();
+  return aBytes.size() <= kMaxSize &&
+         aMessage.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+}
+
+proto::Answer Refused(const char* aReason)
+{
+  proto::Answer answer;
+  answer.set_refused(aReason);
+  return answer;
+}
+
+} // namespace
+
+GroupStateMachine::GroupStateMachine(const Settings& aSettings)
+  : mSettings(aSettings)
+  , mClaims(mClock, aSettings.claims)
+  , mLeases(mClock, aSettings.leases)
+  , mDocuments(mClock, aSettings.documents)
+{
+}
+
+std::string GroupStateMachine::Apply(core::LogIndex, std::string_view aCommand)
+{
+  proto::Command command;
+  const bool parsed = Parse(aCommand, command);
+  const proto::Answer answer = parsed ? Decide(command) : Refused(kMalformed);
+  return answer.SerializeAsString();
+}
+
+bool GroupStateMachine::Serves(proto::Command::KindCase aKind) const
+{
+  switch (aKind) {
+    case proto::Command::kAcquireLease:
+    case proto::Command::kRenewLease:
+    case proto::Command::kReleaseLease:
+      return true;
+    case proto::Command::kClaim:
+    case proto::Command::kRetarget:
+    case proto::Command::kRelease:
+    case proto::Command::kComplete:
+      return mSettings.kind == GroupKind::DataCentre;
+    case proto::Command::kApplyDocument:
+    case proto::Command::kPromoteDocument:
+    case proto::Command::kMoveStep:
+      return mSettings.kind == GroupKind::Documents;
+    case proto::Command::KIND_NOT_SET:
+      return false;
+  }
+  return false;
+}
+
+proto::Answer GroupStateMachine::Decide(const proto::Command& aCommand)
+{
+  if (aCommand.now() < 0 || aCommand.now() > kLatest) {
+    return Refused("time out of range; set this host's clock");
+  }
+  if (!Serves(aCommand.kind_case())) {
+    return Refused(kWrongGroup);
+  }
+  const core::WallTime floor = mClaims.Floor();
+  const core::WallTime before = mClock.Now();
+  mClock.Advance(FromMicros(aCommand.now()));
+  mClaims.DropExpired();
+  CUMINFIELD_INVARIANT("group.clock-never-falls", mClock.Now() >= before);
+  CUMINFIELD_INVARIANT("claim.floor-never-falls", mClaims.Floor() >= floor);
+  proto::Answer answer;
+  switch (aCommand.kind_case()) {
+    case proto::Command::kApplyDocument:
+      *answer.mutable_document() = mDocuments.Apply(aCommand.apply_document());
+      break;
+    case proto::Command::kPromoteDocument:
+      *answer.mutable_document() = mDocuments.Promote(aCommand.promote_document());
+      break;
+    case proto::Command::kMoveStep:
+      *answer.mutable_move() = mDocuments.Step(aCommand.move_step());
+      break;
+    case proto::Command::kAcquireLease:
+    case proto::Command::kRenewLease:
+    case proto::Command::kReleaseLease:
+      DecideLease(aCommand, *answer.mutable_lease());
+      break;
+    default:
+      DecideClaim(aCommand, *answer.mutable_claim());
+      break;
+  }
+  return answer;
+}
+
+void GroupStateMachine::DecideClaim(const proto::Command& aCommand, proto::ClaimAnswer& aAnswer)
+{
+  switch (aCommand.kind_case()) {
+    case proto::Command::kClaim:
+      aAnswer = mClaims.Claim(aCommand.claim());
+      break;
+    case proto::Command::kRetarget:
+      aAnswer = mClaims.Retarget(aCommand.retarget());
+      break;
+    case proto::Command::kRelease:
+      aAnswer = mClaims.Release(aCommand.release());
+      break;
+    default:
+      aAnswer = mClaims.Complete(aCommand.complete());
+      break;
+  }
+}
+
+void GroupStateMachine::DecideLease(const proto::Command& aCommand, proto::LeaseAnswer& aAnswer)
+{
+  switch (aCommand.kind_case()) {
+    case proto::Command::kAcquireLease:
+      aAnswer = mLeases.Acquire(aCommand.acquire_lease());
+      break;
+    case proto::Command::kRenewLease:
+      aAnswer = mLeases.Renew(aCommand.renew_lease());
+      break;
+    default:
+      aAnswer = mLeases.Release(aCommand.release_lease());
+      break;
+  }
+}
+
+std::string GroupStateMachine::Query(std::string_view aQuery) const
+{
+  proto::Query query;
+  if (Parse(aQuery, query)) {
+    return Look(query).SerializeAsString();
+  }
+  proto::QueryAnswer answer;
+  answer.set_refused(kMalformed);
+  return answer.SerializeAsString();
+}
+
+proto::QueryAnswer GroupStateMachine::Look(const proto::Query& aQuery) const
+{
+  proto::QueryAnswer answer;
+  switch (aQuery.kind_case()) {
+    case proto::Query::kClaim:
+      *answer.mutable_claim() = mClaims.Lookup(aQuery.claim());
+      break;
+    case proto::Query::kLease:
+      *answer.mutable_lease() = mLeases.Lookup(aQuery.lease());
+      break;
+    case proto::Query::kEnvironment:
+      *answer.mutable_environment() = mDocuments.Lookup(aQuery.environment());
+      break;
+    case proto::Query::kRevisions:
+      *answer.mutable_revisions() = mDocuments.List();
+      break;
+    case proto::Query::KIND_NOT_SET:
+      answer.set_refused(kMalformed);
+      break;
+  }
+  return answer;
+}
+
+std::string GroupStateMachine::Snapshot() const
+{
+  proto::Snapshot snapshot;
+  snapshot.set_format(kSnapshotFormat);
+  *snapshot.mutable_clock() = mClock.Snapshot();
+  *snapshot.mutable_claims() = mClaims.Snapshot();
+  *snapshot.mutable_leases() = mLeases.Snapshot();
+  *snapshot.mutable_documents() = mDocuments.Snapshot();
+  return snapshot.SerializeAsString();
+}
+
+void GroupStateMachine::Restore(std::string_view aSnapshot)
+{
+  proto::Snapshot snapshot;
+  const bool readable = Parse(aSnapshot, snapshot) && snapshot.format() == kSnapshotFormat;
+  if (!readable) {
+    // Going on without the state would forget claims that have been granted.
+    core::InvariantBroken("group.snapshot-readable", "parsed", __FILE__, __LINE__);
+  }
+  mClock.Restore(snapshot.clock());
+  mClaims.Restore(snapshot.claims());
+  mLeases.Restore(snapshot.leases());
+  mDocuments.Restore(snapshot.documents());
+}
+
+} // namespace cuminfield::process::state
--- /dev/null
+++ b/cuminfield/process/state/TimedKey.cpp
@@ -0,0 +1,58 @@
+#include "cuminfield/process/state/TimedKey.h"
+
+#include <charconv>
+#include <cstdint>
+
+namespace cuminfield::process::state {
+
+namespace {
+
+constexpr std::string_view kShape = "xxxxxxxx-xxxx-7xxx-vxxx-xxxxxxxxxxxx";
+constexpr int kHexadecimal = 16;
+
+char ToLower(char aChar)
+{
+  return aChar >= 'A' && aChar <= 'F' ? static_cast<char>(aChar - 'A' + 'a') : aChar;
+}
+
+bool IsHexDigit(char aChar)
+{
+  return (aChar >= '0' && aChar <= '9') || (aChar >= 'a' && aChar <= 'f');
+}
+
+/// Whether a lower-case character may stand where kShape has aShape.
+bool Fits(char aChar, char aShape)
+{
+  if (aShape == 'x') {
+    return IsHexDigit(aChar);
+  }
+  if (aShape == 'v') {
+    return aChar == '8' || aChar == '9' || aChar == 'a' || aChar == 'b';
+  }
+  return aChar == aShape;
+}
+
+} // namespace
+
+std::optional<TimedKey> TimedKey::Parse(std::string_view aText)
+{
+  if (aText.size() != kShape.size()) {
+    return std::nullopt;
+  }
+  TimedKey key;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const char lower = ToLower(aText[i]);
+    if (!Fits(lower, kShape[i])) {
+      return std::nullopt;
+    }
+    key.mText.push_back(lower);
+  }
+  // The first 48 bits are milliseconds since the Unix epoch.
+  const std::string digits = key.mText.substr(0, 8) + key.mText.substr(9, 4);
+  std::int64_t millis = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), millis, kHexadecimal);
+  key.mTime = core::WallTime(std::chrono::milliseconds(millis));
+  return key;
+}
+
+} // namespace cuminfield::process::state
