--- /dev/null
+++ b/UnitTests/process/log/FileLogStorageTest.cpp
@@ -0,0 +1,187 @@
+#include "cuminfield/process/log/FileLogStorage.h"
+#include "UnitTests/process/log/MemoryDisk.h"
+
+#include <rapidcheck.h>
+
+#include <vector>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace cuminfield::process::log;
+using cuminfield::unit_tests::log::MemoryDisk;
+
+namespace {
+
+const core::GroupId kGroup("documents");
+const core::Incarnation kFirst(7);
+const core::Incarnation kSecond(8);
+const std::string kPath = "data/documents/log";
+
+/// What a log holds, for comparison.
+struct Model
+{
+  std::uint64_t term = 0;
+  std::uint64_t base = 0;
+  std::vector<std::string> commands; ///< From index 1 on; those up to base are in the snapshot.
+
+  bool operator==(const Model&) const = default;
+};
+
+proto::Entry MakeEntry(std::uint64_t aIndex, const std::string& aCommand)
+{
+  proto::Entry entry;
+  entry.set_index(aIndex);
+  entry.set_term(1);
+  entry.set_command(aCommand);
+  return entry;
+}
+
+/// Draws the next batch and changes aModel as it says.
+PersistBatch DrawBatch(Model& aModel, core::Random& aRandom)
+{
+  PersistBatch batch;
+  aModel.term += aRandom.Below(2);
+  batch.hardState.set_term(aModel.term);
+  const std::uint64_t n = aRandom.Below(4);
+  std::uint64_t first = aModel.commands.size() + 1;
+  if (n > 0) {
+    first -= aRandom.Below(first - aModel.base);
+  }
+  aModel.commands.resize(first - 1);
+  for (std::uint64_t i = 0; i < n; ++i) {
+    aModel.commands.push_back(std::to_string(aRandom.Bits()));
+  }
+  constexpr double kSnapshotChance = 0.2;
+  if (aRandom.Chance(kSnapshotChance)) {
+    aModel.base += aRandom.Below(aModel.commands.size() - aModel.base + 1);
+    auto snapshot = std::make_shared<proto::Snapshot>();
+    snapshot->set_index(aModel.base);
+    batch.snapshot = snapshot;
+    first = aModel.base + 1;
+  }
+  for (std::uint64_t i = first; i <= aModel.commands.size(); ++i) {
+    batch.entries.push_back(MakeEntry(i, aModel.commands[i - 1]));
+  }
+  return batch;
+}
+
+bool Same(const LogContents& aContents, const Model& aModel)
+{
+  const std::uint64_t base = aContents.snapshot ? aContents.snapshot->index() : 0;
+  if (aContents.hardState.term() != aModel.term || base != aModel.base ||
+      aContents.entries.size() != aModel.commands.size() - aModel.base) {
+    return false;
+  }
+  for (const proto::Entry& it : aContents.entries) {
+    if (it.command() != aModel.commands[it.index() - 1]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Store(FileLogStorage& aStorage, PersistBatch aBatch)
+{
+  bool stored = false;
+  aStorage.Persist(std::move(aBatch),
+                   [&](const core::Result<void>& aResult) { stored = aResult.has_value(); });
+  return stored;
+}
+
+FileLogStorageOptions MakeOptions(DiskOperations& aDisk)
+{
+  return { .folder = "data", .group = kGroup, .disk = aDisk };
+}
+
+/// Stores batches through crashes; after each, what loads must be what was acknowledged last, or
+/// that with the batch under way.
+bool SurvivesCrashes(std::uint64_t aSeed, bool aIgnoreSync)
+{
+  core::Random random(aSeed);
+  MemoryDisk disk;
+  Model acknowledged;
+  Model underWay;
+  constexpr int kCrashes = 6;
+  constexpr std::uint64_t kOperations = 30;
+  for (int i = 0; i < kCrashes; ++i) {
+    FileLogStorage storage(MakeOptions(disk));
+    const auto contents = storage.Load(kFirst);
+    if (!contents || contents.value().incarnation != kFirst) {
+      return false;
+    }
+    if (!Same(contents.value(), acknowledged) && !Same(contents.value(), underWay)) {
+      return false;
+    }
+    if (!Same(contents.value(), acknowledged)) {
+      acknowledged = underWay;
+    }
+    underWay = acknowledged;
+    disk.IgnoreSync(aIgnoreSync);
+    disk.FailAfter(random.Below(kOperations));
+    while (Store(storage, DrawBatch(underWay, random))) {
+      acknowledged = underWay;
+    }
+    disk.Crash(random);
+  }
+  return true;
+}
+
+} // namespace
+
+TEST_GROUP(FileLogStorage){};
+
+TEST(FileLogStorage, KeepsWhatWasAcknowledgedThroughCrashesBetweenAnyTwoOperations)
+{
+  CHECK(rc::check([](std::uint64_t aSeed) { RC_ASSERT(SurvivesCrashes(aSeed, false)); }));
+}
+
+TEST(FileLogStorage, PlantedFaultAcknowledgementBeforeSyncIsCaught)
+{
+  int caught = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    caught += SurvivesCrashes(seed, true) ? 0 : 1;
+  }
+  CHECK(caught > 0);
+}
+
+TEST(FileLogStorage, BlankFolderGetsTheNewIncarnationAndKeepsIt)
+{
+  MemoryDisk disk;
+  FileLogStorage first(MakeOptions(disk));
+  CHECK(kFirst == first.Load(kFirst).value().incarnation);
+  FileLogStorage second(MakeOptions(disk));
+  CHECK(kFirst == second.Load(kSecond).value().incarnation);
+  disk.Lose();
+  FileLogStorage third(MakeOptions(disk));
+  CHECK(kSecond == third.Load(kSecond).value().incarnation);
+}
+
+TEST(FileLogStorage, RefusesDamageToAcknowledgedBytesWherever)
+{
+  MemoryDisk disk;
+  FileLogStorage storage(MakeOptions(disk));
+  CHECK(storage.Load(kFirst).has_value());
+  Model model;
+  core::Random random(1);
+  std::size_t acknowledged = 0;
+  for (int i = 0; i < 5; ++i) {
+    acknowledged = disk.Bytes(kPath).size();
+    CHECK(Store(storage, DrawBatch(model, random)));
+  }
+  const std::string whole = disk.Bytes(kPath);
+  for (std::size_t i = 0; i < acknowledged; ++i) {
+    disk.Bytes(kPath) = whole;
+    disk.Bytes(kPath)[i] = static_cast<char>(whole[i] ^ 1);
+    FileLogStorage again(MakeOptions(disk));
+    const auto contents = again.Load(kFirst);
+    if (contents.has_value()) {
+      // Only a seal may be damaged without harm: then everything is still there.
+      CHECK(Same(contents.value(), model));
+      continue;
+    }
+    CHECK(contents.error().kind == core::ErrorKind::Corrupt);
+    CHECK(contents.error().message.find("move the folder") != std::string::npos);
+  }
+}
--- /dev/null
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -0,0 +1,397 @@
+#include "UnitTests/process/log/LogCluster.h"
+
+#include <algorithm>
+
+namespace cuminfield::unit_tests::log {
+
+using namespace std::chrono_literals;
+using process::log::Role;
+
+void ClusterLinks::Send(const core::HostId& aTo, process::peer::PeerMessage aMessage)
+{
+  mCluster.Post(mHost, aTo, aMessage);
+}
+
+std::string ListMachine::Apply(core::LogIndex /*aIndex*/, std::string_view aCommand)
+{
+  mCommands.emplace_back(aCommand);
+  mCluster.Observe(mCommands.size(), mCommands.back());
+  return std::to_string(mCommands.size());
+}
+
+std::string ListMachine::Query(std::string_view /*aQuery*/) const
+{
+  return std::to_string(mCommands.size());
+}
+
+std::string ListMachine::Snapshot() const
+{
+  std::string text;
+  for (const std::string& it : mCommands) {
+    text += it + "\n";
+  }
+  return text;
+}
+
+void ListMachine::Restore(std::string_view aSnapshot)
+{
+  mCommands.clear();
+  std::size_t end = 0;
+  while ((end = aSnapshot.find('\n')) != std::string_view::npos) {
+    mCommands.emplace_back(aSnapshot.substr(0, end));
+    mCluster.Observe(mCommands.size(), mCommands.back());
+    aSnapshot.remove_prefix(end + 1);
+  }
+}
+
+core::Result<process::log::LogContents> SlowStorage::Load(core::Incarnation aNewIncarnation)
+{
+  const bool forced = mForced != core::Incarnation();
+  return mInner.Load(forced ? mForced : aNewIncarnation);
+}
+
+void SlowStorage::Persist(process::log::PersistBatch aBatch, Completion aDone)
+{
+  constexpr std::uint64_t kSlowest = 12'000;
+  auto batch = std::make_shared<process::log::PersistBatch>(std::move(aBatch));
+  mUnderWay = mTimers.After(core::Duration(mRandom.Below(kSlowest)),
+                            [this, batch, aDone] { mInner.Persist(std::move(*batch), aDone); });
+}
+
+LogCluster::LogCluster(ClusterSettings aSettings)
+  : mSettings(aSettings)
+  , mRandom(aSettings.seed)
+  , mHosts(aSettings.voters)
+  , mRemoteLinks(*this, aSettings.voters)
+{
+  for (std::size_t i = 0; i < mSettings.voters; ++i) {
+    mIds.emplace_back("h" + std::to_string(i));
+  }
+  mRemote = std::make_unique<process::log::RemoteGroup>(
+    process::log::RemoteGroupOptions{ .group = core::GroupId("g"),
+                                      .self = core::HostId("remote"),
+                                      .voters = mIds,
+                                      .peers = mRemoteLinks,
+                                      .timers = mRemoteTimers,
+                                      .settings = {} });
+}
+
+process::log::Group& LogCluster::AnyGroup(std::size_t aHost)
+{
+  if (aHost == Remote()) {
+    return *mRemote;
+  }
+  return *mHosts[aHost].group;
+}
+
+void LogCluster::LoseDiskAndMemoryOfIt(std::size_t aHost)
+{
+  mHosts[aHost].forced = mHosts[aHost].group->Self().incarnation;
+  LoseDisk(aHost);
+}
+
+void LogCluster::StartHost(std::size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  host.rate = 1.0 + mSettings.drift * (2.0 * mRandom.Uniform() - 1.0);
+  host.failed = false;
+  // Civil time goes on while the host is down; monotonic time starts anywhere.
+  host.timers = std::make_unique<test_framework::time::ManualTimerService>(
+    std::chrono::duration_cast<core::Duration>(mNow.time_since_epoch()) + 1000s);
+  host.links = std::make_unique<ClusterLinks>(*this, aHost);
+  host.files = std::make_unique<process::log::FileLogStorage>(process::log::FileLogStorageOptions{
+    .folder = "data", .group = core::GroupId("g"), .disk = host.disk });
+  host.storage = std::make_unique<SlowStorage>(*host.files, *host.timers, mRandom, host.forced);
+  host.machine = std::make_unique<ListMachine>(*this);
+  process::log::LogGroupSettings settings;
+  settings.snapshotEntries = 40;
+  settings.log.trailing = 10;
+  settings.log.snapshotPiece = 300;
+  host.group = std::make_unique<process::log::LogGroup>(
+    process::log::LogGroupOptions{ .group = core::GroupId("g"),
+                                   .self = mIds[aHost],
+                                   .voters = mIds,
+                                   .peers = *host.links,
+                                   .timers = *host.timers,
+                                   .storage = *host.storage,
+                                   .machine = *host.machine,
+                                   .random = core::Random(mRandom.Bits()),
+                                   .settings = settings });
+  host.group->OnFailure().connect([&host](const core::Error&) { host.failed = true; });
+  const auto started = host.group->Start();
+  if (started.has_error() && started.error().kind != core::ErrorKind::Io) {
+    Violate("start refused: " + core::Describe(started.error()));
+  }
+  host.failed = host.failed || started.has_error();
+}
+
+void LogCluster::Kill(std::size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  host.group.reset();
+  host.machine.reset();
+  host.storage.reset();
+  host.files.reset();
+  host.links.reset();
+  host.timers.reset();
+  host.disk.Crash(mRandom);
+}
+
+void LogCluster::LoseDisk(std::size_t aHost)
+{
+  Kill(aHost);
+  mHosts[aHost].disk.Lose();
+}
+
+void LogCluster::Cut(std::size_t aFrom, std::size_t aTo, bool aCut)
+{
+  if (aCut) {
+    mCuts.emplace(aFrom, aTo);
+  } else {
+    mCuts.erase({ aFrom, aTo });
+  }
+}
+
+void LogCluster::Isolate(std::size_t aHost, bool aCut)
+{
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    Cut(i, aHost, aCut);
+    Cut(aHost, i, aCut);
+  }
+}
+
+void LogCluster::Heal()
+{
+  mCuts.clear();
+}
+
+std::size_t LogCluster::IndexOf(const core::HostId& aHost) const
+{
+  const auto it = std::find(mIds.begin(), mIds.end(), aHost);
+  return static_cast<std::size_t>(it - mIds.begin());
+}
+
+void LogCluster::Post(std::size_t aFrom, const core::HostId& aTo,
+                      const process::peer::PeerMessage& aMessage)
+{
+  mBytesSent += aMessage.payload.size();
+  const std::size_t to = IndexOf(aTo);
+  if (mCuts.contains({ aFrom, to }) || mRandom.Chance(mSettings.loss)) {
+    return;
+  }
+  const int copies = mRandom.Chance(mSettings.repeat) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    const std::uint64_t spread = mRandom.Chance(mSettings.slow) ? 300'000 : 4'000;
+    const auto delay = core::Duration(500 + mRandom.Below(spread));
+    mNet.emplace(mNow + delay, Packet{ .from = aFrom, .to = to, .message = aMessage });
+  }
+}
+
+void LogCluster::Run(core::Duration aDuration)
+{
+  const core::Instant end = mNow + aDuration;
+  while (mNow < end && mViolation.empty()) {
+    Step();
+  }
+}
+
+bool LogCluster::RunUntil(core::Duration aLimit, const std::function<bool()>& aCondition)
+{
+  const core::Instant end = mNow + aLimit;
+  while (mNow < end && mViolation.empty() && !aCondition()) {
+    Step();
+  }
+  return aCondition();
+}
+
+void LogCluster::Step()
+{
+  constexpr core::Duration kStep = 2ms;
+  mNow += kStep;
+  Deliver();
+  mRemoteTimers.Advance(kStep);
+  for (Host& it : mHosts) {
+    if (it.group && !it.failed) {
+      it.timers->Advance(std::chrono::duration_cast<core::Duration>(kStep * it.rate));
+    }
+  }
+  Watch();
+}
+
+void LogCluster::Deliver()
+{
+  while (!mNet.empty() && mNet.begin()->first <= mNow) {
+    const auto packet = mNet.extract(mNet.begin());
+    const Packet& it = packet.mapped();
+    const core::HostId from = it.from == Remote() ? core::HostId("remote") : mIds[it.from];
+    if (it.to == Remote()) {
+      mRemoteLinks.OnMessage().emit(from, it.message);
+      continue;
+    }
+    Host& host = mHosts[it.to];
+    if (host.group && !host.failed) {
+      host.links->OnMessage().emit(from, it.message);
+    }
+  }
+}
+
+void LogCluster::Watch()
+{
+  std::size_t leases = 0;
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    const Host& host = mHosts[i];
+    if (!host.group || host.failed) {
+      continue;
+    }
+    leases += host.group->HoldsLease() ? 1 : 0;
+    if (host.group->CurrentRole() != Role::Leader) {
+      continue;
+    }
+    const auto [it, isNew] = mLeaders.emplace(host.group->CurrentTerm().Value(), i);
+    if (!isNew && it->second != i) {
+      Violate("two leaders in one term");
+    }
+  }
+  if (leases > 1) {
+    Violate("two leases at once");
+  }
+}
+
+void LogCluster::Violate(const std::string& aWhat)
+{
+  if (mViolation.empty()) {
+    mViolation = aWhat + Describe();
+  }
+}
+
+std::string LogCluster::Describe() const
+{
+  std::string text;
+  for (const Host& it : mHosts) {
+    if (!it.group) {
+      text += "\n  down";
+      continue;
+    }
+    const process::log::LogGroup& group = *it.group;
+    text += "\n  " + group.Self().host.Text() + "/" +
+            std::to_string(group.Self().incarnation.Value()) + " " +
+            process::log::ToString(group.CurrentRole()) + " term " +
+            std::to_string(group.CurrentTerm().Value()) + " commit " +
+            std::to_string(group.CommitIndex().Value()) + " applied " +
+            std::to_string(group.AppliedIndex().Value()) + (it.failed ? " failed" : "") +
+            " leader " + group.Leader().Text() + " voters";
+    for (const process::log::Member& voter : group.Voters().voters) {
+      text += " " + voter.host.Text() + "/" + std::to_string(voter.incarnation.Value());
+    }
+  }
+  return text;
+}
+
+void LogCluster::Observe(std::size_t aPlace, const std::string& aCommand)
+{
+  if (aPlace > mHistory.size()) {
+    mHistory.push_back(aCommand);
+  }
+  if (mHistory[aPlace - 1] != aCommand) {
+    Violate("committed prefix changed at " + std::to_string(aPlace));
+  }
+  if (mNotRun.contains(aCommand)) {
+    Violate("applied after it was called not run: " + aCommand);
+  }
+}
+
+void LogCluster::Propose(std::size_t aHost, core::Duration aTimeout)
+{
+  const std::string command = "c" + std::to_string(mNextCommand++);
+  AnyGroup(aHost).Propose(command, aTimeout, [this, command](core::Result<std::string> aDone) {
+    if (aDone.has_value()) {
+      const std::size_t place = std::stoul(aDone.value());
+      mAcknowledged[command] = place;
+      mHighest = std::max(mHighest, place);
+      return;
+    }
+    if (aDone.error().kind != core::ErrorKind::Unavailable) {
+      return;
+    }
+    mNotRun.insert(command);
+    if (std::find(mHistory.begin(), mHistory.end(), command) != mHistory.end()) {
+      Violate("called not run although applied: " + command);
+    }
+  });
+}
+
+void LogCluster::Query(std::size_t aHost)
+{
+  const std::size_t known = mHighest;
+  AnyGroup(aHost).Query("length", 2s, [this, known](core::Result<std::string> aDone) {
+    if (!aDone.has_value()) {
+      return;
+    }
+    const std::size_t length = std::stoul(aDone.value());
+    ++mReadsDone;
+    mHighest = std::max(mHighest, length);
+    if (length < known) {
+      Violate("stale read: " + std::to_string(length) + " < " + std::to_string(known));
+    }
+  });
+}
+
+std::size_t LogCluster::LeaderHost() const
+{
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (mHosts[i].group && !mHosts[i].failed && mHosts[i].group->HoldsLease()) {
+      return i;
+    }
+  }
+  return mHosts.size();
+}
+
+bool LogCluster::Repaired() const
+{
+  const std::size_t leader = LeaderHost();
+  if (leader == mHosts.size()) {
+    return false;
+  }
+  const auto voters = mHosts[leader].group->Voters();
+  return voters.voters.size() == mHosts.size() &&
+         std::all_of(mHosts.begin(), mHosts.end(), [&](const Host& aHost) {
+           return aHost.group && !aHost.failed && voters.Contains(aHost.group->Self());
+         });
+}
+
+void LogCluster::CheckRecovery()
+{
+  Heal();
+  mSettings.loss = 0.0;
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    mHosts[i].disk.FailAfter(std::numeric_limits<std::uint64_t>::max());
+    if (!Up(i) || mHosts[i].failed) {
+      Kill(i);
+      StartHost(i);
+    }
+  }
+  if (!RunUntil(20s, [this] { return Repaired(); })) {
+    Violate("no recovery");
+    return;
+  }
+  const std::size_t before = mAcknowledged.size();
+  Propose(0);
+  if (!RunUntil(3s, [&] { return mAcknowledged.size() > before; })) {
+    Violate("no commit after recovery");
+  }
+  const bool same = RunUntil(5s, [this] {
+    return std::all_of(mHosts.begin(), mHosts.end(), [this](const Host& aHost) {
+      return aHost.group->AppliedIndex() == mHosts[0].group->AppliedIndex();
+    });
+  });
+  if (!same) {
+    Violate("hosts differ after recovery");
+  }
+  for (const auto& [command, place] : mAcknowledged) {
+    if (mHistory.size() < place || mHistory[place - 1] != command) {
+      Violate("acknowledged command lost: " + command);
+    }
+  }
+}
+
+} // namespace cuminfield::unit_tests::log
--- /dev/null
+++ b/UnitTests/process/log/LogCluster.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "TestFramework/time/ManualTimerService.h"
+#include "UnitTests/process/log/MemoryDisk.h"
+#include "cuminfield/process/log/FileLogStorage.h"
+#include "cuminfield/process/log/LogGroup.h"
+#include "cuminfield/process/log/RemoteGroup.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cuminfield::unit_tests::log {
+
+class LogCluster;
+
+/// Links of one host that lead into the cluster's net.
+class ClusterLinks : public process::peer::PeerLinks
+{
+public:
+  ClusterLinks(LogCluster& aCluster, std::size_t aHost)
+    : mCluster(aCluster)
+    , mHost(aHost)
+  {
+  }
+  void Send(const core::HostId& aTo, process::peer::PeerMessage aMessage) override;
+
+private:
+  LogCluster& mCluster;
+  std::size_t mHost;
+};
+
+/// Keeps the list of all commands; answers with a command's place in it, and queries with its
+/// length.
+class ListMachine : public process::log::StateMachine
+{
+public:
+  ListMachine(LogCluster& aCluster)
+    : mCluster(aCluster)
+  {
+  }
+  std::string Apply(core::LogIndex aIndex, std::string_view aCommand) override;
+  std::string Query(std::string_view aQuery) const override;
+  std::string Snapshot() const override;
+  void Restore(std::string_view aSnapshot) override;
+
+private:
+  LogCluster& mCluster;
+  std::vector<std::string> mCommands;
+};
+
+/// Storage that takes its time, so that a host can die while a batch is under way.
+class SlowStorage : public process::log::LogStorage
+{
+public:
+  SlowStorage(process::log::LogStorage& aInner, core::TimerService& aTimers, core::Random& aRandom,
+              core::Incarnation aForced)
+    : mInner(aInner)
+    , mTimers(aTimers)
+    , mRandom(aRandom)
+    , mForced(aForced)
+  {
+  }
+  core::Result<process::log::LogContents> Load(core::Incarnation aNewIncarnation) override;
+  void Persist(process::log::PersistBatch aBatch, Completion aDone) override;
+
+private:
+  process::log::LogStorage& mInner;
+  core::TimerService& mTimers;
+  core::Random& mRandom;
+  const core::Incarnation mForced; ///< Planted fault: a blank disk gets this one.
+  core::TimerHandle mUnderWay;
+};
+
+/// How the net and the hosts of a cluster misbehave.
+struct ClusterSettings
+{
+  std::size_t voters = 3;
+  std::uint64_t seed = 1;
+  double loss = 0.0;
+  double repeat = 0.0;
+  double slow = 0.0;  ///< Share of messages that take up to 300 ms and so are overtaken.
+  double drift = 0.0; ///< Largest error of a host's clock, as a share.
+};
+
+/// Voters on disks and links that fail, in virtual time, with an oracle that watches them all.
+class LogCluster
+{
+public:
+  explicit LogCluster(ClusterSettings aSettings);
+
+  /// The number of the one host that does not vote and always runs.
+  std::size_t Remote() const { return mHosts.size(); }
+
+  /// Lets time pass; stops at the first violation.
+  void Run(core::Duration aDuration);
+
+  /// Runs until aCondition or the limit; true when it held.
+  bool RunUntil(core::Duration aLimit, const std::function<bool()>& aCondition);
+
+  void StartHost(std::size_t aHost);
+
+  /// Ends a host as a power loss does.
+  void Kill(std::size_t aHost);
+  void LoseDisk(std::size_t aHost);
+
+  /// Planted fault: the host loses its disk and comes back as its former self.
+  void LoseDiskAndMemoryOfIt(std::size_t aHost);
+  MemoryDisk& Disk(std::size_t aHost) { return mHosts[aHost].disk; }
+
+  /// Cuts or restores the way from one host to another.
+  void Cut(std::size_t aFrom, std::size_t aTo, bool aCut);
+  void Isolate(std::size_t aHost, bool aCut);
+  void Heal();
+
+  /// Sends a new command from a host; the oracle follows it.
+  void Propose(std::size_t aHost, core::Duration aTimeout = std::chrono::seconds(2));
+  void Query(std::size_t aHost);
+
+  /// The host that leads and holds the lease, or the number of hosts.
+  std::size_t LeaderHost() const;
+  bool Up(std::size_t aHost) const { return mHosts[aHost].group != nullptr; }
+  process::log::LogGroup& Group(std::size_t aHost) { return *mHosts[aHost].group; }
+
+  /// True when a leader counts every host's present life among its voters.
+  bool Repaired() const;
+
+  /// Faultless from now on: everything must come back and everything acknowledged be there.
+  void CheckRecovery();
+
+  /// What went wrong; empty: nothing.
+  const std::string& Violation() const { return mViolation; }
+  void Violate(const std::string& aWhat);
+
+  /// Sets a host's clock against true time.
+  void SetClockRate(std::size_t aHost, double aRate) { mHosts[aHost].rate = aRate; }
+
+  std::size_t NotRun() const { return mNotRun.size(); }
+  std::size_t Acknowledged() const { return mAcknowledged.size(); }
+  std::size_t Reads() const { return mReadsDone; }
+  std::size_t BytesSent() const { return mBytesSent; }
+  core::Random& Randomness() { return mRandom; }
+  core::Instant Now() const { return mNow; }
+
+  // For the links and machines.
+  void Post(std::size_t aFrom, const core::HostId& aTo, const process::peer::PeerMessage& aMessage);
+  void Observe(std::size_t aPlace, const std::string& aCommand);
+
+private:
+  struct Host
+  {
+    MemoryDisk disk;
+    std::unique_ptr<test_framework::time::ManualTimerService> timers;
+    std::unique_ptr<ClusterLinks> links;
+    std::unique_ptr<process::log::FileLogStorage> files;
+    std::unique_ptr<SlowStorage> storage;
+    std::unique_ptr<ListMachine> machine;
+    std::unique_ptr<process::log::LogGroup> group;
+    core::Incarnation forced;
+    double rate = 1.0;
+    bool failed = false;
+  };
+  struct Packet
+  {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    process::peer::PeerMessage message;
+  };
+
+  void Step();
+  void Deliver();
+  void Watch();
+  std::string Describe() const;
+  process::log::Group& AnyGroup(std::size_t aHost);
+  std::size_t IndexOf(const core::HostId& aHost) const;
+
+  ClusterSettings mSettings;
+  core::Random mRandom;
+  core::Instant mNow;
+  std::vector<core::HostId> mIds;
+  std::vector<Host> mHosts;
+  test_framework::time::ManualTimerService mRemoteTimers;
+  ClusterLinks mRemoteLinks;
+  std::unique_ptr<process::log::RemoteGroup> mRemote;
+  std::multimap<core::Instant, Packet> mNet;
+  std::set<std::pair<std::size_t, std::size_t>> mCuts;
+  std::string mViolation;
+
+  // The oracle.
+  std::vector<std::string> mHistory; ///< Every command that any host applied, by place.
+  std::map<std::string, std::size_t> mAcknowledged;
+  std::set<std::string> mNotRun;
+  std::map<std::uint64_t, std::size_t> mLeaders; ///< By term.
+  std::size_t mHighest = 0; ///< Highest place that any answer has told to a caller.
+  std::size_t mNextCommand = 0;
+  std::size_t mReadsDone = 0;
+  std::size_t mBytesSent = 0;
+};
+
+} // namespace cuminfield::unit_tests::log
--- /dev/null
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -0,0 +1,330 @@
+#include "UnitTests/process/log/LogCluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using namespace cuminfield;
+using unit_tests::log::ClusterSettings;
+using unit_tests::log::LogCluster;
+
+namespace {
+
+/// Starts all hosts and waits until the group is founded and led.
+void Found(LogCluster& aCluster, std::size_t aHosts)
+{
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    aCluster.StartHost(i);
+  }
+  CHECK(aCluster.RunUntil(10s, [&] { return aCluster.Repaired(); }));
+}
+
+std::size_t CountUp(LogCluster& aCluster, std::size_t aHosts)
+{
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    n += aCluster.Up(i) ? 1 : 0;
+  }
+  return n;
+}
+
+/// One random misfortune.
+void Misfortune(LogCluster& aCluster, std::size_t aHosts)
+{
+  core::Random& random = aCluster.Randomness();
+  const std::size_t host = random.Below(aHosts);
+  const std::size_t other = random.Below(aHosts);
+  switch (random.Below(9)) {
+    case 0:
+      aCluster.Cut(host, other, true); // One way only.
+      break;
+    case 1:
+      aCluster.Isolate(host, true);
+      break;
+    case 2:
+    case 3:
+      aCluster.Heal();
+      break;
+    case 4:
+      if (aCluster.Up(host)) {
+        aCluster.Disk(host).FailAfter(random.Below(40));
+      }
+      break;
+    case 5:
+      if (aCluster.Up(host) && CountUp(aCluster, aHosts) > aHosts / 2) {
+        aCluster.Kill(host);
+      }
+      break;
+    case 6:
+    case 7:
+      if (aCluster.Up(host)) {
+        aCluster.Kill(host);
+      }
+      aCluster.StartHost(host);
+      break;
+    default:
+      // The next disk is lost at the earliest moment: right after the last repair.
+      if (aCluster.Repaired()) {
+        aCluster.LoseDisk(host);
+        aCluster.StartHost(host);
+      }
+      break;
+  }
+}
+
+/// A run of random misfortunes under load, then recovery. The violation, or nothing; adds the
+/// number of acknowledged commands.
+std::string RandomRun(const ClusterSettings& aSettings, core::Duration aLength,
+                      std::size_t& aAcknowledged)
+{
+  LogCluster cluster(aSettings);
+  Found(cluster, aSettings.voters);
+  const core::Instant end = cluster.Now() + aLength;
+  while (cluster.Now() < end && cluster.Violation().empty()) {
+    cluster.Run(30ms);
+    const std::size_t host = cluster.Randomness().Below(aSettings.voters + 1);
+    if (host == cluster.Remote() || cluster.Up(host)) {
+      cluster.Propose(host, core::Duration(cluster.Randomness().Below(2'000'000)));
+      cluster.Query(host);
+    }
+    constexpr double kMisfortune = 0.12;
+    if (cluster.Randomness().Chance(kMisfortune)) {
+      Misfortune(cluster, aSettings.voters);
+    }
+  }
+  if (cluster.Violation().empty()) {
+    cluster.CheckRecovery();
+  }
+  aAcknowledged += cluster.Acknowledged();
+  return cluster.Violation();
+}
+
+void CheckRuns(std::size_t aVoters, std::uint64_t aFirstSeed, std::uint64_t aCount)
+{
+  std::size_t acknowledged = 0;
+  for (std::uint64_t seed = aFirstSeed; seed < aFirstSeed + aCount; ++seed) {
+    const std::string violation = RandomRun({ .voters = aVoters,
+                                              .seed = seed,
+                                              .loss = 0.03,
+                                              .repeat = 0.05,
+                                              .slow = 0.03,
+                                              .drift = 0.02 },
+                                            20s, acknowledged);
+    const std::string text = "seed " + std::to_string(seed) + ": " + violation;
+    CHECK_TEXT(violation.empty(), text.c_str());
+  }
+  constexpr std::size_t kPerRun = 50; // Fewer would prove little.
+  CHECK(acknowledged >= kPerRun * aCount);
+}
+
+} // namespace
+
+TEST_GROUP(LogCluster){};
+
+TEST(LogCluster, SingleVoterWorks)
+{
+  LogCluster cluster({ .voters = 1 });
+  Found(cluster, 1);
+  cluster.Propose(0);
+  cluster.Query(0);
+  cluster.Run(1s);
+  LONGS_EQUAL(1, cluster.Acknowledged());
+  LONGS_EQUAL(1, cluster.Reads());
+}
+
+TEST(LogCluster, NewLeaderWithinThreeSecondsAfterAKill)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster({ .voters = 3, .seed = seed });
+    Found(cluster, 3);
+    const std::size_t leader = cluster.LeaderHost();
+    cluster.Kill(leader);
+    CHECK(cluster.RunUntil(3s, [&] { return cluster.LeaderHost() < 3; }));
+    cluster.StartHost(leader);
+    cluster.CheckRecovery();
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
+
+TEST(LogCluster, IdleGroupSendsFewBytes)
+{
+  LogCluster cluster({ .voters = 3 });
+  Found(cluster, 3);
+  cluster.Run(1s);
+  const std::size_t before = cluster.BytesSent();
+  cluster.Run(10s);
+  constexpr std::size_t kBytesPerSecond = 1'500;
+  CHECK(cluster.BytesSent() - before < kBytesPerSecond * 10);
+}
+
+TEST(LogCluster, IsolatedLeaderGivesUpAndItsCommandsDoNotRun)
+{
+  LogCluster cluster({ .voters = 3, .seed = 3 });
+  Found(cluster, 3);
+  const std::size_t leader = cluster.LeaderHost();
+  cluster.Isolate(leader, true);
+  CHECK(cluster.RunUntil(
+    3s, [&] { return cluster.LeaderHost() < 3 && cluster.LeaderHost() != leader; }));
+  CHECK(cluster.RunUntil(
+    2s, [&] { return cluster.Group(leader).CurrentRole() != process::log::Role::Leader; }));
+  cluster.Propose(leader);
+  cluster.Run(3s);
+  cluster.CheckRecovery();
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+TEST(LogCluster, RemoteGroupCommitsAndReadsAndKnowsWhatSurelyDidNotRun)
+{
+  LogCluster cluster({ .voters = 3 });
+  const std::size_t remote = cluster.Remote();
+  cluster.Propose(remote); // Before there is any leader.
+  cluster.Run(3s);
+  LONGS_EQUAL(1, cluster.NotRun());
+  Found(cluster, 3);
+  cluster.Propose(remote);
+  cluster.Query(remote);
+  cluster.Run(1s);
+  LONGS_EQUAL(1, cluster.Acknowledged());
+  LONGS_EQUAL(1, cluster.Reads());
+  cluster.Kill(cluster.LeaderHost());
+  cluster.Propose(remote, 4s);
+  CHECK(cluster.RunUntil(4s, [&] { return cluster.Acknowledged() == 2; }));
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+TEST(LogCluster, PartitionedVoterDoesNotRaiseTheTerm)
+{
+  LogCluster cluster({ .voters = 3 });
+  Found(cluster, 3);
+  const std::size_t leader = cluster.LeaderHost();
+  const core::Term term = cluster.Group(leader).CurrentTerm();
+  const std::size_t follower = (leader + 1) % 3;
+  cluster.Isolate(follower, true);
+  cluster.Run(20s);
+  cluster.Heal();
+  cluster.Run(3s);
+  CHECK(term == cluster.Group(leader).CurrentTerm());
+  LONGS_EQUAL(leader, cluster.LeaderHost());
+}
+
+TEST(LogCluster, TwoBlankHostsBesideAMemberFoundNothing)
+{
+  LogCluster cluster({ .voters = 3 });
+  Found(cluster, 3);
+  cluster.Propose(0);
+  cluster.Run(500ms);
+  cluster.Kill(0);
+  cluster.LoseDisk(1);
+  cluster.LoseDisk(2);
+  cluster.StartHost(1);
+  cluster.StartHost(2);
+  cluster.Run(20s);
+  LONGS_EQUAL(0, cluster.Group(1).Voters().voters.size());
+  cluster.StartHost(0);
+  cluster.Run(20s);
+  LONGS_EQUAL(0, cluster.Group(1).Voters().voters.size());
+  LONGS_EQUAL(3, cluster.LeaderHost()); // No host leads.
+}
+
+TEST(LogCluster, PlantedFaultAcknowledgementBeforeSyncIsCaught)
+{
+  LogCluster cluster({ .voters = 3 });
+  for (std::size_t i = 0; i < 3; ++i) {
+    cluster.StartHost(i);
+  }
+  CHECK(cluster.RunUntil(10s, [&] { return cluster.Repaired(); }));
+  for (std::size_t i = 0; i < 3; ++i) {
+    cluster.Disk(i).IgnoreSync(true);
+  }
+  for (int i = 0; i < 10; ++i) {
+    cluster.Propose(0);
+  }
+  CHECK(cluster.RunUntil(2s, [&] { return cluster.Acknowledged() == 10; }));
+  for (std::size_t i = 0; i < 3; ++i) {
+    cluster.Kill(i);
+  }
+  cluster.CheckRecovery();
+  CHECK(cluster.Violation().find("acknowledged command lost") != std::string::npos ||
+        cluster.Violation().find("committed prefix changed") != std::string::npos);
+}
+
+/// One acknowledged command on two of three disks; then one of the two is lost, and the other host
+/// is out of reach.
+static void LoseOneOfTwoCopies(LogCluster& aCluster, bool aPlantFault)
+{
+  Found(aCluster, 3);
+  const std::size_t leader = aCluster.LeaderHost();
+  const std::size_t lost = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  aCluster.Isolate(other, true);
+  aCluster.Propose(leader);
+  CHECK(aCluster.RunUntil(2s, [&] { return aCluster.Acknowledged() == 1; }));
+  if (aPlantFault) {
+    aCluster.LoseDiskAndMemoryOfIt(lost);
+  } else {
+    aCluster.LoseDisk(lost);
+  }
+  aCluster.Heal();
+  aCluster.Isolate(leader, true);
+  aCluster.StartHost(lost);
+  aCluster.Run(20s);
+}
+
+TEST(LogCluster, LostDiskNeverVotesAsItsFormerSelf)
+{
+  LogCluster cluster({ .voters = 3 });
+  LoseOneOfTwoCopies(cluster, false);
+  LONGS_EQUAL(3, cluster.LeaderHost()); // The two cannot elect a leader.
+  cluster.CheckRecovery();
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+TEST(LogCluster, PlantedFaultFormerIncarnationIsCaught)
+{
+  LogCluster cluster({ .voters = 3 });
+  LoseOneOfTwoCopies(cluster, true);
+  CHECK(cluster.LeaderHost() < 3);
+  cluster.Propose(cluster.LeaderHost());
+  cluster.Run(1s);
+  CHECK(cluster.Violation().find("committed prefix changed") != std::string::npos);
+}
+
+TEST(LogCluster, PlantedFaultClockFarTooSlowIsCaught)
+{
+  LogCluster cluster({ .voters = 3 });
+  Found(cluster, 3);
+  const std::size_t leader = cluster.LeaderHost();
+  constexpr double kFarTooSlow = 0.2;
+  cluster.SetClockRate(leader, kFarTooSlow);
+  cluster.Run(1s);
+  cluster.Isolate(leader, true);
+  cluster.Run(3s);
+  CHECK(cluster.Violation().find("two leases at once") != std::string::npos);
+}
+
+TEST(LogCluster, SecondHostLostRightAfterTheRepair)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    LogCluster cluster({ .voters = 3, .seed = seed });
+    Found(cluster, 3);
+    for (std::size_t host = 0; host < 3; ++host) {
+      cluster.Propose((host + 1) % 3);
+      cluster.Run(200ms);
+      cluster.LoseDisk(host);
+      cluster.StartHost(host);
+      CHECK(cluster.RunUntil(15s, [&] { return cluster.Repaired(); }));
+    }
+    cluster.CheckRecovery();
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+    CHECK(cluster.Acknowledged() >= 3);
+  }
+}
+
+TEST(LogCluster, RandomRunsOfThreeVoters)
+{
+  CheckRuns(3, 1, 200);
+}
+
+TEST(LogCluster, RandomRunsOfFiveVoters)
+{
+  CheckRuns(5, 1000, 100);
+}
--- a/cuminfield/process/log/GroupClient.cpp
+++ b/cuminfield/process/log/GroupClient.cpp
@@ -75,12 +75,12 @@
     it = mRequests.erase(it);
   }
   // Only now: a completion may submit the next request.
-  for (Request& it : expired) {
-    Fail(std::move(it));
+  for (const Request& it : expired) {
+    Fail(it);
   }
 }
 
-void GroupClient::Fail(Request aRequest)
+void GroupClient::Fail(const Request& aRequest)
 {
   if (aRequest.uncertain || aRequest.waiting) {
     aRequest.done(core::Fail(core::ErrorKind::Timeout,
@@ -117,7 +117,7 @@
   message.mutable_request()->set_id(aId);
   message.mutable_request()->set_query(aRequest.query);
   message.mutable_request()->set_payload(aRequest.payload);
-  mSend(mLeader, std::move(message));
+  mSend(mLeader, message);
 }
 
 void GroupClient::Probe()
@@ -134,7 +134,7 @@
   proto::GroupMessage message;
   message.set_group(mGroup.Text());
   message.mutable_probe();
-  mSend(aHost, std::move(message));
+  mSend(aHost, message);
 }
 
 void GroupClient::Receive(const core::HostId& aFrom, const proto::GroupMessage& aMessage)
--- a/cuminfield/process/log/GroupClient.h
+++ b/cuminfield/process/log/GroupClient.h
@@ -21,7 +21,7 @@
   core::HostId self;                ///< Messages to it are delivered once and in order.
   std::vector<core::HostId> voters; ///< The group's hosts by the settings.
   core::TimerService& timers;
-  std::function<void(const core::HostId&, proto::GroupMessage)> send;
+  std::function<void(const core::HostId&, const proto::GroupMessage&)> send;
   GroupClientSettings settings;
 };
 
@@ -68,7 +68,7 @@
   void Wake();
   void Tick();
   void Expire();
-  void Fail(Request aRequest);
+  void Fail(const Request& aRequest);
   void Flush();
   void SendRequest(std::uint64_t aId, Request& aRequest);
   void Probe();
@@ -80,7 +80,7 @@
   const core::HostId mSelf;
   const std::vector<core::HostId> mVoters;
   core::TimerService& mTimers;
-  const std::function<void(const core::HostId&, proto::GroupMessage)> mSend;
+  const std::function<void(const core::HostId&, const proto::GroupMessage&)> mSend;
   const GroupClientSettings mSettings;
 
   Requests mRequests;
--- a/cuminfield/process/log/GroupServer.cpp
+++ b/cuminfield/process/log/GroupServer.cpp
@@ -66,17 +66,17 @@
   if (aEntry.has_command()) {
     answer = mMachine.Apply(core::LogIndex(mApplied), aEntry.command());
   }
-  SettleProposals(aEntry, std::move(answer));
+  SettleProposals(aEntry, answer);
 }
 
-void GroupServer::SettleProposals(const proto::Entry& aEntry, std::string aAnswer)
+void GroupServer::SettleProposals(const proto::Entry& aEntry, const std::string& aAnswer)
 {
   // Several terms may have proposed at this index; only one entry was committed there.
   while (!mProposals.empty() && mProposals.begin()->first.index.Value() <= aEntry.index()) {
     const auto proposal = mProposals.extract(mProposals.begin());
     mProposed.erase(proposal.mapped());
     if (proposal.key().term.Value() == aEntry.term()) {
-      Answer(proposal.mapped(), std::move(aAnswer));
+      Answer(proposal.mapped(), aAnswer);
     } else {
       Refuse(proposal.mapped());
     }
@@ -107,13 +107,13 @@
   }
 }
 
-void GroupServer::Answer(const Asker& aAsker, std::string aAnswer)
+void GroupServer::Answer(const Asker& aAsker, const std::string& aAnswer)
 {
   proto::GroupMessage message;
   message.set_group(mGroup.Text());
   message.mutable_reply()->set_id(aAsker.second);
-  message.mutable_reply()->set_answer(std::move(aAnswer));
-  mSend(aAsker.first, std::move(message));
+  message.mutable_reply()->set_answer(aAnswer);
+  mSend(aAsker.first, message);
 }
 
 void GroupServer::Refuse(const Asker& aAsker)
@@ -122,7 +122,7 @@
   message.set_group(mGroup.Text());
   message.mutable_reply()->set_id(aAsker.second);
   message.mutable_reply()->set_refused(true);
-  mSend(aAsker.first, std::move(message));
+  mSend(aAsker.first, message);
 }
 
 void GroupServer::ReportUnknown(const Asker& aAsker)
@@ -131,7 +131,7 @@
   message.set_group(mGroup.Text());
   message.mutable_reply()->set_id(aAsker.second);
   message.mutable_reply()->set_unknown(true);
-  mSend(aAsker.first, std::move(message));
+  mSend(aAsker.first, message);
 }
 
 void GroupServer::SendNotice(const core::HostId& aTo)
@@ -140,7 +140,7 @@
   message.set_group(mGroup.Text());
   message.mutable_notice()->set_leader(mLog.Leader().Text());
   message.mutable_notice()->set_term(mLog.CurrentTerm().Value());
-  mSend(aTo, std::move(message));
+  mSend(aTo, message);
 }
 
 } // namespace cuminfield::process::log
--- a/cuminfield/process/log/GroupServer.h
+++ b/cuminfield/process/log/GroupServer.h
@@ -22,7 +22,7 @@
   core::HostId self;
   ReplicatedLog& log;
   StateMachine& machine;
-  std::function<void(const core::HostId&, proto::GroupMessage)> send;
+  std::function<void(const core::HostId&, const proto::GroupMessage&)> send;
 };
 
 /// The requests that a leader has taken up, until they are committed or surely never will be.
@@ -56,8 +56,8 @@
 
   void TakeProposal(const Asker& aAsker, const std::string& aCommand, core::Instant aNow);
   void TakeQuery(const Asker& aAsker, const std::string& aQuery, core::Instant aNow);
-  void SettleProposals(const proto::Entry& aEntry, std::string aAnswer);
-  void Answer(const Asker& aAsker, std::string aAnswer);
+  void SettleProposals(const proto::Entry& aEntry, const std::string& aAnswer);
+  void Answer(const Asker& aAsker, const std::string& aAnswer);
   void Refuse(const Asker& aAsker);
   void ReportUnknown(const Asker& aAsker);
   void SendNotice(const core::HostId& aTo);
@@ -66,7 +66,7 @@
   const core::HostId mSelf;
   ReplicatedLog& mLog;
   StateMachine& mMachine;
-  const std::function<void(const core::HostId&, proto::GroupMessage)> mSend;
+  const std::function<void(const core::HostId&, const proto::GroupMessage&)> mSend;
 
   std::uint64_t mApplied = 0;
   std::map<LogPosition, Asker> mProposals;
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -24,15 +24,14 @@
 
 LogGroup::LogGroup(LogGroupOptions aOptions)
   : mOptions(std::move(aOptions))
-  , mClient({ .group = mOptions.group,
-              .self = mOptions.self,
-              .voters = mOptions.voters,
-              .timers = mOptions.timers,
-              .send =
-                [this](const core::HostId& aTo, proto::GroupMessage aMessage) {
-                  SendGroupMessage(aTo, std::move(aMessage));
-                },
-              .settings = mOptions.settings.client })
+  , mClient(
+      { .group = mOptions.group,
+        .self = mOptions.self,
+        .voters = mOptions.voters,
+        .timers = mOptions.timers,
+        .send = [this](const core::HostId& aTo,
+                       const proto::GroupMessage& aMessage) { SendGroupMessage(aTo, aMessage); },
+        .settings = mOptions.settings.client })
 {
 }
 
@@ -58,7 +57,7 @@
     .log = *mLog,
     .machine = mOptions.machine,
     .send = [this](const core::HostId& aTo,
-                   proto::GroupMessage aMessage) { SendGroupMessage(aTo, std::move(aMessage)); },
+                   const proto::GroupMessage& aMessage) { SendGroupMessage(aTo, aMessage); },
   });
   mOptions.peers.OnMessage().connect(sigc::mem_fun(*this, &LogGroup::OnMessage));
   mTick = mOptions.timers.Every(mOptions.settings.tick, [this] { Tick(); });
@@ -177,10 +176,10 @@
   mClient.Receive(aFrom, aMessage);
 }
 
-void LogGroup::SendGroupMessage(const core::HostId& aTo, proto::GroupMessage aMessage)
+void LogGroup::SendGroupMessage(const core::HostId& aTo, const proto::GroupMessage& aMessage)
 {
   if (aTo == mOptions.self) {
-    mOwnMessages.push_back(std::move(aMessage));
+    mOwnMessages.push_back(aMessage);
     SchedulePump();
     return;
   }
@@ -260,11 +259,12 @@
   if (!mLog->HasBatch()) {
     return;
   }
-  mOptions.storage.Persist(mLog->TakeBatch(), [this, alive = mAlive](core::Result<void> aResult) {
-    if (*alive) {
-      OnPersisted(aResult);
-    }
-  });
+  mOptions.storage.Persist(mLog->TakeBatch(),
+                           [this, alive = mAlive](const core::Result<void>& aResult) {
+                             if (*alive) {
+                               OnPersisted(aResult);
+                             }
+                           });
 }
 
 void LogGroup::OnPersisted(const core::Result<void>& aResult)
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -59,7 +59,7 @@
   explicit LogGroup(LogGroupOptions aOptions);
   ~LogGroup() override;
 
-  /// Reads the log and takes part from now on. Until then every request times out.
+  /// Reads the log and takes part from now on. Until then every request fails.
   core::Result<void> Start();
 
   void Propose(std::string aCommand, core::Duration aTimeout, Completion aDone) override;
@@ -106,7 +106,7 @@
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void OnLogMessage(const core::HostId& aFrom, const std::string& aPayload);
   void OnGroupMessage(const core::HostId& aFrom, const std::string& aPayload);
-  void SendGroupMessage(const core::HostId& aTo, proto::GroupMessage aMessage);
+  void SendGroupMessage(const core::HostId& aTo, const proto::GroupMessage& aMessage);
   void HandleGroupMessage(const core::HostId& aFrom, const proto::GroupMessage& aMessage);
   void Tick();
 
--- a/cuminfield/process/log/LogStorage.h
+++ b/cuminfield/process/log/LogStorage.h
@@ -32,7 +32,7 @@
 class LogStorage
 {
 public:
-  using Completion = std::function<void(core::Result<void>)>;
+  using Completion = std::function<void(const core::Result<void>&)>;
 
   virtual ~LogStorage() = default;
 
--- a/cuminfield/process/log/RemoteGroup.cpp
+++ b/cuminfield/process/log/RemoteGroup.cpp
@@ -6,16 +6,17 @@
 
 RemoteGroup::RemoteGroup(RemoteGroupOptions aOptions)
   : mGroup(aOptions.group)
-  , mClient({ .group = aOptions.group,
-              .self = aOptions.self,
-              .voters = std::move(aOptions.voters),
-              .timers = aOptions.timers,
-              .send =
-                [&peers = aOptions.peers](const core::HostId& aTo, proto::GroupMessage aMessage) {
-                  peers.Send(aTo, { .channel = peer::Channel::Group,
-                                    .payload = aMessage.SerializeAsString() });
-                },
-              .settings = aOptions.settings })
+  , mClient(
+      { .group = aOptions.group,
+        .self = aOptions.self,
+        .voters = std::move(aOptions.voters),
+        .timers = aOptions.timers,
+        .send =
+          [&peers = aOptions.peers](const core::HostId& aTo, const proto::GroupMessage& aMessage) {
+            peers.Send(
+              aTo, { .channel = peer::Channel::Group, .payload = aMessage.SerializeAsString() });
+          },
+        .settings = aOptions.settings })
 {
   aOptions.peers.OnMessage().connect(sigc::mem_fun(*this, &RemoteGroup::OnMessage));
 }
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -29,7 +29,7 @@
   , mSelf{ .host = std::move(aOptions.self), .incarnation = aOptions.contents.incarnation }
   , mHosts(std::move(aOptions.voters))
   , mSettings(aOptions.settings)
-  , mRandom(std::move(aOptions.random))
+  , mRandom(aOptions.random)
   , mNow(aOptions.now)
   , mTerm(aOptions.contents.hardState.term())
   , mFounding(mSelf, mHosts)
