Capacity sharing by leased grants; steadier estimates of rates and stragglers

Hosts sent work into the same engines on reports half a second old, so prefill piled up in front of quick requests. A broker for each data centre now grants slots by lease, the highest tier's demand first, in stretches that keep hosts apart; each host's prefill in flight is bounded. Rates are ratios of decaying sums (a fitted line was tried and became too flat: first tokens were predicted at 400 ms that took 100), stragglers are compared at equal fullness, and the prefix index holds the own region only.

--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -51,6 +51,7 @@
   options.fault = aFault;
   options.workload.load = aLoad;
   options.workload.consortium = aSeed % 2 == 1;
+  options.shared = aPolicy != "tiered-alone";
   if (aPolicy == "tiered-circuit") {
     options.settings.router.health = request::routing::HealthPolicy::Circuit;
   }
--- a/PerformanceTest/decisions/Simulation.cpp
+++ b/PerformanceTest/decisions/Simulation.cpp
@@ -47,6 +47,8 @@
     : mSimulation(aSimulation)
     , mRandom(aSimulation.mRandom.Bits())
     , mRegion(aIndex % kRegions)
+    , mId("host-" + std::to_string(aIndex))
+    , mClient(aSimulation.mOptions.capacity, aSimulation.mTimers)
   {
     const std::string& policy = aSimulation.mOptions.policy;
     if (policy == "random") {
@@ -56,7 +58,7 @@
     } else if (policy == "least-load") {
       mScheduler = Baseline(BaselinePolicy::LeastLoad);
     } else {
-      mScheduler = Tiered(aIndex);
+      mScheduler = Tiered();
     }
   }
 
@@ -72,6 +74,15 @@
   }
 
   request::Scheduler& Scheduler() { return *mScheduler; }
+
+  /// The scheduler as a TieredScheduler; null for a baseline.
+  request::admission::TieredScheduler* Tiers()
+  {
+    return dynamic_cast<request::admission::TieredScheduler*>(mScheduler.get());
+  }
+
+  request::capacity::CapacityClient& Client() { return mClient; }
+  const core::HostId& Id() const { return mId; }
   std::uint32_t Region() const { return mRegion; }
 
 private:
@@ -80,7 +91,7 @@
     return std::make_unique<BaselineScheduler>(aPolicy, mRandom, *this);
   }
 
-  std::unique_ptr<request::Scheduler> Tiered(std::uint32_t aIndex)
+  std::unique_ptr<request::Scheduler> Tiered()
   {
     return std::make_unique<request::admission::TieredScheduler>(
       request::admission::TieredSchedulerOptions{
@@ -89,7 +100,8 @@
         .random = mRandom,
         .listener = *this,
         .versions = kAnyVersion,
-        .host = core::HostId("host-" + std::to_string(aIndex)),
+        .capacity = mSimulation.mOptions.shared ? &mClient : nullptr,
+        .host = mId,
         .dataCentre = core::DataCentreId(std::string(kRegionNames[mRegion]) + "-a"),
         .region = core::RegionId(kRegionNames[mRegion]) });
   }
@@ -97,6 +109,8 @@
   Simulation& mSimulation;
   core::Random mRandom;
   std::uint32_t mRegion;
+  core::HostId mId;
+  request::capacity::CapacityClient mClient;
   std::unique_ptr<request::Scheduler> mScheduler;
 };
 
@@ -145,6 +159,9 @@
   mArrivals = MakeArrivals(mOptions.workload, mClasses, rates, mRandom);
   mRecords.resize(mArrivals.size());
   MakeHosts();
+  if (mOptions.shared) {
+    StartSharing();
+  }
   ScheduleFault();
 }
 
@@ -186,6 +203,36 @@
   }
 }
 
+void Simulation::StartSharing()
+{
+  for (std::uint32_t region = 0; region < kRegions; ++region) {
+    mBrokers.push_back(std::make_unique<request::capacity::CapacityBroker>(
+      mOptions.capacity, core::Term(1), mTimers.Now()));
+  }
+  for (std::size_t n = 0; n < mEngines.size(); ++n) {
+    const request::UpstreamAnnouncement& it = mEngines[n]->Announcement();
+    mBrokers[n % kRegions]->UpstreamUp(it.id, it.service, it.slots);
+  }
+  for (const auto& host : mHosts) {
+    mHandles.push_back(mTimers.Every(mOptions.capacity.reportPeriod,
+                                     [this, it = host.get()] { ReportDemand(*it); }));
+  }
+}
+
+void Simulation::ReportDemand(Host& aHost)
+{
+  request::capacity::DemandReport report;
+  report.host = aHost.Id();
+  report.sequence = aHost.Client().NextReport();
+  report.applied = aHost.Client().Applied();
+  aHost.Tiers()->Describe(report);
+  auto* broker = mBrokers[aHost.Region()].get();
+  mHandles.push_back(mTimers.After(kLocalDelay, [this, report, broker, host = &aHost] {
+    auto table = broker->OnReport(report, mTimers.Now());
+    mHandles.push_back(mTimers.After(kLocalDelay, [table, host] { host->Client().Apply(table); }));
+  }));
+}
+
 void Simulation::ScheduleFault()
 {
   if (mOptions.fault == Fault::Straggler) {
--- a/PerformanceTest/decisions/Simulation.h
+++ b/PerformanceTest/decisions/Simulation.h
@@ -6,6 +6,8 @@
 #include "cuminfield/core/Random.h"
 #include "cuminfield/request/Scheduler.h"
 #include "cuminfield/request/admission/SchedulerSettings.h"
+#include "cuminfield/request/capacity/CapacityBroker.h"
+#include "cuminfield/request/capacity/CapacityClient.h"
 
 #include <array>
 #include <memory>
@@ -33,6 +35,8 @@
   std::uint64_t seed = 1;
   std::uint32_t hosts = 8;
   std::uint32_t engines = 12;
+  bool shared = false; ///< Hosts share capacity by leased grants.
+  request::capacity::CapacitySettings capacity;
   Fault fault = Fault::None;
   core::Duration measureFrom{ 20'000'000 };
   core::Duration measureUntil{ 50'000'000 };
@@ -105,6 +109,8 @@
   void MakeEngines();
   void MakeHosts();
   void ScheduleFault();
+  void StartSharing();
+  void ReportDemand(Host& aHost);
   void Arrive();
   request::RequestSpec SpecOf(std::uint32_t aKey) const;
   void Dispatch(std::uint32_t aKey, const core::UpstreamId& aUpstream);
@@ -125,6 +131,7 @@
   std::vector<Record> mRecords;
   std::vector<std::unique_ptr<test_framework::engine_model::EngineModel>> mEngines;
   std::vector<std::unique_ptr<Host>> mHosts;
+  std::vector<std::unique_ptr<request::capacity::CapacityBroker>> mBrokers; ///< By region.
   std::vector<bool> mLeaving;
   std::vector<core::Instant> mLeftAt;
   std::set<std::pair<std::uint64_t, std::uint32_t>> mComputedTemplates; ///< And their regions.
--- a/TestFramework/engine_model/EngineModel.cpp
+++ b/TestFramework/engine_model/EngineModel.cpp
@@ -23,7 +23,8 @@
 void EngineModel::Start(EngineRequest aRequest)
 {
   Sequence sequence;
-  sequence.remaining = aRequest.prompt;
+  const core::Tokens cached = mCache.Match(aRequest.prefix);
+  sequence.remaining = std::max(core::Tokens{ 0 }, aRequest.prompt - cached);
   sequence.request = std::move(aRequest);
   mWaiting.push_back(std::move(sequence));
   Admit();
--- a/cuminfield/request/admission/PoolQueues.h
+++ b/cuminfield/request/admission/PoolQueues.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminfield/core/Units.h"
+#include "cuminfield/request/Tiers.h"
 #include "cuminfield/request/admission/FairQueue.h"
 #include "cuminfield/request/admission/TierReserve.h"
 #include "cuminfield/request/routing/RouterSettings.h"
@@ -17,9 +18,9 @@
   {
   }
 
-  std::array<FairQueue, routing::kTiers> tiers;
-  std::array<double, routing::kTiers> interval{}; ///< Microseconds between dispatches, averaged.
-  std::array<core::Instant, routing::kTiers> lastDispatch{};
+  std::array<FairQueue, kTiers> tiers;
+  std::array<double, kTiers> interval{}; ///< Microseconds between dispatches, averaged.
+  std::array<core::Instant, kTiers> lastDispatch{};
   TierReserve reserve;     ///< Room kept for higher tiers.
   std::size_t waiting = 0; ///< Over all tiers.
   bool dirty = false;      ///< Waits for a run of the queues.
--- a/cuminfield/request/admission/SchedulerSettings.h
+++ b/cuminfield/request/admission/SchedulerSettings.h
@@ -16,6 +16,8 @@
   std::uint32_t maxWaiting = 20'000;
   /// Between two checks of deadlines.
   core::Duration tick{ 10'000 };
+  /// A tier counts as being shed for this long after its last shed request.
+  core::Duration shedMemory{ 1'000'000 };
   /// Told to callers when nothing better is known.
   core::Duration retryAfter{ 1'000'000 };
   /// Left for the network when a request is spilled at the last moment.
--- a/cuminfield/request/admission/TierReserve.cpp
+++ b/cuminfield/request/admission/TierReserve.cpp
@@ -7,7 +7,7 @@
 
 void TierReserve::Update()
 {
-  for (std::size_t tier = 0; tier < routing::kTiers; ++tier) {
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
     const double demand = mWaiting[tier] + mRunning[tier];
     const double weight = demand > mPeak[tier] ? mSettings.rise : mSettings.fall;
     mPeak[tier] += weight * (demand - mPeak[tier]);
@@ -20,12 +20,12 @@
   return std::max(0.0, wanted - mRunning[aTier]);
 }
 
-std::array<double, routing::kTiers> TierReserve::Shares(double aCapacity) const
+std::array<double, kTiers> TierReserve::Shares(double aCapacity) const
 {
-  std::array<double, routing::kTiers> shares{};
+  std::array<double, kTiers> shares{};
   double reserved = 0;
   double share = 1.0;
-  for (std::size_t tier = 0; tier < routing::kTiers; ++tier) {
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
     const double left = 1.0 - reserved / std::max(1.0, aCapacity);
     share = std::clamp(left, share * mSettings.leastShare, share);
     shares[tier] = share;
--- a/cuminfield/request/admission/TierReserve.h
+++ b/cuminfield/request/admission/TierReserve.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "cuminfield/request/Tiers.h"
 #include "cuminfield/request/routing/RouterSettings.h"
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 
 namespace cuminfield::request::admission {
 
@@ -34,19 +36,25 @@
   /// Requests of a tier began (1) or ceased (-1) to be in flight.
   void Run(std::size_t aTier, int aChange) { mRunning[aTier] += aChange; }
 
+  /// Requests of a tier that wait or are in flight.
+  std::uint32_t Demand(std::size_t aTier) const
+  {
+    return static_cast<std::uint32_t>(mWaiting[aTier] + mRunning[aTier]);
+  }
+
   /// Takes a sample of the demand; call it every tick.
   void Update();
 
   /// The share of its upstreams' limits that each tier may fill, of a capacity of so many requests.
-  std::array<double, routing::kTiers> Shares(double aCapacity) const;
+  std::array<double, kTiers> Shares(double aCapacity) const;
 
 private:
   double Missing(std::size_t aTier) const;
 
   TierReserveSettings mSettings;
-  std::array<int, routing::kTiers> mWaiting{};
-  std::array<int, routing::kTiers> mRunning{};
-  std::array<double, routing::kTiers> mPeak{}; ///< Rises fast and falls slowly.
+  std::array<int, kTiers> mWaiting{};
+  std::array<int, kTiers> mRunning{};
+  std::array<double, kTiers> mPeak{}; ///< Rises fast and falls slowly.
 };
 
 } // namespace cuminfield::request::admission
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -12,18 +12,13 @@
   , mListener(aOptions.listener)
   , mVersions(aOptions.versions)
   , mCapacity(aOptions.capacity)
-  , mFleet(aOptions.settings.router, aOptions.region)
+  , mFleet(aOptions.settings.router, aOptions.region, aOptions.dataCentre)
   , mRouter(aOptions.settings.router, mFleet, aOptions.random)
   , mRetries(aOptions.settings.retry)
 {
   mTick = mTimers.Every(mSettings.tick, [this] { Tick(); });
 }
 
-std::size_t TieredScheduler::TierOf(TierRank aTier)
-{
-  return std::min<std::size_t>(aTier, routing::kTiers - 1);
-}
-
 bool TieredScheduler::LaterExpiry(const Expiry& aLeft, const Expiry& aRight)
 {
   return aLeft.at > aRight.at;
@@ -34,7 +29,7 @@
   const RequestIndex request = mRequests.Add(std::move(aSpec));
   RequestState& state = mRequests.At(request);
   state.workspace = InternWorkspace(state.spec.workspace);
-  ++mDemand[TierOf(state.spec.tier)];
+
   Enqueue(request);
   RunQueues();
 }
@@ -68,7 +63,7 @@
   state.pool = ChoosePool(state);
   state.phase = RequestPhase::Waiting;
   PoolQueues& queues = mQueues[state.pool];
-  const std::size_t tier = TierOf(state.spec.tier);
+  const std::size_t tier = TierIndex(state.spec.tier);
   const auto cost = static_cast<double>((state.spec.prompt + state.spec.maxAnswer).value) + 1;
   queues.tiers[tier].Push(aRequest, state.workspace, cost, state.spec.weight);
   ++queues.waiting;
@@ -135,7 +130,7 @@
     return;
   }
   std::size_t tier = 0;
-  while (tier < routing::kTiers) {
+  while (tier < kTiers) {
     tier = DispatchFront(aPool, tier) ? 0 : tier + 1;
   }
   ShedOverflow(aPool);
@@ -193,7 +188,7 @@
   }
   const core::Instant now = mTimers.Now();
   const core::Instant target = aState.spec.arrival + aState.spec.firstTokenTarget;
-  const core::Duration wait = mQueues[aState.pool].Drain(TierOf(aState.spec.tier));
+  const core::Duration wait = mQueues[aState.pool].Drain(TierIndex(aState.spec.tier));
   const routing::RateEstimator& rates = mFleet.At(aPool.fastest).rates;
   const core::Duration serve = rates.FirstToken(aState.spec.prompt);
   return now + wait + 2 * serve + mSettings.spillMargin > target;
@@ -221,7 +216,7 @@
 void TieredScheduler::Dispatch(RequestIndex aRequest, const routing::Placement& aPlacement)
 {
   RequestState& state = mRequests.At(aRequest);
-  const std::size_t tier = TierOf(state.spec.tier);
+  const std::size_t tier = TierIndex(state.spec.tier);
   CUMINFIELD_INVARIANT("admission.no-tier-inversion",
                        !HigherThatFits(state.pool, tier, aPlacement.upstream));
   const core::Instant now = mTimers.Now();
@@ -244,8 +239,10 @@
   if (tighter && state.spec.tokenGapTarget.count() > 0) {
     upstream.gapTarget = state.spec.tokenGapTarget;
   }
-  upstream.bound = upstream.bound || upstream.load.InFlight() + 1 > upstream.limit.Value();
-  mFleet.Prefixes().AddPrefix(state.spec.prefix, state.upstream);
+
+  if (upstream.local) {
+    mFleet.Prefixes().AddPrefix(state.spec.prefix, state.upstream);
+  }
   mSending = state.spec.id;
   mListener.OnDispatch(mSending, upstream.announcement);
 }
@@ -254,19 +251,19 @@
 {
   const RequestState& state = mRequests.At(aRequest);
   PoolQueues& queues = mQueues[state.pool];
-  FairQueue& queue = queues.tiers[TierOf(state.spec.tier)];
+  FairQueue& queue = queues.tiers[TierIndex(state.spec.tier)];
   if (aServed) {
     queue.Serve(aRequest);
   } else {
     queue.Remove(aRequest);
   }
   --queues.waiting;
-  queues.reserve.Wait(TierOf(state.spec.tier), -1);
+  queues.reserve.Wait(TierIndex(state.spec.tier), -1);
 }
 
 void TieredScheduler::TakeFromUpstream(RequestState& aState)
 {
-  mQueues[aState.pool].reserve.Run(TierOf(aState.spec.tier), -1);
+  mQueues[aState.pool].reserve.Run(TierIndex(aState.spec.tier), -1);
   routing::UpstreamState& upstream = mFleet.At(aState.upstream);
   if (aState.phase == RequestPhase::Sent) {
     upstream.load.Prefilled(aState.uncached, mTimers.Now());
@@ -317,8 +314,10 @@
   RequestState& state = mRequests.At(request);
   routing::UpstreamState& upstream = mFleet.At(state.upstream);
   const core::Instant now = mTimers.Now();
-  upstream.rates.ObserveGap(now - state.lastToken);
-  mFleet.Peers().ObserveGap(upstream.health, now - state.lastToken);
+  upstream.rates.ObserveGap(now - state.lastToken, upstream.load.Own());
+  const double slots = std::max(1U, upstream.announcement.slots);
+  const double fill = upstream.load.InFlight() / slots;
+  mFleet.Peers().ObserveGap(upstream.health, now - state.lastToken, fill, upstream.load.Own());
   state.lastToken = now;
 }
 
@@ -372,7 +371,7 @@
 void TieredScheduler::ShedRequest(RequestIndex aRequest, ShedReason aReason)
 {
   const RequestState& state = mRequests.At(aRequest);
-  const std::size_t tier = TierOf(state.spec.tier);
+  const std::size_t tier = TierIndex(state.spec.tier);
   CUMINFIELD_INVARIANT("admission.shed-lowest-first",
                        aReason != ShedReason::Overload || !mQueues[state.pool].AnyBelow(tier));
   CUMINFIELD_INVARIANT("admission.shed-deadline-out-of-reach",
@@ -382,6 +381,7 @@
   }
   if (aReason == ShedReason::Overload || aReason == ShedReason::Deadline) {
     ++mShed[tier];
+    mShedAt[tier] = mTimers.Now();
   }
   const core::Duration retry = std::max(mSettings.retryAfter, mQueues[state.pool].Drain(tier));
   const core::RequestId id = state.spec.id;
@@ -414,7 +414,7 @@
 
 void TieredScheduler::Forget(RequestIndex aRequest)
 {
-  --mDemand[TierOf(mRequests.At(aRequest).spec.tier)];
+
   mRequests.Remove(aRequest);
 }
 
@@ -452,6 +452,26 @@
   RunQueues();
 }
 
+void TieredScheduler::Describe(capacity::DemandReport& aReport) const
+{
+  for (routing::PoolIndex pool = 0; pool < mQueues.size(); ++pool) {
+    const core::ServiceId& service = mFleet.PoolAt(pool).service;
+    auto it = std::find_if(
+      aReport.demands.begin(), aReport.demands.end(),
+      [&](const capacity::ServiceDemand& aDemand) { return aDemand.service == service; });
+    if (it == aReport.demands.end()) {
+      it = aReport.demands.insert(it, capacity::ServiceDemand{ .service = service });
+    }
+    for (std::size_t tier = 0; tier < kTiers; ++tier) {
+      it->byTier[tier] += mQueues[pool].reserve.Demand(tier);
+    }
+  }
+  mFleet.DescribeUse(aReport);
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    aReport.shedding[tier] = mTimers.Now() - mShedAt[tier] < mSettings.shedMemory;
+  }
+}
+
 std::size_t TieredScheduler::Waiting() const
 {
   std::size_t sum = 0;
--- a/cuminfield/request/admission/TieredScheduler.h
+++ b/cuminfield/request/admission/TieredScheduler.h
@@ -7,6 +7,7 @@
 #include "cuminfield/request/admission/RequestTable.h"
 #include "cuminfield/request/admission/SchedulerSettings.h"
 #include "cuminfield/request/capacity/CapacityView.h"
+#include "cuminfield/request/capacity/DemandReport.h"
 #include "cuminfield/request/routing/Fleet.h"
 #include "cuminfield/request/routing/Router.h"
 
@@ -58,11 +59,11 @@
   /// Requests that wait or are in flight.
   std::size_t Size() const { return mRequests.Size(); }
 
-  /// Requests that wait or are in flight in a tier: this host's demand for capacity.
-  std::uint32_t Demand(TierRank aTier) const { return mDemand[TierOf(aTier)]; }
+  /// Fills in what this host needs of its data centre's upstreams and what it uses of them.
+  void Describe(capacity::DemandReport& aReport) const;
 
   /// Requests of a tier that were shed so far for overload or a deadline out of reach.
-  std::uint64_t Shed(TierRank aTier) const { return mShed[TierOf(aTier)]; }
+  std::uint64_t Shed(TierRank aTier) const { return mShed[TierIndex(aTier)]; }
 
 private:
   struct Expiry
@@ -72,7 +73,6 @@
     std::uint32_t generation = 0;
   };
 
-  static std::size_t TierOf(TierRank aTier);
   static bool LaterExpiry(const Expiry& aLeft, const Expiry& aRight);
 
   void Enqueue(RequestIndex aRequest);
@@ -115,8 +115,9 @@
   std::unordered_map<core::WorkspaceId, std::uint32_t> mWorkspaces;
   std::vector<Expiry> mExpiries; ///< Heap, the earliest first.
   std::vector<routing::PoolIndex> mDirty;
-  std::array<std::uint32_t, routing::kTiers> mDemand{};
-  std::array<std::uint64_t, routing::kTiers> mShed{};
+
+  std::array<std::uint64_t, kTiers> mShed{};
+  std::array<core::Instant, kTiers> mShedAt{}; ///< Last shed for overload.
   RetryBudget mRetries;
   std::uint64_t mEpoch = 0;
   core::RequestId mSending; ///< Kept to be passed on: the request may end inside the call.
--- /dev/null
+++ b/cuminfield/request/capacity/CapacityBroker.cpp
@@ -0,0 +1,267 @@
+#include "cuminfield/request/capacity/CapacityBroker.h"
+
+#include "cuminfield/core/Invariant.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace cuminfield::request::capacity {
+
+std::uint32_t CapacityBroker::Holding::Held(core::Instant aNow) const
+{
+  return std::max(Granted(aNow), inFlight);
+}
+
+std::uint32_t CapacityBroker::Holding::Granted(core::Instant aNow) const
+{
+  return aNow < until ? std::max(slots, earlier) : 0;
+}
+
+CapacityBroker::CapacityBroker(const CapacitySettings& aSettings, core::Term aTerm,
+                               core::Instant aNow)
+  : mSettings(aSettings)
+  , mTerm(aTerm)
+  , mGrantsFrom(aNow + aSettings.lease)
+{
+}
+
+void CapacityBroker::UpstreamUp(const core::UpstreamId& aUpstream, const core::ServiceId& aService,
+                                std::uint32_t aSlots)
+{
+  UpstreamEntry& entry = mUpstreams[aUpstream];
+  entry.service = aService;
+  entry.slots = aSlots;
+  entry.mostSlots = std::max(entry.mostSlots, aSlots);
+  entry.hash = XXH64(aUpstream.Text().data(), aUpstream.Text().size(), 0);
+}
+
+void CapacityBroker::UpstreamGone(const core::UpstreamId& aUpstream)
+{
+  // Kept until its grants have ended, in case it comes back before.
+  const auto entry = mUpstreams.find(aUpstream);
+  if (entry != mUpstreams.end()) {
+    entry->second.slots = 0;
+  }
+}
+
+GrantTable CapacityBroker::OnReport(const DemandReport& aReport, core::Instant aNow)
+{
+  mHosts[aReport.host] = HostEntry{ .report = aReport, .heard = aNow };
+  DropDeadHosts(aNow);
+  NoteUse(aReport);
+  GrantTable table;
+  table.sequence = aReport.sequence;
+  table.term = mTerm;
+  table.lease = mSettings.lease;
+  table.hosts = static_cast<std::uint32_t>(mHosts.size());
+  const auto place = std::distance(mHosts.begin(), mHosts.find(aReport.host));
+  table.rank = static_cast<std::uint32_t>(place);
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    table.mayShed[tier] = MayShed(tier);
+  }
+  if (aNow < mGrantsFrom) {
+    return table;
+  }
+  std::set<core::ServiceId> services;
+  for (const auto& it : mUpstreams) {
+    services.insert(it.second.service);
+  }
+  for (const core::ServiceId& service : services) {
+    for (const Order& group : Groups(service)) {
+      GrantGroup(group, aReport.host, service, aReport.sequence, aNow);
+    }
+  }
+  for (const auto& [id, entry] : mUpstreams) {
+    CUMINFIELD_INVARIANT("capacity.no-overgrant",
+                         Granted(id, aNow) <= GrantableSlots(mSettings, entry.mostSlots));
+    const auto holding = entry.holdings.find(aReport.host);
+    const bool usable = entry.slots > 0 && holding != entry.holdings.end();
+    if (usable && holding->second.slots > 0) {
+      table.grants.push_back({ .upstream = id, .slots = holding->second.slots });
+    }
+  }
+  return table;
+}
+
+void CapacityBroker::DropDeadHosts(core::Instant aNow)
+{
+  std::erase_if(mHosts, [&](const auto& aIt) { return aNow - aIt.second.heard > mSettings.lease; });
+  for (auto& [id, entry] : mUpstreams) {
+    std::erase_if(entry.holdings, [&](const auto& aIt) {
+      const bool idle = entry.slots == 0 && aIt.second.inFlight == 0;
+      return aNow >= aIt.second.until && (idle || mHosts.count(aIt.first) == 0);
+    });
+  }
+  std::erase_if(mUpstreams, [](const auto& aIt) {
+    return aIt.second.slots == 0 && aIt.second.holdings.empty();
+  });
+}
+
+void CapacityBroker::NoteUse(const DemandReport& aReport)
+{
+  for (auto& [id, entry] : mUpstreams) {
+    const auto holding = entry.holdings.find(aReport.host);
+    if (holding == entry.holdings.end()) {
+      continue;
+    }
+    holding->second.inFlight = 0;
+    if (aReport.applied >= holding->second.sequence) {
+      holding->second.earlier = 0;
+    }
+  }
+  for (const UpstreamUse& it : aReport.uses) {
+    const auto entry = mUpstreams.find(it.upstream);
+    if (entry == mUpstreams.end()) {
+      continue;
+    }
+    // What runs in the host's part of the reserve is not held against grants.
+    const auto place = std::distance(mHosts.begin(), mHosts.find(aReport.host));
+    const std::uint32_t reserved =
+      ReservedSlots(mSettings, entry->second.slots, entry->second.hash,
+                    static_cast<std::uint32_t>(mHosts.size()), static_cast<std::uint32_t>(place));
+    Holding& holding = entry->second.holdings[aReport.host];
+    holding.inFlight = it.inFlight - std::min(it.inFlight, reserved);
+  }
+}
+
+double CapacityBroker::DemandOf(const HostEntry& aHost, const core::ServiceId& aService,
+                                std::size_t aTier) const
+{
+  for (const ServiceDemand& it : aHost.report.demands) {
+    if (it.service == aService) {
+      return it.byTier[aTier];
+    }
+  }
+  return 0;
+}
+
+std::map<core::HostId, double> CapacityBroker::Targets(const core::ServiceId& aService,
+                                                       double aCapacity) const
+{
+  std::map<core::HostId, double> targets;
+  double left = aCapacity;
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    double demand = 0;
+    for (const auto& it : mHosts) {
+      demand += DemandOf(it.second, aService, tier);
+    }
+    const double part = demand > left ? left / demand : 1.0;
+    for (const auto& [host, entry] : mHosts) {
+      targets[host] += DemandOf(entry, aService, tier) * part;
+    }
+    left = std::max(0.0, left - demand);
+  }
+  // What nobody asks for is shared evenly: it takes the next burst without a round trip.
+  for (auto& it : targets) {
+    it.second += left / static_cast<double>(mHosts.size());
+  }
+  return targets;
+}
+
+std::vector<CapacityBroker::Order> CapacityBroker::Groups(const core::ServiceId& aService)
+{
+  Order order;
+  for (auto& [id, entry] : mUpstreams) {
+    if (entry.service == aService && entry.slots > 0) {
+      order.push_back(&entry);
+    }
+  }
+  // The same order as Fleet's, so that each host gets its part of those that take long requests.
+  std::sort(order.begin(), order.end(),
+            [](const UpstreamEntry* aLeft, const UpstreamEntry* aRight) {
+              return aLeft->hash < aRight->hash;
+            });
+  const double share = std::ceil(static_cast<double>(order.size()) * mSettings.groups);
+  const auto first = order.begin() + static_cast<std::ptrdiff_t>(share);
+  return { Order(order.begin(), first), Order(first, order.end()) };
+}
+
+void CapacityBroker::GrantGroup(const Order& aGroup, const core::HostId& aHost,
+                                const core::ServiceId& aService, std::uint64_t aSequence,
+                                core::Instant aNow)
+{
+  double capacity = 0;
+  for (const UpstreamEntry* it : aGroup) {
+    capacity += GrantableSlots(mSettings, it->slots);
+  }
+  // The slots of the group form one line that is cut into a stretch for each host: a host meets
+  // few upstreams and few other hosts at each, and so knows most of what goes on there.
+  double from = 0;
+  double until = 0;
+  for (const auto& [host, target] : Targets(aService, capacity)) {
+    until = from + target;
+    if (host == aHost) {
+      break;
+    }
+    from = until;
+  }
+  double start = 0;
+  for (UpstreamEntry* it : aGroup) {
+    const double end = start + GrantableSlots(mSettings, it->slots);
+    const double low = std::floor(std::clamp(from, start, end) + 0.5);
+    const double high = std::floor(std::clamp(until, start, end) + 0.5);
+    GrantOne(*it, aHost, static_cast<std::uint32_t>(high - low), aSequence, aNow);
+    start = end;
+  }
+}
+
+void CapacityBroker::GrantOne(UpstreamEntry& aUpstream, const core::HostId& aHost,
+                              std::uint32_t aWanted, std::uint64_t aSequence, core::Instant aNow)
+{
+  std::uint32_t others = 0;
+  for (const auto& [host, holding] : aUpstream.holdings) {
+    others += host == aHost ? 0 : holding.Held(aNow);
+  }
+  const std::uint32_t grantable = GrantableSlots(mSettings, aUpstream.slots);
+  Holding& mine = aUpstream.holdings[aHost];
+  const bool inForce = aNow < mine.until;
+  mine.earlier = inForce ? std::max(mine.earlier, mine.slots) : 0;
+  mine.slots = std::min(aWanted, grantable - std::min(grantable, others));
+  mine.sequence = aSequence;
+  mine.until = aNow + mSettings.lease;
+}
+
+std::uint32_t CapacityBroker::Granted(const core::UpstreamId& aUpstream, core::Instant aNow) const
+{
+  const auto entry = mUpstreams.find(aUpstream);
+  std::uint32_t sum = 0;
+  if (entry != mUpstreams.end()) {
+    for (const auto& it : entry->second.holdings) {
+      sum += it.second.Granted(aNow);
+    }
+  }
+  return sum;
+}
+
+std::uint32_t CapacityBroker::Held(const core::UpstreamId& aUpstream, core::Instant aNow) const
+{
+  const auto entry = mUpstreams.find(aUpstream);
+  std::uint32_t sum = 0;
+  if (entry != mUpstreams.end()) {
+    for (const auto& it : entry->second.holdings) {
+      sum += it.second.Held(aNow);
+    }
+  }
+  return sum;
+}
+
+bool CapacityBroker::MayShed(std::size_t aTier) const
+{
+  for (const auto& [host, entry] : mHosts) {
+    for (std::size_t lower = aTier + 1; lower < kTiers; ++lower) {
+      double demand = 0;
+      for (const ServiceDemand& it : entry.report.demands) {
+        demand += it.byTier[lower];
+      }
+      if (demand > 0 && !entry.report.shedding[lower]) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace cuminfield::request::capacity
--- /dev/null
+++ b/cuminfield/request/capacity/DemandReport.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cuminfield/core/Ids.h"
+#include "cuminfield/request/Tiers.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace cuminfield::request::capacity {
+
+/// Requests of one service that wait or are in flight at a host, by tier.
+struct ServiceDemand
+{
+  core::ServiceId service;
+  std::array<std::uint32_t, kTiers> byTier{};
+};
+
+/// Requests that a host has in flight at one upstream.
+struct UpstreamUse
+{
+  core::UpstreamId upstream;
+  std::uint32_t inFlight = 0;
+};
+
+/// What a host needs, as it tells the broker of its data centre a few times a second.
+struct DemandReport
+{
+  core::HostId host;
+  std::uint64_t sequence = 0;          ///< Grows with each report.
+  std::uint64_t applied = 0;           ///< Sequence of the grant table in force at the host.
+  std::vector<ServiceDemand> demands;  ///< Services without demand may be left out.
+  std::vector<UpstreamUse> uses;       ///< Upstreams without use may be left out.
+  std::array<bool, kTiers> shedding{}; ///< Tiers that are being shed for overload.
+};
+
+} // namespace cuminfield::request::capacity
--- a/cuminfield/request/routing/Fleet.cpp
+++ b/cuminfield/request/routing/Fleet.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr double kTrustAfterGap = 0.5;  ///< Factor on the trust in the index after a lost event.
-constexpr double kTrustRegained = 0.05; ///< Part of the missing trust that an event restores.
+constexpr double kTrustAfterGap = 0.9; ///< Factor on the trust in the index after a lost event.
+constexpr double kTrustRegained = 0.1; ///< Part of the missing trust that an event restores.
 constexpr core::Tokens kReferencePrefill{ 1'000 };
 
 std::uint64_t KeyOf(const core::ServiceId& aService, const core::VersionId& aVersion)
@@ -21,9 +21,11 @@
 
 } // namespace
 
-Fleet::Fleet(const RouterSettings& aSettings, core::RegionId aRegion)
+Fleet::Fleet(const RouterSettings& aSettings, core::RegionId aRegion,
+             core::DataCentreId aDataCentre)
   : mSettings(aSettings)
   , mRegion(std::move(aRegion))
+  , mDataCentre(std::move(aDataCentre))
   , mPeers(aSettings.peers)
   , mPrefixes(aSettings.prefix)
 {
@@ -112,6 +114,10 @@
     state->cacheTrust *= kTrustAfterGap;
   }
   state->cacheTrust += kTrustRegained * (1 - state->cacheTrust);
+  // A prefix in another region is no reason to send a request there.
+  if (!state->local) {
+    return;
+  }
   const UpstreamIndex index = mById[aEvent.id];
   for (const PrefixHash hash : aEvent.removed) {
     mPrefixes.Remove(hash, index);
@@ -121,11 +127,21 @@
   }
 }
 
+void Fleet::DescribeUse(capacity::DemandReport& aReport) const
+{
+  for (const auto& it : mStates) {
+    const bool own = it != nullptr && it->announcement.dataCentre == mDataCentre;
+    if (own && it->load.Own() > 0) {
+      aReport.uses.push_back({ .upstream = it->announcement.id, .inFlight = it->load.Own() });
+    }
+  }
+}
+
 void Fleet::Grants(const capacity::CapacityView& aView)
 {
   for (auto& it : mStates) {
-    if (it != nullptr) {
-      it->grant = aView.Slots(it->announcement.id);
+    if (it != nullptr && it->announcement.dataCentre == mDataCentre) {
+      it->grant = aView.Slots(it->announcement);
     }
   }
 }
@@ -205,8 +221,8 @@
 {
   for (auto& it : mStates) {
     if (it != nullptr) {
-      it->limit.Adjust(it->rates.Gap() + it->rates.GapDeviation(), it->gapTarget, it->bound, aNow);
-      it->bound = false;
+      it->limit.Adjust(it->rates.Gap() + it->rates.GapDeviation(), it->gapTarget,
+                       it->load.InFlight(), aNow);
     }
   }
   if (aNow - mJudged < mSettings.judgePeriod) {
--- a/cuminfield/request/routing/Fleet.h
+++ b/cuminfield/request/routing/Fleet.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "cuminfield/core/Ids.h"
+#include "cuminfield/request/Tiers.h"
+#include "cuminfield/request/capacity/DemandReport.h"
 #include "cuminfield/request/routing/PrefixIndex.h"
 #include "cuminfield/request/routing/UpstreamState.h"
 
@@ -33,7 +35,7 @@
 class Fleet
 {
 public:
-  Fleet(const RouterSettings& aSettings, core::RegionId aRegion);
+  Fleet(const RouterSettings& aSettings, core::RegionId aRegion, core::DataCentreId aDataCentre);
 
   /// The upstream is known, or known anew with other facts. Returns its index.
   UpstreamIndex Up(const UpstreamAnnouncement& aUpstream);
@@ -47,6 +49,9 @@
   /// A cache event was received.
   void Cache(const CacheEvent& aEvent);
 
+  /// Fills in what this host has in flight in its own data centre.
+  void DescribeUse(capacity::DemandReport& aReport) const;
+
   /// Asks for the grants anew.
   void Grants(const capacity::CapacityView& aView);
 
@@ -88,6 +93,7 @@
 
   RouterSettings mSettings;
   core::RegionId mRegion;
+  core::DataCentreId mDataCentre;
   PeerComparison mPeers;
   PrefixIndex mPrefixes;
   std::vector<std::unique_ptr<UpstreamState>> mStates; ///< By index; empty when free.
--- a/cuminfield/request/routing/InFlightLimit.cpp
+++ b/cuminfield/request/routing/InFlightLimit.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-void InFlightLimit::Adjust(core::Duration aGap, core::Duration aTarget, bool aBound,
+void InFlightLimit::Adjust(core::Duration aGap, core::Duration aTarget, double aInFlight,
                            core::Instant aNow)
 {
   if (aTarget.count() <= 0 || aNow - mAdjusted < mSettings.period) {
@@ -21,7 +21,7 @@
   const auto allowed = static_cast<double>(aTarget.count()) * mSettings.safety;
   if (static_cast<double>(aGap.count()) > allowed) {
     mLimit *= mSettings.decrease;
-  } else if (aBound) {
+  } else if (aInFlight > mLimit * mSettings.used) {
     mLimit += mSettings.increase;
   }
   mLimit = std::clamp(mLimit, std::max(1.0, mSlots * mSettings.least), mSlots * mSettings.most);
--- a/cuminfield/request/routing/InFlightLimit.h
+++ b/cuminfield/request/routing/InFlightLimit.h
@@ -14,6 +14,7 @@
   double most = 1.5;     ///< Upper bound, as a share of the slots.
   double decrease = 0.9; ///< Factor while tokens come too slowly.
   double increase = 0.5; ///< Requests added while tokens come in time and the limit binds.
+  double used = 0.8;     ///< The limit grows only while this share of it is in use.
   double safety = 0.9;   ///< Share of the target that the time between tokens may take.
   core::Duration period{ 500'000 }; ///< Between two adjustments.
 };
@@ -25,8 +26,8 @@
 public:
   InFlightLimit(const InFlightLimitSettings& aSettings, std::uint32_t aSlots);
 
-  /// Adjusts the limit to the observed time between tokens; aBound says whether it held work back.
-  void Adjust(core::Duration aGap, core::Duration aTarget, bool aBound, core::Instant aNow);
+  /// Adjusts the limit to the observed time between tokens with this many requests in flight.
+  void Adjust(core::Duration aGap, core::Duration aTarget, double aInFlight, core::Instant aNow);
 
   /// Requests that may be in flight.
   double Value() const { return mLimit; }
--- a/cuminfield/request/routing/PeerComparison.cpp
+++ b/cuminfield/request/routing/PeerComparison.cpp
@@ -6,25 +6,28 @@
 
 namespace {
 
-constexpr double kGapWeight = 0.02;    ///< Of the newest gap in the recent pace.
+constexpr double kGapWeight = 0.01;    ///< Of the newest gap in the recent pace.
+constexpr double kFillsPerSlots = 4;   ///< Steps of fullness until all slots are taken.
+constexpr double kMostRatio = 10;      ///< One pause counts for no more than this.
 constexpr double kFailureWeight = 0.1; ///< Of the newest answer in the share of failures.
 
 } // namespace
 
-void PeerComparison::ObserveGap(PeerHealth& aHealth, core::Duration aGap) const
+void PeerComparison::ObserveGap(PeerHealth& aHealth, core::Duration aGap, double aFill,
+                                std::uint32_t aStreams) const
 {
   const auto gap = static_cast<double>(aGap.count());
+  const auto step = static_cast<std::size_t>(std::max(0.0, aFill) * kFillsPerSlots);
+  double& usual = aHealth.usual[std::min(step, kFills - 1)];
   ++aHealth.samples;
-  if (aHealth.recent == 0) {
-    aHealth.recent = gap;
-    aHealth.usual = gap;
+  if (usual == 0) {
+    usual = gap;
+    return;
   }
-  aHealth.recent += kGapWeight * (gap - aHealth.recent);
-  // The usual pace follows a better one at once and a worse one slowly.
-  const double slow = std::min(1.0, gap / static_cast<double>(mSettings.baselineMemory.count()));
-  const double weight = aHealth.recent < aHealth.usual ? kGapWeight : slow * kGapWeight;
-  aHealth.usual += weight * (aHealth.recent - aHealth.usual);
-  aHealth.pace = aHealth.recent / std::max(aHealth.usual, 1.0);
+  aHealth.pace += kGapWeight * (std::min(gap / usual, kMostRatio) - aHealth.pace);
+  // Many streams show the same step; together they move the usual pace once.
+  const double memory = static_cast<double>(mSettings.baselineMemory.count()) * aStreams;
+  usual += std::min(1.0, gap / std::max(memory, 1.0)) * (gap - usual);
 }
 
 void PeerComparison::ObserveEnd(PeerHealth& aHealth, bool aFailed) const
@@ -42,7 +45,6 @@
   aHealth.probation = true;
   aHealth.samples = 0;
   aHealth.failures = 0;
-  aHealth.recent = aHealth.usual;
   aHealth.pace = 1;
 }
 
--- a/cuminfield/request/routing/PeerComparison.h
+++ b/cuminfield/request/routing/PeerComparison.h
@@ -2,11 +2,15 @@
 
 #include "cuminfield/core/Units.h"
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
 namespace cuminfield::request::routing {
 
+/// Steps of fullness, each a quarter of the slots, by which the usual pace is kept.
+inline constexpr std::size_t kFills = 8;
+
 /// Tunables of PeerComparison.
 struct PeerComparisonSettings
 {
@@ -23,9 +27,9 @@
 /// Health of one upstream, as PeerComparison keeps it.
 struct PeerHealth
 {
-  double pace = 0;     ///< Recent ratio of observed to usual times; 1 is as usual.
-  double usual = 0;    ///< Usual time between tokens in microseconds, at its best.
-  double recent = 0;   ///< Recent time between tokens in microseconds.
+  double pace = 1; ///< Recent ratio of observed to usual times; 1 is as usual.
+  /// Usual time between tokens in microseconds, by how full the upstream was.
+  std::array<double, kFills> usual{};
   double failures = 0; ///< Recent share of failed answers.
   std::uint32_t samples = 0;
   core::Instant until{};      ///< Ejected until then.
@@ -35,9 +39,9 @@
 };
 
 /// Finds stragglers by comparison with their peers. Engines differ in speed by nature, so each is
-/// measured against its own usual pace, and the slowdowns are compared within the pool: when all
-/// slow down together the load is the cause, and nobody is ejected. At most a bounded share of a
-/// pool is ejected at once.
+/// measured against its own usual pace when it is as full, and the slowdowns are compared within
+/// the pool: when all slow down together the load is the cause, and nobody is ejected. At most a
+/// bounded share of a pool is ejected at once.
 class PeerComparison
 {
 public:
@@ -46,8 +50,10 @@
   {
   }
 
-  /// A token came this long after the last one.
-  void ObserveGap(PeerHealth& aHealth, core::Duration aGap) const;
+  /// A token came this long after the last one, one of aStreams of this host, while the upstream
+  /// was this full (1: all slots).
+  void ObserveGap(PeerHealth& aHealth, core::Duration aGap, double aFill,
+                  std::uint32_t aStreams) const;
 
   /// A try ended, with or without a fault of the upstream.
   void ObserveEnd(PeerHealth& aHealth, bool aFailed) const;
--- a/cuminfield/request/routing/RateEstimator.h
+++ b/cuminfield/request/routing/RateEstimator.h
@@ -2,22 +2,26 @@
 
 #include "cuminfield/core/Units.h"
 
+#include <cstdint>
+
 namespace cuminfield::request::routing {
 
 /// Tunables of RateEstimator.
 struct RateEstimatorSettings
 {
   double initialPrefillPerSecond = 6'000; ///< Prompt tokens per second before the first answer.
+  core::Tokens priorTokens{ 2'000 };      ///< Prompt tokens that the initial rate counts for.
+  core::Tokens memory{ 40'000 };          ///< After which an answer's weight has fallen to 1/e.
   core::Duration initialGap{ 25'000 };    ///< Between two tokens before the first answer.
-  core::Tokens overhead{ 128 };           ///< What a first token costs besides its prompt.
-  core::Tokens memory{ 20'000 };          ///< Prompt tokens after which a sample's weight halves.
-  core::Duration gapMemory{ 2'000'000 };  ///< Time after which a gap's weight has fallen to 1/e.
+  core::Duration gapMemory{ 2'000'000 };  ///< The same for times between tokens, in time.
   double initialSpread = 0.3;             ///< Relative spread before the first answer.
 };
 
-/// Learns one upstream's prefill and decode rate from its answers. The prefill rate is a ratio of
-/// decaying sums, so that long prompts count for more than short ones; the spread is the mean
-/// absolute relative error of the predictions.
+/// Learns one upstream's prefill and decode rate from its answers. The time of a first token is the
+/// wait for a step and a time for each prompt token ahead and its own. That time is a ratio of
+/// decaying sums: what is ahead is only estimated, and errors that are even in both directions
+/// leave the ratio true, where a fitted line would become too flat. The spread is the mean absolute
+/// relative error of the predictions.
 class RateEstimator
 {
 public:
@@ -35,8 +39,8 @@
   /// A first token came aElapsed after its dispatch, behind and including aPrefill tokens.
   void ObserveFirstToken(core::Tokens aPrefill, core::Duration aElapsed);
 
-  /// A further token came aGap after the last.
-  void ObserveGap(core::Duration aGap);
+  /// A further token came aGap after the last, one of aStreams of this host.
+  void ObserveGap(core::Duration aGap, std::uint32_t aStreams);
 
   /// Relative spread of the first-token prediction: 0.2 is 20% of it.
   double Spread() const { return mSpread; }
@@ -54,13 +58,11 @@
   std::uint64_t Samples() const { return mSamples; }
 
 private:
-  double MicrosPerToken() const { return mMicros / mTokens; }
-
   RateEstimatorSettings mSettings;
-  double mMicros = 0; ///< Decaying sum of the times observed.
-  double mTokens = 0; ///< Decaying sum of the tokens that took them.
-  double mSpread = 0;
-  double mGap = 0;
+  double mTokens; ///< Decaying sum of the prompt tokens computed.
+  double mMicros; ///< Decaying sum of the time that they took.
+  double mSpread;
+  double mGap;
   double mGapDeviation = 0;
   std::uint64_t mSamples = 0;
 };
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -99,7 +99,9 @@
   const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
   const double share = aPool.tierShare[tier] * (aState.local ? 1.0 : mSettings.remoteShare);
   if (aState.grant != capacity::CapacityView::kUnlimited) {
-    const double granted = std::max(1.0, static_cast<double>(aState.grant) * share);
+    // A grant is in announced slots; what a slot is worth is learned from the pace of tokens.
+    const double worth = aState.limit.Value() / std::max(1U, aState.announcement.slots);
+    const double granted = std::max(1.0, aState.grant * worth * share);
     return aState.grant > 0 && aState.load.Own() + 1 <= granted;
   }
   return aState.load.InFlight() + 1 <= std::max(1.0, aState.limit.Value() * share);
@@ -116,6 +118,9 @@
   if (aSpec.tier > 0 && backlog > mSettings.lowerBacklog) {
     return false;
   }
+  if (!InPrefillBudget(aState, aUncached)) {
+    return false;
+  }
   if (aState.rates.Samples() < mSettings.trustedSamples && aState.load.Own() == 0) {
     return true;
   }
@@ -133,6 +138,18 @@
   return idle > target && predicted <= aSpec.deadline;
 }
 
+bool Router::InPrefillBudget(const UpstreamState& aState, core::Tokens aUncached) const
+{
+  if (aState.load.OwnPrefill().value == 0) {
+    return true;
+  }
+  const bool shared = aState.grant != capacity::CapacityView::kUnlimited;
+  const double slots = std::max(1U, aState.announcement.slots);
+  const double part = shared ? std::min(1.0, aState.grant / slots) : 1.0;
+  const core::Duration own = aState.rates.Prefill(aState.load.OwnPrefill() + aUncached);
+  return own <= Scaled(mSettings.prefillBudget, part);
+}
+
 core::Tokens Router::Uncached(UpstreamIndex aUpstream, const RequestSpec& aSpec) const
 {
   const PrefixHolders holders = mFleet.Prefixes().Find(aSpec.prefix);
--- a/cuminfield/request/routing/Router.h
+++ b/cuminfield/request/routing/Router.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Random.h"
 #include "cuminfield/request/RequestSpec.h"
+#include "cuminfield/request/Tiers.h"
 #include "cuminfield/request/routing/Fleet.h"
 
 #include <optional>
@@ -65,6 +66,7 @@
   bool HasRoom(const Pool& aPool, const UpstreamState& aState, const RequestSpec& aSpec) const;
   bool InTime(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
               core::Instant aNow) const;
+  bool InPrefillBudget(const UpstreamState& aState, core::Tokens aUncached) const;
   double Score(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
                core::Instant aNow);
 
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -7,14 +7,10 @@
 #include "cuminfield/request/routing/PrefixIndex.h"
 #include "cuminfield/request/routing/RateEstimator.h"
 
-#include <cstddef>
 #include <cstdint>
 
 namespace cuminfield::request::routing {
 
-/// Tiers that are told apart; a rank beyond the last counts as the last.
-inline constexpr std::size_t kTiers = 8;
-
 /// How slow or failing upstreams are found.
 enum class HealthPolicy
 {
@@ -28,6 +24,9 @@
 {
   /// Prefill queued at an upstream, in time, ahead of a request below the highest tier.
   core::Duration lowerBacklog{ 150'000 };
+  /// Prefill that all hosts together may have in flight at an upstream, in time; each has its part
+  /// by its part of the slots, but at least one request.
+  core::Duration prefillBudget{ 250'000 };
   /// A request with a longer prefill of its own counts as long.
   core::Duration longPrefill{ 120'000 };
   /// Share of a pool's local upstreams that take long requests; the others stay quick.
--- a/cuminfield/request/routing/UpstreamState.h
+++ b/cuminfield/request/routing/UpstreamState.h
@@ -41,8 +41,8 @@
   std::uint64_t cacheSequence = 0;                          ///< Of the last cache event.
   double cacheTrust = 1;         ///< Share of the known prefix that is believed; falls with gaps.
   core::Duration gapTarget{ 0 }; ///< Tightest time between tokens asked of it.
-  bool bound = false;            ///< Its limit has held work back since the last adjustment.
-  core::Instant pausedUntil{};   ///< It has refused work.
+
+  core::Instant pausedUntil{}; ///< It has refused work.
   core::Instant goneAt{};
 };
 
