--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -22,8 +22,86 @@
   std::vector<std::string> policies;
   std::vector<double> loads;
   Fault fault = Fault::None;
+  std::vector<std::pair<std::string, double>> changes; ///< Of settings.
 };
 
+/// A setting that can be changed from the command line: `--set name=value`.
+using Setter = std::function<void(SimulationOptions&, double)>;
+
+core::Duration Millis(double aMillis)
+{
+  return core::Duration(static_cast<std::int64_t>(aMillis * 1'000));
+}
+
+const std::map<std::string, Setter>& Setters()
+{
+  static const std::map<std::string, Setter> setters = {
+    { "longShare",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.longShare = aValue;
+        aOptions.capacity.groups = aValue;
+      } },
+    { "longPrefillMs",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.longPrefill = Millis(aValue);
+      } },
+    { "longPenaltyMs",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.longPenalty = Millis(aValue);
+      } },
+    { "lowerBacklogMs",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.lowerBacklog = Millis(aValue);
+      } },
+    { "prefillBudgetMs",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.prefillBudget = Millis(aValue);
+      } },
+    { "prefillWeight",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.prefillWeight = aValue; } },
+    { "batchWeightMs",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.batchWeight = Millis(aValue);
+      } },
+    { "jitter", [](auto& aOptions, double aValue) { aOptions.settings.router.jitter = aValue; } },
+    { "spreadWeight",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.spreadWeight = aValue; } },
+    { "remoteShare",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.remoteShare = aValue; } },
+    { "limitMost",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.most = aValue; } },
+    { "limitSafety",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.safety = aValue; } },
+    { "reserveDeviations",
+      [](auto& aOptions, double aValue) { aOptions.settings.reserve.deviations = aValue; } },
+    { "reserveFall",
+      [](auto& aOptions, double aValue) { aOptions.settings.reserve.fall = aValue; } },
+    { "reserveLeast",
+      [](auto& aOptions, double aValue) { aOptions.settings.reserve.leastShare = aValue; } },
+    { "spillMarginMs",
+      [](auto& aOptions, double aValue) { aOptions.settings.spillMargin = Millis(aValue); } },
+    { "reserved", [](auto& aOptions, double aValue) { aOptions.capacity.reserved = aValue; } },
+    { "burst", [](auto& aOptions, double aValue) { aOptions.workload.burst = aValue; } },
+    { "lowTiers", [](auto& aOptions, double aValue) { aOptions.workload.lowTiers = aValue; } },
+    { "spillAfter",
+      [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
+    { "overGrant",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
+    { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
+    { "limitUsed",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.used = aValue; } },
+    { "limitStart",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.start = aValue; } },
+    { "limitIncrease",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.increase = aValue; } },
+    { "hosts",
+      [](auto& aOptions, double aValue) {
+        aOptions.hosts = static_cast<std::uint32_t>(aValue);
+      } },
+  };
+  return setters;
+}
+
 /// The runs of one policy at one load, one for each seed.
 using Runs = std::vector<SimulationResult>;
 
@@ -43,12 +121,15 @@
 
 /// A policy's name is a scheduler's, with `-circuit` or `-unwatched` for its health policy.
 SimulationOptions OptionsOf(const std::string& aPolicy, double aLoad, std::uint64_t aSeed,
-                            Fault aFault)
+                            const Request& aRequest)
 {
   SimulationOptions options;
   options.policy = aPolicy;
   options.seed = aSeed;
-  options.fault = aFault;
+  options.fault = aRequest.fault;
+  for (const auto& [name, value] : aRequest.changes) {
+    Setters().at(name)(options, value);
+  }
   options.workload.load = aLoad;
   options.workload.consortium = aSeed % 2 == 1;
   options.shared = aPolicy != "tiered-alone";
@@ -68,7 +149,7 @@
   for (std::size_t worker = 0; worker < kThreads; ++worker) {
     workers.push_back(std::async(std::launch::async, [&, worker] {
       for (std::size_t n = worker; n < runs.size(); n += kThreads) {
-        Simulation simulation(OptionsOf(aPolicy, aLoad, n + 1, aRequest.fault));
+        Simulation simulation(OptionsOf(aPolicy, aLoad, n + 1, aRequest));
         runs[n] = simulation.Run();
       }
     }));
@@ -218,6 +299,10 @@
     if (key == "--seeds") {
       aRequest.seeds = std::stoull(value);
     }
+    if (key == "--set") {
+      const std::size_t mark = value.find('=');
+      aRequest.changes.emplace_back(value.substr(0, mark), std::stod(value.substr(mark + 1)));
+    }
     if (key == "--policies") {
       aRequest.policies = Split(value);
     }
--- a/PerformanceTest/decisions/Simulation.cpp
+++ b/PerformanceTest/decisions/Simulation.cpp
@@ -154,7 +154,8 @@
   const double plainRate = Capacity(mClasses, mClasses.back().service, plain) * kPlainLoad;
   std::vector<double> rates;
   for (const RequestClass& it : mClasses) {
-    rates.push_back(it.mix * (it.service == service ? rate : plainRate));
+    const double factor = it.tier >= 2 ? mOptions.workload.lowTiers : 1.0;
+    rates.push_back(it.mix * factor * (it.service == service ? rate : plainRate));
   }
   mArrivals = MakeArrivals(mOptions.workload, mClasses, rates, mRandom);
   mRecords.resize(mArrivals.size());
--- a/PerformanceTest/decisions/Simulation.h
+++ b/PerformanceTest/decisions/Simulation.h
@@ -40,7 +40,7 @@
   Fault fault = Fault::None;
   core::Duration measureFrom{ 20'000'000 };
   core::Duration measureUntil{ 50'000'000 };
-  core::Duration end{ 60'000'000 };
+  core::Duration end{ 75'000'000 };
 };
 
 /// What a run measured, over the requests that arrived in the measured time.
--- a/cuminfield/request/admission/SchedulerSettings.h
+++ b/cuminfield/request/admission/SchedulerSettings.h
@@ -20,6 +20,9 @@
   core::Duration shedMemory{ 1'000'000 };
   /// Told to callers when nothing better is known.
   core::Duration retryAfter{ 1'000'000 };
+  /// Share of its first-token target that a request of the highest tier waits for its own region;
+  /// what is left must do for the way to another one. Lower tiers wait as long as they can.
+  double spillAfter = 0.25;
   /// Left for the network when a request is spilled at the last moment.
   core::Duration spillMargin{ 50'000 };
   TierReserveSettings reserve;
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -188,6 +188,11 @@
   }
   const core::Instant now = mTimers.Now();
   const core::Instant target = aState.spec.arrival + aState.spec.firstTokenTarget;
+  const core::Duration waited = now - aState.spec.arrival;
+  const auto patience = static_cast<double>(aState.spec.firstTokenTarget.count());
+  if (aState.spec.tier == 0 && static_cast<double>(waited.count()) >= patience * mSettings.spillAfter) {
+    return true;
+  }
   const core::Duration wait = mQueues[aState.pool].Drain(TierIndex(aState.spec.tier));
   const routing::RateEstimator& rates = mFleet.At(aPool.fastest).rates;
   const core::Duration serve = rates.FirstToken(aState.spec.prompt);
@@ -490,7 +495,9 @@
   mFleet.Tick(mTimers.Now());
   for (routing::PoolIndex pool = 0; pool < mQueues.size(); ++pool) {
     mQueues[pool].reserve.Update();
-    mFleet.ShareOut(pool, mQueues[pool].reserve.Shares(mFleet.OwnCapacity(pool)));
+    const double capacity = mFleet.OwnCapacity(pool);
+    const double headroom = mFleet.OwnHeadroom(pool);
+    mFleet.ShareOut(pool, mQueues[pool].reserve.Shares(capacity, headroom));
   }
   ShedExpired();
   MarkAllDirty();
--- a/cuminfield/request/routing/Fleet.cpp
+++ b/cuminfield/request/routing/Fleet.cpp
@@ -168,7 +168,21 @@
     const UpstreamState& state = At(it);
     const double others = state.load.InFlight() - state.load.Own();
     const bool granted = state.grant != capacity::CapacityView::kUnlimited;
-    sum += granted ? state.grant : std::max(0.0, state.limit.Value() - others);
+    const double slots = state.announcement.slots;
+    sum += granted ? state.grant : std::max(0.0, std::min(slots, state.limit.Value()) - others);
+  }
+  return sum;
+}
+
+double Fleet::OwnHeadroom(PoolIndex aPool) const
+{
+  double sum = 0;
+  for (const UpstreamIndex it : mPools[aPool].local) {
+    const UpstreamState& state = At(it);
+    const double slots = std::max(1U, state.announcement.slots);
+    const bool granted = state.grant != capacity::CapacityView::kUnlimited;
+    const double part = granted ? std::min(1.0, state.grant / slots) : 1.0;
+    sum += part * std::max(0.0, state.limit.Value() - slots);
   }
   return sum;
 }
--- a/cuminfield/request/routing/Fleet.h
+++ b/cuminfield/request/routing/Fleet.h
@@ -67,9 +67,12 @@
     mPools[aPool].tierShare = aShares;
   }
 
-  /// Requests that this host can have in flight in its own region, given the load of others.
+  /// Requests that this host can have in flight in its own region within the slots.
   double OwnCapacity(PoolIndex aPool) const;
 
+  /// Requests that it can have in flight there beyond the slots, for a time.
+  double OwnHeadroom(PoolIndex aPool) const;
+
   const Pool& PoolAt(PoolIndex aIndex) const { return mPools[aIndex]; }
   std::size_t PoolCount() const { return mPools.size(); }
 
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -97,21 +97,27 @@
 bool Router::HasRoom(const Pool& aPool, const UpstreamState& aState, const RequestSpec& aSpec) const
 {
   const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
-  const double share = aPool.tierShare[tier] * (aState.local ? 1.0 : mSettings.remoteShare);
+  // What another region keeps for its own higher tiers is not known here; a fixed part stands in.
+  const double share = aState.local ? aPool.tierShare[tier] : mSettings.remoteShare;
+  const double slots = std::max(1U, aState.announcement.slots);
+  // Only the highest tier may fill an upstream beyond its slots: its bursts pass before the pace
+  // suffers, where the long answers of lower tiers would stay.
+  const double limit = tier == 0 ? aState.limit.Value() : std::min(aState.limit.Value(), slots);
+  const double most = std::max(1.0, limit * share);
   if (aState.grant != capacity::CapacityView::kUnlimited) {
     // A grant is in announced slots; what a slot is worth is learned from the pace of tokens.
-    const double worth = aState.limit.Value() / std::max(1U, aState.announcement.slots);
-    const double granted = std::max(1.0, aState.grant * worth * share);
-    return aState.grant > 0 && aState.load.Own() + 1 <= granted;
+    const double granted = std::max(1.0, aState.grant * limit / slots * share);
+    const bool room = aState.load.InFlight() + 1 <= most * mSettings.overGrant;
+    return room && aState.grant > 0 && aState.load.Own() + 1 <= granted;
   }
-  return aState.load.InFlight() + 1 <= std::max(1.0, aState.limit.Value() * share);
+  return aState.load.InFlight() + 1 <= most;
 }
 
 bool Router::InTime(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
                     core::Instant aNow) const
 {
   const core::Duration own = aState.rates.Prefill(aUncached);
-  if (own > mSettings.longPrefill && !aState.takesLong) {
+  if (aSpec.tier > 0 && own > mSettings.longPrefill && !aState.takesLong) {
     return false;
   }
   const core::Duration backlog = aState.rates.Prefill(Backlog(aState, aNow));
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -51,6 +51,9 @@
   double microsPerRegionByte = 5;
   /// Bytes that a token of a prompt or an answer takes on a link.
   double bytesPerToken = 4;
+  /// Reported load of all hosts up to which a grant is used, as a multiple of the limit: reports
+  /// are stale, grants are not, but other regions send work without a grant.
+  double overGrant = 1.1;
   /// Share of a remote upstream's in-flight limit that other regions may fill.
   double remoteShare = 0.7;
   /// First tokens before an upstream's learned rates are trusted to turn a request away.
