--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -97,25 +97,36 @@
 bool Router::HasRoom(const Pool& aPool, const UpstreamState& aState, const RequestSpec& aSpec) const
 {
   const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
-  const double share = aPool.tierShare[tier] * (aState.local ? 1.0 : mSettings.remoteShare);
+  // What another region keeps for its own higher tiers is not known here; a fixed part stands in.
+  const double share = aState.local ? aPool.tierShare[tier] : mSettings.remoteShare;
+  const double slots = std::max(1U, aState.announcement.slots);
+  // Only the highest tier may fill an upstream beyond its slots: its bursts pass before the pace
+  // suffers, where the long answers of lower tiers would stay.
+  const double limit = tier == 0 ? aState.limit.Value() : std::min(aState.limit.Value(), slots);
+  const double most = std::max(1.0, limit * share);
   if (aState.grant != capacity::CapacityView::kUnlimited) {
-    const double granted = std::max(1.0, static_cast<double>(aState.grant) * share);
-    return aState.grant > 0 && aState.load.Own() + 1 <= granted;
+    // A grant is in announced slots; what a slot is worth is learned from the pace of tokens.
+    const double granted = std::max(1.0, aState.grant * limit / slots * share);
+    const bool room = aState.load.InFlight() + 1 <= most * mSettings.overGrant;
+    return room && aState.grant > 0 && aState.load.Own() + 1 <= granted;
   }
-  return aState.load.InFlight() + 1 <= std::max(1.0, aState.limit.Value() * share);
+  return aState.load.InFlight() + 1 <= most;
 }
 
 bool Router::InTime(const UpstreamState& aState, const RequestSpec& aSpec, core::Tokens aUncached,
                     core::Instant aNow) const
 {
   const core::Duration own = aState.rates.Prefill(aUncached);
-  if (own > mSettings.longPrefill && !aState.takesLong) {
+  if (aSpec.tier > 0 && own > mSettings.longPrefill && !aState.takesLong) {
     return false;
   }
   const core::Duration backlog = aState.rates.Prefill(Backlog(aState, aNow));
   if (aSpec.tier > 0 && backlog > mSettings.lowerBacklog) {
     return false;
   }
+  if (!InPrefillBudget(aState, aUncached)) {
+    return false;
+  }
   if (aState.rates.Samples() < mSettings.trustedSamples && aState.load.Own() == 0) {
     return true;
   }
@@ -133,6 +144,18 @@
   return idle > target && predicted <= aSpec.deadline;
 }
 
+bool Router::InPrefillBudget(const UpstreamState& aState, core::Tokens aUncached) const
+{
+  if (aState.load.OwnPrefill().value == 0) {
+    return true;
+  }
+  const bool shared = aState.grant != capacity::CapacityView::kUnlimited;
+  const double slots = std::max(1U, aState.announcement.slots);
+  const double part = shared ? std::min(1.0, aState.grant / slots) : 1.0;
+  const core::Duration own = aState.rates.Prefill(aState.load.OwnPrefill() + aUncached);
+  return own <= Scaled(mSettings.prefillBudget, part);
+}
+
 core::Tokens Router::Uncached(UpstreamIndex aUpstream, const RequestSpec& aSpec) const
 {
   const PrefixHolders holders = mFleet.Prefixes().Find(aSpec.prefix);
