--- /dev/null
+++ b/PerformanceTest/moves/Fault.cpp
@@ -0,0 +1,64 @@
+#include "PerformanceTest/moves/Fault.h"
+
+namespace cuminfield::performance_test::moves {
+
+namespace {
+
+double Between(core::Random& aRandom, double aLow, double aHigh)
+{
+  return aLow + (aHigh - aLow) * aRandom.Uniform();
+}
+
+void DrawSlowness(Fault& aFault, core::Random& aRandom)
+{
+  const double factor = aFault.isSevere ? Between(aRandom, 3.0, 6.0) : Between(aRandom, 1.7, 2.0);
+  const std::uint64_t where = aRandom.Below(3);
+  if (where != 1) {
+    aFault.slowFirstToken = factor;
+  }
+  if (where != 0) {
+    aFault.slowGap = factor;
+  }
+}
+
+const char* TimingName(FaultTiming aTiming)
+{
+  switch (aTiming) {
+    case FaultTiming::AtOnce:
+      return "at once";
+    case FaultTiming::Late:
+      return "late";
+    case FaultTiming::UnderLoad:
+      return "under load";
+    case FaultTiming::OneRoute:
+      return "one route";
+  }
+  return "";
+}
+
+} // namespace
+
+std::string Fault::Label() const
+{
+  return std::string(kind == FaultKind::Failing ? "failing " : "slow ") + TimingName(timing) +
+         (isSevere ? " severe" : " mild");
+}
+
+Fault DrawFault(std::uint32_t aIndex, std::uint32_t aRoutes, core::Random& aRandom)
+{
+  Fault fault;
+  fault.kind = static_cast<FaultKind>(aIndex % 2);
+  fault.timing = static_cast<FaultTiming>(aIndex / 2 % 4);
+  fault.isSevere = aIndex / 8 % 2 == 0;
+  fault.onset = Between(aRandom, 0.15, 0.80);
+  fault.route = static_cast<std::uint32_t>(aRandom.Below(aRoutes));
+  fault.hangs = aRandom.Chance(0.5);
+  if (fault.kind == FaultKind::Slow) {
+    DrawSlowness(fault, aRandom);
+    return fault;
+  }
+  fault.failureRate = fault.isSevere ? Between(aRandom, 0.3, 1.0) : Between(aRandom, 0.08, 0.12);
+  return fault;
+}
+
+} // namespace cuminfield::performance_test::moves
--- /dev/null
+++ b/PerformanceTest/moves/MoveMeasurement.cpp
@@ -0,0 +1,232 @@
+#include "PerformanceTest/moves/MoveMeasurement.h"
+
+#include "PerformanceTest/moves/MoveTrial.h"
+
+#include <boost/program_options.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <iostream>
+#include <map>
+#include <thread>
+
+namespace cuminfield::performance_test::moves {
+
+namespace {
+
+struct Options
+{
+  std::uint32_t seeds = 10;
+  std::uint32_t moves = 100;
+  std::uint32_t threads = 2;
+  bool isVerbose = false;
+};
+
+using SeedResults = std::vector<TrialResult>;
+
+/// Figures over a set of moves.
+struct Figures
+{
+  std::uint32_t bad = 0;
+  std::uint32_t badTakenBack = 0;
+  std::uint32_t good = 0;
+  std::uint32_t goodTakenBack = 0;
+  std::uint32_t goodFinished = 0;
+  std::uint32_t directorDeaths = 0;
+  std::uint32_t movesWithDeaths = 0;
+  std::uint32_t deathsSurvived = 0;
+  std::uint32_t cutOff = 0;
+  std::uint32_t cutOffRight = 0;
+  std::uint32_t judgedWhileCutOff = 0;
+  std::vector<double> met;
+  std::vector<double> sent;
+  std::vector<double> lags;
+};
+
+bool ParseOptions(int aArgc, char** aArgv, Options& aOptions)
+{
+  namespace po = boost::program_options;
+  po::options_description description("options of versions");
+  description.add_options()("seeds", po::value(&aOptions.seeds), "seeds");
+  description.add_options()("moves", po::value(&aOptions.moves), "moves a seed");
+  description.add_options()("threads", po::value(&aOptions.threads), "threads");
+  description.add_options()("verbose", po::bool_switch(&aOptions.isVerbose), "a line per miss");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aArgc, aArgv, description), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n" << description;
+    return false;
+  }
+  return true;
+}
+
+TrialResult RunOne(std::uint32_t aSeed, std::uint32_t aMove)
+{
+  core::Random random(aSeed * 1'000'003ULL + aMove);
+  std::optional<Fault> fault;
+  if (aMove % 2 == 1) {
+    // Other seeds begin at other combinations, so that all of them come equally often.
+    fault = DrawFault(aMove / 2 + aSeed * 50, kRoutes, random);
+  }
+  return MoveTrial(random.Bits(), fault).Run();
+}
+
+std::vector<SeedResults> RunAll(const Options& aOptions)
+{
+  std::vector<SeedResults> results(aOptions.seeds, SeedResults(aOptions.moves));
+  std::atomic<std::uint32_t> next{ 0 };
+  const auto work = [&] {
+    for (std::uint32_t it = next++; it < aOptions.seeds * aOptions.moves; it = next++) {
+      const std::uint32_t seed = it / aOptions.moves;
+      const std::uint32_t move = it % aOptions.moves;
+      results[seed][move] = RunOne(seed + 1, move);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (std::uint32_t it = 0; it < aOptions.threads; ++it) {
+    threads.emplace_back(work);
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  return results;
+}
+
+double Quantile(std::vector<double> aValues, double aPart)
+{
+  if (aValues.empty()) {
+    return 0.0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const double position = aPart * static_cast<double>(aValues.size() - 1);
+  return aValues[static_cast<std::size_t>(std::lround(position))];
+}
+
+bool IsRight(const TrialResult& aResult)
+{
+  return aResult.isBad ? aResult.isTakenBack : aResult.isFinished;
+}
+
+void CountBad(Figures& aFigures, const TrialResult& aResult)
+{
+  ++aFigures.bad;
+  aFigures.badTakenBack += aResult.isTakenBack;
+  aFigures.met.push_back(100.0 * aResult.metShare);
+  aFigures.sent.push_back(100.0 * aResult.sentShare);
+  if (aResult.hasShown) {
+    aFigures.lags.push_back(aResult.lag);
+  }
+}
+
+void Count(Figures& aFigures, const TrialResult& aResult)
+{
+  if (aResult.isBad) {
+    CountBad(aFigures, aResult);
+  } else {
+    ++aFigures.good;
+    aFigures.goodTakenBack += aResult.isTakenBack;
+    aFigures.goodFinished += aResult.isFinished;
+  }
+  aFigures.directorDeaths += aResult.directorDeaths;
+  const bool hasDeaths = aResult.directorDeaths > 0;
+  aFigures.movesWithDeaths += hasDeaths;
+  aFigures.deathsSurvived += hasDeaths && IsRight(aResult);
+  aFigures.cutOff += aResult.isCutOff;
+  aFigures.cutOffRight += aResult.isCutOff && IsRight(aResult);
+  aFigures.judgedWhileCutOff += aResult.isJudgedWhileCutOff;
+}
+
+double Percent(std::uint32_t aPart, std::uint32_t aWhole)
+{
+  return aWhole == 0 ? 100.0 : 100.0 * aPart / aWhole;
+}
+
+void PrintRow(const std::string& aName, const Figures& aFigures)
+{
+  fmt::print(
+    "{:<28}{:>6}{:>7}{:>8.2f}{:>8.2f}{:>8.2f}{:>8.2f}{:>8.2f}{:>8.2f}{:>6}{:>6}{:>6}\n", aName,
+    aFigures.bad, aFigures.badTakenBack, Quantile(aFigures.met, 0.5), Quantile(aFigures.met, 1.0),
+    Quantile(aFigures.sent, 0.5), Quantile(aFigures.sent, 1.0), Quantile(aFigures.lags, 0.5),
+    Quantile(aFigures.lags, 1.0), aFigures.good, aFigures.goodTakenBack, aFigures.goodFinished);
+}
+
+void PrintMiss(const TrialResult& aResult)
+{
+  constexpr double kMetBar = 0.05;
+  constexpr double kLagBar = 2.0;
+  const bool isLate = aResult.isBad && aResult.hasShown && aResult.lag > kLagBar;
+  if (IsRight(aResult) && !isLate && aResult.metShare <= kMetBar) {
+    return;
+  }
+  fmt::print("miss: {}: taken back {}, finished {}, met {:.2f}%, lag {:.2f} s, shown {}, deaths "
+             "{}+{}, cut {}, ended at {:.2f}: {}\n",
+             aResult.label, aResult.isTakenBack, aResult.isFinished, 100.0 * aResult.metShare,
+             aResult.lag, aResult.hasShown, aResult.directorDeaths, aResult.judgeDeaths,
+             aResult.isCutOff, aResult.phaseAtEnd, aResult.reason);
+}
+
+void PrintTable(const std::vector<SeedResults>& aResults)
+{
+  fmt::print("{:<28}{:>6}{:>7}{:>8}{:>8}{:>8}{:>8}{:>8}{:>8}{:>6}{:>6}{:>6}\n", "", "bad", "taken",
+             "met %", "worst", "sent %", "worst", "lag s", "worst", "good", "taken", "done");
+  std::map<std::string, Figures> byLabel;
+  for (std::size_t seed = 0; seed < aResults.size(); ++seed) {
+    Figures figures;
+    for (const TrialResult& it : aResults[seed]) {
+      Count(figures, it);
+      Count(byLabel[it.label], it);
+    }
+    PrintRow(fmt::format("seed {}", seed + 1), figures);
+  }
+  for (const auto& [label, figures] : byLabel) {
+    PrintRow(label, figures);
+  }
+}
+
+void PrintLastLine(const Figures& aFigures)
+{
+  fmt::print("bad={} bad_taken_back_percent={:.2f} met_median_percent={:.3f} "
+             "met_worst_percent={:.3f} sent_median_percent={:.3f} sent_worst_percent={:.3f} "
+             "fault_shown={} lag_median_s={:.2f} lag_p99_s={:.2f} lag_worst_s={:.2f} "
+             "lag_over_2s={} good={} good_taken_back={} good_finished_percent={:.2f} "
+             "director_deaths={} moves_with_deaths={} moves_with_deaths_right={} cut_off={} "
+             "cut_off_right={} judged_while_cut_off={}\n",
+             aFigures.bad, Percent(aFigures.badTakenBack, aFigures.bad),
+             Quantile(aFigures.met, 0.5), Quantile(aFigures.met, 1.0), Quantile(aFigures.sent, 0.5),
+             Quantile(aFigures.sent, 1.0), aFigures.lags.size(), Quantile(aFigures.lags, 0.5),
+             Quantile(aFigures.lags, 0.99), Quantile(aFigures.lags, 1.0),
+             std::count_if(aFigures.lags.begin(), aFigures.lags.end(),
+                           [](double aLag) { return aLag > 2.0; }),
+             aFigures.good, aFigures.goodTakenBack, Percent(aFigures.goodFinished, aFigures.good),
+             aFigures.directorDeaths, aFigures.movesWithDeaths, aFigures.deathsSurvived,
+             aFigures.cutOff, aFigures.cutOffRight, aFigures.judgedWhileCutOff);
+}
+
+} // namespace
+
+int RunMoveMeasurement(int aArgc, char** aArgv)
+{
+  Options options;
+  if (!ParseOptions(aArgc, aArgv, options)) {
+    return 2;
+  }
+  const std::vector<SeedResults> results = RunAll(options);
+  Figures all;
+  for (const SeedResults& seed : results) {
+    for (const TrialResult& it : seed) {
+      Count(all, it);
+      if (options.isVerbose) {
+        PrintMiss(it);
+      }
+    }
+  }
+  PrintTable(results);
+  PrintLastLine(all);
+  return 0;
+}
+
+} // namespace cuminfield::performance_test::moves
--- /dev/null
+++ b/PerformanceTest/moves/Traffic.cpp
@@ -0,0 +1,110 @@
+#include "PerformanceTest/moves/Traffic.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminfield::performance_test::moves {
+
+namespace {
+
+constexpr std::array<double, kRoutes> kRouteWeights{ 0.45, 0.27, 0.15, 0.09, 0.04 };
+constexpr double kBurstRate = 2.2;
+constexpr double kBurstSlowness = 1.35;
+/// Longest prompt and answer of each tier relative to the shortest.
+constexpr std::array<double, 3> kTierLengths{ 5.0, 25.0, 100.0 };
+/// Typical lengths of each workspace's requests.
+constexpr std::array<double, 5> kWorkspaceLengths{ 0.6, 0.8, 1.0, 1.3, 1.8 };
+constexpr std::array<double, 3> kEngineSpeeds{ 0.8, 1.0, 1.3 };
+
+core::Duration Seconds(double aSeconds)
+{
+  return core::Duration(static_cast<std::int64_t>(aSeconds * 1e6));
+}
+
+/// A factor around 1 with this deviation of its logarithm.
+double Spread(core::Random& aRandom, double aDeviation)
+{
+  return std::exp(aRandom.Normal(0.0, aDeviation));
+}
+
+} // namespace
+
+Traffic::Traffic(core::Duration aLength, core::Random& aRandom)
+  : mRandom(aRandom)
+  , mBaseRate(60.0 + 80.0 * aRandom.Uniform())
+  , mBaseFailureRate(0.003 + 0.005 * aRandom.Uniform())
+  , mTroubleRate(0.1 + 0.2 * aRandom.Uniform())
+{
+  for (double& it : mBias) {
+    it = Spread(aRandom, 0.2);
+  }
+  DrawSpans(mBursts, aLength, 120.0, 20.0, 45.0);
+  DrawSpans(mTroubles, aLength, 400.0, 5.0, 20.0);
+}
+
+double Traffic::Rate(core::Duration aAt) const
+{
+  return IsBurst(aAt) ? mBaseRate * kBurstRate : mBaseRate;
+}
+
+TrafficRequest Traffic::Draw(core::Duration aAt, std::uint32_t aDataCentre)
+{
+  TrafficRequest request;
+  request.route = DrawRoute();
+  const double longest = kTierLengths[mRandom.Below(kTierLengths.size())];
+  const double typical = kWorkspaceLengths[mRandom.Below(kWorkspaceLengths.size())];
+  const double prompt = typical * std::pow(longest, mRandom.Uniform());
+  const double speed = kEngineSpeeds[mRandom.Below(kEngineSpeeds.size())];
+  const double load = LoadFactor(aAt);
+  request.predictedFirstToken = 0.02 + 0.015 * prompt;
+  request.firstToken =
+    request.predictedFirstToken * mBias[request.route] * load * Spread(mRandom, 0.4) / speed;
+  request.tokenGap = 0.02 * load * Spread(mRandom, 0.2) / speed;
+  request.tokens = 5.0 * std::pow(longest, mRandom.Uniform());
+  request.failureRate = mBaseFailureRate + (IsInTrouble(aAt, aDataCentre) ? mTroubleRate : 0.0);
+  return request;
+}
+
+bool Traffic::Inside(const std::vector<Span>& aSpans, core::Duration aAt)
+{
+  return std::any_of(aSpans.begin(), aSpans.end(),
+                     [&](const Span& aSpan) { return aAt >= aSpan.begin && aAt < aSpan.end; });
+}
+
+void Traffic::DrawSpans(std::vector<Span>& aSpans, core::Duration aLength, double aMeanPause,
+                        double aShortest, double aLongest)
+{
+  core::Duration at = Seconds(0.2 * aMeanPause + mRandom.Exponential(aMeanPause));
+  while (at < aLength) {
+    const double length = aShortest + (aLongest - aShortest) * mRandom.Uniform();
+    const auto dataCentre = static_cast<std::uint32_t>(mRandom.Below(kDataCentres));
+    aSpans.push_back({ .begin = at, .end = at + Seconds(length), .dataCentre = dataCentre });
+    at += Seconds(length + 0.2 * aMeanPause + mRandom.Exponential(aMeanPause));
+  }
+}
+
+std::uint32_t Traffic::DrawRoute()
+{
+  double point = mRandom.Uniform();
+  for (std::uint32_t it = 0; it < kRoutes; ++it) {
+    point -= kRouteWeights[it];
+    if (point < 0.0) {
+      return it;
+    }
+  }
+  return 0;
+}
+
+double Traffic::LoadFactor(core::Duration aAt) const
+{
+  return IsBurst(aAt) ? kBurstSlowness : 1.0;
+}
+
+bool Traffic::IsInTrouble(core::Duration aAt, std::uint32_t aDataCentre) const
+{
+  return std::any_of(mTroubles.begin(), mTroubles.end(), [&](const Span& aSpan) {
+    return aSpan.dataCentre == aDataCentre && aAt >= aSpan.begin && aAt < aSpan.end;
+  });
+}
+
+} // namespace cuminfield::performance_test::moves
