Claims: a key that was never dispatched passes to its newest arrival

Cause: a host that dies while a keyed request waits would leave the key held for ever, and an arrival that lost the key was told it had been released while another arrival could run. Change: a claim without an upstream passes on; a release by a former holder is answered HELD.

--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -83,8 +83,7 @@
     { "reserved", [](auto& aOptions, double aValue) { aOptions.capacity.reserved = aValue; } },
     { "burst", [](auto& aOptions, double aValue) { aOptions.workload.burst = aValue; } },
     { "lowTiers", [](auto& aOptions, double aValue) { aOptions.workload.lowTiers = aValue; } },
-    { "spillAfter",
-      [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
+    { "spillAfter", [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
@@ -95,9 +94,7 @@
     { "limitIncrease",
       [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.increase = aValue; } },
     { "hosts",
-      [](auto& aOptions, double aValue) {
-        aOptions.hosts = static_cast<std::uint32_t>(aValue);
-      } },
+      [](auto& aOptions, double aValue) { aOptions.hosts = static_cast<std::uint32_t>(aValue); } },
   };
   return setters;
 }
--- a/UnitTests/process/state/ClaimStoreTest.cpp
+++ b/UnitTests/process/state/ClaimStoreTest.cpp
@@ -71,7 +71,8 @@
 
 struct ClaimOracle
 {
-  /// One request per attempt; a second request only after the first one's release; one outcome.
+  /// One request per attempt; once one has an upstream, a second request only after its release;
+  /// one outcome.
   struct Witness
   {
     std::map<std::string, std::string> owners;
@@ -95,7 +96,8 @@
       }
       std::string& runs = running[fields.place];
       const bool alone = runs.empty() || runs == fields.request;
-      runs = fields.request;
+      const bool sent = aCommand.has_retarget() || !aCommand.claim().upstream().id().empty();
+      runs = sent ? fields.request : runs;
       const std::string attempt = fields.place + "#" + std::to_string(answer.attempt());
       return alone && owners.try_emplace(attempt, fields.request).first->second == fields.request;
     }
@@ -152,7 +154,7 @@
         fill(*command.mutable_claim());
         command.mutable_claim()->set_digest(*rc::gen::inRange(0, 6) == 0 ? "d2" : "d1");
         command.mutable_claim()->set_host("g1");
-        command.mutable_claim()->mutable_upstream()->set_id(OneOf({ "u1", "u2" }));
+        command.mutable_claim()->mutable_upstream()->set_id(OneOf({ "", "u1", "u2" }));
         break;
     }
     return command;
@@ -194,9 +196,8 @@
                ? "GRANTED " + std::to_string(seen[place][aFields.request])
                : "RELEASED";
     }
-    if (!holders[place].empty()) {
-      return "HELD " + holders[place] + " " + std::to_string(attempts[place]) + " " +
-             std::to_string(done.contains(place) ? done[place] : 0);
+    if (!holders[place].empty() && (!upstreams[place].empty() || done.contains(place))) {
+      return Held(place);
     }
     digests[place] = aClaim.digest();
     holders[place] = aFields.request;
@@ -205,6 +206,12 @@
     return "GRANTED " + std::to_string(attempts[place]);
   }
 
+  std::string Held(const std::string& aPlace)
+  {
+    return "HELD " + holders[aPlace] + " " + std::to_string(attempts[aPlace]) + " " +
+           std::to_string(done.contains(aPlace) ? done[aPlace] : 0);
+  }
+
   std::string Retarget(const Fields& aFields, const std::string& aUpstream)
   {
     const std::string& place = aFields.place;
@@ -226,7 +233,7 @@
     const std::string& place = aFields.place;
     const std::uint64_t first = seen[place].try_emplace(aFields.request, 0).first->second;
     if (holders[place] != aFields.request) {
-      return "RELEASED";
+      return holders[place].empty() ? "RELEASED" : Held(place);
     }
     const std::uint64_t attempt = aFields.attempt == 0 ? first : aFields.attempt;
     if (done.contains(place) || attempt != attempts[place]) {
@@ -277,6 +284,7 @@
   claim.set_request_id(aRequest);
   claim.set_digest("d1");
   claim.set_host("g1");
+  claim.mutable_upstream()->set_id("u1");
   return command;
 }
 
--- a/cuminfield/process/claims/GroupClaimKeeper.cpp
+++ b/cuminfield/process/claims/GroupClaimKeeper.cpp
@@ -53,13 +53,15 @@
                         .whole = aRecord.outcome().body_kept() } };
 }
 
-ClaimVerdict Read(state::proto::ClaimVerdict aVerdict)
+ClaimVerdict Read(state::proto::ClaimVerdict aVerdict, bool aIsRelease)
 {
   switch (aVerdict) {
     case state::proto::CLAIM_VERDICT_GRANTED:
-    case state::proto::CLAIM_VERDICT_RELEASED:
     case state::proto::CLAIM_VERDICT_COMPLETED:
       return ClaimVerdict::Granted;
+    case state::proto::CLAIM_VERDICT_RELEASED:
+      // To a Claim it says that the claim was granted, and lost since.
+      return aIsRelease ? ClaimVerdict::Granted : ClaimVerdict::Stale;
     case state::proto::CLAIM_VERDICT_HELD:
       return ClaimVerdict::Held;
     case state::proto::CLAIM_VERDICT_DIGEST_DIFFERS:
@@ -83,7 +85,7 @@
   aUpstream.set_resumes(aTarget.resumes);
 }
 
-core::Result<ClaimReply> ReadAnswer(const core::Result<std::string>& aResult)
+core::Result<ClaimReply> ReadAnswer(const core::Result<std::string>& aResult, bool aIsRelease)
 {
   if (!aResult) {
     return aResult.error();
@@ -92,7 +94,7 @@
   if (!answer.ParseFromString(aResult.value()) || !answer.has_claim()) {
     return core::Fail(core::ErrorKind::Internal, "the claim's answer cannot be read; report this");
   }
-  ClaimReply reply{ .verdict = Read(answer.claim().verdict()),
+  ClaimReply reply{ .verdict = Read(answer.claim().verdict(), aIsRelease),
                     .record = Read(answer.claim().record()) };
   if (reply.verdict == ClaimVerdict::Granted) {
     reply.record.attempt = answer.claim().attempt();
@@ -218,9 +220,10 @@
     return;
   }
   aCommand.set_now(mOptions.timers.WallNow().time_since_epoch().count());
+  const bool isRelease = aCommand.has_release();
   group->Propose(aCommand.SerializeAsString(), mOptions.settings.step,
-                 [done = std::move(aDone)](const core::Result<std::string>& aResult) {
-                   done(ReadAnswer(aResult));
+                 [isRelease, done = std::move(aDone)](const core::Result<std::string>& aResult) {
+                   done(ReadAnswer(aResult, isRelease));
                  });
 }
 
--- a/cuminfield/process/control/ControlHandler.cpp
+++ b/cuminfield/process/control/ControlHandler.cpp
@@ -164,15 +164,14 @@
     return;
   }
   const documents::DocumentChange change{ .environment = environment,
-                                    .from = core::EnvironmentId(promote ? query["from"] : ""),
-                                    .base = revision,
-                                    .operatorName = query["operator"],
-                                    .requestId = query["request"],
-                                    .text = aRequest.body };
-  mOptions.operators.Change(change,
-                            [aRequest, aChannel](const documents::OperatorAnswer& aAnswer) {
-                              SendJson(aRequest, *aChannel, aAnswer.status, aAnswer.body);
-                            });
+                                          .from = core::EnvironmentId(promote ? query["from"] : ""),
+                                          .base = revision,
+                                          .operatorName = query["operator"],
+                                          .requestId = query["request"],
+                                          .text = aRequest.body };
+  mOptions.operators.Change(change, [aRequest, aChannel](const documents::OperatorAnswer& aAnswer) {
+    SendJson(aRequest, *aChannel, aAnswer.status, aAnswer.body);
+  });
 }
 
 void ControlHandler::ReadDocument(const core::EnvironmentId& aEnvironment, const Request& aRequest,
--- a/cuminfield/process/state/ClaimStore.cpp
+++ b/cuminfield/process/state/ClaimStore.cpp
@@ -71,6 +71,24 @@
   return aRecord.state() != proto::CLAIM_STATE_RELEASED && aRecord.request_id() == aRequest;
 }
 
+/// True when the record's request was or may have been sent to an upstream.
+bool IsDispatched(const proto::ClaimRecord& aRecord)
+{
+  const bool sent =
+    aRecord.state() == proto::CLAIM_STATE_CLAIMED && !aRecord.upstream().id().empty();
+  return sent || aRecord.state() == proto::CLAIM_STATE_DONE;
+}
+
+/// The answer to a request id that gives the key up without holding it. HELD where another one may
+/// run: then nobody may be told that the key did not.
+proto::ClaimAnswer ReleasedUnlessHeld(const proto::ClaimRecord& aRecord)
+{
+  const bool held =
+    aRecord.state() == proto::CLAIM_STATE_CLAIMED || aRecord.state() == proto::CLAIM_STATE_DONE;
+  return held ? Verdict(proto::CLAIM_VERDICT_HELD, aRecord)
+              : Verdict(proto::CLAIM_VERDICT_RELEASED);
+}
+
 bool Fits(const std::string& aField)
 {
   return !aField.empty() && aField.size() <= kMaxField;
@@ -133,9 +151,11 @@
   if (record && FindGrant(*record, aCommand.request_id())) {
     return ClaimAgain(aCommand, *record);
   }
-  if (record && record->state() != proto::CLAIM_STATE_RELEASED) {
+  if (record && IsDispatched(*record)) {
     return Verdict(proto::CLAIM_VERDICT_HELD, *record);
   }
+  // A claim without an upstream was never dispatched: it passes to the newest arrival, whose
+  // former holder may be dead. Its Retarget is stale from now on.
   return GrantNew(aCommand, id);
 }
 
@@ -156,9 +176,7 @@
     return Verdict(proto::CLAIM_VERDICT_FULL);
   }
   proto::ClaimRecord& record = existing ? *existing : Insert(aId);
-  CUMINFIELD_INVARIANT("claim.one-dispatch-per-attempt",
-                       record.state() != proto::CLAIM_STATE_CLAIMED &&
-                         record.state() != proto::CLAIM_STATE_DONE);
+  CUMINFIELD_INVARIANT("claim.one-dispatch-per-attempt", !IsDispatched(record));
   mBytes -= Weight(record);
   record.set_digest(aCommand.digest());
   record.set_request_id(aCommand.request_id());
@@ -219,7 +237,7 @@
     return ReleaseUnseen(aCommand, id);
   }
   if (!Holds(*record, aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_RELEASED);
+    return ReleasedUnlessHeld(*record);
   }
   // Attempt 0: the host saw no grant, so it sent nothing and cannot have retargeted.
   const std::uint64_t attempt = aCommand.attempt() == 0 ? grant->attempt() : aCommand.attempt();
@@ -242,7 +260,7 @@
   if (!existing) {
     record.set_changed_at(ToMicros(mClock.Now()));
   }
-  return Verdict(proto::CLAIM_VERDICT_RELEASED);
+  return ReleasedUnlessHeld(record);
 }
 
 proto::ClaimAnswer ClaimStore::Complete(const proto::Complete& aCommand)
