--- a/cuminfield/process/state/ClaimStore.cpp
+++ b/cuminfield/process/state/ClaimStore.cpp
@@ -99,7 +99,7 @@
 {
   const std::optional<TimedKey> key = TimedKey::Parse(aKey);
   if (!key || !Fits(aWorkspace)) {
-    aAnswer.set_verdict(proto::CLAIM_VERDICT_INVALID);
+    aAnswer.set_verdict(proto::CLAIM_VERDICT_INVALID_KEY);
     return false;
   }
   if (key->Time() < Floor()) {
@@ -124,7 +124,7 @@
   const bool fits = Fits(aCommand.request_id()) && Fits(aCommand.digest()) &&
                     Fits(aCommand.host()) && Fits(aCommand.upstream());
   if (!fits) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID);
+    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
   }
   proto::ClaimRecord* record = Find(id);
   if (record && !record->digest().empty() && record->digest() != aCommand.digest()) {
@@ -211,7 +211,7 @@
     return refusal;
   }
   if (!Fits(aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID);
+    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
   }
   proto::ClaimRecord* record = Find(id);
   const proto::Grant* grant = record ? FindGrant(*record, aCommand.request_id()) : nullptr;
--- a/cuminfield/process/state/DocumentStore.cpp
+++ b/cuminfield/process/state/DocumentStore.cpp
@@ -68,7 +68,11 @@
 
 proto::DocumentAnswer DocumentStore::Promote(const proto::PromoteDocument& aCommand)
 {
-  const std::uint64_t hash = HashOf(aCommand);
+  // The revision to copy was read for the operator, who did not give it: it may differ when the
+  // request comes again.
+  proto::PromoteDocument given = aCommand;
+  given.clear_from_revision();
+  const std::uint64_t hash = HashOf(given);
   if (const proto::RememberedAnswer* earlier = Remembered(aCommand.request_id())) {
     return earlier->content_hash() == hash ? earlier->answer()
                                            : Verdict(proto::DOCUMENT_VERDICT_REQUEST_REUSED);
@@ -185,7 +189,9 @@
   const bool isNew = known == environment.moves.end();
   const proto::MoveRecord current = isNew ? proto::MoveRecord() : known->second;
   const bool room = !isNew || environment.moves.size() < mSettings.maxMoves;
-  if (!room || !Fits(aCommand.move()) || aCommand.reason().size() > kMaxReason) {
+  const bool sized =
+    aCommand.reason().size() <= kMaxReason && aCommand.details().size() <= kMaxDetails;
+  if (!room || !Fits(aCommand.move()) || !sized) {
     return Verdict(proto::MOVE_VERDICT_INVALID, current);
   }
   const proto::MoveVerdict verdict = CheckStep(current, aCommand, environment.record.revision());
--- a/cuminfield/process/state/MoveRules.cpp
+++ b/cuminfield/process/state/MoveRules.cpp
@@ -24,7 +24,8 @@
   }
   switch (aFrom) {
     case MOVE_STATE_UNSPECIFIED:
-      return aTo == MOVE_STATE_WAITING || aTo == MOVE_STATE_LOADING || aTo == MOVE_STATE_UNDONE;
+      return aTo == MOVE_STATE_WAITING || aTo == MOVE_STATE_LOADING || aTo == MOVE_STATE_UNDOING ||
+             aTo == MOVE_STATE_UNDONE;
     case MOVE_STATE_WAITING:
       return aTo == MOVE_STATE_LOADING || aTo == MOVE_STATE_UNDOING || aTo == MOVE_STATE_UNDONE;
     case MOVE_STATE_LOADING:
@@ -63,7 +64,7 @@
          aCurrent.state() == aStep.state() &&
          aCurrent.share_per_mille() == aStep.share_per_mille() &&
          aCurrent.reason() == aStep.reason() && aCurrent.at() == aStep.at() &&
-         aCurrent.fencing() == aStep.fencing();
+         aCurrent.fencing() == aStep.fencing() && aCurrent.details() == aStep.details();
 }
 
 proto::MoveVerdict CheckStep(const proto::MoveRecord& aCurrent, const proto::MoveStep& aStep,
@@ -101,6 +102,7 @@
   next.set_reason(aStep.reason());
   next.set_at(aStep.at());
   next.set_fencing(aStep.fencing());
+  next.set_details(aStep.details());
   return next;
 }
 
