Claims: a waiting request's key passes on, a release proves that nothing ran

A host that died with claimed requests in its queue left their keys held for the whole retention although nothing had run. A claim without an upstream now only keeps the key: the first dispatch is committed by a Retarget, and until then another request may take the key over. Release answered RELEASED also when another request had the key, so a caller could be told 'not run' while that one ran; it now answers HELD. A Claim of a request that lost its key is STALE, and so is one that names another upstream than the record has (found by the witness of the state test, seeds 1 to 3).

--- a/UnitTests/process/state/ClaimStoreTest.cpp
+++ b/UnitTests/process/state/ClaimStoreTest.cpp
@@ -71,9 +71,11 @@
 
 struct ClaimOracle
 {
-  /// One request per attempt; a second request only after the first one's release; one outcome.
+  /// One request per attempt; a second request only after the first one's release or before it was
+  /// sent anywhere; RELEASED only when nobody has the key; one outcome.
   struct Witness
   {
+    std::map<std::string, bool> sent;
     std::map<std::string, std::string> owners;
     std::map<std::string, std::string> running;
     std::map<std::string, std::uint32_t> outcomes;
@@ -82,9 +84,11 @@
     {
       const Fields fields(aCommand);
       const proto::ClaimAnswer& answer = aAnswer.claim();
-      if (answer.verdict() == proto::CLAIM_VERDICT_RELEASED && aCommand.has_release() &&
-          running[fields.place] == fields.request) {
-        running[fields.place].clear();
+      std::string& runs = running[fields.place];
+      if (answer.verdict() == proto::CLAIM_VERDICT_RELEASED) {
+        const bool free = runs.empty() || runs == fields.request;
+        runs.clear();
+        return free;
       }
       if (answer.verdict() == proto::CLAIM_VERDICT_COMPLETED) {
         const std::uint32_t status = answer.record().outcome().status();
@@ -93,9 +97,9 @@
       if (answer.verdict() != proto::CLAIM_VERDICT_GRANTED) {
         return true;
       }
-      std::string& runs = running[fields.place];
-      const bool alone = runs.empty() || runs == fields.request;
+      const bool alone = runs.empty() || runs == fields.request || !sent[fields.place];
       runs = fields.request;
+      sent[fields.place] = aCommand.has_retarget() || !aCommand.claim().upstream().id().empty();
       const std::string attempt = fields.place + "#" + std::to_string(answer.attempt());
       return alone && owners.try_emplace(attempt, fields.request).first->second == fields.request;
     }
@@ -152,7 +156,7 @@
         fill(*command.mutable_claim());
         command.mutable_claim()->set_digest(*rc::gen::inRange(0, 6) == 0 ? "d2" : "d1");
         command.mutable_claim()->set_host("g1");
-        command.mutable_claim()->mutable_upstream()->set_id(OneOf({ "u1", "u2" }));
+        command.mutable_claim()->mutable_upstream()->set_id(OneOf({ "u1", "" }));
         break;
     }
     return command;
@@ -190,13 +194,14 @@
       return "DIGEST_DIFFERS";
     }
     if (seen[place].contains(aFields.request)) {
-      return holders[place] == aFields.request
-               ? "GRANTED " + std::to_string(seen[place][aFields.request])
-               : "RELEASED";
+      const std::uint64_t first = seen[place][aFields.request];
+      const bool other = attempts[place] == first && upstreams[place] != aClaim.upstream().id();
+      return holders[place] != aFields.request || other ? "STALE"
+                                                        : "GRANTED " + std::to_string(first);
     }
-    if (!holders[place].empty()) {
-      return "HELD " + holders[place] + " " + std::to_string(attempts[place]) + " " +
-             std::to_string(done.contains(place) ? done[place] : 0);
+    const bool waits = upstreams[place].empty() && !done.contains(place);
+    if (!holders[place].empty() && !waits) {
+      return Held(place);
     }
     digests[place] = aClaim.digest();
     holders[place] = aFields.request;
@@ -205,6 +210,12 @@
     return "GRANTED " + std::to_string(attempts[place]);
   }
 
+  std::string Held(const std::string& aPlace)
+  {
+    return "HELD " + holders[aPlace] + " " + std::to_string(attempts[aPlace]) + " " +
+           std::to_string(done.contains(aPlace) ? done[aPlace] : 0);
+  }
+
   std::string Retarget(const Fields& aFields, const std::string& aUpstream)
   {
     const std::string& place = aFields.place;
@@ -226,7 +237,7 @@
     const std::string& place = aFields.place;
     const std::uint64_t first = seen[place].try_emplace(aFields.request, 0).first->second;
     if (holders[place] != aFields.request) {
-      return "RELEASED";
+      return holders[place].empty() ? "RELEASED" : Held(place);
     }
     const std::uint64_t attempt = aFields.attempt == 0 ? first : aFields.attempt;
     if (done.contains(place) || attempt != attempts[place]) {
@@ -277,6 +288,7 @@
   claim.set_request_id(aRequest);
   claim.set_digest("d1");
   claim.set_host("g1");
+  claim.mutable_upstream()->set_id("u1");
   return command;
 }
 
@@ -337,6 +349,16 @@
                 } }));
 }
 
+TEST(ClaimStore, OracleCatchesADispatchThatIsTakenOver)
+{
+  CHECK(Caught({ .distort = {}, .forget = [](proto::Snapshot& aSnapshot) {
+                  for (proto::ClaimRecord& record :
+                       *aSnapshot.mutable_claims()->mutable_records()) {
+                    record.clear_upstream();
+                  }
+                } }));
+}
+
 TEST(ClaimStore, OracleCatchesASecondOutcome)
 {
   CHECK(Caught({ .distort = {}, .forget = [](proto::Snapshot& aSnapshot) {
--- a/cuminfield/process/state/ClaimStore.cpp
+++ b/cuminfield/process/state/ClaimStore.cpp
@@ -71,6 +71,18 @@
   return aRecord.state() != proto::CLAIM_STATE_RELEASED && aRecord.request_id() == aRequest;
 }
 
+/// True while the record only keeps the key for a request that has not been sent anywhere.
+bool Waits(const proto::ClaimRecord& aRecord)
+{
+  return aRecord.state() == proto::CLAIM_STATE_CLAIMED && aRecord.upstream().id().empty();
+}
+
+/// True when a new request may take the key.
+bool IsFree(const proto::ClaimRecord& aRecord)
+{
+  return aRecord.state() == proto::CLAIM_STATE_RELEASED || Waits(aRecord);
+}
+
 bool Fits(const std::string& aField)
 {
   return !aField.empty() && aField.size() <= kMaxField;
@@ -81,6 +93,16 @@
   return aUpstream.id().size() <= kMaxField && aUpstream.address().size() <= kMaxField;
 }
 
+/// The answer to a request that does not hold the key and never will: the caller may be told that
+/// nothing ran only when no other request has the key.
+proto::ClaimAnswer GivenUp(const proto::ClaimRecord& aRecord)
+{
+  if (aRecord.state() == proto::CLAIM_STATE_RELEASED) {
+    return Verdict(proto::CLAIM_VERDICT_RELEASED);
+  }
+  return Verdict(proto::CLAIM_VERDICT_HELD, aRecord);
+}
+
 } // namespace
 
 ClaimStore::ClaimStore(const GroupClock& aClock, Settings aSettings)
@@ -133,7 +155,7 @@
   if (record && FindGrant(*record, aCommand.request_id())) {
     return ClaimAgain(aCommand, *record);
   }
-  if (record && record->state() != proto::CLAIM_STATE_RELEASED) {
+  if (record && !IsFree(*record)) {
     return Verdict(proto::CLAIM_VERDICT_HELD, *record);
   }
   return GrantNew(aCommand, id);
@@ -142,9 +164,15 @@
 proto::ClaimAnswer ClaimStore::ClaimAgain(const proto::Claim& aCommand, proto::ClaimRecord& aRecord)
 {
   if (!Holds(aRecord, aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_RELEASED);
+    return Verdict(proto::CLAIM_VERDICT_STALE);
+  }
+  const std::uint64_t attempt = FindGrant(aRecord, aCommand.request_id())->attempt();
+  // Another upstream is no resent Claim: it would be a dispatch that the record does not know of.
+  const bool differs = !SameUpstream(aRecord.upstream(), aCommand.upstream());
+  if (aRecord.attempt() == attempt && differs) {
+    return Verdict(proto::CLAIM_VERDICT_STALE);
   }
-  return Granted(FindGrant(aRecord, aCommand.request_id())->attempt());
+  return Granted(attempt);
 }
 
 proto::ClaimAnswer ClaimStore::GrantNew(const proto::Claim& aCommand, const ClaimId& aId)
@@ -156,9 +184,7 @@
     return Verdict(proto::CLAIM_VERDICT_FULL);
   }
   proto::ClaimRecord& record = existing ? *existing : Insert(aId);
-  CUMINFIELD_INVARIANT("claim.one-dispatch-per-attempt",
-                       record.state() != proto::CLAIM_STATE_CLAIMED &&
-                         record.state() != proto::CLAIM_STATE_DONE);
+  CUMINFIELD_INVARIANT("claim.one-dispatch-per-attempt", IsFree(record));
   mBytes -= Weight(record);
   record.set_digest(aCommand.digest());
   record.set_request_id(aCommand.request_id());
@@ -181,9 +207,12 @@
     return refusal;
   }
   proto::ClaimRecord* record = Find(id);
+  if (aCommand.upstream().id().empty() || !Fits(aCommand.upstream())) {
+    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
+  }
   const bool inForce = record && record->state() == proto::CLAIM_STATE_CLAIMED &&
                        record->request_id() == aCommand.request_id();
-  if (!inForce || !Fits(aCommand.upstream())) {
+  if (!inForce) {
     return Verdict(proto::CLAIM_VERDICT_STALE);
   }
   const std::uint64_t claimed = FindGrant(*record, aCommand.request_id())->attempt();
@@ -219,7 +248,7 @@
     return ReleaseUnseen(aCommand, id);
   }
   if (!Holds(*record, aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_RELEASED);
+    return GivenUp(*record);
   }
   // Attempt 0: the host saw no grant, so it sent nothing and cannot have retargeted.
   const std::uint64_t attempt = aCommand.attempt() == 0 ? grant->attempt() : aCommand.attempt();
@@ -242,7 +271,7 @@
   if (!existing) {
     record.set_changed_at(ToMicros(mClock.Now()));
   }
-  return Verdict(proto::CLAIM_VERDICT_RELEASED);
+  return GivenUp(record);
 }
 
 proto::ClaimAnswer ClaimStore::Complete(const proto::Complete& aCommand)
--- a/cuminfield/process/state/ClaimStore.h
+++ b/cuminfield/process/state/ClaimStore.h
@@ -45,13 +45,15 @@
   /// aClock is the group's; it must outlive this and be advanced before each call.
   ClaimStore(const GroupClock& aClock, Settings aSettings);
 
-  /// Grants a new attempt, or says why not. A resent Claim gets the attempt it was granted.
+  /// Grants a new attempt, or says why not. A resent Claim gets the attempt it was granted. A key
+  /// whose request has no upstream yet passes to the new request.
   proto::ClaimAnswer Claim(const proto::Claim& aCommand);
 
-  /// Grants the next attempt to the request that holds the key.
+  /// Grants the next attempt, at this upstream, to the request that holds the key.
   proto::ClaimAnswer Retarget(const proto::Retarget& aCommand);
 
   /// Gives the key up for this request id for good, whether its Claim was applied or is yet to be.
+  /// RELEASED only when no other request has the key.
   proto::ClaimAnswer Release(const proto::Release& aCommand);
 
   /// Keeps the outcome of the attempt in force; the first one wins.
