--- a/UnitTests/process/settings/HostSettingsTest.cpp
+++ b/UnitTests/process/settings/HostSettingsTest.cpp
@@ -1,10 +1,14 @@
 #include "cuminfield/process/settings/HostSettings.h"
 #include "cuminfield/process/settings/SettingsReference.h"
 #include "cuminfield/process/settings/Values.h"
+#include "cuminfield/version/document/Document.h"
 #include "cuminfield/version/document/DocumentReference.h"
 
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
+#include <cctype>
 #include <fstream>
 #include <sstream>
 
@@ -132,6 +136,7 @@
   CheckFault("id = g1\n" + kValid, "g1.ini:1: entry before the first section");
   CheckFault(kValid + std::string("\0", 1), "control character");
   CHECK(ParseHostSettings("\xEF\xBB\xBF# comment\n; another\n\n" + kValid, "g1.ini").has_value());
+  CHECK(ParseHostSettings("# comment\n" + kValid + "# [\n;x", "g1.ini").has_value());
 }
 
 TEST(HostSettings, RefusesDanglingReferences)
@@ -146,6 +151,49 @@
   CheckFault(Replaced("g1 g2 l1", "g1 g2 g2"), "[groups] documents: 'g1 g2 g2' is not valid");
 }
 
+TEST(HostSettings, AnyTextIsReadOrRefusedWithPlaces)
+{
+  const auto property = [] {
+    const std::vector<std::string> parts = { "[host]",
+                                             "[log]",
+                                             "[limits]",
+                                             "[",
+                                             "]",
+                                             "=",
+                                             "level",
+                                             "info",
+                                             "body",
+                                             "4MiB",
+                                             "id",
+                                             "\n",
+                                             "\n",
+                                             "\n",
+                                             "\r",
+                                             " ",
+                                             ";",
+                                             "#",
+                                             "<<<E",
+                                             "\"",
+                                             "\t",
+                                             std::string(1, '\0'),
+                                             "\xEF\xBB\xBF",
+                                             "\xFF" };
+    std::string text;
+    for (const std::string& part :
+         *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(parts))) {
+      text += part;
+    }
+    const auto settings = ParseHostSettings(text, "f");
+    RC_ASSERT(!settings.has_value());
+    std::istringstream lines(settings.error().message);
+    for (std::string line; std::getline(lines, line);) {
+      RC_ASSERT(line.starts_with("f:") && std::isdigit(static_cast<unsigned char>(line[2])));
+    }
+    RC_ASSERT(!version::document::ParseDocument(text, "f").has_value());
+  };
+  CHECK(rc::check(property));
+}
+
 TEST(HostSettings, MissingFileIsAnIoError)
 {
   const auto settings = LoadHostSettings("/nonexistent/g1.ini");
