Registers: small values that a leader keeps for its successor

A data centre's judge of version moves has a state to commit in its own data centre's group, where there are no documents. RegisterStore holds named values written by compare and set under a fencing number.

--- /dev/null
+++ b/UnitTests/process/state/RegisterStoreTest.cpp
@@ -0,0 +1,111 @@
+#include "UnitTests/process/state/StateTest.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace cuminfield;
+using namespace cuminfield::unit_tests::state;
+
+namespace {
+
+struct RegisterOracle
+{
+  /// Versions of a register are written one by one, each with one value.
+  struct Witness
+  {
+    std::map<std::string, std::uint64_t> versions;
+    std::map<std::string, std::string> values;
+
+    bool Agrees(const proto::Command& aCommand, const proto::Answer& aAnswer)
+    {
+      if (aAnswer.written().verdict() != proto::REGISTER_VERDICT_WRITTEN) {
+        return true;
+      }
+      const proto::RegisterRecord& record = aAnswer.written().record();
+      const std::string place = record.name() + "/" + std::to_string(record.version());
+      const std::string& value = aCommand.write_register().value();
+      if (!values.try_emplace(place, value).second) {
+        return values[place] == value;
+      }
+      return record.version() == ++versions[record.name()];
+    }
+  };
+
+  std::map<std::string, std::uint64_t> versions;
+  std::map<std::string, std::uint64_t> fencing;
+  std::map<std::string, std::string> last; ///< The write that was accepted last.
+
+  proto::Command Random() const
+  {
+    proto::Command command;
+    command.set_now(kStart);
+    proto::WriteRegister& write = *command.mutable_write_register();
+    write.set_name(OneOf({ "judge", "other" }));
+    const auto it = versions.find(write.name());
+    const std::uint64_t behind = *rc::gen::inRange(0, 4) == 0 ? 1 : 0;
+    write.set_base_version((it == versions.end() ? 0 : it->second) - behind);
+    write.set_value(OneOf({ "a", "b" }));
+    write.set_fencing(*rc::gen::inRange(3, 6));
+    return command;
+  }
+
+  std::string Decide(const proto::Command& aCommand)
+  {
+    const proto::WriteRegister& write = aCommand.write_register();
+    const std::string& name = write.name();
+    const std::string bytes = write.SerializeAsString();
+    if (versions[name] > 0 && last[name] == bytes) {
+      return "WRITTEN " + std::to_string(versions[name]);
+    }
+    if (write.fencing() < fencing[name]) {
+      return "OLD_FENCING " + std::to_string(versions[name]);
+    }
+    if (write.base_version() != versions[name]) {
+      return "CONFLICT " + std::to_string(versions[name]);
+    }
+    last[name] = bytes;
+    fencing[name] = write.fencing();
+    return "WRITTEN " + std::to_string(++versions[name]);
+  }
+
+  static std::string Text(const proto::Answer& aAnswer)
+  {
+    const char* const verdicts[] = { "NONE", "WRITTEN", "CONFLICT", "OLD_FENCING", "INVALID" };
+    return std::string(verdicts[aAnswer.written().verdict()]) + " " +
+           std::to_string(aAnswer.written().record().version());
+  }
+};
+
+} // namespace
+
+TEST_GROUP(RegisterStore){};
+
+TEST(RegisterStore, AgreesWithTheOracle)
+{
+  CHECK(Agree<RegisterOracle>({}, {}));
+}
+
+TEST(RegisterStore, OracleCatchesAForgottenFencingNumber)
+{
+  CHECK(!Agree<RegisterOracle>({}, { .distort = {}, .forget = [](proto::Snapshot& aSnapshot) {
+                                      auto& registers = *aSnapshot.mutable_registers();
+                                      for (auto& record : *registers.mutable_records()) {
+                                        record.set_fencing(0);
+                                      }
+                                    } }));
+}
+
+TEST(RegisterStore, RefusesWhatIsTooLarge)
+{
+  GroupStateMachine machine({});
+  proto::Command command;
+  command.mutable_write_register()->set_name("judge");
+  command.mutable_write_register()->set_value(std::string(4097, 'x'));
+  CHECK(machine.Decide(command).written().verdict() == proto::REGISTER_VERDICT_INVALID);
+  command.mutable_write_register()->set_value(std::string(4096, 'x'));
+  CHECK(machine.Decide(command).written().verdict() == proto::REGISTER_VERDICT_WRITTEN);
+  proto::Query query;
+  query.mutable_read_register()->set_name("judge");
+  LONGS_EQUAL(1, machine.Look(query).found_register().record().version());
+}
--- a/cuminfield/process/state/GroupStateMachine.cpp
+++ b/cuminfield/process/state/GroupStateMachine.cpp
@@ -39,6 +39,7 @@
   , mClaims(mClock, aSettings.claims)
   , mLeases(mClock, aSettings.leases)
   , mDocuments(mClock, aSettings.documents)
+  , mRegisters(aSettings.registers)
 {
 }
 
@@ -56,6 +57,7 @@
     case proto::Command::kAcquireLease:
     case proto::Command::kRenewLease:
     case proto::Command::kReleaseLease:
+    case proto::Command::kWriteRegister:
       return true;
     case proto::Command::kClaim:
     case proto::Command::kRetarget:
@@ -97,6 +99,9 @@
     case proto::Command::kMoveStep:
       *answer.mutable_move() = mDocuments.Step(aCommand.move_step());
       break;
+    case proto::Command::kWriteRegister:
+      *answer.mutable_written() = mRegisters.Write(aCommand.write_register());
+      break;
     case proto::Command::kAcquireLease:
     case proto::Command::kRenewLease:
     case proto::Command::kReleaseLease:
@@ -169,6 +174,9 @@
     case proto::Query::kRevisions:
       *answer.mutable_revisions() = mDocuments.List();
       break;
+    case proto::Query::kReadRegister:
+      *answer.mutable_found_register() = mRegisters.Lookup(aQuery.read_register());
+      break;
     case proto::Query::KIND_NOT_SET:
       answer.set_refused(kMalformed);
       break;
@@ -184,6 +192,7 @@
   *snapshot.mutable_claims() = mClaims.Snapshot();
   *snapshot.mutable_leases() = mLeases.Snapshot();
   *snapshot.mutable_documents() = mDocuments.Snapshot();
+  *snapshot.mutable_registers() = mRegisters.Snapshot();
   return snapshot.SerializeAsString();
 }
 
@@ -199,6 +208,7 @@
   mClaims.Restore(snapshot.claims());
   mLeases.Restore(snapshot.leases());
   mDocuments.Restore(snapshot.documents());
+  mRegisters.Restore(snapshot.registers());
 }
 
 } // namespace cuminfield::process::state
--- a/cuminfield/process/state/GroupStateMachine.h
+++ b/cuminfield/process/state/GroupStateMachine.h
@@ -5,22 +5,24 @@
 #include "cuminfield/process/state/DocumentStore.h"
 #include "cuminfield/process/state/GroupClock.h"
 #include "cuminfield/process/state/LeaseStore.h"
+#include "cuminfield/process/state/RegisterStore.h"
 
 #include <string>
 #include <string_view>
 
 namespace cuminfield::process::state {
 
-/// What a group keeps besides its leases.
+/// What a group keeps besides its leases and registers.
 enum class GroupKind
 {
   DataCentre, ///< Claims of the data centre's workspaces.
   Documents,  ///< Environment documents and version moves.
 };
 
-/// The state machine of one group: a clock, leases, and claims or documents. Commands are
-/// proto::Command, answers proto::Answer, queries proto::Query and proto::QueryAnswer. A command
-/// that is malformed or not for this kind of group changes nothing and is answered `refused`.
+/// The state machine of one group: a clock, leases, registers, and claims or documents. Commands
+/// are proto::Command, answers proto::Answer, queries proto::Query and proto::QueryAnswer. A
+/// command that is malformed or not for this kind of group changes nothing and is answered
+/// `refused`.
 class GroupStateMachine : public log::StateMachine
 {
 public:
@@ -31,6 +33,7 @@
     ClaimStore::Settings claims;
     LeaseStore::Settings leases;
     DocumentStore::Settings documents;
+    RegisterStore::Settings registers;
   };
 
   explicit GroupStateMachine(const Settings& aSettings);
@@ -54,6 +57,7 @@
   ClaimStore mClaims;
   LeaseStore mLeases;
   DocumentStore mDocuments;
+  RegisterStore mRegisters;
 };
 
 } // namespace cuminfield::process::state
--- /dev/null
+++ b/cuminfield/process/state/RegisterStore.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "cuminfield/core/Units.h"
+#include "cuminfield/process/state/state.pb.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace cuminfield::process::state {
+
+/// Named values written by compare and set: what the holder of a lease keeps for its successor,
+/// such as the state of a data centre's judge. The group does not read the values. Deterministic;
+/// driven by the group's log.
+class RegisterStore
+{
+public:
+  /// Fixed for the life of a group.
+  struct Settings
+  {
+    core::Bytes maxValue{ 4 * 1024 };
+    std::size_t maxRegisters = 10'000;
+  };
+
+  explicit RegisterStore(Settings aSettings);
+
+  /// Writes a value that follows the version in force. A resent write is WRITTEN again.
+  proto::RegisterAnswer Write(const proto::WriteRegister& aCommand);
+
+  proto::RegisterFound Lookup(const proto::RegisterLookup& aQuery) const;
+
+  proto::RegisterSnapshot Snapshot() const;
+  void Restore(const proto::RegisterSnapshot& aSnapshot);
+
+private:
+  bool Valid(const proto::WriteRegister& aCommand) const;
+
+  Settings mSettings;
+  std::map<std::string, proto::RegisterRecord> mRecords;
+};
+
+} // namespace cuminfield::process::state
