--- a/UnitTests/process/state/DocumentStoreTest.cpp
+++ b/UnitTests/process/state/DocumentStoreTest.cpp
@@ -22,8 +22,8 @@
 
 /// States by letter: none, waiting, loading, canary, advancing, done, undoing, undone.
 constexpr char kStates[] = "-WLCADUX";
-const std::set<std::string> kLegal = { "-W", "-L", "-X", "WW", "WL", "WU", "WX", "LL", "LC", "LU",
-                                       "LX", "CC", "CA", "CU", "AA", "AD", "AU", "UU", "UX" };
+const std::set<std::string> kLegal = { "-W", "-L", "-U", "-X", "WW", "WL", "WU", "WX", "LL", "LC",
+                                       "LU", "LX", "CC", "CA", "CU", "AA", "AD", "AU", "UU", "UX" };
 
 struct DocumentOracle
 {
@@ -141,8 +141,10 @@
     const bool apply = aCommand.has_apply_document();
     const std::string request =
       apply ? aCommand.apply_document().request_id() : aCommand.promote_document().request_id();
-    const std::string content = apply ? aCommand.apply_document().SerializeAsString()
-                                      : aCommand.promote_document().SerializeAsString();
+    proto::PromoteDocument promote = aCommand.promote_document();
+    promote.clear_from_revision();
+    const std::string content =
+      apply ? aCommand.apply_document().SerializeAsString() : promote.SerializeAsString();
     if (answers.contains(request)) {
       return answers[request].first == content ? answers[request].second : "REQUEST_REUSED  0 ";
     }
--- a/cuminfield/process/state/ClaimStore.cpp
+++ b/cuminfield/process/state/ClaimStore.cpp
@@ -71,22 +71,16 @@
   return aRecord.state() != proto::CLAIM_STATE_RELEASED && aRecord.request_id() == aRequest;
 }
 
-/// True when the record's request was or may have been sent to an upstream.
-bool IsDispatched(const proto::ClaimRecord& aRecord)
+/// True while the record only keeps the key for a request that has not been sent anywhere.
+bool Waits(const proto::ClaimRecord& aRecord)
 {
-  const bool sent =
-    aRecord.state() == proto::CLAIM_STATE_CLAIMED && !aRecord.upstream().id().empty();
-  return sent || aRecord.state() == proto::CLAIM_STATE_DONE;
+  return aRecord.state() == proto::CLAIM_STATE_CLAIMED && aRecord.upstream().id().empty();
 }
 
-/// The answer to a request id that gives the key up without holding it. HELD where another one may
-/// run: then nobody may be told that the key did not.
-proto::ClaimAnswer ReleasedUnlessHeld(const proto::ClaimRecord& aRecord)
+/// True when a new request may take the key.
+bool IsFree(const proto::ClaimRecord& aRecord)
 {
-  const bool held =
-    aRecord.state() == proto::CLAIM_STATE_CLAIMED || aRecord.state() == proto::CLAIM_STATE_DONE;
-  return held ? Verdict(proto::CLAIM_VERDICT_HELD, aRecord)
-              : Verdict(proto::CLAIM_VERDICT_RELEASED);
+  return aRecord.state() == proto::CLAIM_STATE_RELEASED || Waits(aRecord);
 }
 
 bool Fits(const std::string& aField)
@@ -99,6 +93,16 @@
   return aUpstream.id().size() <= kMaxField && aUpstream.address().size() <= kMaxField;
 }
 
+/// The answer to a request that does not hold the key and never will: the caller may be told that
+/// nothing ran only when no other request has the key.
+proto::ClaimAnswer GivenUp(const proto::ClaimRecord& aRecord)
+{
+  if (aRecord.state() == proto::CLAIM_STATE_RELEASED) {
+    return Verdict(proto::CLAIM_VERDICT_RELEASED);
+  }
+  return Verdict(proto::CLAIM_VERDICT_HELD, aRecord);
+}
+
 } // namespace
 
 ClaimStore::ClaimStore(const GroupClock& aClock, Settings aSettings)
@@ -117,7 +121,7 @@
 {
   const std::optional<TimedKey> key = TimedKey::Parse(aKey);
   if (!key || !Fits(aWorkspace)) {
-    aAnswer.set_verdict(proto::CLAIM_VERDICT_INVALID);
+    aAnswer.set_verdict(proto::CLAIM_VERDICT_INVALID_KEY);
     return false;
   }
   if (key->Time() < Floor()) {
@@ -142,7 +146,7 @@
   const bool fits = Fits(aCommand.request_id()) && Fits(aCommand.digest()) &&
                     Fits(aCommand.host()) && Fits(aCommand.upstream());
   if (!fits) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID);
+    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
   }
   proto::ClaimRecord* record = Find(id);
   if (record && !record->digest().empty() && record->digest() != aCommand.digest()) {
@@ -151,20 +155,24 @@
   if (record && FindGrant(*record, aCommand.request_id())) {
     return ClaimAgain(aCommand, *record);
   }
-  if (record && IsDispatched(*record)) {
+  if (record && !IsFree(*record)) {
     return Verdict(proto::CLAIM_VERDICT_HELD, *record);
   }
-  // A claim without an upstream was never dispatched: it passes to the newest arrival, whose
-  // former holder may be dead. Its Retarget is stale from now on.
   return GrantNew(aCommand, id);
 }
 
 proto::ClaimAnswer ClaimStore::ClaimAgain(const proto::Claim& aCommand, proto::ClaimRecord& aRecord)
 {
   if (!Holds(aRecord, aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_RELEASED);
+    return Verdict(proto::CLAIM_VERDICT_STALE);
+  }
+  const std::uint64_t attempt = FindGrant(aRecord, aCommand.request_id())->attempt();
+  // Another upstream is no resent Claim: it would be a dispatch that the record does not know of.
+  const bool differs = !SameUpstream(aRecord.upstream(), aCommand.upstream());
+  if (aRecord.attempt() == attempt && differs) {
+    return Verdict(proto::CLAIM_VERDICT_STALE);
   }
-  return Granted(FindGrant(aRecord, aCommand.request_id())->attempt());
+  return Granted(attempt);
 }
 
 proto::ClaimAnswer ClaimStore::GrantNew(const proto::Claim& aCommand, const ClaimId& aId)
@@ -176,7 +184,7 @@
     return Verdict(proto::CLAIM_VERDICT_FULL);
   }
   proto::ClaimRecord& record = existing ? *existing : Insert(aId);
-  CUMINFIELD_INVARIANT("claim.one-dispatch-per-attempt", !IsDispatched(record));
+  CUMINFIELD_INVARIANT("claim.one-dispatch-per-attempt", IsFree(record));
   mBytes -= Weight(record);
   record.set_digest(aCommand.digest());
   record.set_request_id(aCommand.request_id());
@@ -199,9 +207,12 @@
     return refusal;
   }
   proto::ClaimRecord* record = Find(id);
+  if (aCommand.upstream().id().empty() || !Fits(aCommand.upstream())) {
+    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
+  }
   const bool inForce = record && record->state() == proto::CLAIM_STATE_CLAIMED &&
                        record->request_id() == aCommand.request_id();
-  if (!inForce || !Fits(aCommand.upstream())) {
+  if (!inForce) {
     return Verdict(proto::CLAIM_VERDICT_STALE);
   }
   const std::uint64_t claimed = FindGrant(*record, aCommand.request_id())->attempt();
@@ -229,7 +240,7 @@
     return refusal;
   }
   if (!Fits(aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID);
+    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
   }
   proto::ClaimRecord* record = Find(id);
   const proto::Grant* grant = record ? FindGrant(*record, aCommand.request_id()) : nullptr;
@@ -237,7 +248,7 @@
     return ReleaseUnseen(aCommand, id);
   }
   if (!Holds(*record, aCommand.request_id())) {
-    return ReleasedUnlessHeld(*record);
+    return GivenUp(*record);
   }
   // Attempt 0: the host saw no grant, so it sent nothing and cannot have retargeted.
   const std::uint64_t attempt = aCommand.attempt() == 0 ? grant->attempt() : aCommand.attempt();
@@ -260,7 +271,7 @@
   if (!existing) {
     record.set_changed_at(ToMicros(mClock.Now()));
   }
-  return ReleasedUnlessHeld(record);
+  return GivenUp(record);
 }
 
 proto::ClaimAnswer ClaimStore::Complete(const proto::Complete& aCommand)
--- a/cuminfield/process/state/MoveRules.h
+++ b/cuminfield/process/state/MoveRules.h
@@ -11,6 +11,9 @@
 /// Longest reason of a step.
 inline constexpr std::size_t kMaxReason = 1024;
 
+/// Largest details of a step.
+inline constexpr std::size_t kMaxDetails = 4096;
+
 /// Largest share of traffic of an unproved version.
 inline constexpr std::uint32_t kMaxCanaryPerMille = 50;
 
--- a/cuminfield/request/capacity/CapacityBroker.cpp
+++ b/cuminfield/request/capacity/CapacityBroker.cpp
@@ -89,7 +89,8 @@
 void CapacityBroker::DropDeadHosts(core::Instant aNow)
 {
   std::erase_if(mHosts, [&](const auto& aIt) { return aNow - aIt.second.heard > mSettings.lease; });
-  for (auto& [id, entry] : mUpstreams) {
+  for (auto& upstream : mUpstreams) {
+    UpstreamEntry& entry = upstream.second;
     std::erase_if(entry.holdings, [&](const auto& aIt) {
       const bool idle = entry.slots == 0 && aIt.second.inFlight == 0;
       return aNow >= aIt.second.until && (idle || mHosts.count(aIt.first) == 0);
