--- a/UnitTests/process/log/FileLogStorageTest.cpp
+++ b/UnitTests/process/log/FileLogStorageTest.cpp
@@ -1,8 +1,11 @@
 #include "cuminfield/process/log/FileLogStorage.h"
 #include "UnitTests/process/log/MemoryDisk.h"
+#include "cuminfield/process/log/PosixDisk.h"
 
 #include <rapidcheck.h>
 
+#include <cstdlib>
+#include <filesystem>
 #include <vector>
 
 // Last: it redefines new.
@@ -185,3 +188,23 @@
     CHECK(contents.error().message.find("move the folder") != std::string::npos);
   }
 }
+
+TEST(FileLogStorage, KeepsEverythingInRealFiles)
+{
+  std::string folder = std::filesystem::temp_directory_path() / "cuminfield-log-XXXXXX";
+  CHECK(mkdtemp(folder.data()) != nullptr);
+  PosixDisk disk;
+  const FileLogStorageOptions options{ .folder = folder, .group = kGroup, .disk = disk };
+  Model model;
+  core::Random random(1);
+  constexpr int kRestarts = 10;
+  for (int i = 0; i < kRestarts; ++i) {
+    FileLogStorage storage(options);
+    const auto contents = storage.Load(core::Incarnation(static_cast<std::uint64_t>(i) + 1));
+    CHECK(contents.has_value());
+    CHECK(core::Incarnation(1) == contents.value().incarnation);
+    CHECK(Same(contents.value(), model));
+    CHECK(Store(storage, DrawBatch(model, random)));
+  }
+  std::filesystem::remove_all(folder);
+}
--- a/UnitTests/process/log/LogClusterTest.cpp
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -31,8 +31,12 @@
 void Misfortune(LogCluster& aCluster, std::size_t aHosts)
 {
   core::Random& random = aCluster.Randomness();
-  const std::size_t host = random.Below(aHosts);
+  std::size_t host = random.Below(aHosts);
   const std::size_t other = random.Below(aHosts);
+  constexpr double kAtTheLeader = 0.4;
+  if (random.Chance(kAtTheLeader) && aCluster.LeaderHost() < aHosts) {
+    host = aCluster.LeaderHost();
+  }
   switch (random.Below(9)) {
     case 0:
       aCluster.Cut(host, other, true); // One way only.
--- a/UnitTests/process/log/ReplicatedLogTest.cpp
+++ b/UnitTests/process/log/ReplicatedLogTest.cpp
@@ -166,6 +166,56 @@
   CHECK(Role::Candidate == log.CurrentRole());
 }
 
+/// Stores what is to be stored; the messages that may be sent then.
+static std::vector<OutgoingMessage> StoreAll(ReplicatedLog& aLog, core::Instant aNow)
+{
+  while (aLog.HasBatch()) {
+    aLog.TakeBatch();
+    aLog.Persisted(aNow);
+  }
+  return aLog.TakeMessages();
+}
+
+TEST(ReplicatedLog, EntryOfAnEarlierTermIsNotCommittedByCounting)
+{
+  log.Receive(kOther, MakeAppend(2, "x", 0), now);
+  now += 2s;
+  log.Tick(now);
+  proto::LogMessage vote = MakeMessage(3);
+  vote.mutable_vote_reply()->set_pre_vote(true);
+  vote.mutable_vote_reply()->set_granted(true);
+  log.Receive(kThird, vote, now);
+  vote.mutable_vote_reply()->set_pre_vote(false);
+  StoreAll(log, now);
+  log.Receive(kThird, vote, now);
+  CHECK(Role::Leader == log.CurrentRole());
+  StoreAll(log, now);
+  proto::LogMessage reply = MakeMessage(3);
+  reply.mutable_append_reply()->set_success(true);
+  reply.mutable_append_reply()->set_index(2);
+  log.Receive(kThird, reply, now);
+  LONGS_EQUAL(0, log.CommitIndex().Value());
+  reply.mutable_append_reply()->set_index(3);
+  log.Receive(kThird, reply, now);
+  LONGS_EQUAL(3, log.CommitIndex().Value());
+}
+
+TEST(ReplicatedLog, SnapshotLeavesMatchingEntriesBehindItInPlace)
+{
+  proto::LogMessage append = MakeAppend(2, "x", 0);
+  proto::Entry* entry = append.mutable_append_request()->add_entries();
+  entry->set_index(3);
+  entry->set_term(2);
+  log.Receive(kOther, append, now);
+  StoreAll(log, now); // Index 3 is acknowledged now.
+  proto::LogMessage message = MakeMessage(2);
+  message.mutable_snapshot_request()->set_index(2);
+  message.mutable_snapshot_request()->set_term(2);
+  log.Receive(kOther, message, now);
+  LONGS_EQUAL(3, log.LastIndex().Value());
+  LONGS_EQUAL(2, log.CommitIndex().Value());
+}
+
 TEST(ReplicatedLog, PlantedFaultSecondLeaderInATermIsCaught)
 {
   log.Receive(kOther, MakeAppend(2, "x", 0), now);
