--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -85,6 +85,8 @@
     { "lowTiers", [](auto& aOptions, double aValue) { aOptions.workload.lowTiers = aValue; } },
     { "spillAfter",
       [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
+    { "remotePrefill",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.remotePrefill = aValue; } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
--- a/cuminfield/request/admission/TierReserve.cpp
+++ b/cuminfield/request/admission/TierReserve.cpp
@@ -32,19 +32,25 @@
   return std::max(0.0, Wanted(aTier) - mRunning[aTier]);
 }
 
-std::array<double, kTiers> TierReserve::Shares(double aCapacity, double aHeadroom) const
+routing::TierShares TierReserve::Shares(const routing::OwnCapacity& aCapacity) const
 {
-  std::array<double, kTiers> shares{};
+  routing::TierShares shares = routing::TierShares::Full();
+  const double free = mEndRate * mSettings.churn + aCapacity.headroom;
   double reserved = 0;
-  double share = 1.0;
-  for (std::size_t tier = 0; tier < kTiers; ++tier) {
-    const double kept = std::max(0.0, reserved - mEndRate * mSettings.churn - aHeadroom);
-    const double left = 1.0 - kept / std::max(1.0, aCapacity);
-    share = std::clamp(left, share * mSettings.leastShare, share);
-    shares[tier] = share;
-    reserved += Missing(tier);
+  for (std::size_t tier = 1; tier < kTiers; ++tier) {
+    reserved += Missing(tier - 1);
+    const double kept = std::max(0.0, reserved - free);
+    const double rest = std::max(0.0, kept - aCapacity.quick);
+    shares.quick[tier] = Share(kept, aCapacity.quick, shares.quick[tier - 1]);
+    shares.slow[tier] = Share(rest, aCapacity.slow, shares.slow[tier - 1]);
   }
   return shares;
 }
 
+double TierReserve::Share(double aKept, double aCapacity, double aHigher) const
+{
+  const double left = 1.0 - aKept / std::max(1.0, aCapacity);
+  return std::clamp(left, aHigher * mSettings.leastShare, aHigher);
+}
+
 } // namespace cuminfield::request::admission
--- a/cuminfield/request/admission/TierReserve.h
+++ b/cuminfield/request/admission/TierReserve.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cuminfield/request/Tiers.h"
-#include "cuminfield/request/routing/RouterSettings.h"
+#include "cuminfield/request/routing/TierShares.h"
 
 #include <array>
 #include <cstddef>
@@ -17,7 +17,7 @@
   double deviations = 1.0; ///< Square roots of the demand that are kept besides it.
   double churn = 20;       ///< Ticks in which a place that is about to be free counts as free.
   double churnWeight = 0.005; ///< Of the newest tick in the mean rate of places getting free.
-  double leastShare = 0.3; ///< A lower tier may always fill this share of what a higher one may.
+  double leastShare = 0.1; ///< A lower tier may always fill this share of what a higher one may.
 };
 
 /// Room in the upstreams that lower tiers leave for the higher ones of one pool. A request of a
@@ -50,12 +50,14 @@
   void Update();
 
   /// The share of its upstreams' limits that each tier may fill, of a capacity of so many requests
-  /// with so many more for the highest tier.
-  std::array<double, kTiers> Shares(double aCapacity, double aHeadroom) const;
+  /// with so many more for the highest tier. Room is kept in the upstreams without long requests
+  /// first: behind a long prefill it is of no use to a quick request.
+  routing::TierShares Shares(const routing::OwnCapacity& aCapacity) const;
 
 private:
   double Wanted(std::size_t aTier) const;
   double Missing(std::size_t aTier) const;
+  double Share(double aKept, double aCapacity, double aHigher) const;
 
   TierReserveSettings mSettings;
   std::array<int, kTiers> mWaiting{};
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -495,9 +495,7 @@
   mFleet.Tick(mTimers.Now());
   for (routing::PoolIndex pool = 0; pool < mQueues.size(); ++pool) {
     mQueues[pool].reserve.Update();
-    const double capacity = mFleet.OwnCapacity(pool);
-    const double headroom = mFleet.OwnHeadroom(pool);
-    mFleet.ShareOut(pool, mQueues[pool].reserve.Shares(capacity, headroom));
+    mFleet.ShareOut(pool, mQueues[pool].reserve.Shares(mFleet.Capacity(pool)));
   }
   ShedExpired();
   MarkAllDirty();
--- a/cuminfield/request/routing/Fleet.cpp
+++ b/cuminfield/request/routing/Fleet.cpp
@@ -155,34 +155,23 @@
   }
   const auto index = static_cast<PoolIndex>(mPools.size());
   mPools.push_back(Pool{ .service = aService, .version = aVersion, .local = {}, .remote = {} });
-  mPools.back().tierShare.fill(1.0);
   mPoolByName[key] = index;
   RebuildPool(mPools.back());
   return index;
 }
 
-double Fleet::OwnCapacity(PoolIndex aPool) const
+OwnCapacity Fleet::Capacity(PoolIndex aPool) const
 {
-  double sum = 0;
-  for (const UpstreamIndex it : mPools[aPool].local) {
-    const UpstreamState& state = At(it);
-    const double others = state.load.InFlight() - state.load.Own();
-    const bool granted = state.grant != capacity::CapacityView::kUnlimited;
-    const double slots = state.announcement.slots;
-    sum += granted ? state.grant : std::max(0.0, std::min(slots, state.limit.Value()) - others);
-  }
-  return sum;
-}
-
-double Fleet::OwnHeadroom(PoolIndex aPool) const
-{
-  double sum = 0;
+  OwnCapacity sum;
   for (const UpstreamIndex it : mPools[aPool].local) {
     const UpstreamState& state = At(it);
     const double slots = std::max(1U, state.announcement.slots);
+    const double others = state.load.InFlight() - state.load.Own();
     const bool granted = state.grant != capacity::CapacityView::kUnlimited;
-    const double part = granted ? std::min(1.0, state.grant / slots) : 1.0;
-    sum += part * std::max(0.0, state.limit.Value() - slots);
+    const double free = std::max(0.0, std::min(slots, state.limit.Value()) - others);
+    const double own = granted ? std::min<double>(state.grant, slots) : free;
+    (state.takesLong ? sum.slow : sum.quick) += own;
+    sum.headroom += own / slots * std::max(0.0, state.limit.Value() - slots);
   }
   return sum;
 }
--- a/cuminfield/request/routing/Fleet.h
+++ b/cuminfield/request/routing/Fleet.h
@@ -4,9 +4,10 @@
 #include "cuminfield/request/Tiers.h"
 #include "cuminfield/request/capacity/DemandReport.h"
 #include "cuminfield/request/routing/PrefixIndex.h"
+#include "cuminfield/request/routing/TierShares.h"
 #include "cuminfield/request/routing/UpstreamState.h"
 
-#include <array>
+
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -25,7 +26,7 @@
   core::VersionId version;
   std::vector<UpstreamIndex> local;       ///< Live, in the host's own region.
   std::vector<UpstreamIndex> remote;      ///< Live, in other regions.
-  std::array<double, kTiers> tierShare{}; ///< Of a limit that each tier may fill, as of now.
+  TierShares shares = TierShares::Full(); ///< Of the limits that each tier may fill, as of now.
   UpstreamIndex fastest = 0;              ///< The one with the highest prefill rate.
 
   bool Empty() const { return local.empty() && remote.empty(); }
@@ -62,16 +63,13 @@
   PoolIndex PoolOf(const core::ServiceId& aService, const core::VersionId& aVersion);
 
   /// Sets what share of its upstreams' limits each tier may fill.
-  void ShareOut(PoolIndex aPool, const std::array<double, kTiers>& aShares)
+  void ShareOut(PoolIndex aPool, const TierShares& aShares)
   {
-    mPools[aPool].tierShare = aShares;
+    mPools[aPool].shares = aShares;
   }
 
-  /// Requests that this host can have in flight in its own region within the slots.
-  double OwnCapacity(PoolIndex aPool) const;
-
-  /// Requests that it can have in flight there beyond the slots, for a time.
-  double OwnHeadroom(PoolIndex aPool) const;
+  /// Requests that this host can have in flight in its own region, given grants or others' load.
+  OwnCapacity Capacity(PoolIndex aPool) const;
 
   const Pool& PoolAt(PoolIndex aIndex) const { return mPools[aIndex]; }
   std::size_t PoolCount() const { return mPools.size(); }
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -98,7 +98,8 @@
 {
   const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
   // What another region keeps for its own higher tiers is not known here; a fixed part stands in.
-  const double share = aState.local ? aPool.tierShare[tier] : mSettings.remoteShare;
+  const auto& shares = aState.takesLong ? aPool.shares.slow : aPool.shares.quick;
+  const double share = aState.local ? shares[tier] : mSettings.remoteShare;
   const double slots = std::max(1U, aState.announcement.slots);
   // Only the highest tier may fill an upstream beyond its slots: its bursts pass before the pace
   // suffers, where the long answers of lower tiers would stay.
@@ -151,7 +152,8 @@
   }
   const bool shared = aState.grant != capacity::CapacityView::kUnlimited;
   const double slots = std::max(1U, aState.announcement.slots);
-  const double part = shared ? std::min(1.0, aState.grant / slots) : 1.0;
+  const double alone = aState.local ? 1.0 : mSettings.remotePrefill;
+  const double part = shared ? std::min(1.0, aState.grant / slots) : alone;
   const core::Duration own = aState.rates.Prefill(aState.load.OwnPrefill() + aUncached);
   return own <= Scaled(mSettings.prefillBudget, part);
 }
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -54,6 +54,8 @@
   /// Reported load of all hosts up to which a grant is used, as a multiple of the limit: reports
   /// are stale, grants are not, but other regions send work without a grant.
   double overGrant = 1.1;
+  /// Part of a remote upstream's prefill budget that one host of another region may use.
+  double remotePrefill = 0.1;
   /// Share of a remote upstream's in-flight limit that other regions may fill.
   double remoteShare = 0.7;
   /// First tokens before an upstream's learned rates are trusted to turn a request away.
