--- a/cuminfield/request/capacity/CapacityBroker.cpp
+++ b/cuminfield/request/capacity/CapacityBroker.cpp
@@ -200,6 +200,13 @@
   }
   double start = 0;
   for (UpstreamEntry* it : aGroup) {
+    if (mSettings.spread) {
+      const double part = GrantableSlots(mSettings, it->slots) / std::max(1.0, capacity);
+      const double low = std::floor(from * part + 0.5);
+      const double high = std::floor(until * part + 0.5);
+      GrantOne(*it, aHost, static_cast<std::uint32_t>(high - low), aSequence, aNow);
+      continue;
+    }
     const double end = start + GrantableSlots(mSettings, it->slots);
     const double low = std::floor(std::clamp(from, start, end) + 0.5);
     const double high = std::floor(std::clamp(until, start, end) + 0.5);
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -57,7 +57,9 @@
   /// Part of a remote upstream's prefill budget that one host of another region may use.
   double remotePrefill = 0.1;
   /// Share of a remote upstream's in-flight limit that other regions may fill.
-  double remoteShare = 0.7;
+  double remoteShare = 0.3;
+  /// The same for the highest tier.
+  double remoteTopShare = 0.8;
   /// First tokens before an upstream's learned rates are trusted to turn a request away.
   std::uint32_t trustedSamples = 8;
   /// No new work for an upstream that has just refused some.
