--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -39,7 +39,6 @@
     { "longShare",
       [](auto& aOptions, double aValue) {
         aOptions.settings.router.longShare = aValue;
-        aOptions.capacity.groups = aValue;
       } },
     { "longPrefillMs",
       [](auto& aOptions, double aValue) {
@@ -89,7 +88,8 @@
       [](auto& aOptions, double aValue) { aOptions.settings.router.remotePrefill = aValue; } },
     { "remoteTopShare",
       [](auto& aOptions, double aValue) { aOptions.settings.router.remoteTopShare = aValue; } },
-    { "spread", [](auto& aOptions, double aValue) { aOptions.capacity.spread = aValue > 0; } },
+    { "remoteLongShare",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.remoteLongShare = aValue; } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
--- a/cuminfield/request/capacity/CapacityBroker.cpp
+++ b/cuminfield/request/capacity/CapacityBroker.cpp
@@ -70,9 +70,7 @@
     services.insert(it.second.service);
   }
   for (const core::ServiceId& service : services) {
-    for (const Order& group : Groups(service)) {
-      GrantGroup(group, aReport.host, service, aReport.sequence, aNow);
-    }
+    GrantService(service, aReport.host, aReport.sequence, aNow);
   }
   for (const auto& [id, entry] : mUpstreams) {
     CUMINFIELD_INVARIANT("capacity.no-overgrant",
@@ -161,34 +159,15 @@
   return targets;
 }
 
-std::vector<CapacityBroker::Order> CapacityBroker::Groups(const core::ServiceId& aService)
-{
-  Order order;
-  for (auto& [id, entry] : mUpstreams) {
-    if (entry.service == aService && entry.slots > 0) {
-      order.push_back(&entry);
-    }
-  }
-  // The same order as Fleet's, so that each host gets its part of those that take long requests.
-  std::sort(order.begin(), order.end(),
-            [](const UpstreamEntry* aLeft, const UpstreamEntry* aRight) {
-              return aLeft->hash < aRight->hash;
-            });
-  const double share = std::ceil(static_cast<double>(order.size()) * mSettings.groups);
-  const auto first = order.begin() + static_cast<std::ptrdiff_t>(share);
-  return { Order(order.begin(), first), Order(first, order.end()) };
-}
-
-void CapacityBroker::GrantGroup(const Order& aGroup, const core::HostId& aHost,
-                                const core::ServiceId& aService, std::uint64_t aSequence,
-                                core::Instant aNow)
+void CapacityBroker::GrantService(const core::ServiceId& aService, const core::HostId& aHost,
+                                  std::uint64_t aSequence, core::Instant aNow)
 {
   double capacity = 0;
-  for (const UpstreamEntry* it : aGroup) {
-    capacity += GrantableSlots(mSettings, it->slots);
+  for (const auto& [id, entry] : mUpstreams) {
+    if (entry.service == aService) {
+      capacity += GrantableSlots(mSettings, entry.slots);
+    }
   }
-  // The slots of the group form one line that is cut into a stretch for each host: a host meets
-  // few upstreams and few other hosts at each, and so knows most of what goes on there.
   double from = 0;
   double until = 0;
   for (const auto& [host, target] : Targets(aService, capacity)) {
@@ -198,20 +177,15 @@
     }
     from = until;
   }
-  double start = 0;
-  for (UpstreamEntry* it : aGroup) {
-    if (mSettings.spread) {
-      const double part = GrantableSlots(mSettings, it->slots) / std::max(1.0, capacity);
-      const double low = std::floor(from * part + 0.5);
-      const double high = std::floor(until * part + 0.5);
-      GrantOne(*it, aHost, static_cast<std::uint32_t>(high - low), aSequence, aNow);
-      continue;
+  // Every host gets its part of every upstream. The hosts' parts lie end to end and are rounded at
+  // their ends, so that they always add up to the upstream's slots.
+  for (auto& [id, entry] : mUpstreams) {
+    if (entry.service == aService && entry.slots > 0) {
+      const double part = GrantableSlots(mSettings, entry.slots) / std::max(1.0, capacity);
+      const double first = std::floor(from * part + 0.5);
+      const double last = std::floor(until * part + 0.5);
+      GrantOne(entry, aHost, static_cast<std::uint32_t>(last - first), aSequence, aNow);
     }
-    const double end = start + GrantableSlots(mSettings, it->slots);
-    const double low = std::floor(std::clamp(from, start, end) + 0.5);
-    const double high = std::floor(std::clamp(until, start, end) + 0.5);
-    GrantOne(*it, aHost, static_cast<std::uint32_t>(high - low), aSequence, aNow);
-    start = end;
   }
 }
 
--- a/cuminfield/request/capacity/CapacityBroker.h
+++ b/cuminfield/request/capacity/CapacityBroker.h
@@ -65,17 +65,15 @@
     DemandReport report;
     core::Instant heard{};
   };
-  using Order = std::vector<UpstreamEntry*>;
 
   void DropDeadHosts(core::Instant aNow);
   void NoteUse(const DemandReport& aReport);
   std::map<core::HostId, double> Targets(const core::ServiceId& aService, double aCapacity) const;
   double DemandOf(const HostEntry& aHost, const core::ServiceId& aService, std::size_t aTier) const;
-  void GrantGroup(const Order& aGroup, const core::HostId& aHost, const core::ServiceId& aService,
-                  std::uint64_t aSequence, core::Instant aNow);
+  void GrantService(const core::ServiceId& aService, const core::HostId& aHost,
+                    std::uint64_t aSequence, core::Instant aNow);
   void GrantOne(UpstreamEntry& aUpstream, const core::HostId& aHost, std::uint32_t aWanted,
                 std::uint64_t aSequence, core::Instant aNow);
-  std::vector<Order> Groups(const core::ServiceId& aService);
   bool MayShed(std::size_t aTier) const;
 
   CapacitySettings mSettings;
--- a/cuminfield/request/capacity/CapacitySettings.h
+++ b/cuminfield/request/capacity/CapacitySettings.h
@@ -12,8 +12,6 @@
   core::Duration lease{ 2'000'000 };      ///< How long a grant holds without being renewed.
   core::Duration reportPeriod{ 200'000 }; ///< Between two reports of a host.
   double reserved = 0.1; ///< Share of each upstream's slots for hosts without a grant.
-  bool spread = true;     ///< A host gets its part of every upstream, not of a few.
-  double groups = 0.5;   ///< Share of a service's upstreams that form the first group.
 };
 
 /// Slots of the reserved share that a host may always use at an upstream: the reserve is split
--- a/cuminfield/request/routing/Fleet.cpp
+++ b/cuminfield/request/routing/Fleet.cpp
@@ -11,6 +11,7 @@
 
 constexpr double kTrustAfterGap = 0.9; ///< Factor on the trust in the index after a lost event.
 constexpr double kTrustRegained = 0.1; ///< Part of the missing trust that an event restores.
+constexpr double kSlotMargin = 0.5;     ///< Slots that may be missing from a share.
 constexpr core::Tokens kReferencePrefill{ 1'000 };
 
 std::uint64_t KeyOf(const core::ServiceId& aService, const core::VersionId& aVersion)
@@ -201,23 +202,31 @@
   if (!aPool.Empty()) {
     aPool.fastest = aPool.local.empty() ? aPool.remote.front() : aPool.local.front();
   }
-  MarkLong(aPool);
+  MarkLong(aPool.local);
+  MarkLong(aPool.remote);
 }
 
-void Fleet::MarkLong(const Pool& aPool)
+void Fleet::MarkLong(const std::vector<UpstreamIndex>& aList)
 {
   // Every host must mark the same ones: the order depends on announced facts alone.
-  const auto mark = [this](std::vector<UpstreamIndex> aList) {
-    std::sort(aList.begin(), aList.end(), [this](UpstreamIndex aLeft, UpstreamIndex aRight) {
-      return At(aLeft).hash < At(aRight).hash;
-    });
-    const double share = std::ceil(static_cast<double>(aList.size()) * mSettings.longShare);
-    for (std::size_t n = 0; n < aList.size(); ++n) {
-      At(aList[n]).takesLong = static_cast<double>(n) < share;
+  mOrder = aList;
+  std::sort(mOrder.begin(), mOrder.end(), [this](UpstreamIndex aLeft, UpstreamIndex aRight) {
+    const UpstreamState& left = At(aLeft);
+    const UpstreamState& right = At(aRight);
+    if (left.announcement.slots != right.announcement.slots) {
+      return left.announcement.slots > right.announcement.slots;
     }
-  };
-  mark(aPool.local);
-  mark(aPool.remote);
+    return left.hash < right.hash;
+  });
+  double total = 0;
+  for (const UpstreamIndex it : mOrder) {
+    total += At(it).announcement.slots;
+  }
+  double marked = 0;
+  for (const UpstreamIndex it : mOrder) {
+    At(it).takesLong = marked < total * mSettings.longShare - kSlotMargin;
+    marked += At(it).announcement.slots;
+  }
 }
 
 void Fleet::Tick(core::Instant aNow)
--- a/cuminfield/request/routing/Fleet.h
+++ b/cuminfield/request/routing/Fleet.h
@@ -88,7 +88,7 @@
   UpstreamIndex Claim(const UpstreamAnnouncement& aUpstream);
   void Rebuild();
   void RebuildPool(Pool& aPool);
-  void MarkLong(const Pool& aPool);
+  void MarkLong(const std::vector<UpstreamIndex>& aList);
   void JudgePools(core::Instant aNow);
   void Forget(core::Instant aNow);
 
@@ -102,6 +102,7 @@
   std::vector<Pool> mPools;
   std::unordered_map<std::uint64_t, PoolIndex> mPoolByName; ///< By the hash of both names.
   std::vector<PeerHealth*> mScratch;
+  std::vector<UpstreamIndex> mOrder; ///< Scratch of MarkLong().
   core::Instant mJudged{};
 };
 
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -26,13 +26,15 @@
   core::Duration lowerBacklog{ 150'000 };
   /// Prefill that all hosts together may have in flight at an upstream, in time; each has its part
   /// by its part of the slots, but at least one request.
-  core::Duration prefillBudget{ 250'000 };
+  core::Duration prefillBudget{ 120'000 };
   /// A request with a longer prefill of its own counts as long.
   core::Duration longPrefill{ 120'000 };
-  /// Share of a pool's local upstreams that take long requests; the others stay quick.
-  double longShare = 0.5;
+  /// Share of a region's slots in a pool that take long requests: the largest upstreams, which
+  /// compute long prompts fastest. The others stay quick.
+  double longShare = 0.4;
+  
   /// Counted against an upstream that takes long requests when a quick one is placed.
-  core::Duration longPenalty{ 150'000 };
+  core::Duration longPenalty{ 50'000 };
   /// Upstreams sampled for one decision, besides those that hold the request's prefix.
   std::uint32_t choices = 8;
   /// Weight of uncached prefill against waiting time when upstreams are compared.
@@ -58,8 +60,10 @@
   double remotePrefill = 0.1;
   /// Share of a remote upstream's in-flight limit that other regions may fill.
   double remoteShare = 0.3;
+  /// The same where long requests are taken.
+  double remoteLongShare = 0.7;
   /// The same for the highest tier.
-  double remoteTopShare = 0.8;
+  double remoteTopShare = 1.0;
   /// First tokens before an upstream's learned rates are trusted to turn a request away.
   std::uint32_t trustedSamples = 8;
   /// No new work for an upstream that has just refused some.
