--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,3 +1,4 @@
+#include "PerformanceTest/decisions/DecisionCost.h"
 #include "PerformanceTest/decisions/DecisionMeasurements.h"
 
 #include <cstdio>
@@ -10,6 +11,7 @@
 {
   using Measurement = int (*)(const std::string& aName, int aCount, char** aValues);
   const std::map<std::string, Measurement> measurements = {
+    { "decision-cost", decisions::RunDecisionCost },
     { "goodput", decisions::RunDecisionMeasurement },
     { "leave", decisions::RunDecisionMeasurement },
     { "prefill", decisions::RunDecisionMeasurement },
--- /dev/null
+++ b/PerformanceTest/decisions/DecisionCost.cpp
@@ -0,0 +1,223 @@
+#include "PerformanceTest/decisions/DecisionCost.h"
+
+#include "TestFramework/time/ManualTimerService.h"
+#include "cuminfield/request/admission/TieredScheduler.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <new>
+#include <vector>
+
+namespace {
+
+std::atomic<std::uint64_t> gAllocations{ 0 };
+
+} // namespace
+
+// Counted so that the steady state can be shown not to allocate.
+void* operator new(std::size_t aSize)
+{
+  gAllocations.fetch_add(1, std::memory_order_relaxed);
+  void* memory = std::malloc(aSize);
+  if (memory == nullptr) {
+    throw std::bad_alloc();
+  }
+  return memory;
+}
+
+void operator delete(void* aMemory) noexcept
+{
+  std::free(aMemory);
+}
+
+void operator delete(void* aMemory, std::size_t) noexcept
+{
+  std::free(aMemory);
+}
+
+namespace cuminfield::performance_test::decisions {
+
+namespace {
+
+constexpr std::uint32_t kUpstreams = 300;
+constexpr std::uint32_t kInFlight = 6'000; ///< More than fits, so that queues are in use.
+constexpr std::uint32_t kDecisions = 200'000;
+constexpr std::int64_t kPrompt = 768;
+
+class AnyVersion : public request::VersionChooser
+{
+public:
+  core::VersionId Choose(const core::ServiceId&, const core::RouteId&, double) const override
+  {
+    return {};
+  }
+};
+
+/// Remembers what is in flight, to end it later.
+class Sink : public request::SchedulerListener
+{
+public:
+  explicit Sink(std::vector<core::RequestId>& aFlying)
+    : mFlying(aFlying)
+  {
+  }
+
+  void OnDispatch(const core::RequestId& aRequest, const request::UpstreamAnnouncement&) override
+  {
+    mFlying.push_back(aRequest);
+  }
+  void OnShed(const core::RequestId&, request::ShedReason, core::Duration) override { ++shed; }
+
+  std::uint64_t shed = 0;
+
+private:
+  std::vector<core::RequestId>& mFlying;
+};
+
+struct Cost
+{
+  double meanMicros = 0;
+  double worst99Micros = 0;
+  double allocations = 0; ///< For each decision.
+};
+
+/// The load of the cost measurement: one request comes and one ends, over and over.
+class CostRun
+{
+public:
+  explicit CostRun(std::uint32_t aWorkspaces)
+    : mSink(mFlying)
+    , mScheduler({ .settings = {},
+                   .timers = mTimers,
+                   .random = mRandom,
+                   .listener = mSink,
+                   .versions = mVersions,
+                   .host = core::HostId("host-0"),
+                   .dataCentre = core::DataCentreId("gent-a"),
+                   .region = core::RegionId("gent") })
+  {
+    for (std::uint32_t n = 0; n < aWorkspaces; ++n) {
+      mWorkspaces.emplace_back("workspace-" + std::to_string(n));
+    }
+    for (std::uint32_t n = 0; n < kUpstreams; ++n) {
+      mScheduler.UpstreamUp({ .id = core::UpstreamId("engine-" + std::to_string(n)),
+                              .incarnation = core::Incarnation(1),
+                              .service = core::ServiceId("taxateur"),
+                              .version = core::VersionId("v1"),
+                              .dataCentre = core::DataCentreId("gent-a"),
+                              .region = core::RegionId("gent"),
+                              .address = "127.0.0.1",
+                              .slots = 16 });
+    }
+    mFlying.reserve(kInFlight * 4);
+  }
+
+  Cost Measure()
+  {
+    for (std::uint32_t n = 0; n < kInFlight; ++n) {
+      mScheduler.Submit(MakeSpec());
+    }
+    for (std::uint32_t n = 0; n < kDecisions / 2; ++n) {
+      Round(MakeSpec());
+    }
+    std::vector<double> times;
+    times.reserve(kDecisions);
+    Cost cost;
+    std::uint64_t allocations = 0;
+    for (std::uint32_t n = 0; n < kDecisions; ++n) {
+      request::RequestSpec spec = MakeSpec();
+      const std::uint64_t before = gAllocations.load();
+      const auto start = std::chrono::steady_clock::now();
+      Round(std::move(spec));
+      const std::chrono::duration<double, std::micro> took =
+        std::chrono::steady_clock::now() - start;
+      allocations += gAllocations.load() - before;
+      times.push_back(took.count());
+      cost.meanMicros += took.count() / kDecisions;
+      if (n % 64 == 0) {
+        mTimers.Advance(core::Duration(1'000));
+      }
+    }
+    std::sort(times.begin(), times.end());
+    cost.worst99Micros = times[times.size() * 99 / 100];
+    cost.allocations = static_cast<double>(allocations) / kDecisions;
+    return cost;
+  }
+
+private:
+  request::RequestSpec MakeSpec()
+  {
+    const std::uint64_t workspace = mRandom.Below(mWorkspaces.size());
+    request::RequestSpec spec{ .id = core::RequestId("request-" + std::to_string(mNext++)),
+                               .workspace = mWorkspaces[workspace],
+                               .tier = static_cast<request::TierRank>(mRandom.Below(4)),
+                               .service = core::ServiceId("taxateur"),
+                               .route = core::RouteId("quick"),
+                               .arrival = mTimers.Now(),
+                               .deadline = mTimers.Now() + std::chrono::hours(1),
+                               .firstTokenTarget = std::chrono::hours(1),
+                               .tokenGapTarget = std::chrono::milliseconds(39),
+                               .prompt = core::Tokens{ kPrompt },
+                               .maxAnswer = core::Tokens{ 100 },
+                               .prefix = {} };
+    for (std::int64_t n = 0; n < kPrompt / request::kPrefixBlock.value; ++n) {
+      const bool shared = n < 8;
+      spec.prefix.push_back(shared ? workspace * 64 + static_cast<std::uint64_t>(n) + 1
+                                   : mRandom.Bits());
+    }
+    return spec;
+  }
+
+  /// One whole request: submitted, and another one answered in full.
+  void Round(request::RequestSpec aSpec)
+  {
+    mScheduler.Submit(std::move(aSpec));
+    if (mFlying.empty()) {
+      return;
+    }
+    const std::size_t chosen = mRandom.Below(mFlying.size());
+    mEnding = mFlying[chosen];
+    std::swap(mFlying[chosen], mFlying.back());
+    mFlying.pop_back();
+    mScheduler.FirstToken(mEnding);
+    mScheduler.Token(mEnding);
+    mScheduler.Finished(mEnding, request::TryOutcome::Succeeded);
+  }
+
+  test_framework::time::ManualTimerService mTimers;
+  core::Random mRandom{ 1 };
+  AnyVersion mVersions;
+  std::vector<core::RequestId> mFlying;
+  Sink mSink;
+  request::admission::TieredScheduler mScheduler;
+  std::vector<core::WorkspaceId> mWorkspaces;
+  core::RequestId mEnding;
+  std::uint64_t mNext = 0;
+};
+
+} // namespace
+
+int RunDecisionCost(const std::string& aName, int, char**)
+{
+  std::printf("%10s %12s %12s %12s\n", "workspaces", "mean us", "99% us", "allocations");
+  Cost few;
+  Cost many;
+  for (const std::uint32_t workspaces : { 15U, 1'500U, 15'000U }) {
+    CostRun run(workspaces);
+    many = run.Measure();
+    few = workspaces == 15 ? many : few;
+    std::printf("%10u %12.2f %12.2f %12.3f\n", workspaces, many.meanMicros, many.worst99Micros,
+                many.allocations);
+  }
+  std::printf("measurement=%s upstreams=%u mean_us_15=%.2f mean_us_15000=%.2f p99_us_15000=%.2f "
+              "allocations_15000=%.3f\n",
+              aName.c_str(), kUpstreams, few.meanMicros, many.meanMicros, many.worst99Micros,
+              many.allocations);
+  return 0;
+}
+
+} // namespace cuminfield::performance_test::decisions
--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -88,8 +88,6 @@
       [](auto& aOptions, double aValue) { aOptions.settings.router.remotePrefill = aValue; } },
     { "remoteTopShare",
       [](auto& aOptions, double aValue) { aOptions.settings.router.remoteTopShare = aValue; } },
-    { "remoteLongShare",
-      [](auto& aOptions, double aValue) { aOptions.settings.router.remoteLongShare = aValue; } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -99,8 +99,7 @@
   const std::size_t tier = std::min<std::size_t>(aSpec.tier, kTiers - 1);
   // What another region keeps for its own higher tiers is not known here; a fixed part stands in.
   const auto& shares = aState.takesLong ? aPool.shares.slow : aPool.shares.quick;
-  const double lower = aState.takesLong ? mSettings.remoteLongShare : mSettings.remoteShare;
-  const double remote = tier == 0 ? mSettings.remoteTopShare : lower;
+  const double remote = tier == 0 ? mSettings.remoteTopShare : mSettings.remoteShare;
   const double share = aState.local ? shares[tier] : remote;
   const double slots = std::max(1U, aState.announcement.slots);
   // Only the highest tier may fill an upstream beyond its slots: its bursts pass before the pace
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -60,8 +60,7 @@
   double remotePrefill = 0.1;
   /// Share of a remote upstream's in-flight limit that other regions may fill.
   double remoteShare = 0.3;
-  /// The same where long requests are taken.
-  double remoteLongShare = 0.7;
+   
   /// The same for the highest tier.
   double remoteTopShare = 1.0;
   /// First tokens before an upstream's learned rates are trusted to turn a request away.
