--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -39,7 +39,6 @@
     { "longShare",
       [](auto& aOptions, double aValue) {
         aOptions.settings.router.longShare = aValue;
-        aOptions.capacity.groups = aValue;
       } },
     { "longPrefillMs",
       [](auto& aOptions, double aValue) {
@@ -83,7 +82,12 @@
     { "reserved", [](auto& aOptions, double aValue) { aOptions.capacity.reserved = aValue; } },
     { "burst", [](auto& aOptions, double aValue) { aOptions.workload.burst = aValue; } },
     { "lowTiers", [](auto& aOptions, double aValue) { aOptions.workload.lowTiers = aValue; } },
-    { "spillAfter", [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
+    { "spillAfter",
+      [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
+    { "remotePrefill",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.remotePrefill = aValue; } },
+    { "remoteTopShare",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.remoteTopShare = aValue; } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
@@ -94,7 +98,9 @@
     { "limitIncrease",
       [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.increase = aValue; } },
     { "hosts",
-      [](auto& aOptions, double aValue) { aOptions.hosts = static_cast<std::uint32_t>(aValue); } },
+      [](auto& aOptions, double aValue) {
+        aOptions.hosts = static_cast<std::uint32_t>(aValue);
+      } },
   };
   return setters;
 }
