Version moves: trouble of both versions is not held against the new one

And a verdict waited for the director, which may be dead. Ruled out: a ceiling that follows the last 100 requests (at a quarter of the traffic it follows too slowly). Change: where the block has requests to the old version, their own outcomes limit its rate; where it has none after two seconds, only more than the stated trouble counts (35% failures, 60% slow). Every judge weighs the reports of all hosts that reach it besides those of its own.

--- a/PerformanceTest/moves/MoveTrial.cpp
+++ b/PerformanceTest/moves/MoveTrial.cpp
@@ -269,7 +269,9 @@
   for (Host& host : mHosts) {
     const auto report = std::make_shared<ObservationReport>(host.log->NextReport());
     const std::uint32_t place = host.dataCentre;
-    Send(place, place, [this, place, report] { mJudges[place]->OnReport(*report); });
+    for (std::uint32_t it = 0; it < kDataCentres; ++it) {
+      Send(place, it, [this, it, report] { mJudges[it]->OnReport(*report); });
+    }
     Send(place, 0, [this, report] {
       if (mDirector) {
         mDirector->OnReport(*report);
--- a/UnitTests/version/moves/MoveSharesTest.cpp
+++ b/UnitTests/version/moves/MoveSharesTest.cpp
@@ -132,6 +132,16 @@
   CHECK(Choose(0.99) == kNew);
 }
 
+TEST(MoveShares, AHostCannotLeaveAMoveThatIsDone)
+{
+  mShares.OnShares(MakeUpdate(1, MovePhase::Advancing, 0.5));
+  mShares.Trip(kMove);
+  CHECK(Choose(0.0) == kOld);
+  mShares.OnShares(MakeUpdate(2, MovePhase::Done, 1.0));
+  mShares.Trip(kMove);
+  CHECK(Choose(0.0) == kNew);
+}
+
 TEST(MoveShares, UndoByHandTakesEffectWithTheDocument)
 {
   mShares.OnShares(MakeUpdate(1, MovePhase::Advancing, 0.75));
--- a/cuminfield/version/moves/HostTrip.h
+++ b/cuminfield/version/moves/HostTrip.h
@@ -7,11 +7,11 @@
 /// Tunables of HostTrip.
 struct HostTripSettings
 {
-  double glaringRate = 0.5;  ///< Failure rate that is looked for.
-  double tolerable = 0.06;   ///< Failure rate that no host leaves for,
+  double glaringRate = 0.8;  ///< Failure rate that is looked for.
+  double tolerable = 0.25;   ///< Failure rate that no host leaves for,
   double tolerableRatio = 3; ///< nor for this many times the old version's.
   double errorRate = 1e-5;   ///< Chance that one host leaves a tolerable version.
-  double memory = 200;       ///< Requests that the old version's rate is learned from.
+  double memory = 30;        ///< Requests that the old version's rate is learned from.
 };
 
 /// Watches on one host for a glaring fault of a move's new version, so that the host can leave it
--- a/cuminfield/version/moves/MoveJudge.cpp
+++ b/cuminfield/version/moves/MoveJudge.cpp
@@ -27,15 +27,17 @@
   , mSettings(aSettings)
   , mCommitted(aCommitted)
   , mState(NextState(aSubject, aCommitted))
-  , mEvidence(aSubject, aSettings.evidence, mState.life)
+  , mLocal(aSubject, aSettings.evidence, mState.life)
+  , mAll(aSubject, aSettings.evidence, mState.life)
 {
 }
 
 void MoveJudge::OnReport(const ObservationReport& aReport)
 {
   if (aReport.dataCentre == mDataCentre) {
-    mEvidence.Take(aReport);
+    mLocal.Take(aReport);
   }
+  mAll.Take(aReport);
 }
 
 void MoveJudge::OnShares(const ShareUpdate& aUpdate)
@@ -58,13 +60,10 @@
 
 void MoveJudge::EndRound()
 {
-  mEvidence.EndRound();
-  const bool isDone = mShares && mShares->phase == MovePhase::Done;
-  if (mState.bad || isDone || !mEvidence.Fault()) {
-    return; // A move that is done stays done: its old version may be gone.
-  }
-  mState.bad = true;
-  mState.reason = *mEvidence.Fault() + " (seen in " + mDataCentre.Text() + ")";
+  mLocal.EndRound();
+  mAll.EndRound();
+  Judge(mLocal, mDataCentre.Text() + " alone");
+  Judge(mAll, "all data centres");
 }
 
 std::optional<JudgeState> MoveJudge::Proposed() const
@@ -107,4 +106,14 @@
   return mShares;
 }
 
+void MoveJudge::Judge(const MoveEvidence& aEvidence, const std::string& aWhere)
+{
+  const bool isDone = mShares && mShares->phase == MovePhase::Done;
+  if (mState.bad || isDone || !aEvidence.Fault()) {
+    return; // A move that is done stays done: its old version may be gone.
+  }
+  mState.bad = true;
+  mState.reason = *aEvidence.Fault() + " (seen from " + mDataCentre.Text() + " in " + aWhere + ")";
+}
+
 } // namespace cuminfield::version::moves
--- a/cuminfield/version/moves/MoveJudge.h
+++ b/cuminfield/version/moves/MoveJudge.h
@@ -18,8 +18,9 @@
 };
 
 /// Judges one move for one data centre, on the leader of that data centre's group: from its own
-/// hosts' reports alone, so also while cut off from the rest. A bad verdict ends the move here at
-/// once and, through the director, everywhere. It never moves the share up.
+/// hosts' reports alone, so also while cut off from the rest, and from the reports of all hosts
+/// that reach it, so also while there is no director. A bad verdict ends the move here at once and,
+/// through the director and the other judges, everywhere. It never moves the share up.
 class MoveJudge
 {
 public:
@@ -28,7 +29,7 @@
             core::TimerService& aTimers, const MoveJudgeSettings& aSettings,
             const std::optional<JudgeState>& aCommitted);
 
-  /// A report of a host; those of other data centres are ignored.
+  /// A report of any host.
   void OnReport(const ObservationReport& aReport);
 
   /// The director's share for this data centre.
@@ -55,13 +56,16 @@
   std::optional<ShareUpdate> Relay() const;
 
 private:
+  void Judge(const MoveEvidence& aEvidence, const std::string& aWhere);
+
   MoveSubject mSubject;
   core::DataCentreId mDataCentre;
   core::TimerService& mTimers;
   MoveJudgeSettings mSettings;
   std::optional<JudgeState> mCommitted;
-  JudgeState mState; ///< As it should be.
-  MoveEvidence mEvidence;
+  JudgeState mState;   ///< As it should be.
+  MoveEvidence mLocal; ///< Hosts of this data centre.
+  MoveEvidence mAll;   ///< All hosts that reach this judge.
   std::optional<ShareUpdate> mShares;
   core::Instant mSharesHeard{};
 };
--- a/cuminfield/version/moves/MoveShares.cpp
+++ b/cuminfield/version/moves/MoveShares.cpp
@@ -72,6 +72,13 @@
 
 void MoveShares::Trip(const core::MoveId& aMove)
 {
+  for (const auto& [service, moves] : mMoves) {
+    for (const Move& it : moves) {
+      if (it.settings.id == aMove && it.update.phase == MovePhase::Done) {
+        return; // There is no old version to go back to.
+      }
+    }
+  }
   mTripped.insert(aMove);
 }
 
--- a/cuminfield/version/moves/MoveShares.h
+++ b/cuminfield/version/moves/MoveShares.h
@@ -40,7 +40,7 @@
   /// A verdict. Bad ones take effect at once and for good; good ones come as phase Done.
   void OnVerdict(const MoveVerdict& aVerdict);
 
-  /// This host leaves the move by itself (HostTrip).
+  /// This host leaves the move by itself (HostTrip). Ignored once the move is done.
   void Trip(const core::MoveId& aMove);
 
   core::VersionId Choose(const core::ServiceId& aService, const core::RouteId& aRoute,
--- a/cuminfield/version/moves/OldBaseline.h
+++ b/cuminfield/version/moves/OldBaseline.h
@@ -14,12 +14,12 @@
   double failureMargin = 0.01; ///< and this much more.
   /// A new version may be slower by this part of a latency class (about half, so a class is 1.5).
   double slowClasses = 0.45;
-  double longMemory = 2'000;   ///< Requests that the usual rates are learned from.
-  double shortMemory = 100;    ///< Requests that tell whether the rates are unusual now.
+  double memory = 2'000;       ///< Requests that the usual rates are learned from.
   double fewestLatencies = 40; ///< Latencies needed before slowness is judged.
-  double failureSlack = 0.005; ///< Room above the usual failure rate for its own changes.
-  double latencySlack = 0.04;  ///< Room above the usual part of slow requests.
-  double unusual = 3.0;        ///< Standard errors from which on the present counts as unusual.
+  /// Without requests to the old version to compare with, trouble that makes up to this part of all
+  /// requests fail, or be slow, is not held against the new version.
+  double uncontrolledFailures = 0.35;
+  double uncontrolledSlow = 0.60;
 };
 
 /// A bound between fast and slow requests, and the null bound on the part of slow ones.
@@ -39,25 +39,26 @@
   /// Learns from requests to the old version.
   void Add(const Observation& aOld);
 
-  NullBound FailureBound() const;
+  /// aHasControl: the block has requests to the old version too. Then whatever befalls both at the
+  /// same time is allowed for, however strong; without them only within the settings' limits.
+  NullBound FailureBound(bool aHasControl) const;
 
   /// The smallest latency class that at most aQuantile of the old version's requests exceed, by
   /// time to first token or by token gap. Absent while too few latencies are known.
-  std::optional<LatencyBound> FirstTokenBound(double aQuantile) const;
-  std::optional<LatencyBound> TokenGapBound(double aQuantile) const;
+  std::optional<LatencyBound> FirstTokenBound(double aQuantile, bool aHasControl) const;
+  std::optional<LatencyBound> TokenGapBound(double aQuantile, bool aHasControl) const;
 
   /// Usual failure rate of the old version.
-  double FailureRate() const { return mLong.FailureRate(); }
+  double FailureRate() const { return mCounts.FailureRate(); }
 
 private:
   using AboveMethod = double (DecayedCounts::*)(std::size_t) const;
 
-  LatencyBound MakeLatencyBound(AboveMethod aAbove, double aQuantile) const;
-  double Ceiling(double aUsual, double aNow, double aSlack) const;
+  LatencyBound MakeLatencyBound(AboveMethod aAbove, double aQuantile, bool aHasControl) const;
+  static double Ceiling(double aUsual, double aUncontrolled, bool aHasControl);
 
   OldBaselineSettings mSettings;
-  DecayedCounts mLong;
-  DecayedCounts mShort;
+  DecayedCounts mCounts;
 };
 
 } // namespace cuminfield::version::moves
--- a/cuminfield/version/moves/RouteEvidence.cpp
+++ b/cuminfield/version/moves/RouteEvidence.cpp
@@ -46,20 +46,12 @@
 
 void RouteEvidence::EndRound()
 {
+  if (WaitsForControl()) {
+    return;
+  }
+  mWaited = 0;
   if (mNew.Requests() > 0) {
-    const TwoSampleBlock failures{ .newTotal = mNew.Requests(),
-                                   .newHits = mNew.failed,
-                                   .oldTotal = mOld.Requests(),
-                                   .oldHits = mOld.failed };
-    Test(Metric::Failures).Update(failures, mBaseline.FailureBound());
-    TestLatency(Metric::FirstToken, mBaseline.FirstTokenBound(mSettings.bulkQuantile),
-                &Observation::firstToken);
-    TestLatency(Metric::FirstTokenTail, mBaseline.FirstTokenBound(mSettings.tailQuantile),
-                &Observation::firstToken);
-    TestLatency(Metric::Pace, mBaseline.TokenGapBound(mSettings.bulkQuantile),
-                &Observation::tokenGap);
-    TestLatency(Metric::PaceTail, mBaseline.TokenGapBound(mSettings.tailQuantile),
-                &Observation::tokenGap);
+    TestBlock();
     mRecentNew.Add(mNew);
   }
   mNewRequests += mNew.Requests();
@@ -93,7 +85,7 @@
   const bool isTail = aMetric == Metric::FirstTokenTail || aMetric == Metric::PaceTail;
   const double quantile = isTail ? mSettings.tailQuantile : mSettings.bulkQuantile;
   const auto bound =
-    isPace ? mBaseline.TokenGapBound(quantile) : mBaseline.FirstTokenBound(quantile);
+    isPace ? mBaseline.TokenGapBound(quantile, true) : mBaseline.FirstTokenBound(quantile, true);
   if (!bound) {
     return "slower than the old version";
   }
@@ -106,6 +98,33 @@
                      limit.count(), 100.0 * bound->bound.oldRate);
 }
 
+bool RouteEvidence::WaitsForControl()
+{
+  if (mNew.Requests() == 0 || mOld.Requests() > 0) {
+    return false;
+  }
+  ++mWaited;
+  return mWaited < mSettings.waitForControl;
+}
+
+void RouteEvidence::TestBlock()
+{
+  const bool hasControl = mOld.Requests() > 0;
+  const TwoSampleBlock failures{ .newTotal = mNew.Requests(),
+                                 .newHits = mNew.failed,
+                                 .oldTotal = mOld.Requests(),
+                                 .oldHits = mOld.failed };
+  const double bulk = mSettings.bulkQuantile;
+  const double tail = mSettings.tailQuantile;
+  Test(Metric::Failures).Update(failures, mBaseline.FailureBound(hasControl));
+  TestLatency(Metric::FirstToken, mBaseline.FirstTokenBound(bulk, hasControl),
+              &Observation::firstToken);
+  TestLatency(Metric::FirstTokenTail, mBaseline.FirstTokenBound(tail, hasControl),
+              &Observation::firstToken);
+  TestLatency(Metric::Pace, mBaseline.TokenGapBound(bulk, hasControl), &Observation::tokenGap);
+  TestLatency(Metric::PaceTail, mBaseline.TokenGapBound(tail, hasControl), &Observation::tokenGap);
+}
+
 void RouteEvidence::TestLatency(Metric aMetric, const std::optional<LatencyBound>& aBound,
                                 LatencyCounts Observation::*aCounts)
 {
--- a/cuminfield/version/moves/RouteEvidence.h
+++ b/cuminfield/version/moves/RouteEvidence.h
@@ -24,8 +24,10 @@
 {
   OldBaselineSettings baseline;
   SequentialTestSettings test;
-  double bulkQuantile = 0.30;  ///< At most this part of the old version's requests counts as slow.
-  double tailQuantile = 0.03;  ///< The same for the tail.
+  double bulkQuantile = 0.30; ///< At most this part of the old version's requests counts as slow.
+  double tailQuantile = 0.03; ///< The same for the tail.
+  /// Rounds that the new version's requests wait for some of the old version to compare with.
+  std::uint32_t waitForControl = 8;
   double recentRequests = 200; ///< Requests that reason texts speak of.
 };
 
@@ -41,6 +43,7 @@
   void AddNew(const Observation& aNew);
 
   /// Judges the round's requests against what was learned before them, then learns from them.
+  /// Whether to judge or wait depends on counts alone, never on outcomes.
   void EndRound();
 
   /// Looks from now on also for faults that begin now.
@@ -57,6 +60,8 @@
   std::string Describe(Metric aMetric) const;
 
 private:
+  bool WaitsForControl();
+  void TestBlock();
   void TestLatency(Metric aMetric, const std::optional<LatencyBound>& aBound,
                    LatencyCounts Observation::*aCounts);
   SequentialTest& Test(Metric aMetric) { return mTests[static_cast<std::size_t>(aMetric)]; }
@@ -64,8 +69,9 @@
   RouteEvidenceSettings mSettings;
   OldBaseline mBaseline;
   std::array<SequentialTest, kMetrics> mTests;
-  Observation mOld;         ///< This round.
-  Observation mNew;         ///< This round.
+  Observation mOld; ///< This round.
+  Observation mNew; ///< This round, and the rounds that wait for control.
+  std::uint32_t mWaited = 0;
   DecayedCounts mRecentNew; ///< For reason texts only.
   std::uint64_t mNewRequests = 0;
   std::uint64_t mOldRequests = 0;
