Version moves: deciders act before a fault has shown beyond doubt

Cause: the same reports reach a decider in another order than they were made in, so its evidence can peak lower than that of all hosts together and cross the line many seconds later. Change: a fault shows, by definition, when the evidence of all hosts together passes the test at a tenth of the deciders' error rate; deciders act at 1 in 10,000 each (1 in 2,000 before).

--- a/PerformanceTest/moves/MoveMeasurement.cpp
+++ b/PerformanceTest/moves/MoveMeasurement.cpp
@@ -43,6 +43,7 @@
   std::vector<double> met;
   std::vector<double> sent;
   std::vector<double> lags;
+  std::vector<double> earlyLags;
 };
 
 bool ParseOptions(int aArgc, char** aArgv, Options& aOptions)
@@ -106,6 +107,11 @@
   return aValues[static_cast<std::size_t>(std::lround(position))];
 }
 
+std::ptrdiff_t CountLate(const std::vector<double>& aLags)
+{
+  return std::count_if(aLags.begin(), aLags.end(), [](double aLag) { return aLag > 2.0; });
+}
+
 bool IsRight(const TrialResult& aResult)
 {
   return aResult.isBad ? aResult.isTakenBack : aResult.isFinished;
@@ -120,6 +126,7 @@
   if (aResult.hasShown) {
     aFigures.lags.push_back(aResult.lag);
   }
+  aFigures.earlyLags.push_back(aResult.earlyLag);
 }
 
 void Count(Figures& aFigures, const TrialResult& aResult)
@@ -189,21 +196,22 @@
 
 void PrintLastLine(const Figures& aFigures)
 {
-  fmt::print("bad={} bad_taken_back_percent={:.2f} met_median_percent={:.3f} "
-             "met_worst_percent={:.3f} sent_median_percent={:.3f} sent_worst_percent={:.3f} "
-             "fault_shown={} lag_median_s={:.2f} lag_p99_s={:.2f} lag_worst_s={:.2f} "
-             "lag_over_2s={} good={} good_taken_back={} good_finished_percent={:.2f} "
-             "director_deaths={} moves_with_deaths={} moves_with_deaths_right={} cut_off={} "
-             "cut_off_right={} judged_while_cut_off={}\n",
-             aFigures.bad, Percent(aFigures.badTakenBack, aFigures.bad),
-             Quantile(aFigures.met, 0.5), Quantile(aFigures.met, 1.0), Quantile(aFigures.sent, 0.5),
-             Quantile(aFigures.sent, 1.0), aFigures.lags.size(), Quantile(aFigures.lags, 0.5),
-             Quantile(aFigures.lags, 0.99), Quantile(aFigures.lags, 1.0),
-             std::count_if(aFigures.lags.begin(), aFigures.lags.end(),
-                           [](double aLag) { return aLag > 2.0; }),
-             aFigures.good, aFigures.goodTakenBack, Percent(aFigures.goodFinished, aFigures.good),
-             aFigures.directorDeaths, aFigures.movesWithDeaths, aFigures.deathsSurvived,
-             aFigures.cutOff, aFigures.cutOffRight, aFigures.judgedWhileCutOff);
+  fmt::print(
+    "bad={} bad_taken_back_percent={:.2f} met_median_percent={:.3f} "
+    "met_worst_percent={:.3f} sent_median_percent={:.3f} sent_worst_percent={:.3f} "
+    "fault_shown={} lag_median_s={:.2f} lag_p99_s={:.2f} lag_worst_s={:.2f} "
+    "lag_over_2s={} early_lag_median_s={:.2f} early_lag_worst_s={:.2f} early_lag_over_2s={} "
+    "good={} good_taken_back={} good_finished_percent={:.2f} "
+    "director_deaths={} moves_with_deaths={} moves_with_deaths_right={} cut_off={} "
+    "cut_off_right={} judged_while_cut_off={}\n",
+    aFigures.bad, Percent(aFigures.badTakenBack, aFigures.bad), Quantile(aFigures.met, 0.5),
+    Quantile(aFigures.met, 1.0), Quantile(aFigures.sent, 0.5), Quantile(aFigures.sent, 1.0),
+    aFigures.lags.size(), Quantile(aFigures.lags, 0.5), Quantile(aFigures.lags, 0.99),
+    Quantile(aFigures.lags, 1.0), CountLate(aFigures.lags), Quantile(aFigures.earlyLags, 0.5),
+    Quantile(aFigures.earlyLags, 1.0), CountLate(aFigures.earlyLags), aFigures.good,
+    aFigures.goodTakenBack, Percent(aFigures.goodFinished, aFigures.good), aFigures.directorDeaths,
+    aFigures.movesWithDeaths, aFigures.deathsSurvived, aFigures.cutOff, aFigures.cutOffRight,
+    aFigures.judgedWhileCutOff);
 }
 
 } // namespace
--- a/PerformanceTest/moves/MoveTrial.cpp
+++ b/PerformanceTest/moves/MoveTrial.cpp
@@ -26,6 +26,10 @@
 constexpr core::Duration kTick = 50ms;
 constexpr std::uint64_t kTicksPerRound = 5;
 constexpr std::size_t kEndingTicks = 1'200; ///< No request runs longer than this many ticks.
+/// A fault shows when the evidence of all hosts together is ten times what the deciders act on: the
+/// same test at a tenth of their error rate. They have to act earlier, since the same reports reach
+/// them in another order.
+constexpr double kShownLevel = 2.303;
 constexpr double kLoss = 0.03;
 constexpr double kShortestDelay = 0.25;
 constexpr double kLongestDelay = 1.0;
@@ -363,15 +367,24 @@
 void MoveTrial::OracleRound()
 {
   mOracle->EndRound();
-  if (mOracle->Fault() && !mShown) {
-    mShown = Elapsed();
+  if (mCutOff) {
+    mLocalOracles[*mCutOff]->EndRound();
+  }
+  Note(mShown, kShownLevel);
+  Note(mShownEarly, 0.0);
+}
+
+void MoveTrial::Note(Showing& aShowing, double aLevel) const
+{
+  if (!aShowing.everywhere && mOracle->Nearness() >= aLevel) {
+    aShowing.everywhere = Elapsed();
   }
   if (!mCutOff) {
     return;
   }
-  mLocalOracles[*mCutOff]->EndRound();
-  if (mLocalOracles[*mCutOff]->Fault() && !mShownLocally[*mCutOff]) {
-    mShownLocally[*mCutOff] = Elapsed();
+  auto& local = aShowing.locally[*mCutOff];
+  if (!local && mLocalOracles[*mCutOff]->Nearness() >= aLevel) {
+    local = Elapsed();
   }
 }
 
@@ -479,21 +492,22 @@
   mResult.isFinished = mCommitted.phase == MovePhase::Done && EveryHostDone();
   mResult.metShare = static_cast<double>(mMet) / all;
   mResult.sentShare = static_cast<double>(mSent) / all;
-  mResult.hasShown = mShown.has_value();
+  mResult.hasShown = mShown.everywhere.has_value();
   mResult.reason = mCommitted.reason;
   for (std::uint32_t it = 0; it < kDataCentres; ++it) {
-    mResult.lag = std::max(mResult.lag, Lag(it));
+    mResult.lag = std::max(mResult.lag, Lag(mShown, it));
+    mResult.earlyLag = std::max(mResult.earlyLag, Lag(mShownEarly, it));
   }
   return mResult;
 }
 
-double MoveTrial::Lag(std::uint32_t aDataCentre) const
+double MoveTrial::Lag(const Showing& aShowing, std::uint32_t aDataCentre) const
 {
-  std::optional<core::Duration> shown = mShown;
+  std::optional<core::Duration> shown = aShowing.everywhere;
   if (shown && mCutOff == aDataCentre && *shown >= mCutBegin && *shown < mCutEnd) {
     shown = mCutEnd; // Nobody outside can tell it before.
   }
-  const auto& local = mShownLocally[aDataCentre];
+  const auto& local = aShowing.locally[aDataCentre];
   if (local && (!shown || *local < *shown)) {
     shown = local;
   }
--- a/PerformanceTest/moves/MoveTrial.h
+++ b/PerformanceTest/moves/MoveTrial.h
@@ -33,6 +33,8 @@
   double sentShare = 0.0;
   bool hasShown = false; ///< The evidence of all hosts together passed the test.
   double lag = 0.0;      ///< Seconds from then to the last request to the version.
+  /// The same from the moment that the evidence reached what the deciders act on.
+  double earlyLag = 0.0;
   std::uint32_t directorDeaths = 0;
   std::uint32_t judgeDeaths = 0;
   bool isCutOff = false;            ///< A data centre was cut off for a while.
@@ -99,7 +101,15 @@
   void Send(std::uint32_t aFrom, std::uint32_t aTo, std::function<void()> aArrival);
   core::Duration Elapsed() const;
   TrialResult Collect();
-  double Lag(std::uint32_t aDataCentre) const;
+  /// When the evidence of the hosts that matter to a data centre reached some level.
+  struct Showing
+  {
+    std::optional<core::Duration> everywhere;
+    std::array<std::optional<core::Duration>, kDataCentres> locally;
+  };
+
+  double Lag(const Showing& aShowing, std::uint32_t aDataCentre) const;
+  void Note(Showing& aShowing, double aLevel) const;
   double ExpectedRest() const;
 
   core::Random mRandom;
@@ -125,8 +135,8 @@
   /// one data centre.
   std::unique_ptr<version::moves::MoveEvidence> mOracle;
   std::array<std::unique_ptr<version::moves::MoveEvidence>, kDataCentres> mLocalOracles;
-  std::optional<core::Duration> mShown;
-  std::array<std::optional<core::Duration>, kDataCentres> mShownLocally;
+  Showing mShown;      ///< At the stated error rate.
+  Showing mShownEarly; ///< At the error rate that deciders act on.
   std::array<std::optional<core::Duration>, kDataCentres> mLastSent;
 
   std::optional<core::Duration> mDirectorDeath;
--- a/cuminfield/version/moves/MoveEvidence.h
+++ b/cuminfield/version/moves/MoveEvidence.h
@@ -25,7 +25,7 @@
 struct MoveEvidenceSettings
 {
   /// Chance to take back a version that is within the bounds, over the whole move.
-  double errorRate = 0.0005;
+  double errorRate = 0.0001;
   double allRoutesBudget = 0.5; ///< Part of it for all routes together; the rest is split evenly.
   double failureBudget = 0.4;   ///< Part for failures; the rest is split over the latency metrics.
   std::uint32_t roundsPerStart = 40; ///< Rounds after which a later fault is looked for anew.
