--- a/PerformanceTest/moves/MoveMeasurement.cpp
+++ b/PerformanceTest/moves/MoveMeasurement.cpp
@@ -21,6 +21,7 @@
   std::uint32_t seeds = 10;
   std::uint32_t moves = 100;
   std::uint32_t threads = 2;
+  double rate = 0.0; ///< Requests a second; 0: drawn for each move.
   bool isVerbose = false;
 };
 
@@ -53,6 +54,7 @@
   description.add_options()("seeds", po::value(&aOptions.seeds), "seeds");
   description.add_options()("moves", po::value(&aOptions.moves), "moves a seed");
   description.add_options()("threads", po::value(&aOptions.threads), "threads");
+  description.add_options()("rate", po::value(&aOptions.rate), "requests a second; 0: drawn");
   description.add_options()("verbose", po::bool_switch(&aOptions.isVerbose), "a line per miss");
   po::variables_map values;
   try {
@@ -65,7 +67,7 @@
   return true;
 }
 
-TrialResult RunOne(std::uint32_t aSeed, std::uint32_t aMove)
+TrialResult RunOne(std::uint32_t aSeed, std::uint32_t aMove, double aRate)
 {
   core::Random random(aSeed * 1'000'003ULL + aMove);
   std::optional<Fault> fault;
@@ -73,7 +75,7 @@
     // Other seeds begin at other combinations, so that all of them come equally often.
     fault = DrawFault(aMove / 2 + aSeed * 50, kRoutes, random);
   }
-  return MoveTrial(random.Bits(), fault).Run();
+  return MoveTrial(random.Bits(), fault, aRate).Run();
 }
 
 std::vector<SeedResults> RunAll(const Options& aOptions)
@@ -84,7 +86,7 @@
     for (std::uint32_t it = next++; it < aOptions.seeds * aOptions.moves; it = next++) {
       const std::uint32_t seed = it / aOptions.moves;
       const std::uint32_t move = it % aOptions.moves;
-      results[seed][move] = RunOne(seed + 1, move);
+      results[seed][move] = RunOne(seed + 1, move, aOptions.rate);
     }
   };
   std::vector<std::thread> threads;
--- a/PerformanceTest/moves/MoveTrial.cpp
+++ b/PerformanceTest/moves/MoveTrial.cpp
@@ -70,11 +70,11 @@
 
 } // namespace
 
-MoveTrial::MoveTrial(std::uint64_t aSeed, const std::optional<Fault>& aFault)
+MoveTrial::MoveTrial(std::uint64_t aSeed, const std::optional<Fault>& aFault, double aRate)
   : mRandom(aSeed)
   , mFault(aFault)
   , mLength(Seconds(900.0 + 600.0 * mRandom.Uniform()))
-  , mTraffic(mLength, mRandom)
+  , mTraffic(mLength, aRate, mRandom)
   , mBegin(mTimers.Now())
   , mEnding(kEndingTicks)
 {
@@ -324,7 +324,7 @@
   }
   const auto verdict = mDirector->Verdict();
   if (verdict) {
-    TellHosts(0, *verdict, false);
+    TellHosts(0, *verdict);
   }
   const bool isOver = version::moves::IsFinal(mDirector->State().phase);
   if (isOver && !mEnded) {
@@ -353,15 +353,12 @@
     return;
   }
   mResult.isJudgedWhileCutOff = mResult.isJudgedWhileCutOff || IsCut(aDataCentre);
-  TellHosts(aDataCentre, *verdict, true);
+  TellHosts(aDataCentre, *verdict);
   Send(aDataCentre, 0, [this, verdict] {
     if (mDirector) {
       mDirector->OnVerdict(*verdict);
     }
   });
-  for (std::uint32_t it = 0; it < kDataCentres; ++it) {
-    Send(aDataCentre, it, [this, it, verdict] { mJudges[it]->OnVerdict(*verdict); });
-  }
 }
 
 void MoveTrial::OracleRound()
@@ -403,14 +400,12 @@
   }
 }
 
-void MoveTrial::TellHosts(std::uint32_t aFrom, const MoveVerdict& aVerdict, bool aOwnOnly)
+void MoveTrial::TellHosts(std::uint32_t aFrom, const MoveVerdict& aVerdict)
 {
   for (Host& host : mHosts) {
-    if (!aOwnOnly || host.dataCentre == aFrom) {
-      Send(aFrom, host.dataCentre, [&host, aVerdict] { host.shares->OnVerdict(aVerdict); });
-    }
+    Send(aFrom, host.dataCentre, [&host, aVerdict] { host.shares->OnVerdict(aVerdict); });
   }
-  for (std::uint32_t place = 0; place < kDataCentres && !aOwnOnly; ++place) {
+  for (std::uint32_t place = 0; place < kDataCentres; ++place) {
     Send(aFrom, place, [this, place, aVerdict] { mJudges[place]->OnVerdict(aVerdict); });
   }
 }
--- a/PerformanceTest/moves/MoveTrial.h
+++ b/PerformanceTest/moves/MoveTrial.h
@@ -48,7 +48,8 @@
 class MoveTrial
 {
 public:
-  MoveTrial(std::uint64_t aSeed, const std::optional<Fault>& aFault);
+  /// aRate: requests a second outside bursts; 0: drawn.
+  MoveTrial(std::uint64_t aSeed, const std::optional<Fault>& aFault, double aRate);
 
   TrialResult Run();
 
@@ -93,7 +94,7 @@
   void JudgeRound(std::uint32_t aDataCentre);
   void OracleRound();
   void TellHosts(std::uint32_t aFrom, const version::moves::ShareUpdate& aUpdate);
-  void TellHosts(std::uint32_t aFrom, const version::moves::MoveVerdict& aVerdict, bool aOwnOnly);
+  void TellHosts(std::uint32_t aFrom, const version::moves::MoveVerdict& aVerdict);
   void Failures();
   bool IsAtFault(std::uint32_t aRoute) const;
   bool IsCut(std::uint32_t aDataCentre) const;
--- a/PerformanceTest/moves/Traffic.cpp
+++ b/PerformanceTest/moves/Traffic.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-Traffic::Traffic(core::Duration aLength, core::Random& aRandom)
+Traffic::Traffic(core::Duration aLength, double aRate, core::Random& aRandom)
   : mRandom(aRandom)
-  , mBaseRate(60.0 + 80.0 * aRandom.Uniform())
+  , mBaseRate(aRate > 0.0 ? aRate : 60.0 + 80.0 * aRandom.Uniform())
   , mBaseFailureRate(0.003 + 0.005 * aRandom.Uniform())
   , mTroubleRate(0.1 + 0.2 * aRandom.Uniform())
 {
--- a/PerformanceTest/moves/Traffic.h
+++ b/PerformanceTest/moves/Traffic.h
@@ -28,7 +28,8 @@
 class Traffic
 {
 public:
-  Traffic(core::Duration aLength, core::Random& aRandom);
+  /// aRate: requests a second outside bursts; 0: drawn between 60 and 140.
+  Traffic(core::Duration aLength, double aRate, core::Random& aRandom);
 
   /// Requests a second over all hosts at this time from the beginning.
   double Rate(core::Duration aAt) const;
--- a/cuminfield/version/moves/MoveJudge.h
+++ b/cuminfield/version/moves/MoveJudge.h
@@ -47,8 +47,8 @@
   /// The group has committed this.
   void Committed(const JudgeState& aState);
 
-  /// The bad verdict, from the moment it is known; to be sent to the hosts of the data centre, the
-  /// director and the other judges every round, before and after it is committed.
+  /// The bad verdict, from the moment it is known; to be sent to all hosts, the director and the
+  /// other judges every round, before and after it is committed.
   std::optional<MoveVerdict> Verdict() const;
 
   /// The share to repeat to the hosts of the data centre every round; absent when there is none,
--- a/cuminfield/version/moves/MovePlan.h
+++ b/cuminfield/version/moves/MovePlan.h
@@ -31,7 +31,7 @@
   /// A move whose canary begins late is not rushed through in less than this.
   core::Duration shortest = std::chrono::minutes(5);
   std::uint64_t stepRequests = 200;  ///< Requests to the new version judged before the next step.
-  std::uint64_t fewestRequests = 50; ///< Below this many in all, traffic is too little to tell.
+  std::uint64_t fewestRequests = 20; ///< Below this many in all, traffic is too little to tell.
 };
 
 /// What a plan says about the next step.
--- a/cuminfield/version/moves/SequentialTest.cpp
+++ b/cuminfield/version/moves/SequentialTest.cpp
@@ -9,19 +9,27 @@
 
 constexpr double kSmallestRate = 1e-4;
 constexpr double kLargestRate = 0.98;
-constexpr int kBisections = 18;
+constexpr int kLargestSteps = 30;
+constexpr double kPrecision = 1e-8;
 
 double Bounded(double aRate)
 {
   return std::clamp(aRate, kSmallestRate, kLargestRate);
 }
 
-/// Derivative by aNull of the Kullback-Leibler divergence of rate aTrue from rate aNull.
+/// First and second derivative by aNull of the Kullback-Leibler divergence of rate aTrue from rate
+/// aNull.
 double Slope(double aTrue, double aNull)
 {
   return (aNull - aTrue) / (aNull * (1.0 - aNull));
 }
 
+double Curvature(double aTrue, double aNull)
+{
+  const double other = 1.0 - aNull;
+  return aTrue / (aNull * aNull) + (1.0 - aTrue) / (other * other);
+}
+
 /// Log likelihood ratio of rates aTop over aBottom.
 double LogRatio(std::uint32_t aTotal, std::uint32_t aHits, double aTop, double aBottom)
 {
@@ -43,28 +51,40 @@
   return Bounded(aBound.ratio * aOldRate + aBound.margin);
 }
 
-/// The old version's rate at the point of the null nearest to (aNewRate, aBound.oldRate): the
-/// divergence is convex along the null's edge, so its minimum is found by bisection.
+/// The old version's rate at the point of the null nearest to (aNewRate, aBound.oldRate). The
+/// divergence is convex along the null's edge; Newton's method finds its minimum, with bisection
+/// where a step would leave the bracket.
 double NearestOldRate(const TwoSampleBlock& aBlock, const NullBound& aBound, double aNewRate)
 {
   const double oldRate = Bounded(aBound.oldRate);
+  const double reach = (aNewRate - aBound.margin) / aBound.ratio;
   double low = oldRate;
-  double high =
-    std::max(low, std::min(aBound.oldCeiling, (aNewRate - aBound.margin) / aBound.ratio));
-  const auto rising = [&](double aOld) {
-    const double bound = NewBound(aBound, aOld);
-    return aBlock.newTotal * aBound.ratio * Slope(aNewRate, bound) +
-             aBlock.oldTotal * Slope(oldRate, aOld) >
-           0.0;
+  double high = std::max(low, std::min(aBound.oldCeiling, reach));
+  const auto slope = [&](double aOld) {
+    return aBlock.newTotal * aBound.ratio * Slope(aNewRate, NewBound(aBound, aOld)) +
+           aBlock.oldTotal * Slope(oldRate, aOld);
   };
-  if (!rising(high)) {
+  const auto curvature = [&](double aOld) {
+    return aBlock.newTotal * aBound.ratio * aBound.ratio *
+             Curvature(aNewRate, NewBound(aBound, aOld)) +
+           aBlock.oldTotal * Curvature(oldRate, aOld);
+  };
+  if (slope(high) <= 0.0) {
     return high;
   }
-  for (int it = 0; it < kBisections; ++it) {
-    const double middle = 0.5 * (low + high);
-    (rising(middle) ? high : low) = middle;
+  double rate = low;
+  for (int it = 0; it < kLargestSteps && high - low > kPrecision; ++it) {
+    const double rise = slope(rate);
+    (rise > 0.0 ? high : low) = rate;
+    const double next = rate - rise / curvature(rate);
+    const bool isInside = next > low && next < high;
+    const double step = isInside ? next - rate : 0.5 * (low + high) - rate;
+    rate += step;
+    if (std::abs(step) < kPrecision) {
+      break;
+    }
   }
-  return 0.5 * (low + high);
+  return rate;
 }
 
 } // namespace
