LoadClient: callers that check every answer byte for byte

Mixes of tiers, workspaces and lengths, keyed or not, closed or open loop; reconnects with the key through another host; slow, half-closed and garbage senders; outcomes as line JSON.

--- /dev/null
+++ b/TestFramework/LoadClient.cpp
@@ -0,0 +1,137 @@
+#include "TestFramework/caller/HostileCaller.h"
+#include "TestFramework/caller/Load.h"
+#include "TestFramework/time/LoopTimerService.h"
+#include "TestFramework/upstream/Upstream.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+using namespace cuminfield::test_framework;
+
+namespace {
+
+/// Exit code when an answer was not its caller's own or not whole.
+constexpr int kWrongAnswer = 1;
+constexpr int kBadArguments = 2;
+
+constexpr const char* kDefaultMix = R"([
+  {"weight":6,"kind":"completion","tier":"quick","workspace":"default"},
+  {"weight":2,"kind":"chat","tier":"standard","workspace":"default","stream":false},
+  {"weight":1,"kind":"completion","tier":"slow","workspace":"default","keyed":true,
+   "prompt":[500,5000],"tokens":[50,200],"shared":500}])";
+
+/// Arguments of the command line.
+struct Arguments
+{
+  std::string hosts;
+  std::string outcomes;
+  std::string mix = kDefaultMix;
+  double seconds = 0;
+  std::int64_t silenceMs = 10'000;
+  std::int64_t pauseMs = 300;
+  std::size_t slow = 0;
+  std::size_t halfClosed = 0;
+  std::size_t garbage = 0;
+  caller::CallOptions calls;
+  caller::LoadOptions load;
+};
+
+boost::program_options::options_description Describe(Arguments& aArguments)
+{
+  namespace po = boost::program_options;
+  po::options_description description("LoadClient: callers that check every answer");
+  auto add = description.add_options();
+  add("help", "print this");
+  add("hosts", po::value(&aArguments.hosts)->required(), "IP:PORT,IP:PORT of hosts");
+  add("outcomes", po::value(&aArguments.outcomes), "file to which each outcome is appended");
+  add("mix", po::value(&aArguments.mix), "JSON as in TestFramework/caller/Mix.h");
+  add("concurrency", po::value(&aArguments.load.concurrency), "most calls at once");
+  add("count", po::value(&aArguments.load.count), "calls to make; 0: no limit");
+  add("seconds", po::value(&aArguments.seconds), "no new calls after this; 0: no limit");
+  add("rate", po::value(&aArguments.load.rate), "new calls per second; 0: when one ends");
+  add("seed", po::value(&aArguments.load.seed), "seed of the mix and the keys");
+  add("attempts", po::value(&aArguments.calls.attempts), "most attempts of a keyed call");
+  add("retry-not-run", po::value(&aArguments.calls.retryNotRun), "attempt not-run calls again");
+  add("silence", po::value(&aArguments.silenceMs), "longest wait for the next byte, in ms");
+  add("pause", po::value(&aArguments.pauseMs), "wait before the next attempt, in ms");
+  add("slow-callers", po::value(&aArguments.slow), "callers that send byte by byte");
+  add("half-closed", po::value(&aArguments.halfClosed), "callers that close their side");
+  add("garbage", po::value(&aArguments.garbage), "callers that send garbage");
+  return description;
+}
+
+/// Keeps hostile callers at work against all hosts in turn.
+class HostileCrowd
+{
+public:
+  HostileCrowd(time::LoopTimerService& aTimers, const Arguments& aArguments)
+    : mTimers(aTimers)
+    , mArguments(aArguments)
+  {
+    Add(caller::Hostility::Slow, aArguments.slow);
+    Add(caller::Hostility::HalfClosed, aArguments.halfClosed);
+    Add(caller::Hostility::Garbage, aArguments.garbage);
+  }
+
+private:
+  void Add(caller::Hostility aHostility, std::size_t aCount)
+  {
+    const auto& hosts = mArguments.calls.hosts;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      mCallers.push_back(std::make_unique<caller::HostileCaller>(
+        mTimers.Base(), mTimers, hosts[i % hosts.size()], aHostility, mArguments.load.seed + i));
+    }
+  }
+
+  time::LoopTimerService& mTimers;
+  const Arguments& mArguments;
+  std::vector<std::unique_ptr<caller::HostileCaller>> mCallers;
+};
+
+int Run(const Arguments& aArguments)
+{
+  time::LoopTimerService timers;
+  http::Client client(timers.Base());
+  caller::OutcomeLog log(aArguments.outcomes);
+  caller::Mix mix(caller::Mix::Parse(aArguments.mix), aArguments.load.seed);
+  caller::Load load(timers, client, aArguments.calls, aArguments.load, std::move(mix), log,
+                    [&] { timers.Stop(); });
+  const HostileCrowd crowd(timers, aArguments);
+  timers.OnStopSignal([&] { load.Stop(); });
+  load.Start();
+  timers.Run();
+  std::cout << log.Summary() << std::endl;
+  return log.Count("wrong") == 0 ? 0 : kWrongAnswer;
+}
+
+} // namespace
+
+int main(int aCount, char** aValues)
+{
+  namespace po = boost::program_options;
+  Arguments arguments;
+  const po::options_description description = Describe(arguments);
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aValues, description), values);
+    if (values.contains("help")) {
+      std::cout << description;
+      return 0;
+    }
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "; see --help\n";
+    return kBadArguments;
+  }
+  if (arguments.load.count == 0 && arguments.seconds <= 0) {
+    std::cerr << "no end: give --count or --seconds\n";
+    return kBadArguments;
+  }
+  arguments.calls.hosts = upstream::ParseEndpoints(arguments.hosts);
+  arguments.calls.silence = std::chrono::milliseconds(arguments.silenceMs);
+  arguments.calls.pause = std::chrono::milliseconds(arguments.pauseMs);
+  arguments.load.time =
+    cuminfield::core::Duration(static_cast<std::int64_t>(arguments.seconds * 1e6));
+  return Run(arguments);
+}
--- /dev/null
+++ b/TestFramework/caller/Load.cpp
@@ -0,0 +1,90 @@
+#include "TestFramework/caller/Load.h"
+
+#include <utility>
+
+namespace cuminfield::test_framework::caller {
+
+Load::Load(core::TimerService& aTimers, http::Client& aClient, CallOptions aCalls,
+           LoadOptions aLoad, Mix aMix, OutcomeLog& aLog, std::function<void()> aDone)
+  : mTimers(aTimers)
+  , mClient(aClient)
+  , mCalls(std::move(aCalls))
+  , mLoad(aLoad)
+  , mMix(std::move(aMix))
+  , mLog(aLog)
+  , mDone(std::move(aDone))
+  , mRandom(aLoad.seed + 2)
+{
+}
+
+void Load::Start()
+{
+  if (mLoad.time > core::Duration::zero()) {
+    mEnd = mTimers.After(mLoad.time, [this] { Stop(); });
+  }
+  if (mLoad.rate > 0) {
+    StartNextByRate();
+    return;
+  }
+  for (std::size_t i = 0; i < mLoad.concurrency && MayStart(); ++i) {
+    StartOne();
+  }
+}
+
+void Load::Stop()
+{
+  mStopped = true;
+  mNext.Cancel();
+  CheckDone();
+}
+
+bool Load::MayStart() const
+{
+  const bool enough = mLoad.count > 0 && mStarted >= mLoad.count;
+  return !mStopped && !enough && mActive.size() < mLoad.concurrency;
+}
+
+void Load::StartOne()
+{
+  const std::uint64_t number = mStarted++;
+  auto end = [this, number](const CallSpec& aSpec, const Outcome& aOutcome) {
+    Ended(number, aSpec, aOutcome);
+  };
+  auto call = std::make_shared<Call>(mTimers, mClient, mCalls, mMix.Next(mTimers.WallNow()),
+                                     mRandom.Below(mCalls.hosts.size()), std::move(end));
+  mActive[number] = call;
+  call->Start();
+}
+
+void Load::StartNextByRate()
+{
+  if (MayStart()) {
+    StartOne();
+  }
+  const double wait = mRandom.Exponential(1e6 / mLoad.rate);
+  mNext =
+    mTimers.After(core::Duration(static_cast<std::int64_t>(wait)), [this] { StartNextByRate(); });
+}
+
+void Load::Ended(std::uint64_t aNumber, const CallSpec& aSpec, const Outcome& aOutcome)
+{
+  mLog.Add(aSpec, aOutcome, mTimers.WallNow());
+  mEndedCalls.push_back(mActive.at(aNumber));
+  mActive.erase(aNumber);
+  mRelease = mTimers.After(core::Duration::zero(), [this] { mEndedCalls.clear(); });
+  if (mLoad.rate <= 0 && MayStart()) {
+    StartOne();
+  }
+  CheckDone();
+}
+
+void Load::CheckDone()
+{
+  const bool enough = mLoad.count > 0 && mStarted >= mLoad.count;
+  if (!mReported && mActive.empty() && (mStopped || enough)) {
+    mReported = true;
+    mDone();
+  }
+}
+
+} // namespace cuminfield::test_framework::caller
--- /dev/null
+++ b/TestFramework/caller/OutcomeLog.cpp
@@ -0,0 +1,95 @@
+#include "TestFramework/caller/OutcomeLog.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace cuminfield::test_framework::caller {
+
+namespace {
+
+constexpr std::array kKinds = { "answered", "not-run", "unknown", "broken", "failed", "wrong" };
+
+double Millis(core::Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / 1'000;
+}
+
+/// The value below which aShare of the sorted aValues lie.
+core::Duration Percentile(const std::vector<core::Duration>& aValues, double aShare)
+{
+  const auto at = static_cast<std::size_t>(aShare * static_cast<double>(aValues.size()));
+  return aValues[std::min(at, aValues.size() - 1)];
+}
+
+} // namespace
+
+OutcomeLog::OutcomeLog(const std::string& aFile)
+{
+  if (!aFile.empty()) {
+    mFile.open(aFile, std::ios::app);
+  }
+}
+
+void OutcomeLog::Add(const CallSpec& aSpec, const Outcome& aOutcome, core::WallTime aNow)
+{
+  ++mCounts[aOutcome.kind];
+  if (aOutcome.kind == "answered") {
+    mFirstTokens[aSpec.tier.Text()].push_back(aOutcome.firstToken);
+  }
+  if (!mFile.is_open()) {
+    return;
+  }
+  const nlohmann::json line = { { "outcome", aOutcome.kind },
+                                { "detail", aOutcome.detail },
+                                { "status", aOutcome.status },
+                                { "key", aSpec.key.Text() },
+                                { "request_ids", aOutcome.requestIds },
+                                { "not_run_ids", aOutcome.notRunIds },
+                                { "not_run_first", aOutcome.notRunFirst },
+                                { "method", aSpec.method },
+                                { "target", aSpec.target },
+                                { "workspace", aSpec.workspace.Text() },
+                                { "tier", aSpec.tier.Text() },
+                                { "host", aOutcome.host },
+                                { "upstream", aOutcome.upstream },
+                                { "attempts", aOutcome.attempts },
+                                { "first_token_ms", Millis(aOutcome.firstToken) },
+                                { "total_ms", Millis(aOutcome.total) },
+                                { "time_us", aNow.time_since_epoch().count() } };
+  mFile << line.dump() << std::endl;
+}
+
+std::size_t OutcomeLog::Count(const std::string& aKind) const
+{
+  const auto it = mCounts.find(aKind);
+  return it == mCounts.end() ? 0 : it->second;
+}
+
+std::size_t OutcomeLog::Total() const
+{
+  std::size_t sum = 0;
+  for (const auto& [kind, count] : mCounts) {
+    sum += count;
+  }
+  return sum;
+}
+
+std::string OutcomeLog::Summary() const
+{
+  std::string line = fmt::format("calls={}", Total());
+  for (const char* it : kKinds) {
+    line += fmt::format(" {}={}", it, Count(it));
+  }
+  for (const auto& [tier, values] : mFirstTokens) {
+    std::vector<core::Duration> sorted = values;
+    std::sort(sorted.begin(), sorted.end());
+    line += fmt::format(" {0}-first-p50={1:.1f}ms {0}-first-p95={2:.1f}ms", tier,
+                        Millis(Percentile(sorted, 0.5)), Millis(Percentile(sorted, 0.95)));
+  }
+  return line;
+}
+
+} // namespace cuminfield::test_framework::caller
--- a/TestFramework/engine/Batch.h
+++ b/TestFramework/engine/Batch.h
@@ -17,8 +17,8 @@
   std::size_t limit = 32;     ///< Most requests in the batch; others wait in order of arrival.
   std::int64_t chunk = 512;   ///< Most tokens of prefill in one step.
   double prefillRate = 8'000; ///< Tokens of prefill per second.
-  core::Duration step = std::chrono::milliseconds(20);    ///< One token for each request.
-  core::Duration perExtra = std::chrono::milliseconds(4); ///< More for each request over slots.
+  core::Duration step = std::chrono::milliseconds(20); ///< One token for each request.
+  core::Duration perExtra{ 500 };                      ///< More for each request over slots.
 };
 
 /// Continuous batching, free of I/O: each step computes some prefill and one token of each request
--- a/TestFramework/engine/Engine.cpp
+++ b/TestFramework/engine/Engine.cpp
@@ -17,7 +17,7 @@
 BatchOptions MakeBatch(const upstream::UpstreamOptions& aOptions, const EngineOptions& aEngine)
 {
   const double factor = aOptions.timeScale / aEngine.speed;
-  BatchOptions batch{ .slots = aOptions.slots, .limit = std::size_t{ 4 } * aOptions.slots };
+  BatchOptions batch{ .slots = aOptions.slots, .limit = std::size_t{ 2 } * aOptions.slots };
   batch.prefillRate /= factor;
   batch.step = std::chrono::duration_cast<core::Duration>(batch.step * factor);
   batch.perExtra = std::chrono::duration_cast<core::Duration>(batch.perExtra * factor);
