--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -37,9 +37,7 @@
 {
   static const std::map<std::string, Setter> setters = {
     { "longShare",
-      [](auto& aOptions, double aValue) {
-        aOptions.settings.router.longShare = aValue;
-      } },
+      [](auto& aOptions, double aValue) { aOptions.settings.router.longShare = aValue; } },
     { "longPrefillMs",
       [](auto& aOptions, double aValue) {
         aOptions.settings.router.longPrefill = Millis(aValue);
@@ -82,8 +80,7 @@
     { "reserved", [](auto& aOptions, double aValue) { aOptions.capacity.reserved = aValue; } },
     { "burst", [](auto& aOptions, double aValue) { aOptions.workload.burst = aValue; } },
     { "lowTiers", [](auto& aOptions, double aValue) { aOptions.workload.lowTiers = aValue; } },
-    { "spillAfter",
-      [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
+    { "spillAfter", [](auto& aOptions, double aValue) { aOptions.settings.spillAfter = aValue; } },
     { "remotePrefill",
       [](auto& aOptions, double aValue) { aOptions.settings.router.remotePrefill = aValue; } },
     { "remoteTopShare",
@@ -98,9 +95,7 @@
     { "limitIncrease",
       [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.increase = aValue; } },
     { "hosts",
-      [](auto& aOptions, double aValue) {
-        aOptions.hosts = static_cast<std::uint32_t>(aValue);
-      } },
+      [](auto& aOptions, double aValue) { aOptions.hosts = static_cast<std::uint32_t>(aValue); } },
   };
   return setters;
 }
@@ -122,6 +117,11 @@
   return parts;
 }
 
+bool IsOurs(const std::string& aPolicy)
+{
+  return aPolicy.rfind("tiered", 0) == 0;
+}
+
 /// A policy's name is a scheduler's, with `-circuit` or `-unwatched` for its health policy.
 SimulationOptions OptionsOf(const std::string& aPolicy, double aLoad, std::uint64_t aSeed,
                             const Request& aRequest)
@@ -135,7 +135,7 @@
   }
   options.workload.load = aLoad;
   options.workload.consortium = aSeed % 2 == 1;
-  options.shared = aPolicy != "tiered-alone";
+  options.shared = IsOurs(aPolicy) && aPolicy != "tiered-alone";
   if (aPolicy == "tiered-circuit") {
     options.settings.router.health = request::routing::HealthPolicy::Circuit;
   }
@@ -232,11 +232,6 @@
   std::fflush(stdout);
 }
 
-bool IsOurs(const std::string& aPolicy)
-{
-  return aPolicy.rfind("tiered", 0) == 0;
-}
-
 /// All runs by policy and load.
 using Table = std::map<std::pair<std::string, double>, Runs>;
 
--- a/PerformanceTest/decisions/Workload.h
+++ b/PerformanceTest/decisions/Workload.h
@@ -51,8 +51,8 @@
   core::Duration length{ 75'000'000 };
   std::vector<double> regions{ 0.4, 0.35, 0.25 }; ///< Share of each region's callers.
   std::vector<double> workspaces{ 0.4, 0.3, 0.15, 0.1, 0.05 };
-  double lowTiers = 1.0;            ///< Factor on the rate of tiers 2 and 3.
-  double burst = 2.0; ///< The quick tier's rate in a burst, as a factor.
+  double lowTiers = 1.0; ///< Factor on the rate of tiers 2 and 3.
+  double burst = 2.0;    ///< The quick tier's rate in a burst, as a factor.
   core::Duration burstPeriod{ 10'000'000 };
   core::Duration burstLength{ 1'500'000 };
 };
--- a/TestFramework/engine_model/EngineModel.h
+++ b/TestFramework/engine_model/EngineModel.h
@@ -64,7 +64,7 @@
     core::Tokens computed{ 0 };  ///< Prompt tokens computed so far.
     core::Tokens remaining{ 0 }; ///< Prompt tokens left to compute.
     core::Tokens answered{ 0 };  ///< Tokens sent so far.
-    bool matched = false; ///< The prefix cache has been asked again when its turn came.
+    bool matched = false;        ///< The prefix cache has been asked again when its turn came.
   };
 
   void Arm();
--- /dev/null
+++ b/UnitTests/request/AdmissionPropertyTest.cpp
@@ -0,0 +1,299 @@
+#include "UnitTests/request/SchedulerFixture.h"
+#include "UnitTests/request/SeededCheck.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+using namespace cuminfield;
+using namespace cuminfield::request;
+using namespace cuminfield::unit_tests::request;
+
+namespace {
+
+constexpr std::uint32_t kUpstreams = 3;
+constexpr std::uint32_t kSlots = 2;
+constexpr std::uint32_t kMaxWaiting = 6;
+constexpr double kMostPerSlot = 1.5; ///< Upper bound of the in-flight limit.
+
+/// A fault planted between the oracle and the scheduler.
+enum class Fault
+{
+  None,
+  IgnoresLeave,     ///< Goes on sending to an upstream that is gone.
+  RepeatsFailed,    ///< Tries again what has failed midway.
+  InvertsTiers,     ///< Serves the lowest tier first.
+  ForgetsWithdrawn, ///< Goes on with requests whose caller left.
+};
+
+enum class Step
+{
+  Submit,
+  Withdraw,
+  Succeed,
+  Fail,
+  Refuse,
+  UpstreamUp,
+  UpstreamGone,
+  Wait,
+};
+
+struct Action
+{
+  Step step = Step::Submit;
+  std::uint32_t choice = 0; ///< Tier, upstream or which request, as the step needs.
+};
+
+std::ostream& operator<<(std::ostream& aStream, const Action& aAction)
+{
+  return aStream << static_cast<int>(aAction.step) << ":" << aAction.choice;
+}
+
+rc::Gen<Action> AnyAction()
+{
+  return rc::gen::build<Action>(
+    rc::gen::set(&Action::step, rc::gen::weightedElement<Step>({ { 8, Step::Submit },
+                                                                 { 1, Step::Withdraw },
+                                                                 { 4, Step::Succeed },
+                                                                 { 1, Step::Fail },
+                                                                 { 1, Step::Refuse },
+                                                                 { 1, Step::UpstreamUp },
+                                                                 { 1, Step::UpstreamGone },
+                                                                 { 1, Step::Wait } })),
+    rc::gen::set(&Action::choice, rc::gen::inRange<std::uint32_t>(0, 1'000)));
+}
+
+/// What must be true of any scheduler, kept by the plainest means: a set for each state.
+class Oracle : public SchedulerListener
+{
+public:
+  void OnDispatch(const core::RequestId& aRequest, const UpstreamAnnouncement& aUpstream) override
+  {
+    const std::string& id = aRequest.Text();
+    Demand(waiting.count(id) == 1, "dispatched though not waiting");
+    Demand(live.count(aUpstream.id.Text()) == 1, "dispatched to an upstream that is gone");
+    for (const auto& [other, tier] : waiting) {
+      Demand(tier >= waiting[id], "a higher tier was waiting");
+    }
+    inFlight[id] = aUpstream.id.Text();
+    tiers[id] = waiting[id];
+    waiting.erase(id);
+    std::size_t there = 0;
+    for (const auto& it : inFlight) {
+      there += it.second == aUpstream.id.Text() ? 1 : 0;
+    }
+    Demand(static_cast<double>(there) <= kSlots * kMostPerSlot, "more in flight than the limit");
+  }
+
+  void OnShed(const core::RequestId& aRequest, ShedReason aReason, core::Duration) override
+  {
+    const std::string& id = aRequest.Text();
+    Demand(waiting.count(id) == 1, "shed though not waiting");
+    for (const auto& [other, tier] : waiting) {
+      Demand(aReason != ShedReason::Overload || tier <= waiting[id], "a lower tier was waiting");
+    }
+    Demand(aReason != ShedReason::NoUpstream || live.empty() || refused.count(id) == 1,
+           "shed for want of an upstream that is there");
+    waiting.erase(id);
+  }
+
+  void Demand(bool aCondition, const char* aWhat)
+  {
+    if (!aCondition && broken.empty()) {
+      broken = aWhat;
+    }
+  }
+
+  std::map<std::string, std::uint32_t> waiting; ///< And their tiers.
+  std::map<std::string, std::string> inFlight;  ///< And their upstreams.
+  std::map<std::string, std::uint32_t> tiers;   ///< Of what is or was in flight.
+  std::set<std::string> live;                   ///< Upstreams.
+  std::set<std::string> refused;
+  std::string broken; ///< The first rule that was broken.
+};
+
+admission::SchedulerSettings SmallSettings()
+{
+  admission::SchedulerSettings settings;
+  settings.maxWaiting = kMaxWaiting;
+  return settings;
+}
+
+/// Drives a scheduler through actions beside the oracle.
+class Run
+{
+public:
+  explicit Run(Fault aFault)
+    : mFault(aFault)
+    , mScheduler({ .settings = SmallSettings(),
+                   .timers = mTimers,
+                   .random = mRandom,
+                   .listener = oracle,
+                   .versions = mVersions,
+                   .host = core::HostId("host-1"),
+                   .dataCentre = core::DataCentreId("gent-a"),
+                   .region = core::RegionId("gent") })
+  {
+  }
+
+  void Do(const Action& aAction)
+  {
+    switch (aAction.step) {
+      case Step::Submit:
+        return Submit(aAction.choice);
+      case Step::Withdraw:
+        return Withdraw(aAction.choice);
+      case Step::Succeed:
+        return End(aAction.choice, TryOutcome::Succeeded);
+      case Step::Fail:
+        return End(aAction.choice, TryOutcome::Failed);
+      case Step::Refuse:
+        return End(aAction.choice, TryOutcome::Refused);
+      case Step::UpstreamUp:
+        return Up(aAction.choice);
+      case Step::UpstreamGone:
+        return Gone(aAction.choice);
+      case Step::Wait:
+        return mTimers.Advance(core::Duration(100'000));
+    }
+  }
+
+  /// Ends all that is in flight until nothing is left; every request has then had its decision.
+  void Drain()
+  {
+    Up(0);
+    for (int n = 0; n < 2'000 && (!oracle.waiting.empty() || !oracle.inFlight.empty()); ++n) {
+      End(0, TryOutcome::Succeeded);
+      mTimers.Advance(core::Duration(1'000'000));
+    }
+    oracle.Demand(oracle.waiting.empty(), "a request never got its decision");
+    oracle.Demand(mScheduler.Size() == 0, "the scheduler still holds a request that has ended");
+  }
+
+  Oracle oracle;
+
+private:
+  void Submit(std::uint32_t aChoice)
+  {
+    const std::string id = "r" + std::to_string(mNext++);
+    const std::uint32_t tier = aChoice % 4;
+    oracle.waiting[id] = tier;
+    RequestSpec spec;
+    spec.id = core::RequestId(id);
+    spec.workspace = core::WorkspaceId("w" + std::to_string(aChoice % 3));
+    spec.tier = mFault == Fault::InvertsTiers ? 3 - tier : tier;
+    spec.service = core::ServiceId("s");
+    spec.arrival = mTimers.Now();
+    spec.deadline = mTimers.Now() + std::chrono::hours(1);
+    spec.firstTokenTarget = std::chrono::hours(1);
+    spec.prompt = core::Tokens{ 10 };
+    mScheduler.Submit(spec);
+  }
+
+  void Withdraw(std::uint32_t aChoice)
+  {
+    if (oracle.waiting.empty()) {
+      return;
+    }
+    const auto it =
+      std::next(oracle.waiting.begin(), static_cast<long>(aChoice % oracle.waiting.size()));
+    const core::RequestId id(it->first);
+    oracle.waiting.erase(it);
+    if (mFault != Fault::ForgetsWithdrawn) {
+      mScheduler.Withdraw(id);
+    }
+  }
+
+  void End(std::uint32_t aChoice, TryOutcome aOutcome)
+  {
+    if (oracle.inFlight.empty()) {
+      return;
+    }
+    const auto it =
+      std::next(oracle.inFlight.begin(), static_cast<long>(aChoice % oracle.inFlight.size()));
+    const std::string id = it->first;
+    oracle.inFlight.erase(it);
+    if (aOutcome == TryOutcome::Refused) {
+      oracle.waiting[id] = oracle.tiers[id];
+      oracle.refused.insert(id);
+    } else {
+      mScheduler.FirstToken(core::RequestId(id));
+    }
+    const bool repeats = mFault == Fault::RepeatsFailed && aOutcome == TryOutcome::Failed;
+    mScheduler.Finished(core::RequestId(id), repeats ? TryOutcome::Refused : aOutcome);
+  }
+
+  void Up(std::uint32_t aChoice)
+  {
+    const std::string id = "u" + std::to_string(aChoice % kUpstreams);
+    oracle.live.insert(id);
+    UpstreamAnnouncement announcement;
+    announcement.id = core::UpstreamId(id);
+    announcement.service = core::ServiceId("s");
+    announcement.dataCentre = core::DataCentreId("gent-a");
+    announcement.region = core::RegionId("gent");
+    announcement.slots = kSlots;
+    mScheduler.UpstreamUp(announcement);
+  }
+
+  void Gone(std::uint32_t aChoice)
+  {
+    const std::string id = "u" + std::to_string(aChoice % kUpstreams);
+    oracle.live.erase(id);
+    if (mFault != Fault::IgnoresLeave) {
+      mScheduler.UpstreamGone(core::UpstreamId(id));
+    }
+  }
+
+  Fault mFault;
+  test_framework::time::ManualTimerService mTimers;
+  core::Random mRandom{ 1 };
+  FixedVersion mVersions;
+  admission::TieredScheduler mScheduler;
+  std::uint32_t mNext = 0;
+};
+
+void CheckRun(Fault aFault)
+{
+  const auto actions = *rc::gen::container<std::vector<Action>>(AnyAction());
+  Run run(aFault);
+  for (const Action& it : actions) {
+    run.Do(it);
+    RC_ASSERT(run.oracle.broken == "");
+  }
+  run.Drain();
+  RC_ASSERT(run.oracle.broken == "");
+}
+
+} // namespace
+
+TEST_GROUP(AdmissionProperty){ bool Holds(Fault aFault, int aCases) const {
+  return HoldsFor([aFault] { CheckRun(aFault); }, 1, aCases, aFault != Fault::None);
+}
+}
+;
+
+TEST(AdmissionProperty, HoldsUnderAnyActions)
+{
+  CHECK(Holds(Fault::None, 4'000));
+}
+
+TEST(AdmissionProperty, FindsASchedulerThatIgnoresALeave)
+{
+  CHECK_FALSE(Holds(Fault::IgnoresLeave, 200));
+}
+
+TEST(AdmissionProperty, FindsASchedulerThatRepeatsAfterAFailure)
+{
+  CHECK_FALSE(Holds(Fault::RepeatsFailed, 200));
+}
+
+TEST(AdmissionProperty, FindsASchedulerThatInvertsTiers)
+{
+  CHECK_FALSE(Holds(Fault::InvertsTiers, 200));
+}
+
+TEST(AdmissionProperty, FindsASchedulerThatForgetsAWithdrawal)
+{
+  CHECK_FALSE(Holds(Fault::ForgetsWithdrawn, 200));
+}
--- /dev/null
+++ b/UnitTests/request/CapacityTest.cpp
@@ -0,0 +1,146 @@
+#include "TestFramework/time/ManualTimerService.h"
+#include "UnitTests/request/SchedulerFixture.h"
+#include "cuminfield/request/capacity/CapacityBroker.h"
+#include "cuminfield/request/capacity/CapacityClient.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <map>
+
+using namespace cuminfield;
+using namespace cuminfield::request;
+using namespace cuminfield::request::capacity;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kSlots = 100;
+
+} // namespace
+
+TEST_GROUP(Capacity)
+{
+  CapacitySettings settings;
+  test_framework::time::ManualTimerService timers;
+  CapacityBroker broker{ settings, core::Term(1), timers.Now() };
+  std::map<std::string, std::unique_ptr<CapacityClient>> clients;
+
+  void setup() override
+  {
+    broker.UpstreamUp(core::UpstreamId("u1"), core::ServiceId("s"), kSlots);
+    timers.Advance(settings.lease);
+  }
+
+  /// A host reports its demand in one tier and takes the answer in; returns what it is granted.
+  std::uint32_t Report(const std::string& aHost, std::size_t aTier, std::uint32_t aDemand,
+                       bool aShedding = false)
+  {
+    auto& client = clients[aHost];
+    if (client == nullptr) {
+      client = std::make_unique<CapacityClient>(settings, timers);
+    }
+    DemandReport report;
+    report.host = core::HostId(aHost);
+    report.sequence = client->NextReport();
+    report.applied = client->Applied();
+    ServiceDemand demand;
+    demand.service = core::ServiceId("s");
+    demand.byTier[aTier] = aDemand;
+    report.demands.push_back(demand);
+    report.shedding[aTier] = aShedding;
+    client->Apply(broker.OnReport(report, timers.Now()));
+    return client->Granted(core::UpstreamId("u1"));
+  }
+
+  UpstreamAnnouncement Upstream() const
+  {
+    UpstreamAnnouncement announcement;
+    announcement.id = core::UpstreamId("u1");
+    announcement.slots = kSlots;
+    return announcement;
+  }
+};
+
+TEST(Capacity, GrantsFollowDemandWithTheHighestTierFirst)
+{
+  for (int n = 0; n < 5; ++n) {
+    Report("a", 0, 60);
+    Report("b", 3, 500);
+    timers.Advance(200ms);
+  }
+  CHECK_EQUAL(60U, Report("a", 0, 60));
+  CHECK_EQUAL(30U, Report("b", 3, 500));
+}
+
+TEST(Capacity, AGrantComesBackWhenItsHolderIsDead)
+{
+  Report("a", 0, 90);
+  CHECK_EQUAL(0U, Report("b", 0, 90));
+  timers.Advance(settings.lease);
+  Report("b", 0, 90);
+  timers.Advance(1ms);
+  CHECK_EQUAL(90U, Report("b", 0, 90));
+}
+
+TEST(Capacity, AHostThatIsCutOffFallsBackToItsPartOfTheReserve)
+{
+  Report("a", 0, 90);
+  Report("b", 0, 90);
+  Report("a", 0, 90);
+  CHECK(clients["a"]->Slots(Upstream()) > 10);
+  timers.Advance(settings.lease);
+  CHECK_FALSE(clients["a"]->Connected());
+  CHECK_EQUAL(5U, clients["a"]->Slots(Upstream()));
+}
+
+TEST(Capacity, ATableOfADeposedBrokerIsIgnored)
+{
+  CapacityClient client(settings, timers);
+  GrantTable table;
+  table.term = core::Term(2);
+  table.lease = settings.lease;
+  table.sequence = client.NextReport();
+  table.grants.push_back({ .upstream = core::UpstreamId("u1"), .slots = 7 });
+  client.Apply(table);
+  table.term = core::Term(1);
+  table.sequence = client.NextReport();
+  table.grants[0].slots = 70;
+  client.Apply(table);
+  CHECK_EQUAL(7U, client.Granted(core::UpstreamId("u1")));
+}
+
+TEST(Capacity, ATierMayBeShedOnlyWhileEveryLowerOneIsShedEverywhere)
+{
+  Report("a", 1, 50);
+  Report("b", 3, 50);
+  Report("a", 1, 50);
+  CHECK_FALSE(clients["a"]->MayShed(1));
+  CHECK_TRUE(clients["a"]->MayShed(3));
+  Report("b", 3, 50, true);
+  Report("a", 1, 50);
+  CHECK_TRUE(clients["a"]->MayShed(1));
+}
+
+TEST(Capacity, TheSchedulerShedsNoTierThatMayNotBeShed)
+{
+  admission::SchedulerSettings scheduling;
+  scheduling.maxWaiting = 1;
+  CapacityClient client(settings, timers);
+  GrantTable table;
+  table.lease = std::chrono::hours(1);
+  table.sequence = client.NextReport();
+  table.grants.push_back({ .upstream = core::UpstreamId("u1"), .slots = 1 });
+  client.Apply(table);
+  unit_tests::request::SchedulerFixture fixture(scheduling, &client);
+  fixture.Up("u1", 1);
+  for (int n = 0; n < 10; ++n) {
+    fixture.scheduler.Submit(fixture.Spec("r" + std::to_string(n), 1));
+  }
+  CHECK_EQUAL(0U, fixture.listener.shed.size());
+  table.sequence = client.NextReport();
+  table.mayShed[1] = true;
+  client.Apply(table);
+  fixture.timers.Advance(20ms);
+  CHECK(fixture.listener.shed.size() > 0);
+}
--- /dev/null
+++ b/UnitTests/request/SeededCheck.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <iostream>
+
+namespace cuminfield::unit_tests::request {
+
+/// Checks a property with a fixed seed, so that every run tries the same cases. Prints what
+/// failed unless aQuiet, for planted faults that are meant to be found.
+template<typename Testable>
+bool HoldsFor(Testable&& aProperty, std::uint64_t aSeed, int aCases, bool aQuiet = false)
+{
+  rc::detail::TestParams params;
+  params.seed = aSeed;
+  params.maxSuccess = aCases;
+  params.maxSize = 100;
+  params.disableShrinking = aQuiet;
+  const auto result = rc::detail::checkTestable(std::forward<Testable>(aProperty),
+                                                rc::detail::TestMetadata(), params);
+  const bool held = result.template is<rc::detail::SuccessResult>();
+  if (!held && !aQuiet) {
+    rc::detail::printResultMessage(result, std::cerr);
+    std::cerr << std::endl;
+  }
+  return held;
+}
+
+} // namespace cuminfield::unit_tests::request
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -190,7 +190,8 @@
   const core::Instant target = aState.spec.arrival + aState.spec.firstTokenTarget;
   const core::Duration waited = now - aState.spec.arrival;
   const auto patience = static_cast<double>(aState.spec.firstTokenTarget.count());
-  if (aState.spec.tier == 0 && static_cast<double>(waited.count()) >= patience * mSettings.spillAfter) {
+  if (aState.spec.tier == 0 &&
+      static_cast<double>(waited.count()) >= patience * mSettings.spillAfter) {
     return true;
   }
   const core::Duration wait = mQueues[aState.pool].Drain(TierIndex(aState.spec.tier));
--- a/cuminfield/request/capacity/CapacityClient.cpp
+++ b/cuminfield/request/capacity/CapacityClient.cpp
@@ -53,11 +53,13 @@
   const std::uint64_t hash = XXH64(text.data(), text.size(), 0);
   const std::uint32_t reserved =
     ReservedSlots(mSettings, aUpstream.slots, hash, mTable.hosts, mTable.rank);
-  if (!Connected()) {
-    return reserved;
-  }
-  const auto grant = mGrants.find(aUpstream.id);
-  return reserved + (grant == mGrants.end() ? 0 : grant->second);
+  return reserved + Granted(aUpstream.id);
+}
+
+std::uint32_t CapacityClient::Granted(const core::UpstreamId& aUpstream) const
+{
+  const auto grant = mGrants.find(aUpstream);
+  return !Connected() || grant == mGrants.end() ? 0 : grant->second;
 }
 
 bool CapacityClient::MayShed(TierRank aTier) const
--- a/cuminfield/request/capacity/CapacityClient.h
+++ b/cuminfield/request/capacity/CapacityClient.h
@@ -27,6 +27,9 @@
   /// A table has arrived. Late and doubled ones, and those of a deposed broker, are ignored.
   void Apply(GrantTable aTable);
 
+  /// Slots granted at an upstream now, the reserve left out.
+  std::uint32_t Granted(const core::UpstreamId& aUpstream) const;
+
   /// True while a table is in force.
   bool Connected() const;
 
--- a/cuminfield/request/routing/Fleet.cpp
+++ b/cuminfield/request/routing/Fleet.cpp
@@ -11,7 +11,7 @@
 
 constexpr double kTrustAfterGap = 0.9; ///< Factor on the trust in the index after a lost event.
 constexpr double kTrustRegained = 0.1; ///< Part of the missing trust that an event restores.
-constexpr double kSlotMargin = 0.5;     ///< Slots that may be missing from a share.
+constexpr double kSlotMargin = 0.5;    ///< Slots that may be missing from a share.
 constexpr core::Tokens kReferencePrefill{ 1'000 };
 
 std::uint64_t KeyOf(const core::ServiceId& aService, const core::VersionId& aVersion)
--- a/cuminfield/request/routing/Fleet.h
+++ b/cuminfield/request/routing/Fleet.h
@@ -7,7 +7,6 @@
 #include "cuminfield/request/routing/TierShares.h"
 #include "cuminfield/request/routing/UpstreamState.h"
 
-
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -63,10 +62,7 @@
   PoolIndex PoolOf(const core::ServiceId& aService, const core::VersionId& aVersion);
 
   /// Sets what share of its upstreams' limits each tier may fill.
-  void ShareOut(PoolIndex aPool, const TierShares& aShares)
-  {
-    mPools[aPool].shares = aShares;
-  }
+  void ShareOut(PoolIndex aPool, const TierShares& aShares) { mPools[aPool].shares = aShares; }
 
   /// Requests that this host can have in flight in its own region, given grants or others' load.
   OwnCapacity Capacity(PoolIndex aPool) const;
