--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -16,6 +16,7 @@
     { "leave", decisions::RunDecisionMeasurement },
     { "prefill", decisions::RunDecisionMeasurement },
     { "regions", decisions::RunDecisionMeasurement },
+    { "share", decisions::RunDecisionMeasurement },
     { "straggler", decisions::RunDecisionMeasurement },
   };
   const auto found = measurements.find(argc > 1 ? argv[1] : "");
--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -94,6 +94,11 @@
       [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.start = aValue; } },
     { "limitIncrease",
       [](auto& aOptions, double aValue) { aOptions.settings.router.inFlight.increase = aValue; } },
+    { "regions",
+      [](auto& aOptions, double aValue) {
+        aOptions.regions = static_cast<std::uint32_t>(aValue);
+        aOptions.workload.regions.assign(aOptions.regions, 1.0 / aValue);
+      } },
     { "hosts",
       [](auto& aOptions, double aValue) { aOptions.hosts = static_cast<std::uint32_t>(aValue); } },
   };
@@ -289,6 +294,31 @@
   }
 }
 
+/// Capacity sharing in one data centre of 2 to 8 hosts, against hosts that do not share.
+int RunShare(Request& aRequest)
+{
+  PrintHead();
+  std::string figures;
+  for (const double hosts : { 2.0, 4.0, 6.0, 8.0 }) {
+    aRequest.changes.emplace_back("regions", 1);
+    aRequest.changes.emplace_back("hosts", hosts);
+    for (const std::string& policy : aRequest.policies) {
+      for (const double load : aRequest.loads) {
+        const Runs runs = RunSeeds(policy, load, aRequest);
+        const std::string name = policy + "/" + std::to_string(static_cast<int>(hosts));
+        PrintRow(name, load, runs);
+        char figure[128];
+        std::snprintf(figure, sizeof figure, " %s_tier0_%.1f=%.2f", name.c_str(), load,
+                      Median(runs, Tier(0)));
+        figures += figure;
+      }
+    }
+  }
+  std::printf("measurement=share seeds=%lu%s\n", static_cast<unsigned long>(aRequest.seeds),
+              figures.c_str());
+  return 0;
+}
+
 void ReadArguments(Request& aRequest, int aCount, char** aValues)
 {
   for (int n = 0; n + 1 < aCount; n += 2) {
@@ -325,6 +355,11 @@
     aRequest.loads = { 0.7, 1.0, 1.5 };
     return true;
   }
+  if (aName == "share") {
+    aRequest.policies = { "tiered-alone", "tiered" };
+    aRequest.loads = { 1.0, 1.5 };
+    return true;
+  }
   if (aName == "straggler") {
     aRequest.policies = { "least-load", "tiered-unwatched", "tiered-circuit", "tiered" };
     aRequest.loads = { 0.7, 1.0 };
@@ -350,6 +385,9 @@
     return 2;
   }
   ReadArguments(request, aCount, aValues);
+  if (aName == "share") {
+    return RunShare(request);
+  }
   Table table;
   PrintHead();
   for (const double load : request.loads) {
--- a/PerformanceTest/decisions/Simulation.cpp
+++ b/PerformanceTest/decisions/Simulation.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::uint32_t kRegions = 3;
+constexpr std::uint32_t kMostRegions = 3;
+constexpr std::uint32_t kGenerations = 3;
 constexpr std::uint32_t kPlainUpstreams = 3;
 constexpr double kBytesPerToken = 4;
 constexpr double kPlainLoad = 0.5;        ///< Of the plain upstreams' capacity, at load 1.
@@ -18,7 +19,7 @@
 constexpr core::Duration kLocalDelay{ 500 };
 constexpr core::Duration kNoticeOfLeave{ 500'000 };
 constexpr core::Duration kNoNewWork{ 3'000'000 };
-const char* const kRegionNames[kRegions] = { "gent", "luik", "elsene" };
+const char* const kRegionNames[kMostRegions] = { "gent", "luik", "elsene" };
 
 /// Always any version.
 class AnyVersion : public request::VersionChooser
@@ -46,7 +47,7 @@
   Host(Simulation& aSimulation, std::uint32_t aIndex)
     : mSimulation(aSimulation)
     , mRandom(aSimulation.mRandom.Bits())
-    , mRegion(aIndex % kRegions)
+    , mRegion(aIndex % aSimulation.mOptions.regions)
     , mId("host-" + std::to_string(aIndex))
     , mClient(aSimulation.mOptions.capacity, aSimulation.mTimers)
   {
@@ -173,9 +174,10 @@
   const std::uint32_t total = mOptions.engines + kPlainUpstreams;
   for (std::uint32_t n = 0; n < total; ++n) {
     const bool plain = n >= mOptions.engines;
-    const auto settings = plain ? test_framework::engine_model::PlainService()
-                                : test_framework::engine_model::Generation(n / kRegions % 3);
-    const std::string region = kRegionNames[n % kRegions];
+    const auto settings =
+      plain ? test_framework::engine_model::PlainService()
+            : test_framework::engine_model::Generation(n / kMostRegions % kGenerations);
+    const std::string region = kRegionNames[n % mOptions.regions];
     const request::UpstreamAnnouncement announcement{
       .id = core::UpstreamId("engine-" + std::to_string(n)),
       .incarnation = core::Incarnation(1),
@@ -206,13 +208,13 @@
 
 void Simulation::StartSharing()
 {
-  for (std::uint32_t region = 0; region < kRegions; ++region) {
+  for (std::uint32_t region = 0; region < mOptions.regions; ++region) {
     mBrokers.push_back(std::make_unique<request::capacity::CapacityBroker>(
       mOptions.capacity, core::Term(1), mTimers.Now()));
   }
   for (std::size_t n = 0; n < mEngines.size(); ++n) {
     const request::UpstreamAnnouncement& it = mEngines[n]->Announcement();
-    mBrokers[n % kRegions]->UpstreamUp(it.id, it.service, it.slots);
+    mBrokers[n % mOptions.regions]->UpstreamUp(it.id, it.service, it.slots);
   }
   for (const auto& host : mHosts) {
     mHandles.push_back(mTimers.Every(mOptions.capacity.reportPeriod,
@@ -238,8 +240,8 @@
 {
   if (mOptions.fault == Fault::Straggler) {
     mHandles.push_back(mTimers.After(mOptions.measureFrom, [this] {
-      for (std::size_t n = 0; n < kRegions; ++n) {
-        mEngines[n + kRegions]->SetSlowdown(4);
+      for (std::size_t n = 0; n < kMostRegions; ++n) {
+        mEngines[n + kMostRegions]->SetSlowdown(4);
       }
     }));
   }
@@ -303,7 +305,7 @@
   // The platform's balancer knows nothing of load: any host of the caller's region.
   std::vector<std::uint32_t> near;
   for (std::uint32_t n = 0; n < mHosts.size(); ++n) {
-    if (mHosts[n]->Region() == arrival.region || mHosts.size() < kRegions) {
+    if (mHosts[n]->Region() == arrival.region || mHosts.size() < mOptions.regions) {
       near.push_back(n);
     }
   }
@@ -336,7 +338,7 @@
   Record& record = mRecords[aKey];
   mResult.sentTwice += record.started ? 1 : 0;
   record.engine = static_cast<std::int32_t>(engine);
-  const bool remote = engine % kRegions != mHosts[record.host]->Region();
+  const bool remote = engine % mOptions.regions != mHosts[record.host]->Region();
   if (remote) {
     record.bytes += static_cast<double>(mArrivals[aKey].prompt) * kBytesPerToken;
   }
@@ -372,7 +374,7 @@
   Record& record = mRecords[aKey];
   const core::Instant now = mTimers.Now();
   const bool remote =
-    static_cast<std::uint32_t>(record.engine) % kRegions != mHosts[record.host]->Region();
+    static_cast<std::uint32_t>(record.engine) % mOptions.regions != mHosts[record.host]->Region();
   record.bytes += remote ? kBytesPerToken : 0;
   ++record.tokens;
   const core::RequestId id(std::to_string(aKey));
@@ -436,7 +438,7 @@
   }
   const std::int64_t shared = arrival.sharedBlocks * request::kPrefixBlock.value;
   const std::int64_t again = std::max<std::int64_t>(0, record.computed - (arrival.prompt - shared));
-  const auto region = static_cast<std::uint32_t>(record.engine) % kRegions;
+  const auto region = static_cast<std::uint32_t>(record.engine) % mOptions.regions;
   const bool firstTime =
     again > 0 && mComputedTemplates.insert({ arrival.templateId, region }).second;
   return firstTime ? 0.0 : static_cast<double>(again);
--- a/PerformanceTest/decisions/Simulation.h
+++ b/PerformanceTest/decisions/Simulation.h
@@ -35,7 +35,8 @@
   std::uint64_t seed = 1;
   std::uint32_t hosts = 8;
   std::uint32_t engines = 12;
-  bool shared = false; ///< Hosts share capacity by leased grants.
+  std::uint32_t regions = 3; ///< At most three.
+  bool shared = false;       ///< Hosts share capacity by leased grants.
   request::capacity::CapacitySettings capacity;
   Fault fault = Fault::None;
   core::Duration measureFrom{ 20'000'000 };
--- a/cuminfield/request/capacity/CapacityBroker.cpp
+++ b/cuminfield/request/capacity/CapacityBroker.cpp
@@ -87,10 +87,11 @@
 void CapacityBroker::DropDeadHosts(core::Instant aNow)
 {
   std::erase_if(mHosts, [&](const auto& aIt) { return aNow - aIt.second.heard > mSettings.lease; });
-  for (auto& [id, entry] : mUpstreams) {
-    std::erase_if(entry.holdings, [&](const auto& aIt) {
-      const bool idle = entry.slots == 0 && aIt.second.inFlight == 0;
-      return aNow >= aIt.second.until && (idle || mHosts.count(aIt.first) == 0);
+  for (auto& it : mUpstreams) {
+    const bool gone = it.second.slots == 0;
+    std::erase_if(it.second.holdings, [&](const auto& aHolding) {
+      const bool idle = gone && aHolding.second.inFlight == 0;
+      return aNow >= aHolding.second.until && (idle || mHosts.count(aHolding.first) == 0);
     });
   }
   std::erase_if(mUpstreams, [](const auto& aIt) {
