--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -27,6 +27,7 @@
     { "leave", decisions::RunDecisionMeasurement },
     { "prefill", decisions::RunDecisionMeasurement },
     { "regions", decisions::RunDecisionMeasurement },
+    { "share", decisions::RunDecisionMeasurement },
     { "straggler", decisions::RunDecisionMeasurement },
     { "versions", RunVersions },
   };
--- a/UnitTests/process/state/ClaimTakeoverTest.cpp
+++ b/UnitTests/process/state/ClaimTakeoverTest.cpp
@@ -14,11 +14,6 @@
 class Claims
 {
 public:
-  Claims()
-    : mMachine({ .kind = GroupKind::DataCentre, .claims = {}, .leases = {}, .documents = {} })
-  {
-  }
-
   proto::ClaimVerdict Claim(const std::string& aRequest)
   {
     proto::Command command;
@@ -58,7 +53,7 @@
     return mMachine.Decide(aCommand).claim();
   }
 
-  GroupStateMachine mMachine;
+  GroupStateMachine mMachine{ GroupStateMachine::Settings() };
 };
 
 } // namespace
--- a/cuminfield/process/host/Groups.cpp
+++ b/cuminfield/process/host/Groups.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminfield/process/log/FileLogStorage.h"
 #include "cuminfield/process/log/PosixDisk.h"
+#include "cuminfield/process/log/ThreadedLogStorage.h"
 
 #include <algorithm>
 #include <utility>
@@ -90,8 +91,13 @@
   state::GroupStateMachine::Settings machineSettings;
   machineSettings.kind = kind;
   entry.machine = std::make_unique<state::GroupStateMachine>(machineSettings);
-  entry.storage = std::make_unique<log::FileLogStorage>(log::FileLogStorageOptions{
+  entry.file = std::make_unique<log::FileLogStorage>(log::FileLogStorageOptions{
     .folder = *mOptions.settings.dataFolder, .group = aGroup.id, .disk = *mDisk });
+  // A slow disk must not hold up the streams of callers.
+  entry.storage = std::make_unique<log::ThreadedLogStorage>(log::ThreadedLogStorageOptions{
+    .inner = *entry.file, .post = [&loop = mOptions.loop](std::function<void()> aWork) {
+      loop.Post(std::move(aWork));
+    } });
   entry.voter = std::make_unique<log::LogGroup>(log::LogGroupOptions{
     .group = aGroup.id,
     .self = mOptions.settings.id,
--- a/cuminfield/process/host/Groups.h
+++ b/cuminfield/process/host/Groups.h
@@ -32,7 +32,8 @@
   struct Entry
   {
     std::unique_ptr<state::GroupStateMachine> machine; ///< Null for a group seen from outside.
-    std::unique_ptr<log::LogStorage> storage;
+    std::unique_ptr<log::LogStorage> file;
+    std::unique_ptr<log::LogStorage> storage; ///< Runs `file` on a thread of its own.
     std::unique_ptr<log::LogGroup> voter;
     std::unique_ptr<log::RemoteGroup> remote;
 
--- a/cuminfield/process/host/Host.cpp
+++ b/cuminfield/process/host/Host.cpp
@@ -67,6 +67,15 @@
                                             .links = *mLinks });
   mClaims = std::make_unique<claims::GroupClaimKeeper>(claims::GroupClaimKeeper::Options{
     .host = settings.id, .timers = loop, .homes = mGroups->Homes() });
+  mMoves = std::make_unique<moves::MoveService>(
+    moves::MoveService::Options{ .host = mOptions.settings,
+                                 .timers = loop,
+                                 .groups = *mGroups,
+                                 .links = *mLinks,
+                                 .spread = *mSpread,
+                                 .directory = *mDirectory,
+                                 .shares = mShares,
+                                 .observations = mObservations });
 
   // The way of a request.
   mExchanges = std::make_unique<request::exchange::ExchangeTable>(
@@ -132,6 +141,8 @@
     [this](const request::CacheEvent& aEvent) { mScheduler->Cache(aEvent); });
   mSpread->OnNewer().connect(
     [this](const state::proto::EnvironmentRecord& aRecord) { OnRecord(aRecord); });
+  mWatch.OnSample().connect(
+    [this](const version::moves::RequestSample& aSample) { mMoves->OnSample(aSample); });
   mGroups->OnFailure().connect([this](const core::Error& aError) { Fail(aError); });
 }
 
@@ -179,6 +190,7 @@
 
 void Host::OnRecord(const state::proto::EnvironmentRecord& aRecord)
 {
+  mMoves->OnRecord(aRecord);
   if (aRecord.environment() != mOptions.settings.environment.Text()) {
     return;
   }
--- a/cuminfield/process/host/Host.h
+++ b/cuminfield/process/host/Host.h
@@ -12,6 +12,7 @@
 #include "cuminfield/process/host/RequestWatch.h"
 #include "cuminfield/process/membership/UpstreamDirectory.h"
 #include "cuminfield/process/metrics/Metrics.h"
+#include "cuminfield/process/moves/MoveService.h"
 #include "cuminfield/process/peer/GrpcPeerLinks.h"
 #include "cuminfield/process/settings/HostSettings.h"
 #include "cuminfield/request/admission/TieredScheduler.h"
@@ -75,6 +76,7 @@
   version::moves::ObservationLog mObservations;
   version::moves::MoveShares mShares;
   RequestWatch mWatch;
+  std::unique_ptr<moves::MoveService> mMoves;
   connection::upstream::HttpUpstreamTransport mTransport;
   std::unique_ptr<request::exchange::ExchangeTable> mExchanges;
   std::unique_ptr<request::admission::TieredScheduler> mScheduler;
--- /dev/null
+++ b/cuminfield/process/moves/MoveContext.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cuminfield/core/Ids.h"
+#include "cuminfield/process/moves/move_messages.pb.h"
+#include "cuminfield/version/document/Document.h"
+#include "cuminfield/version/moves/MoveEvidence.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cuminfield::process::moves {
+
+/// Sends to a host; to this host itself as well, whose message arrives like any other.
+using SendMove = std::function<void(const core::HostId&, const proto::MoveMessage&)>;
+
+/// A move, and the environment whose document states it.
+struct MoveKey
+{
+  core::EnvironmentId environment;
+  core::MoveId move;
+
+  auto operator<=>(const MoveKey&) const = default;
+
+  /// Name of the register in which a role keeps the move's state.
+  std::string RegisterName(const std::string& aRole) const
+  {
+    return aRole + "/" + environment.Text() + "/" + move.Text();
+  }
+};
+
+/// One move as its document states it.
+struct StatedMove
+{
+  MoveKey key;
+  version::document::MoveSettings settings;
+  std::vector<core::RouteId> routes; ///< Of its service.
+  std::uint64_t revision = 0;        ///< Of the document.
+
+  version::moves::MoveSubject Subject() const
+  {
+    return { .move = settings.id,
+             .service = settings.service,
+             .from = settings.from,
+             .to = settings.to,
+             .routes = routes };
+  }
+};
+
+} // namespace cuminfield::process::moves
