Version moves: random courses of events for the director

Change: a property test: whatever comes, no share after a bad verdict, no canary above 5%, and a move taken back is never done.

--- a/UnitTests/version/moves/MoveControllerTest.cpp
+++ b/UnitTests/version/moves/MoveControllerTest.cpp
@@ -6,6 +6,8 @@
 #include "cuminfield/version/moves/MoveJudge.h"
 #include "cuminfield/version/moves/ObservationLog.h"
 
+#include <rapidcheck.h>
+
 #include <memory>
 #include <stdexcept>
 
@@ -257,6 +259,51 @@
   CHECK(!judge.Relay().has_value());
 }
 
+TEST(MoveController, AnyCourseOfEventsKeepsTheVerdictAndTheCanaryBound)
+{
+  rc::check([this] {
+    ManualTimerService timers;
+    mMove.finishBy = timers.WallNow() + 10min;
+    const auto make = [&](const std::optional<MoveState>& aCommitted) {
+      return std::make_unique<MoveController>(mMove, std::vector{ kRoute }, timers,
+                                              MoveControllerSettings{}, aCommitted);
+    };
+    auto director = make(std::nullopt);
+    bool isBad = false;
+    const int events = *rc::gen::inRange(1, 80);
+    for (int it = 0; it < events; ++it) {
+      const int kind = *rc::gen::inRange(0, 24);
+      if (kind == 0) {
+        isBad = isBad || director->State().phase != MovePhase::Done;
+        director->OnVerdict({ .move = mMove.id, .judge = kPlace, .bad = true, .reason = "slow" });
+      } else if (kind == 1) {
+        isBad = IsTakenBack(director->State().phase); // Not committed: judges will say it again.
+        director = make(director->State());
+      } else if (kind < 6) {
+        const auto ready = *rc::gen::inRange<std::uint32_t>(0, 5);
+        director->OnUpstreams({ .dataCentre = kPlace, .oldReady = 4, .newReady = ready });
+      } else if (kind < 10) {
+        timers.Advance(std::chrono::seconds(*rc::gen::inRange(1, 100)));
+      } else {
+        for (int request = 0; request < 50; ++request) {
+          SendRequest();
+        }
+        director->OnReport(mLog.NextReport());
+        director->EndRound();
+        if (director->Proposed()) {
+          const MoveState proposed = *director->Proposed();
+          director->Committed(proposed);
+        }
+      }
+      for (const ShareUpdate& update : director->Shares()) {
+        RC_ASSERT(!isBad || update.share == 0.0);
+        RC_ASSERT(update.phase != MovePhase::Canary || update.share <= 0.05);
+      }
+      RC_ASSERT(!isBad || director->State().phase != MovePhase::Done);
+    }
+  });
+}
+
 TEST_GROUP(HostTrip){};
 
 TEST(HostTrip, LeavesAfterAFewFailuresInARow)
