Version moves: not done while a data centre lacks upstreams of the new version

Cause: a data centre whose new upstreams had never loaded was passed over, and left without any once the old ones were unloaded. Change: the last step and the end demand as many new upstreams as old ones in every data centre, and the reason says so.

--- a/UnitTests/version/moves/MoveControllerTest.cpp
+++ b/UnitTests/version/moves/MoveControllerTest.cpp
@@ -175,6 +175,14 @@
   STRCMP_CONTAINS("too little traffic", mDirector->State().reason.c_str());
 }
 
+TEST(MoveController, NotDoneWhileADataCentreHasNoUpstreamOfTheNewVersion)
+{
+  mDirector->OnUpstreams({ .dataCentre = DataCentreId("luik-a"), .oldReady = 4, .newReady = 0 });
+  RunUntil(mMove.finishBy + 1min);
+  STRCMP_EQUAL("advancing", ToString(mDirector->State().phase));
+  STRCMP_CONTAINS("too few upstreams", mDirector->State().reason.c_str());
+}
+
 TEST(MoveController, UndoByHand)
 {
   RunUntil(mTimers.WallNow() + 1min);
--- a/cuminfield/version/moves/MoveController.cpp
+++ b/cuminfield/version/moves/MoveController.cpp
@@ -235,17 +235,18 @@
 void MoveController::TakeStep(MoveState& aNext) const
 {
   const MovePlan plan(mSettings.plan, mState.begun, mMove.finishBy);
-  if (mState.step >= plan.Steps()) {
+  const bool isLast = mState.step >= plan.Steps();
+  const double share = isLast ? 1.0 : plan.Share(mState.step + 1);
+  if (!HasRoom(share)) {
+    aNext.reason = "waiting: too few upstreams of the new version are ready";
+    return;
+  }
+  if (isLast) {
     aNext.phase = MovePhase::Done;
     aNext.reason = fmt::format("done: {} requests seen, nothing against {}",
                                mSeenByOthers + mEvidence.NewRequests(), mMove.to.Text());
     return;
   }
-  const double share = plan.Share(mState.step + 1);
-  if (!HasRoom(share)) {
-    aNext.reason = "waiting: too few upstreams of the new version are ready";
-    return;
-  }
   aNext.phase = MovePhase::Advancing;
   aNext.step = mState.step + 1;
   aNext.share = share;
@@ -276,7 +277,8 @@
   std::uint32_t ready = 0;
   std::uint32_t needed = 0;
   for (const auto& [dataCentre, counts] : mCounts) {
-    if (counts.newReady > 0) {
+    // A data centre that has not loaded yet gets no share, but must not be left without upstreams.
+    if (counts.newReady > 0 || aShare >= 1.0) {
       ready += counts.newReady;
       needed += RoundUp(aShare * Wanted(counts));
     }
--- a/cuminfield/version/moves/MoveShares.cpp
+++ b/cuminfield/version/moves/MoveShares.cpp
@@ -27,7 +27,7 @@
     named.insert(settings.id);
     Move move;
     for (const Move& known : before[settings.service]) {
-      // Other versions under the same name are another move: nothing carries over.
+      // Shares for other versions under the same name do not carry over; being taken back does.
       if (known.settings.id == settings.id && known.settings.to == settings.to) {
         move = known;
       }
