--- a/TestFramework/LoadClient.cpp
+++ b/TestFramework/LoadClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 
 #include <iostream>
+#include <random>
 
 using namespace cuminfield::test_framework;
 
@@ -28,6 +29,9 @@
   std::string outcomes;
   std::string mix = kDefaultMix;
   double seconds = 0;
+  std::string key;
+  bool newKey = false;
+  bool print = false;
   std::int64_t silenceMs = 10'000;
   std::int64_t pauseMs = 300;
   std::size_t slow = 0;
@@ -43,7 +47,7 @@
   po::options_description description("LoadClient: callers that check every answer");
   auto add = description.add_options();
   add("help", "print this");
-  add("hosts", po::value(&aArguments.hosts)->required(), "IP:PORT,IP:PORT of hosts");
+  add("hosts", po::value(&aArguments.hosts), "IP:PORT,IP:PORT of hosts");
   add("outcomes", po::value(&aArguments.outcomes), "file to which each outcome is appended");
   add("mix", po::value(&aArguments.mix), "JSON as in TestFramework/caller/Mix.h");
   add("concurrency", po::value(&aArguments.load.concurrency), "most calls at once");
@@ -55,6 +59,9 @@
   add("retry-not-run", po::value(&aArguments.calls.retryNotRun), "attempt not-run calls again");
   add("silence", po::value(&aArguments.silenceMs), "longest wait for the next byte, in ms");
   add("pause", po::value(&aArguments.pauseMs), "wait before the next attempt, in ms");
+  add("key", po::value(&aArguments.key), "key of all keyed calls, in place of new ones");
+  add("new-key", po::value(&aArguments.newKey), "print a new key and end");
+  add("print", po::value(&aArguments.print), "print each outcome");
   add("slow-callers", po::value(&aArguments.slow), "callers that send byte by byte");
   add("half-closed", po::value(&aArguments.halfClosed), "callers that close their side");
   add("garbage", po::value(&aArguments.garbage), "callers that send garbage");
@@ -95,6 +102,10 @@
   http::Client client(timers.Base());
   caller::OutcomeLog log(aArguments.outcomes);
   caller::Mix mix(caller::Mix::Parse(aArguments.mix), aArguments.load.seed);
+  mix.UseKey(cuminfield::core::IdempotencyKey(aArguments.key));
+  if (aArguments.print) {
+    log.Print();
+  }
   caller::Load load(timers, client, aArguments.calls, aArguments.load, std::move(mix), log,
                     [&] { timers.Stop(); });
   const HostileCrowd crowd(timers, aArguments);
@@ -105,6 +116,13 @@
   return log.Count("wrong") == 0 ? 0 : kWrongAnswer;
 }
 
+void PrintNewKey()
+{
+  const time::LoopTimerService timers;
+  caller::KeyGenerator keys(std::random_device{}());
+  std::cout << keys.Next(timers.WallNow()).Text() << "\n";
+}
+
 } // namespace
 
 int main(int aCount, char** aValues)
@@ -124,6 +142,14 @@
     std::cerr << error.what() << "; see --help\n";
     return kBadArguments;
   }
+  if (arguments.newKey) {
+    PrintNewKey();
+    return 0;
+  }
+  if (arguments.hosts.empty()) {
+    std::cerr << "no hosts: give --hosts IP:PORT\n";
+    return kBadArguments;
+  }
   if (arguments.load.count == 0 && arguments.seconds <= 0) {
     std::cerr << "no end: give --count or --seconds\n";
     return kBadArguments;
--- a/TestFramework/caller/Mix.h
+++ b/TestFramework/caller/Mix.h
@@ -38,6 +38,9 @@
   /// The next request.
   CallSpec Next(core::WallTime aNow);
 
+  /// Gives all requests from now on this key.
+  void UseKey(core::IdempotencyKey aKey) { mFixedKey = std::move(aKey); }
+
 private:
   const MixPart& Choose();
   void FillCompletion(const MixPart& aPart, CallSpec& aSpec);
@@ -48,6 +51,7 @@
   double mWeight = 0;
   core::Random mRandom;
   KeyGenerator mKeys;
+  core::IdempotencyKey mFixedKey; ///< In place of new ones, unless empty.
 };
 
 } // namespace cuminfield::test_framework::caller
--- a/TestFramework/caller/OutcomeLog.cpp
+++ b/TestFramework/caller/OutcomeLog.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iostream>
 
 namespace cuminfield::test_framework::caller {
 
@@ -39,6 +40,11 @@
   if (aOutcome.kind == "answered") {
     mFirstTokens[aSpec.tier.Text()].push_back(aOutcome.firstToken);
   }
+  if (mPrint) {
+    std::cout << fmt::format("{} host={} upstream={} first={:.0f}ms total={:.0f}ms {}\n",
+                             aOutcome.kind, aOutcome.host, aOutcome.upstream,
+                             Millis(aOutcome.firstToken), Millis(aOutcome.total), aOutcome.detail);
+  }
   if (!mFile.is_open()) {
     return;
   }
--- a/TestFramework/caller/OutcomeLog.h
+++ b/TestFramework/caller/OutcomeLog.h
@@ -16,6 +16,9 @@
   /// aFile may be empty: counts alone.
   explicit OutcomeLog(const std::string& aFile);
 
+  /// Prints a line for each outcome as well.
+  void Print() { mPrint = true; }
+
   /// Notes one outcome.
   void Add(const CallSpec& aSpec, const Outcome& aOutcome, core::WallTime aNow);
 
@@ -30,6 +33,7 @@
 
 private:
   std::ofstream mFile;
+  bool mPrint = false;
   std::map<std::string, std::size_t> mCounts;
   std::map<std::string, std::vector<core::Duration>> mFirstTokens; ///< By tier.
 };
--- a/TestFramework/time/LoopTimerService.cpp
+++ b/TestFramework/time/LoopTimerService.cpp
@@ -40,6 +40,12 @@
   event_base_loop(mBase, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
+void LoopTimerService::RunFor(core::Duration aDuration)
+{
+  const core::TimerHandle end = After(aDuration, [this] { Stop(); });
+  Run();
+}
+
 void LoopTimerService::Stop()
 {
   event_base_loopbreak(mBase);
--- a/TestFramework/time/LoopTimerService.h
+++ b/TestFramework/time/LoopTimerService.h
@@ -25,6 +25,9 @@
   /// Runs the loop until Stop().
   void Run();
 
+  /// Runs the loop for aDuration, unless Stop() ends it sooner.
+  void RunFor(core::Duration aDuration);
+
   /// Ends Run() after the event at hand.
   void Stop();
 
