Replicated log: fewer heartbeat rounds for reads, removal of hosts no longer named, safer start

Reads that come while a round of heartbeats is under way share the next one, so that a query costs no own round over slow links. A voter that the leader's settings no longer name is removed once it is silent. Hosts with equal seeds draw different election timeouts. The data folder's own name is synced in its parent.

--- a/UnitTests/process/log/ReplicatedLogTest.cpp
+++ b/UnitTests/process/log/ReplicatedLogTest.cpp
@@ -17,8 +17,10 @@
 const core::HostId kThird("c");
 constexpr std::uint64_t kIncarnation = 1;
 
-/// A voter of {a, b, c}, all in their first life, with the founding entry stored.
-ReplicatedLog MakeVoter(core::Instant aNow)
+/// A voter of {a, b, c}, all in their first life, with the founding entry stored; aHosts are those
+/// of its settings.
+ReplicatedLog MakeVoter(core::Instant aNow,
+                        const std::vector<core::HostId>& aHosts = { kSelf, kOther, kThird })
 {
   Configuration founders;
   for (const core::HostId& host : { kSelf, kOther, kThird }) {
@@ -34,7 +36,7 @@
   contents.entries.push_back(entry);
   return ReplicatedLog({ .group = core::GroupId("g"),
                          .self = kSelf,
-                         .voters = { kSelf, kOther, kThird },
+                         .voters = aHosts,
                          .contents = std::move(contents),
                          .random = core::Random(1),
                          .now = aNow,
@@ -176,27 +178,54 @@
   return aLog.TakeMessages();
 }
 
-TEST(ReplicatedLog, EntryOfAnEarlierTermIsNotCommittedByCounting)
+/// Makes it the leader of aTerm by the vote of aVoter.
+static void Elect(ReplicatedLog& aLog, const core::HostId& aVoter, std::uint64_t aTerm,
+                  core::Instant aNow)
 {
-  log.Receive(kOther, MakeAppend(2, "x", 0), now);
-  now += 2s;
-  log.Tick(now);
-  proto::LogMessage vote = MakeMessage(3);
+  aLog.Tick(aNow);
+  proto::LogMessage vote = MakeMessage(aTerm);
   vote.mutable_vote_reply()->set_pre_vote(true);
   vote.mutable_vote_reply()->set_granted(true);
-  log.Receive(kThird, vote, now);
+  aLog.Receive(aVoter, vote, aNow);
+  StoreAll(aLog, aNow);
   vote.mutable_vote_reply()->set_pre_vote(false);
-  StoreAll(log, now);
-  log.Receive(kThird, vote, now);
-  CHECK(Role::Leader == log.CurrentRole());
-  StoreAll(log, now);
-  proto::LogMessage reply = MakeMessage(3);
-  reply.mutable_append_reply()->set_success(true);
-  reply.mutable_append_reply()->set_index(2);
-  log.Receive(kThird, reply, now);
+  aLog.Receive(aVoter, vote, aNow);
+  CHECK(Role::Leader == aLog.CurrentRole());
+  StoreAll(aLog, aNow);
+}
+
+static proto::LogMessage MakeAcknowledgement(std::uint64_t aTerm, std::uint64_t aIndex)
+{
+  proto::LogMessage message = MakeMessage(aTerm);
+  message.mutable_append_reply()->set_success(true);
+  message.mutable_append_reply()->set_index(aIndex);
+  return message;
+}
+
+TEST(ReplicatedLog, SilentVoterThatTheSettingsNoLongerNameIsRemovedAfterACommitOfTheTerm)
+{
+  ReplicatedLog leader = MakeVoter(now, { kSelf, kOther });
+  now += 2s;
+  Elect(leader, kOther, 2, now);
+  now += 1190ms;
+  leader.Receive(kOther, MakeAcknowledgement(2, 1), now); // Nothing of the own term yet.
+  now += 100ms;
+  leader.Tick(now);
+  LONGS_EQUAL(3, leader.Voters().voters.size());
+  leader.Receive(kOther, MakeAcknowledgement(2, 2), now);
+  LONGS_EQUAL(2, leader.Voters().voters.size());
+  CHECK(leader.Voters().Find(kThird) == nullptr);
+  CHECK(Role::Leader == leader.CurrentRole());
+}
+
+TEST(ReplicatedLog, EntryOfAnEarlierTermIsNotCommittedByCounting)
+{
+  log.Receive(kOther, MakeAppend(2, "x", 0), now);
+  now += 2s;
+  Elect(log, kThird, 3, now);
+  log.Receive(kThird, MakeAcknowledgement(3, 2), now);
   LONGS_EQUAL(0, log.CommitIndex().Value());
-  reply.mutable_append_reply()->set_index(3);
-  log.Receive(kThird, reply, now);
+  log.Receive(kThird, MakeAcknowledgement(3, 3), now);
   LONGS_EQUAL(3, log.CommitIndex().Value());
 }
 
--- a/cuminfield/process/log/FileLogStorage.cpp
+++ b/cuminfield/process/log/FileLogStorage.cpp
@@ -5,6 +5,7 @@
 #include <boost/outcome/try.hpp>
 
 #include <algorithm>
+#include <filesystem>
 #include <optional>
 #include <utility>
 #include <xxhash.h>
@@ -65,6 +66,15 @@
   return payload;
 }
 
+std::string ParentOf(const std::string& aFolder)
+{
+  std::filesystem::path path = std::filesystem::absolute(aFolder).lexically_normal();
+  if (!path.has_filename()) {
+    path = path.parent_path(); // It ended with a slash.
+  }
+  return path.parent_path();
+}
+
 bool IsSeal(std::string_view aPayload)
 {
   return aPayload.size() == kSealBytes && aPayload.starts_with(kSealMark);
@@ -74,6 +84,7 @@
 
 FileLogStorage::FileLogStorage(FileLogStorageOptions aOptions)
   : mRoot(std::move(aOptions.folder))
+  , mParent(ParentOf(mRoot))
   , mFolder(mRoot + "/" + aOptions.group.Text())
   , mFile(mFolder + "/log")
   , mNewFile(mFolder + "/log.new")
@@ -84,6 +95,7 @@
 core::Result<LogContents> FileLogStorage::Load(core::Incarnation aNewIncarnation)
 {
   BOOST_OUTCOME_TRYV(mDisk.MakeFolder(mFolder));
+  BOOST_OUTCOME_TRYV(mDisk.SyncFolder(mParent));
   BOOST_OUTCOME_TRYV(mDisk.SyncFolder(mRoot));
   BOOST_OUTCOME_TRYV(mDisk.Remove(mNewFile));
   BOOST_OUTCOME_TRY(bytes, mDisk.Read(mFile));
--- a/cuminfield/process/log/FileLogStorage.h
+++ b/cuminfield/process/log/FileLogStorage.h
@@ -53,6 +53,7 @@
   std::string Seal() const;
 
   const std::string mRoot;
+  const std::string mParent; ///< Of the root, whose name must last too.
   const std::string mFolder;
   const std::string mFile;
   const std::string mNewFile;
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -44,11 +44,13 @@
 {
   const auto incarnation = MakeIncarnation(mOptions.timers.WallNow(), mOptions.random);
   BOOST_OUTCOME_TRY(contents, mOptions.storage.Load(incarnation));
+  // Hosts with the same seed must not draw the same election timeouts, or votes split for ever.
+  const core::Random random(mOptions.random.Bits() ^ contents.incarnation.Value());
   mLog.emplace(ReplicatedLogOptions{ .group = mOptions.group,
                                      .self = mOptions.self,
                                      .voters = mOptions.voters,
                                      .contents = std::move(contents),
-                                     .random = mOptions.random,
+                                     .random = random,
                                      .now = mOptions.timers.Now(),
                                      .settings = mOptions.settings.log });
   mServer.emplace(GroupServerOptions{
--- a/cuminfield/process/log/PosixDisk.h
+++ b/cuminfield/process/log/PosixDisk.h
@@ -6,7 +6,8 @@
 
 namespace cuminfield::process::log {
 
-/// The operating system's files. Keeps the file that was appended to last open.
+/// The operating system's files. Keeps the file that was appended to last open, so each storage
+/// has its own, used by one thread at a time.
 class PosixDisk : public DiskOperations
 {
 public:
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -197,6 +197,9 @@
   void Found();
   void HandleAnnouncement(const Member& aFrom, const proto::Announcement& aAnnouncement);
   void ChangeVoters();
+  std::optional<Configuration> NextConfiguration() const;
+  bool MayJoin(const Member& aMember, const Progress& aProgress) const;
+  bool InSettings(const core::HostId& aHost) const;
   bool QuorumHeard(const Configuration& aConfiguration) const;
   void ConfigurationChanged();
   void DropSilentLearners();
--- a/cuminfield/process/log/ReplicatedLogElection.cpp
+++ b/cuminfield/process/log/ReplicatedLogElection.cpp
@@ -164,7 +164,8 @@
   mVotes.clear();
   mProgress.clear();
   mRoundTimes.clear();
-  mRoundWanted = true;
+  mRoundWanted = false;
+  mHeartbeatDue = mNow;
   ConfigurationChanged();
   // Entries of earlier terms commit only under one of this term (Raft paper 5.4.2 and 8).
   AppendOwn(proto::Entry());
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -3,6 +3,7 @@
 #include "cuminfield/process/log/ReplicatedLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminfield::process::log {
 
@@ -51,8 +52,7 @@
 void ReplicatedLog::HandleAnnouncement(const Member& aFrom,
                                        const proto::Announcement& aAnnouncement)
 {
-  const bool known = std::find(mHosts.begin(), mHosts.end(), aFrom.host) != mHosts.end();
-  if (!known || aFrom.host == mSelf.host) {
+  if (!InSettings(aFrom.host) || aFrom.host == mSelf.host) {
     return;
   }
   if (mRole == Role::Leader && !Voters().Contains(aFrom)) {
@@ -127,35 +127,57 @@
   });
 }
 
-// Replaces a voter whose disk was lost: its dead life goes first, then the new one comes in. One
-// voter at a time (dissertation 4.1), and only when an entry of the leader's own term is committed
-// (Ongaro 2015, "bug in single-server membership changes", raft-dev).
+bool ReplicatedLog::InSettings(const core::HostId& aHost) const
+{
+  return std::find(mHosts.begin(), mHosts.end(), aHost) != mHosts.end();
+}
+
+// One voter at a time (dissertation 4.1), and only when an entry of the leader's own term is
+// committed (Ongaro 2015, "bug in single-server membership changes", raft-dev).
 void ReplicatedLog::ChangeVoters()
 {
   if (!CommittedInTerm() || mLog.LatestIndex() > mCommit) {
     return;
   }
+  const auto next = NextConfiguration();
+  if (!next || !QuorumHeard(*next)) {
+    return;
+  }
+  CUMINFIELD_INVARIANT("log.one-change-at-a-time", Configuration::Distance(Voters(), *next) == 1);
+  proto::Entry entry;
+  *entry.mutable_configuration() = ToProto(*next);
+  AppendOwn(std::move(entry));
+}
+
+std::optional<Configuration> ReplicatedLog::NextConfiguration() const
+{
   for (const auto& [member, progress] : mProgress) {
-    const bool voter = Voters().Contains(member);
-    const bool caughtUp = !progress.snapshot && progress.match + mSettings.learnerLag >= mCommit;
-    const bool alive = HeardSince(member, mSettings.electionTimeoutMin);
-    if (voter || member.host == mSelf.host || progress.match == 0 || !caughtUp || !alive) {
+    if (!MayJoin(member, progress)) {
       continue;
     }
+    // A voter whose disk was lost: its dead life goes first, then the new one comes in.
     const Member* former = Voters().Find(member.host);
-    if (former && HeardSince(*former, mSettings.electionTimeoutMax)) {
-      continue; // Two lives of one host answer: never take a vote from a living one.
+    if (!former) {
+      return Voters().With(member);
     }
-    const Configuration next = former ? Voters().Without(*former) : Voters().With(member);
-    if (!QuorumHeard(next)) {
-      continue;
+    if (!HeardSince(*former, mSettings.electionTimeoutMax)) {
+      return Voters().Without(*former);
+    }
+  }
+  for (const Member& it : Voters().voters) {
+    if (!InSettings(it.host) && !HeardSince(it, mSettings.electionTimeoutMax)) {
+      return Voters().Without(it);
     }
-    CUMINFIELD_INVARIANT("log.one-change-at-a-time", Configuration::Distance(Voters(), next) == 1);
-    proto::Entry entry;
-    *entry.mutable_configuration() = ToProto(next);
-    AppendOwn(std::move(entry));
-    return;
   }
+  return std::nullopt;
+}
+
+bool ReplicatedLog::MayJoin(const Member& aMember, const Progress& aProgress) const
+{
+  const bool caughtUp =
+    !aProgress.snapshot && aProgress.match > 0 && aProgress.match + mSettings.learnerLag >= mCommit;
+  return caughtUp && !Voters().Contains(aMember) && aMember.host != mSelf.host &&
+         InSettings(aMember.host) && HeardSince(aMember, mSettings.electionTimeoutMin);
 }
 
 } // namespace cuminfield::process::log
--- a/cuminfield/process/log/ReplicatedLogReplication.cpp
+++ b/cuminfield/process/log/ReplicatedLogReplication.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Rounds of heartbeats whose time is remembered; more than are ever under way.
-constexpr std::size_t kRoundsRemembered = 256;
+constexpr std::size_t kRoundsRemembered = 1024;
 
 } // namespace
 
@@ -31,7 +31,9 @@
   if (mRole != Role::Leader) {
     return;
   }
-  const bool round = mRoundWanted || mNow >= mHeartbeatDue;
+  // Reads that come while a round is under way share the next one, to save traffic.
+  const bool answered = QuorumRound() == mRound;
+  const bool round = (mRoundWanted && answered) || mNow >= mHeartbeatDue;
   if (round) {
     StartRound();
   }
