--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,4 +1,5 @@
 #include "PerformanceTest/decisions/DecisionMeasurements.h"
+#include "PerformanceTest/moves/MoveMeasurement.h"
 
 #include <cstdio>
 #include <map>
@@ -6,6 +7,16 @@
 
 using namespace cuminfield::performance_test;
 
+namespace {
+
+int RunVersions(const std::string&, int aCount, char** aValues)
+{
+  // Its options are read as a command line: the name stands in the program's place.
+  return moves::RunMoveMeasurement(aCount + 1, aValues - 1);
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
   using Measurement = int (*)(const std::string& aName, int aCount, char** aValues);
@@ -15,6 +26,7 @@
     { "prefill", decisions::RunDecisionMeasurement },
     { "regions", decisions::RunDecisionMeasurement },
     { "straggler", decisions::RunDecisionMeasurement },
+    { "versions", RunVersions },
   };
   const auto found = measurements.find(argc > 1 ? argv[1] : "");
   if (found == measurements.end()) {
--- a/cuminfield/process/state/ClaimStore.cpp
+++ b/cuminfield/process/state/ClaimStore.cpp
@@ -121,7 +121,7 @@
 {
   const std::optional<TimedKey> key = TimedKey::Parse(aKey);
   if (!key || !Fits(aWorkspace)) {
-    aAnswer.set_verdict(proto::CLAIM_VERDICT_INVALID_KEY);
+    aAnswer.set_verdict(proto::CLAIM_VERDICT_INVALID);
     return false;
   }
   if (key->Time() < Floor()) {
@@ -146,7 +146,7 @@
   const bool fits = Fits(aCommand.request_id()) && Fits(aCommand.digest()) &&
                     Fits(aCommand.host()) && Fits(aCommand.upstream());
   if (!fits) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
+    return Verdict(proto::CLAIM_VERDICT_INVALID);
   }
   proto::ClaimRecord* record = Find(id);
   if (record && !record->digest().empty() && record->digest() != aCommand.digest()) {
@@ -208,7 +208,7 @@
   }
   proto::ClaimRecord* record = Find(id);
   if (aCommand.upstream().id().empty() || !Fits(aCommand.upstream())) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
+    return Verdict(proto::CLAIM_VERDICT_INVALID);
   }
   const bool inForce = record && record->state() == proto::CLAIM_STATE_CLAIMED &&
                        record->request_id() == aCommand.request_id();
@@ -240,7 +240,7 @@
     return refusal;
   }
   if (!Fits(aCommand.request_id())) {
-    return Verdict(proto::CLAIM_VERDICT_INVALID_KEY);
+    return Verdict(proto::CLAIM_VERDICT_INVALID);
   }
   proto::ClaimRecord* record = Find(id);
   const proto::Grant* grant = record ? FindGrant(*record, aCommand.request_id()) : nullptr;
