--- a/UnitTests/process/state/ClaimStoreTest.cpp
+++ b/UnitTests/process/state/ClaimStoreTest.cpp
@@ -384,7 +384,7 @@
         proto::CLAIM_VERDICT_HELD);
   key[14] = '4'; // Version 4 carries no time.
   CHECK(machine.Decide(MakeClaim(key, "r3", kStart)).claim().verdict() ==
-        proto::CLAIM_VERDICT_INVALID_KEY);
+        proto::CLAIM_VERDICT_INVALID);
 }
 
 TEST(ClaimStore, RefusesNewKeysWhenFullAndDropsExpiredOnesInSteps)
