--- a/UnitTests/process/log/FileLogStorageTest.cpp
+++ b/UnitTests/process/log/FileLogStorageTest.cpp
@@ -206,5 +206,8 @@
     CHECK(Same(contents.value(), model));
     CHECK(Store(storage, DrawBatch(model, random)));
   }
+  PosixDisk secondDisk;
+  FileLogStorage second({ .folder = folder, .group = kGroup, .disk = secondDisk });
+  CHECK(second.Load(kFirst).error().kind == core::ErrorKind::Io); // Another one holds the lock.
   std::filesystem::remove_all(folder);
 }
--- a/UnitTests/process/log/MemoryDisk.cpp
+++ b/UnitTests/process/log/MemoryDisk.cpp
@@ -61,6 +61,11 @@
   return Step();
 }
 
+core::Result<void> MemoryDisk::Lock(const std::string& /*aPath*/)
+{
+  return Step();
+}
+
 core::Result<std::optional<std::string>> MemoryDisk::Read(const std::string& aPath)
 {
   BOOST_OUTCOME_TRYV(Step());
--- a/UnitTests/process/log/MemoryDisk.h
+++ b/UnitTests/process/log/MemoryDisk.h
@@ -32,6 +32,7 @@
   std::string& Bytes(const std::string& aPath);
 
   core::Result<void> MakeFolder(const std::string& aPath) override;
+  core::Result<void> Lock(const std::string& aPath) override;
   core::Result<std::optional<std::string>> Read(const std::string& aPath) override;
   core::Result<void> Append(const std::string& aPath, std::string_view aBytes) override;
   core::Result<void> Truncate(const std::string& aPath, std::uint64_t aSize) override;
--- a/cuminfield/process/log/DiskOperations.h
+++ b/cuminfield/process/log/DiskOperations.h
@@ -20,6 +20,10 @@
   /// Makes a folder, and those above it, unless it exists. Its name must be synced by the caller.
   virtual core::Result<void> MakeFolder(const std::string& aPath) = 0;
 
+  /// Keeps a file locked until this object ends or locks another; an error when another process has
+  /// locked it.
+  virtual core::Result<void> Lock(const std::string& aPath) = 0;
+
   /// The bytes of a file; nothing when there is no such file.
   virtual core::Result<std::optional<std::string>> Read(const std::string& aPath) = 0;
 
--- a/cuminfield/process/log/FileLogStorage.cpp
+++ b/cuminfield/process/log/FileLogStorage.cpp
@@ -97,6 +97,7 @@
   BOOST_OUTCOME_TRYV(mDisk.MakeFolder(mFolder));
   BOOST_OUTCOME_TRYV(mDisk.SyncFolder(mParent));
   BOOST_OUTCOME_TRYV(mDisk.SyncFolder(mRoot));
+  BOOST_OUTCOME_TRYV(mDisk.Lock(mFolder + "/lock"));
   BOOST_OUTCOME_TRYV(mDisk.Remove(mNewFile));
   BOOST_OUTCOME_TRY(bytes, mDisk.Read(mFile));
   if (!bytes) {
--- a/cuminfield/process/log/FileLogStorage.h
+++ b/cuminfield/process/log/FileLogStorage.h
@@ -26,7 +26,8 @@
 /// behind it covers it; else acknowledged bytes are damaged and the file is refused.
 ///
 /// A snapshot, the incarnation and what follows are written to a new file, which is synced and
-/// then renamed over the old one.
+/// then renamed over the old one. `FOLDER/GROUP/lock` keeps a second process out: two of them would
+/// vote as one member.
 class FileLogStorage : public LogStorage
 {
 public:
--- a/cuminfield/process/log/PosixDisk.cpp
+++ b/cuminfield/process/log/PosixDisk.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <sys/file.h>
 #include <system_error>
 #include <unistd.h>
 
@@ -28,6 +29,15 @@
 PosixDisk::~PosixDisk()
 {
   Close();
+  Unlock();
+}
+
+void PosixDisk::Unlock()
+{
+  if (mLock >= 0) {
+    ::close(mLock);
+  }
+  mLock = -1;
 }
 
 void PosixDisk::Close()
@@ -63,6 +73,23 @@
   return core::Done();
 }
 
+core::Result<void> PosixDisk::Lock(const std::string& aPath)
+{
+  Unlock();
+  const int file = ::open(aPath.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, kFileMode);
+  if (file < 0) {
+    return IoError("open", aPath, errno);
+  }
+  if (::flock(file, LOCK_EX | LOCK_NB) != 0) {
+    ::close(file);
+    return core::Fail(core::ErrorKind::Io,
+                      aPath + " is locked by another process; stop that one, or give each process "
+                              "a data folder of its own");
+  }
+  mLock = file;
+  return core::Done();
+}
+
 core::Result<std::optional<std::string>> PosixDisk::Read(const std::string& aPath)
 {
   const int file = ::open(aPath.c_str(), O_RDONLY | O_CLOEXEC);
--- a/cuminfield/process/log/PosixDisk.h
+++ b/cuminfield/process/log/PosixDisk.h
@@ -17,6 +17,7 @@
   PosixDisk& operator=(const PosixDisk&) = delete;
 
   core::Result<void> MakeFolder(const std::string& aPath) override;
+  core::Result<void> Lock(const std::string& aPath) override;
   core::Result<std::optional<std::string>> Read(const std::string& aPath) override;
   core::Result<void> Append(const std::string& aPath, std::string_view aBytes) override;
   core::Result<void> Truncate(const std::string& aPath, std::uint64_t aSize) override;
@@ -29,9 +30,11 @@
   /// Opens a file for appending unless it is the open one.
   core::Result<void> Open(const std::string& aPath);
   void Close();
+  void Unlock();
 
   std::string mPath; ///< Of the open file.
   int mFile = -1;
+  int mLock = -1; ///< The locked file.
 };
 
 } // namespace cuminfield::process::log
