Replicated log: a voter that hears no leader announces itself

A random run found a member that stayed out for ever (3 voters, run outside the check): it had stored a configuration that made it a voter, the leader that proposed it fell before the commit, and the next leader knew it neither as voter nor as learner, while it only asked for votes. It now announces itself like a learner does, and is taken in anew.

--- a/UnitTests/process/log/LogClusterTest.cpp
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -39,7 +39,8 @@
   }
   switch (random.Below(9)) {
     case 0:
-      aCluster.Cut(host, other, true); // One way only.
+      aCluster.Cut(host, other, true); // Perhaps one way only.
+      aCluster.Cut(other, host, random.Chance(0.5));
       break;
     case 1:
       aCluster.Isolate(host, true);
@@ -210,6 +211,21 @@
   LONGS_EQUAL(leader, cluster.LeaderHost());
 }
 
+TEST(LogCluster, LeaderThatAMajorityHearsIsNotReplacedByOneThatCannotHearIt)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster({ .voters = 3, .seed = seed });
+    Found(cluster, 3);
+    const std::size_t leader = cluster.LeaderHost();
+    const std::size_t follower = (leader + 1) % 3;
+    cluster.Cut(leader, follower, true);
+    cluster.Cut(follower, leader, true);
+    cluster.Run(10s);
+    LONGS_EQUAL(leader, cluster.LeaderHost());
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
+
 TEST(LogCluster, TwoBlankHostsBesideAMemberFoundNothing)
 {
   LogCluster cluster({ .voters = 3 });
--- a/UnitTests/process/log/ReplicatedLogTest.cpp
+++ b/UnitTests/process/log/ReplicatedLogTest.cpp
@@ -88,6 +88,15 @@
   throw Broken(aName);
 }
 
+std::size_t CountVoteRequests(const std::vector<OutgoingMessage>& aMessages)
+{
+  std::size_t n = 0;
+  for (const OutgoingMessage& it : aMessages) {
+    n += it.message.has_vote_request() ? 1 : 0;
+  }
+  return n;
+}
+
 /// The name of the invariant that aAct breaks; empty when it breaks none.
 std::string BrokenBy(const std::function<void()>& aAct)
 {
@@ -156,7 +165,7 @@
 {
   now += 2s;
   log.Tick(now); // Asks for pre-votes.
-  LONGS_EQUAL(2, log.TakeMessages().size());
+  LONGS_EQUAL(2, CountVoteRequests(log.TakeMessages()));
   proto::LogMessage reply = MakeMessage(2);
   reply.mutable_vote_reply()->set_pre_vote(true);
   reply.mutable_vote_reply()->set_granted(true);
@@ -245,6 +254,21 @@
   LONGS_EQUAL(2, log.CommitIndex().Value());
 }
 
+TEST(ReplicatedLog, VoterThatHearsNoLeaderAnnouncesItself)
+{
+  log.Receive(kOther, MakeAppend(2, "x", 0), now);
+  StoreAll(log, now);
+  now += 500ms;
+  log.Tick(now);
+  CHECK(log.TakeMessages().empty()); // The leader was heard.
+  now += 150ms;
+  log.Tick(now);
+  const auto out = log.TakeMessages();
+  CHECK(out.size() >= 2);
+  CHECK(out[0].message.has_announcement());
+  CHECK(out[0].message.announcement().belongs());
+}
+
 TEST(ReplicatedLog, PlantedFaultSecondLeaderInATermIsCaught)
 {
   log.Receive(kOther, MakeAppend(2, "x", 0), now);
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -68,8 +68,10 @@
     ChangeVoters();
     return;
   }
+  // Also a voter does when it hears no leader: the configuration that made it one may have been
+  // lost with the leader that proposed it.
+  Announce();
   if (!Promotable()) {
-    Announce();
     return;
   }
   const bool alone = Voters().voters.size() == 1;
