Version moves: blocks that hold both versions

Cause: on a sparse route most rounds have requests to one version only; those to the old one were not compared with any, and how much a block told depended on the order that reports came in. One mild slowness on the rarest route was met for 26 s after it had shown. Ruled out: none tried besides.

--- a/cuminfield/version/moves/RouteEvidence.cpp
+++ b/cuminfield/version/moves/RouteEvidence.cpp
@@ -46,10 +46,11 @@
 
 void RouteEvidence::EndRound()
 {
-  if (WaitsForControl()) {
+  ++mRounds;
+  if (!BlockIsWhole()) {
     return;
   }
-  mWaited = 0;
+  mRounds = 0;
   if (mNew.Requests() > 0) {
     TestBlock();
     mRecentNew.Add(mNew);
@@ -98,13 +99,10 @@
                      limit.count(), 100.0 * bound->bound.oldRate);
 }
 
-bool RouteEvidence::WaitsForControl()
+bool RouteEvidence::BlockIsWhole() const
 {
-  if (mNew.Requests() == 0 || mOld.Requests() > 0) {
-    return false;
-  }
-  ++mWaited;
-  return mWaited < mSettings.waitForControl;
+  const bool hasBoth = mNew.Requests() > 0 && mOld.Requests() > 0;
+  return hasBoth || mRounds >= mSettings.longestBlock;
 }
 
 void RouteEvidence::TestBlock()
--- a/cuminfield/version/moves/RouteEvidence.h
+++ b/cuminfield/version/moves/RouteEvidence.h
@@ -26,24 +26,25 @@
   SequentialTestSettings test;
   double bulkQuantile = 0.30; ///< At most this part of the old version's requests counts as slow.
   double tailQuantile = 0.03; ///< The same for the tail.
-  /// Rounds that the new version's requests wait for some of the old version to compare with.
-  std::uint32_t waitForControl = 8;
+  /// Rounds that requests of one version wait for some of the other to compare with.
+  std::uint32_t longestBlock = 8;
   double recentRequests = 200; ///< Requests that reason texts speak of.
 };
 
-/// The evidence on one route, or on all routes together: compares the new version round by round
-/// with the old one as seen in the same round.
+/// The evidence on one route, or on all routes together: compares the new version block by block
+/// with the old one as seen in the same few rounds.
 class RouteEvidence
 {
 public:
   explicit RouteEvidence(const RouteEvidenceSettings& aSettings = {});
 
-  /// Requests of this round. Add may be called any number of times in a round.
+  /// Requests of this round. May be called any number of times in a round.
   void AddOld(const Observation& aOld);
   void AddNew(const Observation& aNew);
 
-  /// Judges the round's requests against what was learned before them, then learns from them.
-  /// Whether to judge or wait depends on counts alone, never on outcomes.
+  /// Ends a round. The rounds since the last block become one block once they have requests to both
+  /// versions, or are too many: it is judged against what was learned before it, then learned from.
+  /// Where blocks end depends on counts alone, never on outcomes.
   void EndRound();
 
   /// Looks from now on also for faults that begin now.
@@ -60,7 +61,7 @@
   std::string Describe(Metric aMetric) const;
 
 private:
-  bool WaitsForControl();
+  bool BlockIsWhole() const;
   void TestBlock();
   void TestLatency(Metric aMetric, const std::optional<LatencyBound>& aBound,
                    LatencyCounts Observation::*aCounts);
@@ -69,10 +70,10 @@
   RouteEvidenceSettings mSettings;
   OldBaseline mBaseline;
   std::array<SequentialTest, kMetrics> mTests;
-  Observation mOld; ///< This round.
-  Observation mNew; ///< This round, and the rounds that wait for control.
-  std::uint32_t mWaited = 0;
-  DecayedCounts mRecentNew; ///< For reason texts only.
+  Observation mOld;          ///< This block.
+  Observation mNew;          ///< This block.
+  std::uint32_t mRounds = 0; ///< Of this block.
+  DecayedCounts mRecentNew;  ///< For reason texts only.
   std::uint64_t mNewRequests = 0;
   std::uint64_t mOldRequests = 0;
 };
