--- /dev/null
+++ b/TestFramework/prove/Oracle.cpp
@@ -0,0 +1,97 @@
+#include "TestFramework/prove/Oracle.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace cuminfield::test_framework::prove {
+
+void Oracle::Check(bool aHolds, const std::string& aViolation)
+{
+  ++mChecks;
+  if (!aHolds) {
+    ++mViolations;
+    spdlog::error("violation: {}", aViolation);
+  }
+}
+
+void Oracle::CheckFolder(const std::string& aFolder)
+{
+  for (const auto& it : std::filesystem::directory_iterator(aFolder)) {
+    if (it.path().extension() == ".record") {
+      ReadRecord(it.path());
+    }
+  }
+  for (const auto& [key, ids] : mRunsByKey) {
+    Check(ids.size() == 1, fmt::format("key {} ran {} times", key, ids.size()));
+  }
+  for (const auto& [id, runs] : mRunsById) {
+    Check(runs == 1, fmt::format("request {} ran {} times", id, runs));
+  }
+  std::ifstream outcomes(aFolder + "/outcomes.jsonl");
+  std::string line;
+  while (std::getline(outcomes, line)) {
+    CheckOutcome(line);
+  }
+}
+
+std::string Oracle::Outcomes() const
+{
+  std::string text;
+  for (const auto& [kind, count] : mOutcomes) {
+    text += fmt::format("{}={} ", kind, count);
+  }
+  return text;
+}
+
+void Oracle::ReadRecord(const std::string& aFile)
+{
+  std::ifstream record(aFile);
+  std::string line;
+  while (std::getline(record, line)) {
+    const auto event = nlohmann::json::parse(line, nullptr, false);
+    if (!event.is_object() || event.value("kind", "") != "begin") {
+      continue;
+    }
+    const std::string id = event.value("request_id", "");
+    const std::string key = event.value("key", "");
+    if (event.value("method", "") != "GET") {
+      ++mRunsById[id];
+    }
+    if (!key.empty()) {
+      mRunsByKey[key].push_back(id);
+    }
+  }
+}
+
+void Oracle::CheckOutcome(const std::string& aLine)
+{
+  const auto outcome = nlohmann::json::parse(aLine, nullptr, false);
+  if (!outcome.is_object()) {
+    return;
+  }
+  const std::string kind = outcome.value("outcome", "");
+  const std::string key = outcome.value("key", "");
+  const std::size_t runs = mRunsByKey.contains(key) ? mRunsByKey.at(key).size() : 0;
+  ++mOutcomes[kind];
+  Check(kind != "wrong", "wrong answer: " + outcome.value("detail", ""));
+  for (const std::string id : outcome.value("not_run_ids", nlohmann::json::array())) {
+    Check(!mRunsById.contains(id), "request " + id + " ran after it was answered not-run");
+  }
+  if (kind == "not-run" && !key.empty()) {
+    Check(runs == 0, "key " + key + " ran, and its last answer is not-run");
+  }
+  if (!key.empty()) {
+    const bool silent = kind == "broken" && outcome.value("status", 0) == 0;
+    Check(!silent, fmt::format("key {} ({}) got no word in {} attempts", key,
+                               outcome.value("target", ""), outcome.value("attempts", 0)));
+  }
+  if (kind == "answered" && outcome.value("target", "") == "/payouts") {
+    Check(runs == 1, fmt::format("payout {} was answered and ran {} times", key, runs));
+  }
+}
+
+} // namespace cuminfield::test_framework::prove
--- /dev/null
+++ b/TestFramework/relay/Relay.cpp
@@ -0,0 +1,77 @@
+#include "TestFramework/relay/Relay.h"
+
+#include "TestFramework/relay/RelayLink.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <netinet/in.h>
+#include <utility>
+
+namespace cuminfield::test_framework::relay {
+
+namespace {
+
+constexpr int kBacklog = 64;
+
+} // namespace
+
+Relay::Relay(event_base* aBase, const process::settings::Endpoint& aListen,
+             process::settings::Endpoint aTarget)
+  : mBase(aBase)
+  , mTarget(std::move(aTarget))
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aListen.port);
+  inet_pton(AF_INET, aListen.address.c_str(), &address.sin_addr);
+  mListener = evconnlistener_new_bind(aBase, &Relay::Accepted, this,
+                                      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
+                                      reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (mListener == nullptr) {
+    spdlog::error("relay cannot listen on {}; choose free ports", aListen.Text());
+    std::exit(1);
+  }
+}
+
+Relay::~Relay()
+{
+  evconnlistener_free(mListener);
+}
+
+void Relay::Cut(bool aForward, bool aBackward)
+{
+  mForwardCut = aForward;
+  mBackwardCut = aBackward;
+  for (const auto& it : mLinks) {
+    it->Cut(aForward, aBackward);
+  }
+}
+
+void Relay::Accepted(evconnlistener* /*aListener*/, int aSocket, sockaddr* /*aAddress*/,
+                     int /*aSize*/, void* aSelf)
+{
+  auto* self = static_cast<Relay*>(aSelf);
+  // The link is named by its address when it closes, which is known only after it was made.
+  auto name = std::make_shared<RelayLink*>(nullptr);
+  auto link = std::make_unique<RelayLink>(self->mBase, aSocket, self->mTarget,
+                                          [self, name] { self->Close(*name); });
+  *name = link.get();
+  link->Cut(self->mForwardCut, self->mBackwardCut);
+  self->mLinks.insert(std::move(link));
+}
+
+void Relay::Close(RelayLink* aLink)
+{
+  const auto it = std::find_if(mLinks.begin(), mLinks.end(),
+                               [&](const auto& aOther) { return aOther.get() == aLink; });
+  if (it != mLinks.end()) {
+    mLinks.erase(it);
+  }
+}
+
+} // namespace cuminfield::test_framework::relay
--- /dev/null
+++ b/TestFramework/relay/RelayLink.cpp
@@ -0,0 +1,63 @@
+#include "TestFramework/relay/RelayLink.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <utility>
+
+namespace cuminfield::test_framework::relay {
+
+RelayLink::RelayLink(event_base* aBase, int aSocket, const process::settings::Endpoint& aTarget,
+                     std::function<void()> aClosed)
+  : mCaller(bufferevent_socket_new(aBase, aSocket, BEV_OPT_CLOSE_ON_FREE))
+  , mTarget(bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+  , mClosed(std::move(aClosed))
+{
+  for (bufferevent* it : { mCaller, mTarget }) {
+    bufferevent_setcb(it, &RelayLink::Received, nullptr, &RelayLink::Changed, this);
+    bufferevent_enable(it, EV_READ | EV_WRITE);
+  }
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aTarget.port);
+  inet_pton(AF_INET, aTarget.address.c_str(), &address.sin_addr);
+  bufferevent_socket_connect(mTarget, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+}
+
+RelayLink::~RelayLink()
+{
+  bufferevent_free(mCaller);
+  bufferevent_free(mTarget);
+}
+
+void RelayLink::Cut(bool aForward, bool aBackward)
+{
+  const auto set = [](bufferevent* aFrom, bool aCut) {
+    if (aCut) {
+      bufferevent_disable(aFrom, EV_READ);
+    } else {
+      bufferevent_enable(aFrom, EV_READ);
+    }
+  };
+  set(mCaller, aForward);
+  set(mTarget, aBackward);
+}
+
+void RelayLink::Received(bufferevent* aFrom, void* aSelf)
+{
+  const auto* self = static_cast<RelayLink*>(aSelf);
+  bufferevent* to = aFrom == self->mCaller ? self->mTarget : self->mCaller;
+  bufferevent_write_buffer(to, bufferevent_get_input(aFrom));
+}
+
+void RelayLink::Changed(bufferevent* /*aSide*/, short aWhat, void* aSelf)
+{
+  if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    static_cast<RelayLink*>(aSelf)->mClosed();
+  }
+}
+
+} // namespace cuminfield::test_framework::relay
