--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -85,6 +85,10 @@
       [](auto& aOptions, double aValue) { aOptions.settings.router.remotePrefill = aValue; } },
     { "remoteTopShare",
       [](auto& aOptions, double aValue) { aOptions.settings.router.remoteTopShare = aValue; } },
+    { "choices",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.choices = static_cast<std::uint32_t>(aValue);
+      } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
--- a/cuminfield/request/admission/TierReserve.h
+++ b/cuminfield/request/admission/TierReserve.h
@@ -13,11 +13,11 @@
 struct TierReserveSettings
 {
   double rise = 0.05;         ///< Weight of a higher demand, each tick.
-  double fall = 0.0005;       ///< Weight of a lower demand, each tick.
+  double fall = 0.0001;       ///< Weight of a lower demand, each tick.
   double deviations = 1.0;    ///< Square roots of the demand that are kept besides it.
   double churn = 20;          ///< Ticks in which a place that is about to be free counts as free.
   double churnWeight = 0.005; ///< Of the newest tick in the mean rate of places getting free.
-  double leastShare = 0.1;    ///< A lower tier may always fill this share of what a higher one may.
+  double leastShare = 0.3;    ///< A lower tier may always fill this share of what a higher one may.
 };
 
 /// Room in the upstreams that lower tiers leave for the higher ones of one pool. A request of a
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -304,6 +304,9 @@
     upstream.local ? core::Duration(0) : 2 * mSettings.router.regionDelay;
   const core::Duration elapsed = std::max(core::Duration(1), now - state.sentAt - network);
   upstream.rates.ObserveFirstToken(state.ahead + state.uncached, elapsed);
+  if (state.spec.firstTokenTarget.count() > 0 && elapsed > state.spec.firstTokenTarget) {
+    upstream.circuit.Failed(now);
+  }
   upstream.load.Prefilled(state.uncached, now);
   state.phase = RequestPhase::Running;
   state.lastToken = now;
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -23,7 +23,7 @@
 struct RouterSettings
 {
   /// Prefill queued at an upstream, in time, ahead of a request below the highest tier.
-  core::Duration lowerBacklog{ 150'000 };
+  core::Duration lowerBacklog{ 100'000 };
   /// Prefill that all hosts together may have in flight at an upstream, in time; each has its part
   /// by its part of the slots, but at least one request.
   core::Duration prefillBudget{ 120'000 };
@@ -34,7 +34,7 @@
   double longShare = 0.4;
 
   /// Counted against an upstream that takes long requests when a quick one is placed.
-  core::Duration longPenalty{ 50'000 };
+  core::Duration longPenalty{ 100'000 };
   /// Upstreams sampled for one decision, besides those that hold the request's prefix.
   std::uint32_t choices = 8;
   /// Weight of uncached prefill against waiting time when upstreams are compared.
