--- a/PerformanceTest/decisions/DecisionMeasurements.cpp
+++ b/PerformanceTest/decisions/DecisionMeasurements.cpp
@@ -89,6 +89,12 @@
       [](auto& aOptions, double aValue) {
         aOptions.settings.router.choices = static_cast<std::uint32_t>(aValue);
       } },
+    { "slowFactor",
+      [](auto& aOptions, double aValue) { aOptions.settings.router.peers.slowFactor = aValue; } },
+    { "firstEjectMs",
+      [](auto& aOptions, double aValue) {
+        aOptions.settings.router.peers.firstEject = Millis(aValue);
+      } },
     { "overGrant",
       [](auto& aOptions, double aValue) { aOptions.settings.router.overGrant = aValue; } },
     { "churn", [](auto& aOptions, double aValue) { aOptions.settings.reserve.churn = aValue; } },
