--- a/cuminfield/request/routing/InFlightLimit.h
+++ b/cuminfield/request/routing/InFlightLimit.h
@@ -9,13 +9,13 @@
 /// Tunables of InFlightLimit.
 struct InFlightLimitSettings
 {
-  double start = 1.4;    ///< First limit, as a share of the upstream's slots.
+  double start = 1.3;    ///< First limit, as a share of the upstream's slots.
   double least = 0.25;   ///< Lower bound, as a share of the slots.
   double most = 1.5;     ///< Upper bound, as a share of the slots.
   double decrease = 0.9; ///< Factor while tokens come too slowly.
   double increase = 0.5; ///< Requests added while tokens come in time and the limit binds.
   double used = 0.8;     ///< The limit grows only while this share of it is in use.
-  double safety = 1.0;   ///< Share of the target that the time between tokens may take.
+  double safety = 0.95;  ///< Share of the target that the time between tokens may take.
   core::Duration period{ 500'000 }; ///< Between two adjustments.
 };
 
