--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,5 +1,6 @@
 #include "PerformanceTest/decisions/DecisionCost.h"
 #include "PerformanceTest/decisions/DecisionMeasurements.h"
+#include "PerformanceTest/log/LogMeasurement.h"
 #include "PerformanceTest/moves/MoveMeasurement.h"
 
 #include <cstdio>
@@ -16,6 +17,11 @@
   return moves::RunMoveMeasurement(aCount + 1, aValues - 1);
 }
 
+int RunLogCommits(const std::string&, int aCount, char** aValues)
+{
+  return log::RunLogMeasurement(aCount + 1, aValues - 1);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -24,6 +30,7 @@
   const std::map<std::string, Measurement> measurements = {
     { "decision-cost", decisions::RunDecisionCost },
     { "goodput", decisions::RunDecisionMeasurement },
+    { "log-commits", RunLogCommits },
     { "leave", decisions::RunDecisionMeasurement },
     { "prefill", decisions::RunDecisionMeasurement },
     { "regions", decisions::RunDecisionMeasurement },
--- a/UnitTests/request/exchange/ExchangeTest.cpp
+++ b/UnitTests/request/exchange/ExchangeTest.cpp
@@ -65,12 +65,12 @@
 
   void Answer(ClaimVerdict aVerdict, const claims::ClaimRecord& aRecord = {})
   {
-    const Done done = std::move(waiting);
+    const Done done = std::move(mWaiting);
     done(ClaimReply{ .verdict = aVerdict, .record = aRecord });
   }
   void Fail(core::ErrorKind aKind)
   {
-    const Done done = std::move(waiting);
+    const Done done = std::move(mWaiting);
     done(core::Result<ClaimReply>(core::Error{ .kind = aKind, .message = "no majority" }));
   }
 
@@ -81,10 +81,10 @@
   void Ask(const char* aStep, Done aDone)
   {
     last = aStep;
-    waiting = std::move(aDone);
+    mWaiting = std::move(aDone);
   }
 
-  Done waiting;
+  Done mWaiting;
 };
 
 /// Counts calls that live and those that were started.
--- /dev/null
+++ b/cuminfield/process/capacity/CapacityService.cpp
@@ -0,0 +1,120 @@
+#include "cuminfield/process/capacity/CapacityService.h"
+
+#include "cuminfield/request/capacity/CapacityMessages.h"
+
+#include <utility>
+
+namespace cuminfield::process::capacity {
+
+CapacityService::CapacityService(Options aOptions)
+  : mOptions(aOptions)
+{
+  mOptions.links.OnMessage().connect(sigc::mem_fun(*this, &CapacityService::OnMessage));
+  mOptions.directory.OnUp().connect([this](const request::UpstreamAnnouncement& aUpstream) {
+    if (mBroker && aUpstream.dataCentre == mOptions.host.dataCentre) {
+      mBroker->UpstreamUp(aUpstream.id, aUpstream.service, aUpstream.slots);
+    }
+  });
+  mOptions.directory.OnGone().connect([this](const core::UpstreamId& aUpstream) {
+    if (mBroker) {
+      mBroker->UpstreamGone(aUpstream);
+    }
+  });
+  mTimer = mOptions.timers.Every(mOptions.settings.report, [this] { Report(); });
+}
+
+void CapacityService::Report()
+{
+  std::erase_if(mLocal, [](const core::TimerHandle& aHandle) { return !aHandle.Active(); });
+  const auto* group = mOptions.groups.Find(core::GroupId(mOptions.host.dataCentre.Text()));
+  if (!group || !mScheduler) {
+    return;
+  }
+  const core::HostId leader = group->Group().Leader();
+  if (leader.Empty()) {
+    return;
+  }
+  request::capacity::DemandReport report;
+  report.host = mOptions.host.id;
+  report.applied = mOptions.client.Applied();
+  report.sequence = mOptions.client.NextReport();
+  mScheduler->Describe(report);
+  proto::CapacityMessage message;
+  message.set_environment(mOptions.host.environment.Text());
+  *message.mutable_report() = request::capacity::ToMessage(report);
+  Send(leader, message);
+}
+
+void CapacityService::Send(const core::HostId& aTo, const proto::CapacityMessage& aMessage)
+{
+  if (aTo == mOptions.host.id) {
+    mLocal.push_back(mOptions.timers.After(
+      core::Duration::zero(), [this, message = aMessage] { Take(mOptions.host.id, message); }));
+    return;
+  }
+  mOptions.links.Send(
+    aTo, { .channel = peer::Channel::Capacity, .payload = aMessage.SerializeAsString() });
+}
+
+void CapacityService::OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage)
+{
+  proto::CapacityMessage message;
+  const bool ours = aMessage.channel == peer::Channel::Capacity;
+  if (ours && message.ParseFromString(aMessage.payload)) {
+    Take(aFrom, message);
+  }
+}
+
+void CapacityService::Take(const core::HostId& aFrom, const proto::CapacityMessage& aMessage)
+{
+  // Each environment has upstreams of its own, and so grants of its own.
+  if (aMessage.environment() != mOptions.host.environment.Text()) {
+    return;
+  }
+  if (aMessage.has_report()) {
+    Serve(aFrom, request::capacity::FromMessage(aMessage.report()));
+    return;
+  }
+  if (aMessage.has_table()) {
+    mOptions.client.Apply(request::capacity::FromMessage(aMessage.table()));
+  }
+}
+
+void CapacityService::Serve(const core::HostId& aFrom,
+                            const request::capacity::DemandReport& aReport)
+{
+  request::capacity::CapacityBroker* broker = Broker();
+  if (!broker) {
+    return;
+  }
+  proto::CapacityMessage answer;
+  answer.set_environment(mOptions.host.environment.Text());
+  *answer.mutable_table() =
+    request::capacity::ToMessage(broker->OnReport(aReport, mOptions.timers.Now()));
+  Send(aFrom, answer);
+}
+
+request::capacity::CapacityBroker* CapacityService::Broker()
+{
+  const auto* entry = mOptions.groups.Find(core::GroupId(mOptions.host.dataCentre.Text()));
+  const bool leads = entry && entry->voter && entry->voter->CurrentRole() == log::Role::Leader &&
+                     entry->voter->HoldsLease();
+  if (!leads) {
+    mBroker.reset();
+    return nullptr;
+  }
+  const core::Term term = entry->voter->CurrentTerm();
+  if (mBroker && mBrokerTerm == term) {
+    return &*mBroker;
+  }
+  mBrokerTerm = term;
+  mBroker.emplace(request::capacity::CapacitySettings{}, term, mOptions.timers.Now());
+  for (const auto& it : mOptions.directory.List()) {
+    if (it.up && it.announcement.dataCentre == mOptions.host.dataCentre) {
+      mBroker->UpstreamUp(it.announcement.id, it.announcement.service, it.announcement.slots);
+    }
+  }
+  return &*mBroker;
+}
+
+} // namespace cuminfield::process::capacity
--- /dev/null
+++ b/cuminfield/process/capacity/CapacityService.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "cuminfield/core/TimerService.h"
+#include "cuminfield/process/capacity/capacity_message.pb.h"
+#include "cuminfield/process/host/Groups.h"
+#include "cuminfield/process/membership/UpstreamDirectory.h"
+#include "cuminfield/process/peer/PeerLinks.h"
+#include "cuminfield/process/settings/HostSettings.h"
+#include "cuminfield/request/admission/TieredScheduler.h"
+#include "cuminfield/request/capacity/CapacityBroker.h"
+#include "cuminfield/request/capacity/CapacityClient.h"
+
+#include <sigc++/sigc++.h>
+
+#include <optional>
+#include <vector>
+
+namespace cuminfield::process::capacity {
+
+/// Tunables of the service.
+struct CapacityServiceSettings
+{
+  /// Between two reports of this host's demand.
+  core::Duration report = std::chrono::milliseconds(200);
+};
+
+/// Shares the upstreams of a data centre among its entry hosts: reports this host's demand to the
+/// broker and follows its grants, and is the broker while it leads the data centre's group.
+class CapacityService : public sigc::trackable
+{
+public:
+  struct Options
+  {
+    CapacityServiceSettings settings{};
+    const settings::HostSettings& host;
+    core::TimerService& timers;
+    host::Groups& groups;
+    peer::PeerLinks& links;
+    membership::UpstreamDirectory& directory;
+    request::capacity::CapacityClient& client;
+  };
+
+  explicit CapacityService(Options aOptions);
+
+  /// Names the scheduler whose demand is reported; before the first report.
+  void Attach(const request::admission::TieredScheduler& aScheduler) { mScheduler = &aScheduler; }
+
+private:
+  void Report();
+  void Send(const core::HostId& aTo, const proto::CapacityMessage& aMessage);
+  void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
+  void Take(const core::HostId& aFrom, const proto::CapacityMessage& aMessage);
+  void Serve(const core::HostId& aFrom, const request::capacity::DemandReport& aReport);
+  request::capacity::CapacityBroker* Broker();
+
+  Options mOptions;
+  const request::admission::TieredScheduler* mScheduler = nullptr;
+  std::optional<request::capacity::CapacityBroker> mBroker; ///< While this host leads.
+  core::Term mBrokerTerm;
+  core::TimerHandle mTimer;
+  std::vector<core::TimerHandle> mLocal; ///< Messages to this host itself, under way.
+};
+
+} // namespace cuminfield::process::capacity
--- a/cuminfield/process/host/Host.cpp
+++ b/cuminfield/process/host/Host.cpp
@@ -34,6 +34,7 @@
   : mOptions(std::move(aOptions))
   , mRandom(Seed(mOptions.settings))
   , mLife(static_cast<std::uint64_t>(mOptions.loop.WallNow().time_since_epoch().count()))
+  , mCapacity({}, mOptions.loop)
   , mMetrics({})
   , mObservations(mOptions.settings.id, mOptions.settings.dataCentre, core::Incarnation(mLife))
   , mShares(mOptions.settings.dataCentre, mOptions.loop)
@@ -65,6 +66,13 @@
                                             .peers = settings.peers,
                                             .timers = loop,
                                             .links = *mLinks });
+  mCapacityService = std::make_unique<capacity::CapacityService>(
+    capacity::CapacityService::Options{ .host = mOptions.settings,
+                                        .timers = loop,
+                                        .groups = *mGroups,
+                                        .links = *mLinks,
+                                        .directory = *mDirectory,
+                                        .client = mCapacity });
   mClaims = std::make_unique<claims::GroupClaimKeeper>(claims::GroupClaimKeeper::Options{
     .host = settings.id, .timers = loop, .homes = mGroups->Homes() });
   mMoves = std::make_unique<moves::MoveService>(
@@ -86,16 +94,20 @@
                                                .transport = mTransport,
                                                .observer = mWatch,
                                                .document = [this] { return mDocument; } });
+  // Without a group in this data centre nobody could hand out grants.
+  const bool sharesCapacity = mGroups->Find(core::GroupId(settings.dataCentre.Text())) != nullptr;
   mScheduler = std::make_unique<request::admission::TieredScheduler>(
     request::admission::TieredSchedulerOptions{ .settings = {},
                                                 .timers = loop,
                                                 .random = mRandom,
                                                 .listener = *mExchanges,
                                                 .versions = mShares,
+                                                .capacity = sharesCapacity ? &mCapacity : nullptr,
                                                 .host = settings.id,
                                                 .dataCentre = settings.dataCentre,
                                                 .region = settings.region });
   mExchanges->Attach(*mScheduler);
+  mCapacityService->Attach(*mScheduler);
 
   // The addresses.
   mControl = std::make_unique<control::ControlHandler>(
--- a/cuminfield/process/host/Host.h
+++ b/cuminfield/process/host/Host.h
@@ -4,6 +4,7 @@
 #include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
 #include "cuminfield/core/EventLoop.h"
 #include "cuminfield/core/Random.h"
+#include "cuminfield/process/capacity/CapacityService.h"
 #include "cuminfield/process/claims/GroupClaimKeeper.h"
 #include "cuminfield/process/control/ControlHandler.h"
 #include "cuminfield/process/documents/DocumentSpread.h"
@@ -71,6 +72,8 @@
   std::unique_ptr<documents::DocumentSpread> mSpread;
   std::unique_ptr<documents::OperatorService> mOperators;
   std::unique_ptr<membership::UpstreamDirectory> mDirectory;
+  request::capacity::CapacityClient mCapacity;
+  std::unique_ptr<capacity::CapacityService> mCapacityService;
   std::unique_ptr<claims::GroupClaimKeeper> mClaims;
   metrics::Metrics mMetrics;
   version::moves::ObservationLog mObservations;
