--- a/UnitTests/request/TieredSchedulerTest.cpp
+++ b/UnitTests/request/TieredSchedulerTest.cpp
@@ -2,7 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "cuminfield/core/Invariant.h"
+
 #include <chrono>
+#include <stdexcept>
 
 using namespace cuminfield;
 using namespace std::chrono_literals;
@@ -145,3 +148,32 @@
   CHECK_EQUAL(2U, Dispatched());
   CHECK(fixture.listener.upstreamOf["r2"] == "far");
 }
+
+TEST(TieredScheduler, AnInvariantOfTheProgramCatchesAnIdThatIsUsedTwice)
+{
+  core::SetInvariantHandler([](const char* aName) { throw std::logic_error(aName); });
+  fixture.Up("u1", 4);
+  fixture.scheduler.Submit(fixture.Spec("r1", 0));
+  CHECK_THROWS(std::logic_error, fixture.scheduler.Submit(fixture.Spec("r1", 0)));
+  core::SetInvariantHandler(nullptr);
+}
+
+TEST(TieredScheduler, AHostWithoutAGrantLeavesAnUpstreamOfItsDataCentreAlone)
+{
+  class NoGrant : public cuminfield::request::capacity::CapacityView
+  {
+  public:
+    std::uint32_t Slots(const cuminfield::request::UpstreamAnnouncement&) const override
+    {
+      return 0;
+    }
+    bool MayShed(cuminfield::request::TierRank) const override { return false; }
+    std::uint64_t Epoch() const override { return 1; }
+  };
+  const NoGrant none;
+  SchedulerFixture other({}, &none);
+  other.Up("u1", 4);
+  other.scheduler.Submit(other.Spec("r1", 0));
+  CHECK_EQUAL(0U, other.listener.dispatched.size());
+  CHECK_EQUAL(1U, other.scheduler.Waiting());
+}
