--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -202,11 +202,10 @@
 
 std::optional<RequestIndex> TieredScheduler::HigherThatFits(routing::PoolIndex aPool,
                                                             std::size_t aTier,
-                                                            routing::UpstreamIndex aUpstream) const
+                                                            routing::UpstreamIndex aUpstream)
 {
   for (std::size_t tier = 0; tier < aTier; ++tier) {
-    // Front() drops empty lines on the way, which changes nothing that can be observed.
-    const RequestIndex front = const_cast<FairQueue&>(mQueues[aPool].tiers[tier]).Front();
+    const RequestIndex front = mQueues[aPool].tiers[tier].Front();
     if (front == FairQueue::kNone) {
       continue;
     }
--- a/cuminfield/request/admission/TieredScheduler.h
+++ b/cuminfield/request/admission/TieredScheduler.h
@@ -89,7 +89,7 @@
   bool FollowVersion(RequestIndex aRequest);
   bool MaySpill(const RequestState& aState, const routing::Pool& aPool) const;
   std::optional<RequestIndex> HigherThatFits(routing::PoolIndex aPool, std::size_t aTier,
-                                             routing::UpstreamIndex aUpstream) const;
+                                             routing::UpstreamIndex aUpstream);
   void Dispatch(RequestIndex aRequest, const routing::Placement& aPlacement);
 
   void TakeFromQueue(RequestIndex aRequest, bool aServed);
--- a/cuminfield/request/routing/RouterSettings.h
+++ b/cuminfield/request/routing/RouterSettings.h
@@ -32,7 +32,6 @@
   /// Share of a region's slots in a pool that take long requests: the largest upstreams, which
   /// compute long prompts fastest. The others stay quick.
   double longShare = 0.4;
-
   /// Counted against an upstream that takes long requests when a quick one is placed.
   core::Duration longPenalty{ 100'000 };
   /// Upstreams sampled for one decision, besides those that hold the request's prefix.
@@ -60,7 +59,6 @@
   double remotePrefill = 0.1;
   /// Share of a remote upstream's in-flight limit that other regions may fill.
   double remoteShare = 0.3;
-
   /// The same for the highest tier.
   double remoteTopShare = 1.0;
   /// First tokens before an upstream's learned rates are trusted to turn a request away.
