--- a/TestFramework/caller/Load.cpp
+++ b/TestFramework/caller/Load.cpp
@@ -72,12 +72,23 @@
   mEndedCalls.push_back(mActive.at(aNumber));
   mActive.erase(aNumber);
   mRelease = mTimers.After(core::Duration::zero(), [this] { mEndedCalls.clear(); });
-  if (mLoad.rate <= 0 && MayStart()) {
-    StartOne();
+  if (mLoad.rate <= 0) {
+    StartAfter(aOutcome.kind == "answered" ? core::Duration::zero() : mCalls.pause);
   }
   CheckDone();
 }
 
+void Load::StartAfter(core::Duration aPause)
+{
+  const std::uint64_t number = mNextPause++;
+  mPauses[number] = mTimers.After(aPause, [this, number] {
+    mPauses.erase(number);
+    if (MayStart()) {
+      StartOne();
+    }
+  });
+}
+
 void Load::CheckDone()
 {
   const bool enough = mLoad.count > 0 && mStarted >= mLoad.count;
--- a/TestFramework/caller/Load.h
+++ b/TestFramework/caller/Load.h
@@ -39,6 +39,7 @@
   bool MayStart() const;
   void StartOne();
   void StartNextByRate();
+  void StartAfter(core::Duration aPause);
   void Ended(std::uint64_t aNumber, const CallSpec& aSpec, const Outcome& aOutcome);
   void CheckDone();
 
@@ -56,6 +57,8 @@
   std::map<std::uint64_t, std::shared_ptr<Call>> mActive;
   core::TimerHandle mEnd;
   core::TimerHandle mNext;
+  std::map<std::uint64_t, core::TimerHandle> mPauses; ///< Callers that wait after a failure.
+  std::uint64_t mNextPause = 0;
   std::vector<std::shared_ptr<Call>> mEndedCalls; ///< May be on the stack: released later.
   core::TimerHandle mRelease;
 };
