--- a/Build/demo.sh
+++ b/Build/demo.sh
@@ -8,7 +8,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_FOLDER:-build}
-run=$PWD/run
+run=$PWD/run/demo
 base=7300
 keep=no
 stop=no
@@ -136,7 +136,7 @@
 
 if [ $keep = yes ]; then
   for i in "${!hosts[@]}"; do
-    echo "${hosts[$i]}: callers $(callers "$i") control $(control "$i") settings run/${hosts[$i]}.ini"
+    echo "${hosts[$i]}: callers $(callers "$i") control $(control "$i") settings run/demo/${hosts[$i]}.ini"
   done
   for k in 0 1 2; do
     echo "taxateur-${centres[$k]}: 127.0.0.1:$((base + 70 + k))"
