Each group's storage thread has a disk of its own

Cause: the groups of a host shared one PosixDisk, whose open descriptor three storage threads used at once; a write went to a closed one and the host ended itself (g3, 'Bad file descriptor'). Ruled out: the disk's own calls (one thread alone ran all of the log's proofs).

--- a/cuminfield/process/host/Groups.cpp
+++ b/cuminfield/process/host/Groups.cpp
@@ -21,7 +21,6 @@
 
 Groups::Groups(Options aOptions)
   : mOptions(aOptions)
-  , mDisk(std::make_unique<log::PosixDisk>())
 {
   for (const settings::GroupSettings& it : mOptions.settings.groups) {
     Add(it);
@@ -91,8 +90,9 @@
   state::GroupStateMachine::Settings machineSettings;
   machineSettings.kind = kind;
   entry.machine = std::make_unique<state::GroupStateMachine>(machineSettings);
+  entry.disk = std::make_unique<log::PosixDisk>();
   entry.file = std::make_unique<log::FileLogStorage>(log::FileLogStorageOptions{
-    .folder = *mOptions.settings.dataFolder, .group = aGroup.id, .disk = *mDisk });
+    .folder = *mOptions.settings.dataFolder, .group = aGroup.id, .disk = *entry.disk });
   // A slow disk must not hold up the streams of callers.
   entry.storage = std::make_unique<log::ThreadedLogStorage>(log::ThreadedLogStorageOptions{
     .inner = *entry.file, .post = [&loop = mOptions.loop](std::function<void()> aWork) {
--- a/cuminfield/process/host/Groups.h
+++ b/cuminfield/process/host/Groups.h
@@ -32,6 +32,7 @@
   struct Entry
   {
     std::unique_ptr<state::GroupStateMachine> machine; ///< Null for a group seen from outside.
+    std::unique_ptr<log::DiskOperations> disk;         ///< Of this group alone: its thread uses it.
     std::unique_ptr<log::LogStorage> file;
     std::unique_ptr<log::LogStorage> storage; ///< Runs `file` on a thread of its own.
     std::unique_ptr<log::LogGroup> voter;
@@ -66,7 +67,6 @@
   void Add(const settings::GroupSettings& aGroup);
 
   Options mOptions;
-  std::unique_ptr<log::DiskOperations> mDisk;
   std::map<core::GroupId, Entry> mEntries;
   sigc::signal<void(const core::Error&)> mOnFailure;
 };
