--- a/TestFramework/engine/Engine.cpp
+++ b/TestFramework/engine/Engine.cpp
@@ -94,7 +94,7 @@
 void Engine::Start(const std::shared_ptr<http::Exchange>& aExchange, const nlohmann::json& aCall,
                    const upstream::FaultPlan& aPlan)
 {
-  std::string prompt = PromptOf(aCall);
+  const std::string prompt = PromptOf(aCall);
   const std::int64_t length = CountTokens(prompt);
   const auto prefix = PrefixHashes(prompt);
   const std::int64_t matched = static_cast<std::int64_t>(mCache.Match(prefix));
@@ -103,8 +103,9 @@
   RecordBegin(*aExchange, id, { .prompt = length, .prefill = length - reused, .reused = reused });
 
   if (aPlan.crossed) {
+    // Only this connection gets the other request's answer; under its own id the right one is kept.
     aExchange->SetHeader("X-Request-Id", mLastId);
-    prompt = "crossed " + prompt;
+    aExchange->Reply(200, R"({"id":"crossed","choices":[{"text":"of another request"}]})");
   }
   mLastId = id;
   const bool chat = aExchange->Path() == "/v1/chat/completions";
@@ -123,12 +124,14 @@
                    bool aStream)
 {
   const Active& active = mActive.at(aJob.id);
-  if (active.plan.fail) {
+  if (active.plan.fail && !active.plan.crossed) {
     aExchange->Reply(500, R"({"detail":"failed"})");
     Finish(aJob.id, "failed");
     return;
   }
-  if (aStream) {
+  if (active.plan.crossed) {
+    // Answered already, wrongly.
+  } else if (aStream) {
     active.answer->Follow(aExchange, 0);
   } else {
     active.answer->AnswerWhole(aExchange);
--- /dev/null
+++ b/UnitTests/docs/PagesTest.cpp
@@ -0,0 +1,97 @@
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+
+// Behind the standard headers, since it redefines `new`.
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+const fs::path kRoot = CUMINFIELD_SOURCE_DIR;
+
+std::string ReadPage(const fs::path& aPath)
+{
+  std::ifstream file(kRoot / aPath);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+/// The first group of every match of aPattern in the product's sources.
+std::set<std::string> FindInProduct(const std::string& aPattern)
+{
+  std::set<std::string> found;
+  const std::regex pattern(aPattern);
+  for (const auto& it : fs::recursive_directory_iterator(kRoot / "cuminfield")) {
+    const std::string name = it.path().filename().string();
+    const bool code = name.ends_with(".cpp") || name.ends_with(".h");
+    if (!code || name.find(".pb.") != std::string::npos) {
+      continue;
+    }
+    const std::string text = ReadPage(fs::relative(it.path(), kRoot));
+    for (std::sregex_iterator match(text.begin(), text.end(), pattern), end; match != end;
+         ++match) {
+      found.insert((*match)[1]);
+    }
+  }
+  return found;
+}
+
+void CheckNamed(const std::set<std::string>& aNames, const std::string& aPage)
+{
+  const std::string page = ReadPage(aPage);
+  for (const std::string& it : aNames) {
+    if (page.find("`" + it + "`") == std::string::npos) {
+      FAIL((it + " is missing from " + aPage).c_str());
+    }
+  }
+}
+
+/// Checks that each `Build/NAME.sh WORD` that a page names exists: the script, and the word in it
+/// or in the program that it starts.
+void CheckCommands(const std::string& aPage)
+{
+  const std::string page = ReadPage(aPage);
+  const std::regex pattern("Build/([a-z]+)\\.sh(?: ([a-z][a-z-]*))?");
+  for (std::sregex_iterator match(page.begin(), page.end(), pattern), end; match != end; ++match) {
+    const std::string script = "Build/" + (*match)[1].str() + ".sh";
+    CHECK_TEXT(fs::exists(kRoot / script), (aPage + " names " + script).c_str());
+    const std::string word = (*match)[2];
+    if (word.empty() || ((*match)[1] != "measure" && (*match)[1] != "prove")) {
+      continue;
+    }
+    const std::string programs = ReadPage(script) + ReadPage("PerformanceTest/Main.cpp") +
+                                 ReadPage("TestFramework/Prove.cpp") +
+                                 ReadPage("TestFramework/prove/Prover.cpp");
+    CHECK_TEXT(programs.find(word) != std::string::npos,
+               (aPage + " names " + script + " " + word).c_str());
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Pages){};
+
+TEST(Pages, OperationsNamesEveryLogEvent)
+{
+  const auto events = FindInProduct(R"(logging::Event\(\s*logging::Level::\w+,\s*"([a-z-]+)\")");
+  CHECK(events.size() > 5);
+  CheckNamed(events, "docs/Operations.md");
+}
+
+TEST(Pages, ProofNamesEveryInvariant)
+{
+  const auto invariants = FindInProduct(R"re(CUMINFIELD_INVARIANT\(\s*"([a-z.-]+)")re");
+  CHECK(invariants.size() > 5);
+  CheckNamed(invariants, "docs/Proof.md");
+}
+
+TEST(Pages, CommandsOnThePagesExist)
+{
+  CheckCommands("docs/Proof.md");
+  CheckCommands("docs/CAPACITY.md");
+  CheckCommands("README.md");
+}
