--- a/Build/measure.sh
+++ b/Build/measure.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Build/build.sh PerformanceTest >/dev/null
+[ "${1:-}" != slopes ] || { Build/build.sh >/dev/null && exec Build/slopes.sh; }
 exec "${BUILD_FOLDER:-build}/PerformanceTest" "$@"
--- /dev/null
+++ b/TestFramework/ManyUpstreams.cpp
@@ -0,0 +1,149 @@
+#include "TestFramework/time/LoopTimerService.h"
+#include "TestFramework/upstream/ControlCalls.h"
+#include "TestFramework/upstream/Upstream.h"
+
+#include <boost/program_options.hpp>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <memory>
+
+using namespace cuminfield;
+using namespace cuminfield::test_framework;
+
+namespace {
+
+constexpr std::size_t kConnectionsPerHost = 4;
+constexpr int kTimeoutSeconds = 1;
+
+/// Calls to hosts over a few connections that stay open.
+class KeptCalls : public upstream::ControlCalls
+{
+public:
+  KeptCalls(event_base* aBase, const std::vector<process::settings::Endpoint>& aHosts)
+  {
+    for (const auto& host : aHosts) {
+      for (std::size_t i = 0; i < kConnectionsPerHost; ++i) {
+        evhttp_connection* connection =
+          evhttp_connection_base_new(aBase, nullptr, host.address.c_str(), host.port);
+        evhttp_connection_set_timeout(connection, kTimeoutSeconds);
+        mConnections[host.Text()].push_back({ connection, &evhttp_connection_free });
+      }
+    }
+  }
+
+  void Post(const process::settings::Endpoint& aHost, const std::string& aPath,
+            const nlohmann::json& aBody, Answer aAnswer) override
+  {
+    const auto& connections = mConnections.at(aHost.Text());
+    evhttp_connection* connection = connections[mNext++ % connections.size()].get();
+    auto answer = std::make_unique<Answer>(std::move(aAnswer));
+    evhttp_request* request = evhttp_request_new(&KeptCalls::Answered, answer.release());
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", aHost.Text().c_str());
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    const std::string body = aBody.dump();
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    evhttp_make_request(connection, request, EVHTTP_REQ_POST, aPath.c_str());
+  }
+
+private:
+  using Connection = std::unique_ptr<evhttp_connection, decltype(&evhttp_connection_free)>;
+
+  static void Answered(evhttp_request* aRequest, void* aAnswer)
+  {
+    const std::unique_ptr<Answer> answer(static_cast<Answer*>(aAnswer));
+    if (aRequest == nullptr || evhttp_request_get_response_code(aRequest) == 0) {
+      (*answer)(0, {});
+      return;
+    }
+    evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_copyout(input, body.data(), body.size());
+    (*answer)(evhttp_request_get_response_code(aRequest),
+              nlohmann::json::parse(body, nullptr, false));
+  }
+
+  std::map<std::string, std::vector<Connection>> mConnections;
+  std::size_t mNext = 0;
+};
+
+/// Upstream number aNumber, which announces at its own host first.
+std::unique_ptr<upstream::Announcer> MakeUpstream(time::LoopTimerService& aTimers,
+                                                  upstream::ControlCalls& aCalls,
+                                                  const upstream::UpstreamOptions& aOptions,
+                                                  std::size_t aNumber)
+{
+  constexpr std::uint32_t kCacheTokens = 250'000;
+  auto hosts = upstream::ParseEndpoints(aOptions.announce);
+  const auto first = static_cast<std::ptrdiff_t>(aNumber % hosts.size());
+  std::rotate(hosts.begin(), hosts.begin() + first, hosts.end());
+  const auto started = static_cast<std::uint64_t>(aTimers.WallNow().time_since_epoch().count());
+  upstream::AnnouncerOptions options{
+    .hosts = std::move(hosts),
+    .announcement = { .id = core::UpstreamId(aOptions.id + "-" + std::to_string(aNumber)),
+                      .incarnation = core::Incarnation(started),
+                      .service = core::ServiceId(aOptions.service),
+                      .version = core::VersionId(aOptions.version),
+                      .dataCentre = core::DataCentreId(aOptions.dataCentre),
+                      .region = core::RegionId(aOptions.region),
+                      .address = aOptions.address,
+                      .port = 9,
+                      .slots = aOptions.slots,
+                      .cacheCapacity = { kCacheTokens } }
+  };
+  auto report = [sequence = std::uint64_t{ 0 }]() mutable -> nlohmann::json {
+    return { { "load",
+               { { "sequence", ++sequence },
+                 { "age_ms", 0 },
+                 { "running", sequence % 8 },
+                 { "waiting", 0 },
+                 { "queued_prefill", 0 } } },
+             { "cache", nlohmann::json::array() } };
+  };
+  return std::make_unique<upstream::Announcer>(aTimers, aCalls, std::move(options), report);
+}
+
+void Run(const upstream::UpstreamOptions& aOptions, std::size_t aCount)
+{
+  time::LoopTimerService timers;
+  KeptCalls calls(timers.Base(), upstream::ParseEndpoints(aOptions.announce));
+  std::vector<std::unique_ptr<upstream::Announcer>> upstreams;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    upstreams.push_back(MakeUpstream(timers, calls, aOptions, i));
+    upstreams.back()->Start();
+  }
+  timers.OnStopSignal([&timers] { timers.Stop(); });
+  timers.Run();
+}
+
+} // namespace
+
+/// Announces many upstreams and renews them with load reports. They serve no calls.
+int main(int aCount, char** aArguments)
+{
+  namespace po = boost::program_options;
+  upstream::UpstreamOptions options;
+  std::size_t count = 1;
+  po::options_description description("ManyUpstreams: upstreams that announce and serve nothing");
+  upstream::AddOptions(description, options);
+  description.add_options()("count", po::value(&count), "upstreams to announce");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, description), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "; see --help\n";
+    return 2;
+  }
+  if (values.contains("help") || options.announce.empty()) {
+    std::cout << description;
+    return values.contains("help") ? 0 : 2;
+  }
+  Run(options, count);
+  return 0;
+}
