--- a/Build/slopes.sh
+++ b/Build/slopes.sh
@@ -12,6 +12,7 @@
 ticks=$(getconf CLK_TCK)
 pids=()
 declare -A host_pid
+ended=0
 result="measurement=slopes window_s=$window"
 
 # Ends what this script started and still runs.
@@ -61,11 +62,11 @@
   seq 2 "$1" | sed 's/.*/[workspace w&]\nhome = gent-a/'
 }
 
-# apply WORKSPACES WEIGHT: puts a document into force; an error is left in apply.log.
+# apply WORKSPACES WEIGHT [BASE]: puts a document into force; an error is left in apply.log.
 apply() {
   document "$1" "$2" >"$run/document.ini"
   "$build/cuminfield" apply --control "$(control 1)" --environment trial --operator slopes \
-    "$run/document.ini" >"$run/apply.log" 2>&1
+    ${3:+--base "$3"} "$run/document.ini" >"$run/apply.log" 2>&1
 }
 
 # hosts COUNT VOTERS WORKSPACES: starts hosts and waits until all have the document.
@@ -73,6 +74,7 @@
   local i
   rm -rf "$run"
   mkdir -p "$run"
+  : >"$run/refused.log"
   for i in $(seq "$1"); do
     host_settings "$i" "$1" "$2" >"$run/h$i.ini"
     start "h$i" cuminfield serve --settings "$run/h$i.ini"
@@ -80,6 +82,7 @@
   done
   for i in $(seq 20); do
     apply "$3" 1 && return
+    all_alive "$1" || return 1
     sleep 0.3
   done
   cat "$run/apply.log" >&2
@@ -92,26 +95,62 @@
 show() { curl -s -m 2 "http://$(control "$1")/show" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; }
 upstreams_at() { curl -s -m 2 "http://$(control "$1")/show" | grep -o '"up":true' | wc -l; }
 
+# all_alive HOSTS: false, with the log's end, where one has ended by itself.
+all_alive() {
+  local i
+  for i in $(seq "$1"); do
+    kill -0 "${host_pid[$i]}" 2>/dev/null || {
+      echo "host h$i ended by itself: $(grep -m1 error "$run/h$i.log" | cut -c1-200)"
+      return 1
+    }
+  done
+}
+
+# run_case CASE HOSTS VOTERS WORKSPACES [UPSTREAMS [CHANGES]]: again, twice at most, where a host
+# ended by itself; each such end is printed and counted.
+run_case() {
+  local try
+  for try in 1 2 3; do
+    if hosts "$2" "$3" "$4"; then
+      [ "${5:-0}" = 0 ] || many "$5" "$2"
+      [ -z "${6:-}" ] || {
+        changes "$4" &
+        pids+=($!)
+      }
+      if measure "$1" "$2" "$3"; then
+        [ -z "${6:-}" ] || echo "refused changes: $(wc -l <"$run/refused.log"), revision $(show 1 revision)"
+        stop_all
+        return 0
+      fi
+    fi
+    echo "case $1, try $try: not measured"
+    ended=$((ended + 1))
+    stop_all
+  done
+}
+
 # measure CASE HOSTS VOTERS: a line for the voter that spends most and one for the last host.
 measure() {
   local name=$1 count=$2 voters=$3 i took began
   local -a cpu sent received
   sleep "$settle"
+  all_alive "$count" || return 1
   for i in $(seq "$count"); do
-    sent[$i]=$(show "$i" peer_bytes_sent)
-    received[$i]=$(show "$i" peer_bytes_received)
-    cpu[$i]=$(cpu_ticks "${host_pid[$i]}")
+    sent[i]=$(show "$i" peer_bytes_sent)
+    received[i]=$(show "$i" peer_bytes_received)
+    cpu[i]=$(cpu_ticks "${host_pid[$i]}")
   done
   began=$(date +%s%N)
   sleep "$window"
   took=$((($(date +%s%N) - began) / 1000000))
   for i in $(seq "$count"); do
-    cpu[$i]=$(awk "BEGIN { printf \"%.2f\", ($(cpu_ticks "${host_pid[$i]}") - ${cpu[$i]}) * 100000 / $ticks / $took }")
+    cpu[i]=$(awk "BEGIN { printf \"%.2f\", ($(cpu_ticks "${host_pid[$i]}") - ${cpu[$i]}) * 100000 / $ticks / $took }")
   done
   for i in $(seq "$count"); do
-    sent[$i]=$((($(show "$i" peer_bytes_sent) - sent[$i]) * 1000 / took))
-    received[$i]=$((($(show "$i" peer_bytes_received) - received[$i]) * 1000 / took))
+    sent[i]=$((($(show "$i" peer_bytes_sent) - sent[$i]) * 1000 / took))
+    received[i]=$((($(show "$i" peer_bytes_received) - received[$i]) * 1000 / took))
   done
+  all_alive "$count" || return 1
   local top=1
   for i in $(seq "$voters"); do
     ! awk "BEGIN { exit !(${cpu[$i]} > ${cpu[$top]}) }" || top=$i
@@ -139,7 +178,7 @@
   local weight=1
   while sleep 1; do
     weight=$((weight % 9 + 1))
-    apply "$1" "$weight" || echo "refused" >>"$run/refused.log"
+    apply "$1" "$weight" "$(show 1 revision)" || echo "refused" >>"$run/refused.log"
   done
 }
 
@@ -161,32 +200,20 @@
 
 echo "load average before: $(cut -d' ' -f1-3 /proc/loadavg), $(nproc) processors"
 printf '%-12s %-6s %9s %8s %10s %10s %9s\n' case role rss_kB cpu_% sent_B/s recv_B/s upstreams
-for n in 0 10 100 300; do
-  hosts 4 3 5
-  [ $n = 0 ] || many $n 4
-  measure "up$n" 4 3
-  stop_all
-done
-for n in 2 8; do
-  voters=$((n < 3 ? 1 : 3))
-  hosts $n $voters 5
-  measure "hosts$n" $n $voters
-  stop_all
-done
-hosts 4 3 15000
-measure ws15000 4 3
-stop_all
-for n in 5 15000; do
-  hosts 4 3 $n
-  changes $n &
-  pids+=($!)
-  measure "change$n" 4 3
-  echo "refused changes: $(cat "$run/refused.log" 2>/dev/null | wc -l), revision $(show 1 revision)"
+for n in 0 10 100 300; do run_case "up$n" 4 3 5 "$n"; done
+run_case hosts2 2 1 5
+run_case hosts8 8 3 5
+run_case hosts8up300 8 3 5 300
+run_case ws15000 4 3 15000
+for n in 5 15000; do run_case "change$n" 4 3 "$n" 0 yes; done
+for try in 1 2 3; do
+  hosts 1 1 5 && break
+  echo "case load, try $try: not measured"
+  ended=$((ended + 1))
   stop_all
 done
-hosts 1 1 5
 start engine StandInEngine --port $((base + 90)) --id engine --service taxateur --version-name v1 \
-  --announce "$(control 1)" --data-centre gent-a --region gent --slots 256 --speed 200 
+  --announce "$(control 1)" --data-centre gent-a --region gent --slots 256 --speed 200
 sleep 3
 for tokens in 1 64; do
   load "host$tokens" $((base + 10)) $tokens
@@ -194,4 +221,4 @@
 done
 stop_all
 echo "load average after: $(cut -d' ' -f1-3 /proc/loadavg)"
-echo "$result"
+echo "$result not_measured_tries=$ended"
