First token without 40 ms of delayed acknowledgement; hosts that do not vote know the leaders

Causes: (1) an engine that writes head and first chunk apart waited for our acknowledgement of the head, which Linux delays by 40 ms on a connection in use; (2) RemoteGroup learned the leader only while a request waited, so hosts that do not vote sent no demand to the broker and no reports to the director. Change: upstream connections acknowledge at once and both sides send at once; RemoteGroup asks once a second.

--- a/UnitTests/docs/PagesTest.cpp
+++ b/UnitTests/docs/PagesTest.cpp
@@ -65,7 +65,7 @@
     }
     const std::string programs = ReadPage(script) + ReadPage("PerformanceTest/Main.cpp") +
                                  ReadPage("TestFramework/Prove.cpp") +
-                                 ReadPage("TestFramework/prove/Prover.cpp");
+                                 ReadPage("TestFramework/prove/Scenario.cpp");
     CHECK_TEXT(programs.find(word) != std::string::npos,
                (aPage + " names " + script + " " + word).c_str());
   }
--- /dev/null
+++ b/UnitTests/process/log/RemoteGroupTest.cpp
@@ -0,0 +1,64 @@
+#include "cuminfield/process/log/RemoteGroup.h"
+#include "TestFramework/time/ManualTimerService.h"
+#include "cuminfield/process/log/log.pb.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace cuminfield::process;
+
+namespace {
+
+/// Answers each probe as its voters would: the second one leads.
+class FakeLinks : public peer::PeerLinks
+{
+public:
+  void Send(const core::HostId& aTo, peer::PeerMessage aMessage) override
+  {
+    log::proto::GroupMessage message;
+    CHECK(message.ParseFromString(aMessage.payload));
+    probes += message.has_probe() ? 1 : 0;
+    if (aTo != leader) {
+      return;
+    }
+    log::proto::GroupMessage answer;
+    answer.set_group(message.group());
+    answer.mutable_notice()->set_leader(leader.Text());
+    answer.mutable_notice()->set_term(term);
+    mOnMessage.emit(aTo,
+                    { .channel = peer::Channel::Group, .payload = answer.SerializeAsString() });
+  }
+
+  core::HostId leader{ "v2" };
+  std::uint64_t term = 1;
+  int probes = 0;
+};
+
+} // namespace
+
+TEST_GROUP(RemoteGroup)
+{
+  test_framework::time::ManualTimerService timers;
+  FakeLinks links;
+  log::RemoteGroup group{ { .group = core::GroupId("g"),
+                            .self = core::HostId("h"),
+                            .voters = { core::HostId("v1"), core::HostId("v2") },
+                            .peers = links,
+                            .timers = timers,
+                            .settings = {} } };
+};
+
+TEST(RemoteGroup, LearnsTheLeaderThoughNobodyAsksAnything)
+{
+  timers.Advance(std::chrono::seconds(3));
+  STRCMP_EQUAL("v2", group.Leader().Text().c_str());
+}
+
+TEST(RemoteGroup, LearnsANewLeader)
+{
+  timers.Advance(std::chrono::seconds(3));
+  links.leader = core::HostId("v1");
+  links.term = 2;
+  timers.Advance(std::chrono::seconds(3));
+  STRCMP_EQUAL("v1", group.Leader().Text().c_str());
+}
--- a/cuminfield/connection/caller/HttpServer.cpp
+++ b/cuminfield/connection/caller/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/connection/caller/HttpServer.h"
 
+#include "cuminfield/core/Socket.h"
 #include "cuminfield/core/Timeval.h"
 
 #include <event2/buffer.h>
@@ -81,6 +82,7 @@
     evhttp_connection* connection = evhttp_request_get_connection(mRequest);
     evhttp_connection_set_closecb(connection, OnClosed, this);
     bufferevent* channel = evhttp_connection_get_bufferevent(connection);
+    core::SendAtOnce(bufferevent_getfd(channel));
     // evhttp stops reading while a request is answered, which would hide that the caller left.
     // It does this same change itself with its first write.
     bufferevent_event_cb onEvent = nullptr;
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
 
+#include "cuminfield/core/Socket.h"
 #include "cuminfield/core/Timeval.h"
 
 #include <event2/buffer.h>
@@ -102,6 +103,8 @@
 private:
   using State = CallState;
 
+  int Socket() const { return bufferevent_getfd(evhttp_connection_get_bufferevent(mConnection)); }
+
   void WatchOutput()
   {
     bufferevent* channel = evhttp_connection_get_bufferevent(mConnection);
@@ -206,6 +209,7 @@
       return -1;
     }
     mHeadSeen = true;
+    core::AcknowledgeAtOnce(Socket());
     mListener.OnHead(evhttp_request_get_response_code(aRequest), CopyHeaders(headers));
     return 0;
   }
@@ -217,6 +221,7 @@
     if (size == 0 || !mHeadSeen) {
       return;
     }
+    core::AcknowledgeAtOnce(Socket());
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
     mListener.OnBody(std::string_view(bytes, size));
   }
@@ -278,7 +283,11 @@
   {
     // Bytes that leave the buffer may have reached the upstream, whatever happens next.
     auto* self = static_cast<Call*>(aSelf);
-    self->mBytesLeft = self->mBytesLeft || aInfo->n_deleted > 0;
+    if (aInfo->n_deleted == 0 || self->mBytesLeft) {
+      return;
+    }
+    self->mBytesLeft = true;
+    core::SendAtOnce(self->Socket());
   }
 
   HttpUpstreamTransport& mTransport;
--- a/cuminfield/process/log/GroupClient.h
+++ b/cuminfield/process/log/GroupClient.h
@@ -42,6 +42,9 @@
   /// Takes in a reply or a notice of the leader.
   void Receive(const core::HostId& aFrom, const proto::GroupMessage& aMessage);
 
+  /// Asks the voters who leads, so that the leader is known without a request.
+  void Probe();
+
   /// aLeader was heard to lead in aTerm.
   void LeaderHeard(const core::HostId& aLeader, core::Term aTerm);
 
@@ -71,7 +74,6 @@
   void Fail(const Request& aRequest);
   void Flush();
   void SendRequest(std::uint64_t aId, Request& aRequest);
-  void Probe();
   void ProbeHost(const core::HostId& aHost);
   void HandleReply(const core::HostId& aFrom, const proto::GroupReply& aReply);
   void HandleNotice(const core::HostId& aFrom, const proto::LeaderNotice& aNotice);
--- a/cuminfield/process/log/GroupClientSettings.h
+++ b/cuminfield/process/log/GroupClientSettings.h
@@ -12,6 +12,9 @@
 
   /// A request without answer for this long is sent again, to whoever leads then.
   core::Duration resend = std::chrono::milliseconds(400);
+
+  /// How often a host that does not vote asks who leads while it has no request.
+  core::Duration watch = std::chrono::seconds(1);
 };
 
 } // namespace cuminfield::process::log
