A new document's text goes to each host once

Change: hosts tell each other revisions; one that lacks a record asks one host, not all who tell it. Under 20% loss all hosts have it within 5 s.

--- a/UnitTests/docs/PagesTest.cpp
+++ b/UnitTests/docs/PagesTest.cpp
@@ -20,6 +20,16 @@
   return { std::istreambuf_iterator<char>(file), {} };
 }
 
+std::string Sentence(std::initializer_list<std::string> aWords)
+{
+  std::string text;
+  for (const std::string& it : aWords) {
+    text += text.empty() ? "" : " ";
+    text += it;
+  }
+  return text;
+}
+
 /// The first group of every match of aPattern in the product's sources.
 std::set<std::string> FindInProduct(const std::string& aPattern)
 {
@@ -45,7 +55,7 @@
   const std::string page = ReadPage(aPage);
   for (const std::string& it : aNames) {
     if (page.find("`" + it + "`") == std::string::npos) {
-      FAIL((it + " is missing from " + aPage).c_str());
+      FAIL(Sentence({ it, "is missing from", aPage }).c_str());
     }
   }
 }
@@ -58,7 +68,7 @@
   const std::regex pattern("Build/([a-z]+)\\.sh(?: ([a-z][a-z-]*))?");
   for (std::sregex_iterator match(page.begin(), page.end(), pattern), end; match != end; ++match) {
     const std::string script = "Build/" + (*match)[1].str() + ".sh";
-    CHECK_TEXT(fs::exists(kRoot / script), (aPage + " names " + script).c_str());
+    CHECK_TEXT(fs::exists(kRoot / script), Sentence({ aPage, "names", script }).c_str());
     const std::string word = (*match)[2];
     if (word.empty() || ((*match)[1] != "measure" && (*match)[1] != "prove")) {
       continue;
@@ -67,7 +77,7 @@
                                  ReadPage("TestFramework/Prove.cpp") +
                                  ReadPage("TestFramework/prove/Scenario.cpp");
     CHECK_TEXT(programs.find(word) != std::string::npos,
-               (aPage + " names " + script + " " + word).c_str());
+               Sentence({ aPage, "names", script, word }).c_str());
   }
 }
 
--- /dev/null
+++ b/UnitTests/process/documents/DocumentSpreadTest.cpp
@@ -0,0 +1,161 @@
+#include "cuminfield/process/documents/DocumentSpread.h"
+#include "TestFramework/time/ManualTimerService.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+using namespace cuminfield;
+using namespace cuminfield::process;
+
+namespace {
+
+constexpr std::size_t kHosts = 8;
+constexpr std::size_t kTextBytes = 100'000;
+
+core::HostId HostOf(std::size_t aNumber)
+{
+  return core::HostId("h" + std::to_string(aNumber));
+}
+
+/// Eight hosts in two data centres whose messages take 1 ms and are lost with a given chance.
+class Network
+{
+public:
+  explicit Network(double aLoss)
+    : mLoss(aLoss)
+  {
+    for (std::size_t n = 0; n < kHosts; ++n) {
+      mHosts.push_back(std::make_unique<Host>(*this, n));
+    }
+  }
+
+  documents::DocumentSpread& At(std::size_t aNumber) { return mHosts[aNumber]->spread; }
+
+  std::size_t CountAt(std::uint64_t aRevision)
+  {
+    std::size_t count = 0;
+    for (const auto& it : mHosts) {
+      const auto* record = it->spread.Find(core::EnvironmentId("trial"));
+      count += record && record->revision() == aRevision ? 1 : 0;
+    }
+    return count;
+  }
+
+  test_framework::time::ManualTimerService timers;
+  std::size_t bytes = 0;
+
+private:
+  struct Links : peer::PeerLinks
+  {
+    Links(Network& aNetwork, std::size_t aSelf)
+      : network(aNetwork)
+      , self(aSelf)
+    {
+    }
+    void Send(const core::HostId& aTo, peer::PeerMessage aMessage) override
+    {
+      network.Carry(self, aTo, std::move(aMessage));
+    }
+    void Deliver(std::size_t aFrom, const peer::PeerMessage& aMessage)
+    {
+      mOnMessage.emit(HostOf(aFrom), aMessage);
+    }
+
+    Network& network;
+    std::size_t self;
+  };
+
+  struct Host
+  {
+    Host(Network& aNetwork, std::size_t aNumber)
+      : random(aNumber + 1)
+      , links(aNetwork, aNumber)
+      , spread({ .dataCentre = CentreOf(aNumber),
+                 .peers = PeersOf(aNumber),
+                 .timers = aNetwork.timers,
+                 .random = random,
+                 .links = links })
+    {
+    }
+
+    core::Random random;
+    Links links;
+    documents::DocumentSpread spread;
+  };
+
+  static core::DataCentreId CentreOf(std::size_t aNumber)
+  {
+    return core::DataCentreId(aNumber % 2 == 0 ? "a" : "b");
+  }
+
+  static std::vector<settings::PeerSettings> PeersOf(std::size_t aNumber)
+  {
+    std::vector<settings::PeerSettings> peers;
+    for (std::size_t n = 0; n < kHosts; ++n) {
+      if (n != aNumber) {
+        peers.push_back({ .id = HostOf(n), .endpoint = {}, .dataCentre = CentreOf(n) });
+      }
+    }
+    return peers;
+  }
+
+  void Carry(std::size_t aFrom, const core::HostId& aTo, peer::PeerMessage aMessage)
+  {
+    bytes += aMessage.payload.size();
+    if (mRandom.Chance(mLoss)) {
+      return;
+    }
+    const auto to = static_cast<std::size_t>(std::stoul(aTo.Text().substr(1)));
+    mUnderWay.push_back(
+      timers.After(std::chrono::milliseconds(1), [this, aFrom, to, message = std::move(aMessage)] {
+        mHosts[to]->links.Deliver(aFrom, message);
+      }));
+  }
+
+  double mLoss;
+  core::Random mRandom{ 7 };
+  std::vector<std::unique_ptr<Host>> mHosts;
+  std::vector<core::TimerHandle> mUnderWay;
+};
+
+state::proto::EnvironmentRecord Record(std::uint64_t aRevision)
+{
+  state::proto::EnvironmentRecord record;
+  record.set_environment("trial");
+  record.set_revision(aRevision);
+  record.set_text(std::string(kTextBytes, 'x'));
+  return record;
+}
+
+} // namespace
+
+TEST_GROUP(DocumentSpread){};
+
+TEST(DocumentSpread, ReachesEveryHostWithinFiveSecondsUnderLoss)
+{
+  Network network(0.2);
+  network.At(0).Offer(Record(1));
+  network.timers.Advance(std::chrono::seconds(5));
+  LONGS_EQUAL(kHosts, network.CountAt(1));
+}
+
+TEST(DocumentSpread, TextGoesToEachHostOnceOrSo)
+{
+  Network network(0.0);
+  network.At(0).Offer(Record(1));
+  network.timers.Advance(std::chrono::seconds(5));
+  LONGS_EQUAL(kHosts, network.CountAt(1));
+  CHECK(network.bytes < 2 * (kHosts - 1) * kTextBytes);
+}
+
+TEST(DocumentSpread, OlderRecordNeverReplacesANewerOne)
+{
+  Network network(0.0);
+  network.At(0).Offer(Record(2));
+  network.timers.Advance(std::chrono::seconds(5));
+  CHECK(!network.At(3).Offer(Record(1)));
+  network.timers.Advance(std::chrono::seconds(5));
+  LONGS_EQUAL(kHosts, network.CountAt(2));
+}
--- a/cuminfield/process/documents/DocumentSpread.cpp
+++ b/cuminfield/process/documents/DocumentSpread.cpp
@@ -22,7 +22,7 @@
   CUMINFIELD_INVARIANT("document.revision-never-falls", aRecord.revision() >= known.revision());
   known = aRecord;
   mOnNewer.emit(known);
-  Push(known);
+  Tell();
   return true;
 }
 
@@ -75,11 +75,10 @@
   Send(mOptions.peers[n].id, spread);
 }
 
-void DocumentSpread::Push(const state::proto::EnvironmentRecord& aRecord)
+void DocumentSpread::Tell()
 {
   proto::Spread spread;
   FillHave(spread);
-  *spread.add_records() = aRecord;
   std::vector<core::HostId> near;
   std::map<core::DataCentreId, std::vector<core::HostId>> far;
   for (const settings::PeerSettings& it : mOptions.peers) {
@@ -89,7 +88,7 @@
       far[it.dataCentre].push_back(it.id);
     }
   }
-  for (std::uint32_t n = 0; n < mOptions.settings.pushTo && !near.empty(); ++n) {
+  for (std::uint32_t n = 0; n < mOptions.settings.tellTo && !near.empty(); ++n) {
     const auto chosen = static_cast<std::ptrdiff_t>(mOptions.random.Below(near.size()));
     Send(near[static_cast<std::size_t>(chosen)], spread);
     near.erase(near.begin() + chosen);
@@ -134,32 +133,49 @@
 
 void DocumentSpread::Answer(const core::HostId& aFrom, const proto::Spread& aSpread)
 {
-  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> theirs;
+  std::map<std::string, proto::Have> theirs;
+  bool ask = false;
   for (const proto::Have& it : aSpread.have()) {
-    theirs[it.environment()] = { it.revision(), it.steps() };
+    theirs[it.environment()] = it;
+    ask = ShouldAsk(it) || ask;
   }
   proto::Spread answer;
-  answer.set_answer(true);
-  bool differs = false;
   for (const auto& [environment, record] : mRecords) {
-    const auto [revision, steps] = theirs[environment];
-    if (Newer(record.revision(), Steps(record), revision, steps)) {
+    const proto::Have& have = theirs[environment];
+    if (Newer(record.revision(), Steps(record), have.revision(), have.steps())) {
       *answer.add_records() = record;
     }
-    differs = differs || revision != record.revision() || steps != Steps(record);
   }
-  for (const auto& [environment, version] : theirs) {
-    differs = differs || !mRecords.contains(environment);
-  }
-  if (!differs && aSpread.records().empty()) {
+  if (answer.records_size() > 0) {
+    answer.set_answer(true);
+    FillHave(answer);
+    Send(aFrom, answer);
     return;
   }
-  // Where the other host is the newer one, it learns so from what this one has, and pushes.
-  FillHave(answer);
-  answer.set_answer(answer.records_size() > 0);
-  if (answer.records_size() > 0 || aSpread.records().empty()) {
+  if (ask) {
+    // The other host learns from what this one has that it lacks the record, and sends it.
+    FillHave(answer);
     Send(aFrom, answer);
   }
 }
 
+bool DocumentSpread::ShouldAsk(const proto::Have& aTheirs)
+{
+  const auto known = mRecords.find(aTheirs.environment());
+  const bool lacks =
+    known == mRecords.end() ||
+    Newer(aTheirs.revision(), aTheirs.steps(), known->second.revision(), Steps(known->second));
+  if (!lacks) {
+    return false;
+  }
+  Asked& asked = mAsked[aTheirs.environment()];
+  const core::Instant now = mOptions.timers.Now();
+  const bool newer = Newer(aTheirs.revision(), aTheirs.steps(), asked.revision, asked.steps);
+  if (!newer && now - asked.at < mOptions.settings.askAgain) {
+    return false;
+  }
+  asked = { .revision = aTheirs.revision(), .steps = aTheirs.steps(), .at = now };
+  return true;
+}
+
 } // namespace cuminfield::process::documents
--- a/cuminfield/process/documents/DocumentSpread.h
+++ b/cuminfield/process/documents/DocumentSpread.h
@@ -21,14 +21,17 @@
 {
   /// How often this host compares what it has with another one.
   core::Duration period = std::chrono::milliseconds(500);
-  /// Hosts that a new record is pushed to at once, besides one in every other data centre.
-  std::uint32_t pushTo = 4;
+  /// Hosts that are told of a new record at once, besides one in every other data centre.
+  std::uint32_t tellTo = 4;
+  /// A record that was asked for is not asked for elsewhere before this has passed.
+  core::Duration askAgain = std::chrono::milliseconds(400);
 };
 
 /// Carries accepted documents and the steps of their moves to every host, voters of the documents'
-/// group or not: newer records are pushed, and each host compares with a random other one now and
-/// then (anti-entropy: Demers et al., Epidemic Algorithms for Replicated Database Maintenance,
-/// 1987). A record only ever gives way to a newer one.
+/// group or not: hosts tell each other what they have, a host that lacks a record asks one that has
+/// it, and each host compares with a random other one now and then (anti-entropy: Demers et al.,
+/// Epidemic Algorithms for Replicated Database Maintenance, 1987). A record only ever gives way to
+/// a newer one.
 class DocumentSpread : public sigc::trackable
 {
 public:
@@ -61,15 +64,25 @@
   static bool Newer(std::uint64_t aRevision, std::uint64_t aSteps, std::uint64_t aThanRevision,
                     std::uint64_t aThanSteps);
   void Compare();
-  void Push(const state::proto::EnvironmentRecord& aRecord);
+  void Tell();
   void FillHave(proto::Spread& aSpread) const;
   void Send(const core::HostId& aTo, const proto::Spread& aSpread);
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void Answer(const core::HostId& aFrom, const proto::Spread& aSpread);
+  bool ShouldAsk(const proto::Have& aTheirs);
+
+  /// The version of a record that was asked for last, and when.
+  struct Asked
+  {
+    std::uint64_t revision = 0;
+    std::uint64_t steps = 0;
+    core::Instant at{};
+  };
 
   Options mOptions;
   std::map<std::string, state::proto::EnvironmentRecord> mRecords;
   std::map<core::HostId, std::map<std::string, std::uint64_t>> mPeerRevisions;
+  std::map<std::string, Asked> mAsked;
   core::TimerHandle mTimer;
   sigc::signal<void(const state::proto::EnvironmentRecord&)> mOnNewer;
 };
