--- a/UnitTests/request/exchange/ExchangeTest.cpp
+++ b/UnitTests/request/exchange/ExchangeTest.cpp
@@ -247,6 +247,16 @@
   LONGS_EQUAL(1, observer.ended);
 }
 
+TEST(Exchange, FirstEventLeavesBeforeTheUpstreamHasFinished)
+{
+  Begin(false, true);
+  Dispatch();
+  transport.listener->OnHead(200, EventStreamHeaders());
+  transport.listener->OnBody("id: 0\ndata: a\n\n");
+  STRCMP_EQUAL("id: 0\ndata: a\n\n", caller->body.c_str());
+  CHECK(!caller->ended);
+}
+
 TEST(Exchange, RestOfAFailedAnswerIsDropped)
 {
   Begin(false);
--- a/cuminfield/request/exchange/Exchange.cpp
+++ b/cuminfield/request/exchange/Exchange.cpp
@@ -22,36 +22,6 @@
          connection::FindHeader(aHeaders, connection::kOutcomeHeader) == "not-run";
 }
 
-const char* Explain(ShedReason aReason)
-{
-  switch (aReason) {
-    case ShedReason::Overload:
-      return "No room for this tier now; send again after Retry-After.";
-    case ShedReason::Deadline:
-      return "It could not be begun in time; send again after Retry-After.";
-    case ShedReason::NoUpstream:
-      return "No upstream of the service is in reach; send again after Retry-After.";
-    case ShedReason::Shutdown:
-      return "This host is stopping; send again through another host.";
-  }
-  return "Send again later.";
-}
-
-const char* Title(ShedReason aReason)
-{
-  switch (aReason) {
-    case ShedReason::Overload:
-      return "overload";
-    case ShedReason::Deadline:
-      return "deadline";
-    case ShedReason::NoUpstream:
-      return "no upstream";
-    case ShedReason::Shutdown:
-      return "stopping";
-  }
-  return "shed";
-}
-
 } // namespace
 
 Exchange::Exchange(Options aOptions)
@@ -74,16 +44,6 @@
   mOptions.caller->onBacklog = nullptr;
 }
 
-template<typename Method>
-claims::ClaimKeeper::Done Exchange::Guarded(Method aMethod)
-{
-  return [this, alive = mAlive, aMethod](const core::Result<ClaimReply>& aReply) {
-    if (*alive) {
-      (this->*aMethod)(aReply);
-    }
-  };
-}
-
 void Exchange::Start()
 {
   const IncomingRequest& request = mOptions.request;
@@ -250,27 +210,6 @@
   SendHead(aStatus, aHeaders);
 }
 
-void Exchange::SendHead(int aStatus, const connection::HttpHeaders& aUpstreamHeaders)
-{
-  if (std::exchange(mHeadSent, true)) {
-    return;
-  }
-  connection::HttpHeaders headers{
-    { .name = std::string(connection::kRequestIdHeader), .value = mOptions.request.spec.id.Text() },
-    { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() },
-    { .name = std::string(connection::kUpstreamHeader), .value = mUpstream.id.Text() },
-  };
-  if (!mContentType.empty()) {
-    headers.push_back(
-      { .name = std::string(connection::kContentTypeHeader), .value = mContentType });
-  }
-  const std::string_view length = connection::FindHeader(aUpstreamHeaders, "Content-Length");
-  if (!length.empty()) {
-    headers.push_back({ .name = "Content-Length", .value = std::string(length) });
-  }
-  mOptions.caller->SendHead(aStatus, headers);
-}
-
 void Exchange::OnBody(std::string_view aBytes)
 {
   mSummary.answerBytes += aBytes.size();
@@ -386,7 +325,7 @@
     return;
   }
   Complete({ .status = aProblem.status,
-             .contentType = "application/problem+json",
+             .contentType = std::string(kProblemType),
              .body = ToJson(aProblem),
              .whole = true });
 }
@@ -419,30 +358,6 @@
   FailAfterDispatch(aFailure.error.message);
 }
 
-bool Exchange::CanResume() const
-{
-  return mState == State::Calling && mOptions.request.stream && mUpstream.resumes &&
-         mResumes < mOptions.settings.maxResumes && !mCallerGone;
-}
-
-void Exchange::Resume()
-{
-  ++mResumes;
-  mTimer = mOptions.timers.After(mOptions.settings.resumeDelay, [this] {
-    const std::uint64_t offset = mSkipped + mEvents.Events();
-    mSkipped = offset;
-    mEvents = EventStream();
-    connection::upstream::UpstreamRequest call{
-      .id = mStreamId,
-      .method = "GET",
-      .target = "/v1/requests/" + mStreamId.Text() + "/stream?offset=" + std::to_string(offset),
-      .headers = {},
-      .body = {},
-    };
-    mCall = mOptions.transport.Start(mUpstream.address, mUpstream.port, std::move(call), *this);
-  });
-}
-
 void Exchange::FinishTry(TryOutcome aOutcome)
 {
   mSummary.tryOutcome = aOutcome;
@@ -466,235 +381,4 @@
   TellUnknown(connection::kStatusBadGateway, "upstream failed", aDetail);
 }
 
-void Exchange::Follow(const claims::ClaimRecord& aRecord)
-{
-  mSummary.followed = true;
-  if (aRecord.state == ClaimState::Done && aRecord.outcome.whole) {
-    mSummary.status = aRecord.outcome.status;
-    mOptions.caller->SendWhole(
-      aRecord.outcome.status,
-      { { .name = std::string(connection::kContentTypeHeader),
-          .value = aRecord.outcome.contentType },
-        { .name = std::string(connection::kRequestIdHeader), .value = aRecord.request.Text() },
-        { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() },
-        { .name = std::string(connection::kUpstreamHeader),
-          .value = aRecord.target.upstream.Text() } },
-      aRecord.outcome.body);
-    End(mCallerGone ? ExchangeEnd::Left : ExchangeEnd::Answered);
-    return;
-  }
-  const bool sent = aRecord.state != ClaimState::Waiting;
-  if (sent && aRecord.target.resumes && mOptions.request.stream) {
-    FollowStream(aRecord);
-    return;
-  }
-  if (aRecord.state == ClaimState::Done) {
-    TellUnknown(connection::kStatusConflict, "answer not kept",
-                "The request ran, but its answer is too long to be given again; use a new key only "
-                "if running it again does no harm.");
-    return;
-  }
-  LookLater();
-}
-
-void Exchange::FollowStream(const claims::ClaimRecord& aRecord)
-{
-  mStreamId = aRecord.request;
-  mUpstream.id = aRecord.target.upstream;
-  const std::uint64_t offset =
-    mHeadSent ? mSkipped + mEvents.Events() : mOptions.request.resumeOffset.value_or(0);
-  mSkipped = offset;
-  mEvents = EventStream();
-  connection::upstream::UpstreamRequest call{
-    .id = mStreamId,
-    .method = "GET",
-    .target = "/v1/requests/" + mStreamId.Text() + "/stream?offset=" + std::to_string(offset),
-    .headers = {},
-    .body = {},
-  };
-  mSentAt = mOptions.timers.Now();
-  mCall =
-    mOptions.transport.Start(aRecord.target.address, aRecord.target.port, std::move(call), *this);
-}
-
-void Exchange::LookLater()
-{
-  if (mCallerGone) {
-    End(ExchangeEnd::Left);
-    return;
-  }
-  if (mOptions.timers.Now() >= mFollowEnd) {
-    if (mHeadSent) {
-      mOptions.caller->Abort();
-      End(ExchangeEnd::Broken);
-      return;
-    }
-    TellUnknown(connection::kStatusGatewayTimeout, "outcome not known yet",
-                "An earlier request with this key was sent and has no recorded outcome" +
-                  std::string(kAskAgain));
-    return;
-  }
-  mTimer = mOptions.timers.After(mOptions.settings.followPeriod, [this] {
-    mOptions.claims.Look(*mOptions.request.claim, Guarded(&Exchange::OnLooked));
-  });
-}
-
-void Exchange::OnLooked(const core::Result<ClaimReply>& aReply)
-{
-  if (mState != State::Following) {
-    return;
-  }
-  if (!aReply || aReply.value().verdict == ClaimVerdict::Absent) {
-    LookLater();
-    return;
-  }
-  Follow(aReply.value().record);
-}
-
-void Exchange::Shed(ShedReason aReason, core::Duration aRetryAfter)
-{
-  CUMINFIELD_INVARIANT("request.shed-only-while-waiting", mState == State::Waiting);
-  TellNotRun({ .status = connection::kStatusUnavailable,
-               .title = Title(aReason),
-               .detail = Explain(aReason),
-               .retryAfter = aRetryAfter });
-}
-
-void Exchange::CutOff()
-{
-  switch (mState) {
-    case State::Ended:
-      return;
-    case State::Waiting:
-      mOptions.scheduler.Withdraw(mOptions.request.spec.id);
-      Shed(ShedReason::Shutdown, std::chrono::seconds(1));
-      return;
-    case State::Claiming:
-    case State::Binding:
-    case State::Releasing:
-    case State::Calling:
-    case State::Following:
-      if (mHeadSent) {
-        mOptions.caller->Abort();
-        End(ExchangeEnd::Broken);
-        return;
-      }
-      TellUnknown(connection::kStatusUnavailable, "stopping",
-                  "This host is stopping" + std::string(kAskAgain));
-      return;
-  }
-}
-
-void Exchange::OnCallerGone()
-{
-  if (mState == State::Ended) {
-    return;
-  }
-  mCallerGone = true;
-  switch (mState) {
-    case State::Waiting:
-      mOptions.scheduler.Withdraw(mOptions.request.spec.id);
-      TellNotRun({ .status = connection::kStatusUnavailable, .title = "caller left" });
-      return;
-    case State::Calling:
-      if (mOptions.request.claim) {
-        // Whoever asks again with the key wants the answer: it goes on to its end.
-        if (mCall) {
-          mCall->Pause(false);
-        }
-        return;
-      }
-      mCall.reset();
-      CancelAtUpstream();
-      FinishTry(TryOutcome::Cancelled);
-      End(ExchangeEnd::Left);
-      return;
-    case State::Following:
-      mCall.reset();
-      End(ExchangeEnd::Left);
-      return;
-    case State::Claiming:
-    case State::Binding:
-    case State::Releasing:
-    case State::Ended:
-      return; // The commit under way decides.
-  }
-}
-
-void Exchange::CancelAtUpstream()
-{
-  if (!mOptions.request.engine) {
-    return;
-  }
-  // Closing the connection does not stop every engine: work for nobody is waste.
-  mOptions.transport.Notify(mUpstream.address, mUpstream.port,
-                            { .id = mStreamId,
-                              .method = "DELETE",
-                              .target = "/v1/requests/" + mStreamId.Text(),
-                              .headers = {},
-                              .body = {} });
-}
-
-void Exchange::TellNotRun(Problem aProblem)
-{
-  CUMINFIELD_INVARIANT("request.not-run-never-after-dispatch", !mSent);
-  aProblem.outcome = Outcome::NotRun;
-  const IncomingRequest& request = mOptions.request;
-  if (!request.claim) {
-    SendProblem(aProblem);
-    return;
-  }
-  // Only a committed release proves that no other arrival with this key has run.
-  mState = State::Releasing;
-  mOptions.claims.Release(*request.claim, request.spec.id, mAttempt,
-                          [this, alive = mAlive, problem = std::move(aProblem)](
-                            const core::Result<ClaimReply>& aReply) mutable {
-                            if (!*alive || mState != State::Releasing) {
-                              return;
-                            }
-                            if (!aReply || aReply.value().verdict != ClaimVerdict::Granted) {
-                              problem.outcome = Outcome::Unknown;
-                              problem.detail =
-                                "Another arrival with this key may run" + std::string(kAskAgain);
-                            }
-                            SendProblem(problem);
-                          });
-}
-
-void Exchange::TellUnknown(int aStatus, const std::string& aTitle, const std::string& aDetail)
-{
-  SendProblem({ .status = aStatus,
-                .title = aTitle,
-                .detail = aDetail,
-                .outcome = Outcome::Unknown,
-                .retryAfter = std::chrono::seconds(1) });
-}
-
-void Exchange::SendProblem(const Problem& aProblem)
-{
-  CUMINFIELD_INVARIANT("request.not-run-never-after-dispatch",
-                       aProblem.outcome == Outcome::Unknown || !mSent);
-  connection::HttpHeaders headers = ToHeaders(aProblem);
-  headers.push_back({ .name = std::string(connection::kRequestIdHeader),
-                      .value = mOptions.request.spec.id.Text() });
-  headers.push_back(
-    { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() });
-  mSummary.status = aProblem.status;
-  mOptions.caller->SendWhole(aProblem.status, headers, ToJson(aProblem));
-  const bool notRun = aProblem.outcome == Outcome::NotRun;
-  const ExchangeEnd told = notRun ? ExchangeEnd::NotRun : ExchangeEnd::Unknown;
-  End(mCallerGone ? ExchangeEnd::Left : told);
-}
-
-void Exchange::End(ExchangeEnd aEnd)
-{
-  mState = State::Ended;
-  mTimer.Cancel();
-  mCall.reset();
-  mSummary.end = aEnd;
-  mSummary.total = mOptions.timers.Now() - mOptions.request.spec.arrival;
-  mOptions.observer.OnEnded(mOptions.request, mSummary);
-  mOptions.onFinished();
-}
-
 } // namespace cuminfield::request::exchange
--- a/cuminfield/request/exchange/Exchange.h
+++ b/cuminfield/request/exchange/Exchange.h
@@ -35,6 +35,8 @@
 /// One request from its arrival to its last byte: claim, wait, dispatch, answer. Holds the two
 /// promises that callers rely on: a request is sent at most once unless a try is proved not to
 /// have run, and `not-run` is told only where nothing ran. Free of I/O. Lives for a request.
+/// Exchange.cpp has its way to the upstream, ExchangeFollow.cpp streams taken up again and the
+/// answers of other arrivals, ExchangeAnswer.cpp what the caller is told.
 class Exchange : public connection::upstream::UpstreamCallListener
 {
 public:
@@ -102,6 +104,7 @@
   void CountToken();
   bool CanResume() const;
   void Resume();
+  void ReadStream(const std::string& aAddress, std::uint16_t aPort, std::uint64_t aOffset);
   void FinishTry(TryOutcome aOutcome);
   void Succeed();
   void FailAfterDispatch(const std::string& aDetail);
@@ -123,7 +126,14 @@
 
   /// A completion that does nothing once this exchange is gone.
   template<typename Method>
-  claims::ClaimKeeper::Done Guarded(Method aMethod);
+  claims::ClaimKeeper::Done Guarded(Method aMethod)
+  {
+    return [this, alive = mAlive, aMethod](const core::Result<claims::ClaimReply>& aReply) {
+      if (*alive) {
+        (this->*aMethod)(aReply);
+      }
+    };
+  }
 
   Options mOptions;
   State mState = State::Claiming;
--- /dev/null
+++ b/cuminfield/request/exchange/ExchangeAnswer.cpp
@@ -0,0 +1,215 @@
+#include "cuminfield/request/exchange/Exchange.h"
+
+#include "cuminfield/core/Invariant.h"
+
+#include <utility>
+
+namespace cuminfield::request::exchange {
+
+using claims::ClaimReply;
+using claims::ClaimVerdict;
+
+namespace {
+
+constexpr std::string_view kAskAgain = "; ask again with the same key";
+
+const char* Explain(ShedReason aReason)
+{
+  switch (aReason) {
+    case ShedReason::Overload:
+      return "No room for this tier now; send again after Retry-After.";
+    case ShedReason::Deadline:
+      return "It could not be begun in time; send again after Retry-After.";
+    case ShedReason::NoUpstream:
+      return "No upstream of the service is in reach; send again after Retry-After.";
+    case ShedReason::Shutdown:
+      return "This host is stopping; send again through another host.";
+  }
+  return "Send again later.";
+}
+
+const char* Title(ShedReason aReason)
+{
+  switch (aReason) {
+    case ShedReason::Overload:
+      return "overload";
+    case ShedReason::Deadline:
+      return "deadline";
+    case ShedReason::NoUpstream:
+      return "no upstream";
+    case ShedReason::Shutdown:
+      return "stopping";
+  }
+  return "shed";
+}
+
+} // namespace
+
+void Exchange::SendHead(int aStatus, const connection::HttpHeaders& aUpstreamHeaders)
+{
+  if (std::exchange(mHeadSent, true)) {
+    return;
+  }
+  connection::HttpHeaders headers{
+    { .name = std::string(connection::kRequestIdHeader), .value = mOptions.request.spec.id.Text() },
+    { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() },
+    { .name = std::string(connection::kUpstreamHeader), .value = mUpstream.id.Text() },
+  };
+  if (!mContentType.empty()) {
+    headers.push_back(
+      { .name = std::string(connection::kContentTypeHeader), .value = mContentType });
+  }
+  const std::string_view length = connection::FindHeader(aUpstreamHeaders, "Content-Length");
+  if (!length.empty()) {
+    headers.push_back({ .name = "Content-Length", .value = std::string(length) });
+  }
+  mOptions.caller->SendHead(aStatus, headers);
+}
+
+void Exchange::Shed(ShedReason aReason, core::Duration aRetryAfter)
+{
+  CUMINFIELD_INVARIANT("request.shed-only-while-waiting", mState == State::Waiting);
+  TellNotRun({ .status = connection::kStatusUnavailable,
+               .title = Title(aReason),
+               .detail = Explain(aReason),
+               .retryAfter = aRetryAfter });
+}
+
+void Exchange::CutOff()
+{
+  switch (mState) {
+    case State::Ended:
+      return;
+    case State::Waiting:
+      mOptions.scheduler.Withdraw(mOptions.request.spec.id);
+      Shed(ShedReason::Shutdown, std::chrono::seconds(1));
+      return;
+    case State::Claiming:
+    case State::Binding:
+    case State::Releasing:
+    case State::Calling:
+    case State::Following:
+      if (mHeadSent) {
+        mOptions.caller->Abort();
+        End(ExchangeEnd::Broken);
+        return;
+      }
+      TellUnknown(connection::kStatusUnavailable, "stopping",
+                  "This host is stopping" + std::string(kAskAgain));
+      return;
+  }
+}
+
+void Exchange::OnCallerGone()
+{
+  if (mState == State::Ended) {
+    return;
+  }
+  mCallerGone = true;
+  switch (mState) {
+    case State::Waiting:
+      mOptions.scheduler.Withdraw(mOptions.request.spec.id);
+      TellNotRun({ .status = connection::kStatusUnavailable, .title = "caller left" });
+      return;
+    case State::Calling:
+      if (mOptions.request.claim) {
+        // Whoever asks again with the key wants the answer: it goes on to its end.
+        if (mCall) {
+          mCall->Pause(false);
+        }
+        return;
+      }
+      mCall.reset();
+      CancelAtUpstream();
+      FinishTry(TryOutcome::Cancelled);
+      End(ExchangeEnd::Left);
+      return;
+    case State::Following:
+      mCall.reset();
+      End(ExchangeEnd::Left);
+      return;
+    case State::Claiming:
+    case State::Binding:
+    case State::Releasing:
+    case State::Ended:
+      return; // The commit under way decides.
+  }
+}
+
+void Exchange::CancelAtUpstream()
+{
+  if (!mOptions.request.engine) {
+    return;
+  }
+  // Closing the connection does not stop every engine: work for nobody is waste.
+  mOptions.transport.Notify(mUpstream.address, mUpstream.port,
+                            { .id = mStreamId,
+                              .method = "DELETE",
+                              .target = "/v1/requests/" + mStreamId.Text(),
+                              .headers = {},
+                              .body = {} });
+}
+
+void Exchange::TellNotRun(Problem aProblem)
+{
+  CUMINFIELD_INVARIANT("request.not-run-never-after-dispatch", !mSent);
+  aProblem.outcome = Outcome::NotRun;
+  const IncomingRequest& request = mOptions.request;
+  if (!request.claim) {
+    SendProblem(aProblem);
+    return;
+  }
+  // Only a committed release proves that no other arrival with this key has run.
+  mState = State::Releasing;
+  mOptions.claims.Release(*request.claim, request.spec.id, mAttempt,
+                          [this, alive = mAlive, problem = std::move(aProblem)](
+                            const core::Result<ClaimReply>& aReply) mutable {
+                            if (!*alive || mState != State::Releasing) {
+                              return;
+                            }
+                            if (!aReply || aReply.value().verdict != ClaimVerdict::Granted) {
+                              problem.outcome = Outcome::Unknown;
+                              problem.detail =
+                                "Another arrival with this key may run" + std::string(kAskAgain);
+                            }
+                            SendProblem(problem);
+                          });
+}
+
+void Exchange::TellUnknown(int aStatus, const std::string& aTitle, const std::string& aDetail)
+{
+  SendProblem({ .status = aStatus,
+                .title = aTitle,
+                .detail = aDetail,
+                .outcome = Outcome::Unknown,
+                .retryAfter = std::chrono::seconds(1) });
+}
+
+void Exchange::SendProblem(const Problem& aProblem)
+{
+  CUMINFIELD_INVARIANT("request.not-run-never-after-dispatch",
+                       aProblem.outcome == Outcome::Unknown || !mSent);
+  connection::HttpHeaders headers = ToHeaders(aProblem);
+  headers.push_back({ .name = std::string(connection::kRequestIdHeader),
+                      .value = mOptions.request.spec.id.Text() });
+  headers.push_back(
+    { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() });
+  mSummary.status = aProblem.status;
+  mOptions.caller->SendWhole(aProblem.status, headers, ToJson(aProblem));
+  const bool notRun = aProblem.outcome == Outcome::NotRun;
+  const ExchangeEnd told = notRun ? ExchangeEnd::NotRun : ExchangeEnd::Unknown;
+  End(mCallerGone ? ExchangeEnd::Left : told);
+}
+
+void Exchange::End(ExchangeEnd aEnd)
+{
+  mState = State::Ended;
+  mTimer.Cancel();
+  mCall.reset();
+  mSummary.end = aEnd;
+  mSummary.total = mOptions.timers.Now() - mOptions.request.spec.arrival;
+  mOptions.observer.OnEnded(mOptions.request, mSummary);
+  mOptions.onFinished();
+}
+
+} // namespace cuminfield::request::exchange
--- /dev/null
+++ b/cuminfield/request/exchange/ExchangeFollow.cpp
@@ -0,0 +1,120 @@
+#include "cuminfield/request/exchange/Exchange.h"
+
+#include <utility>
+
+namespace cuminfield::request::exchange {
+
+using claims::ClaimReply;
+using claims::ClaimState;
+using claims::ClaimVerdict;
+
+namespace {
+constexpr std::string_view kAskAgain = "; ask again with the same key";
+} // namespace
+
+bool Exchange::CanResume() const
+{
+  return mState == State::Calling && mOptions.request.stream && mUpstream.resumes &&
+         mResumes < mOptions.settings.maxResumes && !mCallerGone;
+}
+
+void Exchange::Resume()
+{
+  ++mResumes;
+  mTimer = mOptions.timers.After(mOptions.settings.resumeDelay, [this] {
+    ReadStream(mUpstream.address, mUpstream.port, mSkipped + mEvents.Events());
+  });
+}
+
+void Exchange::ReadStream(const std::string& aAddress, std::uint16_t aPort, std::uint64_t aOffset)
+{
+  mSkipped = aOffset;
+  mEvents = EventStream();
+  connection::upstream::UpstreamRequest call{
+    .id = mStreamId,
+    .method = "GET",
+    .target = "/v1/requests/" + mStreamId.Text() + "/stream?offset=" + std::to_string(aOffset),
+    .headers = {},
+    .body = {},
+  };
+  mCall = mOptions.transport.Start(aAddress, aPort, std::move(call), *this);
+}
+
+void Exchange::Follow(const claims::ClaimRecord& aRecord)
+{
+  mSummary.followed = true;
+  if (aRecord.state == ClaimState::Done && aRecord.outcome.whole) {
+    mSummary.status = aRecord.outcome.status;
+    mOptions.caller->SendWhole(
+      aRecord.outcome.status,
+      { { .name = std::string(connection::kContentTypeHeader),
+          .value = aRecord.outcome.contentType },
+        { .name = std::string(connection::kRequestIdHeader), .value = aRecord.request.Text() },
+        { .name = std::string(connection::kHostHeader), .value = mOptions.host.Text() },
+        { .name = std::string(connection::kUpstreamHeader),
+          .value = aRecord.target.upstream.Text() } },
+      aRecord.outcome.body);
+    const bool unknown = aRecord.outcome.contentType == kProblemType;
+    const ExchangeEnd told = unknown ? ExchangeEnd::Unknown : ExchangeEnd::Answered;
+    End(mCallerGone ? ExchangeEnd::Left : told);
+    return;
+  }
+  const bool sent = aRecord.state != ClaimState::Waiting;
+  if (sent && aRecord.target.resumes && mOptions.request.stream) {
+    FollowStream(aRecord);
+    return;
+  }
+  if (aRecord.state == ClaimState::Done) {
+    TellUnknown(connection::kStatusConflict, "answer not kept",
+                "The request ran, but its answer is too long to be given again; use a new key only "
+                "if running it again does no harm.");
+    return;
+  }
+  LookLater();
+}
+
+void Exchange::FollowStream(const claims::ClaimRecord& aRecord)
+{
+  mStreamId = aRecord.request;
+  mUpstream.id = aRecord.target.upstream;
+  const std::uint64_t offset =
+    mHeadSent ? mSkipped + mEvents.Events() : mOptions.request.resumeOffset.value_or(0);
+  mSentAt = mOptions.timers.Now();
+  ReadStream(aRecord.target.address, aRecord.target.port, offset);
+}
+
+void Exchange::LookLater()
+{
+  if (mCallerGone) {
+    End(ExchangeEnd::Left);
+    return;
+  }
+  if (mOptions.timers.Now() >= mFollowEnd) {
+    if (mHeadSent) {
+      mOptions.caller->Abort();
+      End(ExchangeEnd::Broken);
+      return;
+    }
+    TellUnknown(connection::kStatusGatewayTimeout, "outcome not known yet",
+                "An earlier request with this key was sent and has no recorded outcome" +
+                  std::string(kAskAgain));
+    return;
+  }
+  mTimer = mOptions.timers.After(mOptions.settings.followPeriod, [this] {
+    mOptions.claims.Look(*mOptions.request.claim, Guarded(&Exchange::OnLooked));
+  });
+}
+
+void Exchange::OnLooked(const core::Result<ClaimReply>& aReply)
+{
+  if (mState != State::Following) {
+    return;
+  }
+  if (!aReply || aReply.value().verdict == ClaimVerdict::Absent) {
+    LookLater();
+    return;
+  }
+  Follow(aReply.value().record);
+}
+
+} // namespace cuminfield::request::exchange
--- a/cuminfield/request/exchange/Problem.cpp
+++ b/cuminfield/request/exchange/Problem.cpp
@@ -20,7 +20,7 @@
 {
   connection::HttpHeaders headers;
   headers.push_back(
-    { .name = std::string(connection::kContentTypeHeader), .value = "application/problem+json" });
+    { .name = std::string(connection::kContentTypeHeader), .value = std::string(kProblemType) });
   headers.push_back(
     { .name = std::string(connection::kOutcomeHeader), .value = ToString(aProblem.outcome) });
   if (aProblem.retryAfter) {
--- a/cuminfield/request/exchange/Problem.h
+++ b/cuminfield/request/exchange/Problem.h
@@ -5,9 +5,13 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cuminfield::request::exchange {
 
+/// Content type of a problem's body.
+inline constexpr std::string_view kProblemType = "application/problem+json";
+
 /// What a failed request may be said to have done.
 enum class Outcome
 {
