--- a/cuminfield/process/host/Host.cpp
+++ b/cuminfield/process/host/Host.cpp
@@ -80,7 +80,6 @@
                                  .timers = loop,
                                  .groups = *mGroups,
                                  .links = *mLinks,
-                                 .spread = *mSpread,
                                  .directory = *mDirectory,
                                  .shares = mShares,
                                  .observations = mObservations });
--- a/cuminfield/process/membership/UpstreamDirectory.cpp
+++ b/cuminfield/process/membership/UpstreamDirectory.cpp
@@ -1,6 +1,5 @@
 #include "cuminfield/process/membership/UpstreamDirectory.h"
 
-#include "cuminfield/core/Invariant.h"
 #include "cuminfield/process/membership/membership.pb.h"
 
 #include <algorithm>
--- a/cuminfield/process/moves/MoveService.h
+++ b/cuminfield/process/moves/MoveService.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "cuminfield/process/documents/DocumentSpread.h"
 #include "cuminfield/process/host/Groups.h"
 #include "cuminfield/process/membership/UpstreamDirectory.h"
 #include "cuminfield/process/moves/DirectorService.h"
 #include "cuminfield/process/moves/JudgeService.h"
 #include "cuminfield/process/peer/PeerLinks.h"
 #include "cuminfield/process/settings/HostSettings.h"
+#include "cuminfield/process/state/state.pb.h"
 #include "cuminfield/version/moves/HostTrip.h"
 #include "cuminfield/version/moves/MoveShares.h"
 #include "cuminfield/version/moves/ObservationLog.h"
@@ -37,7 +37,6 @@
     core::TimerService& timers;
     host::Groups& groups;
     peer::PeerLinks& links;
-    documents::DocumentSpread& spread;
     membership::UpstreamDirectory& directory;
     version::moves::MoveShares& shares;
     version::moves::ObservationLog& observations;
