A committed document is read when something was applied, not ten times a second

Found in reading the change once more: a voter copied every environment's whole text out of its state machine each 100 ms, and each step of a move parsed the whole document again. Change: the state is read only when the group's applied index has moved; a record whose revision is known is not parsed again for its moves. Behaviour is as it was.

--- a/cuminfield/process/host/Host.cpp
+++ b/cuminfield/process/host/Host.cpp
@@ -185,10 +185,12 @@
 void Host::LearnDocuments()
 {
   // A voter applies what is committed to its own state: from there it goes out to all hosts.
-  const auto& machine = mGroups->Documents().machine;
-  if (!machine) {
+  const Groups::Entry& group = mGroups->Documents();
+  if (!group.machine || mLearned == group.voter->AppliedIndex()) {
     return;
   }
+  mLearned = group.voter->AppliedIndex();
+  const auto& machine = group.machine;
   state::proto::Query list;
   list.mutable_revisions();
   const state::proto::QueryAnswer revisions = machine->Look(list);
--- a/cuminfield/process/host/Host.h
+++ b/cuminfield/process/host/Host.h
@@ -23,6 +23,7 @@
 #include "cuminfield/version/moves/ObservationLog.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cuminfield::process::host {
@@ -87,6 +88,7 @@
   std::unique_ptr<connection::caller::HttpServer> mCallerServer;
   std::unique_ptr<connection::caller::HttpServer> mControlServer;
   std::shared_ptr<const version::document::DocumentIndex> mDocument;
+  std::optional<core::LogIndex> mLearned; ///< Applied index of the documents' group when last read.
   core::TimerHandle mLearnTimer;
   core::TimerHandle mDrainTimer;
   core::TimerHandle mLimitTimer;
--- a/cuminfield/process/moves/MoveService.cpp
+++ b/cuminfield/process/moves/MoveService.cpp
@@ -44,10 +44,15 @@
 void MoveService::OnRecord(const state::proto::EnvironmentRecord& aRecord)
 {
   const core::EnvironmentId environment(aRecord.environment());
+  const auto read = mRevisions.find(environment);
+  if (read != mRevisions.end() && read->second == aRecord.revision()) {
+    return; // A step of a move: the document says what it said.
+  }
   const auto document = version::document::ParseDocument(aRecord.text(), aRecord.environment());
   if (!document) {
     return; // Told by whoever reads the document for its own use.
   }
+  mRevisions[environment] = aRecord.revision();
   std::erase_if(mMoves, [&](const auto& aItem) { return aItem.first.environment == environment; });
   for (const auto& it : document.value().moves) {
     StatedMove stated{ .key = { .environment = environment, .move = it.id },
--- a/cuminfield/process/moves/MoveService.h
+++ b/cuminfield/process/moves/MoveService.h
@@ -61,7 +61,8 @@
   void Take(const core::HostId& aFrom, const proto::MoveMessage& aMessage);
 
   Options mOptions;
-  std::map<MoveKey, StatedMove> mMoves; ///< Of all environments.
+  std::map<MoveKey, StatedMove> mMoves;                    ///< Of all environments.
+  std::map<core::EnvironmentId, std::uint64_t> mRevisions; ///< Of the documents they stand in.
   std::unique_ptr<DirectorService> mDirector;
   std::map<core::GroupId, std::unique_ptr<JudgeService>> mJudges;
   std::map<core::MoveId, version::moves::HostTrip> mTrips;
