--- a/cuminfield/Main.cpp
+++ b/cuminfield/Main.cpp
@@ -1,7 +1,8 @@
 #include "cuminfield/process/command/Commands.h"
+#include "platform/Programs.h"
 
 int main(int aCount, char** aArguments)
 {
   using namespace cuminfield::process::command;
-  return static_cast<int>(Run({ aArguments + 1, aArguments + aCount }));
+  return static_cast<int>(Run({ aArguments + 1, aArguments + aCount }, platform::kCommands));
 }
--- a/cuminfield/connection/Http.h
+++ b/cuminfield/connection/Http.h
@@ -31,11 +31,14 @@
 
 inline constexpr int kStatusOk = 200;
 inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusUnauthorized = 401;
 inline constexpr int kStatusForbidden = 403;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusConflict = 409;
 inline constexpr int kStatusTooLarge = 413;
+inline constexpr int kStatusMisdirected = 421;
 inline constexpr int kStatusUnprocessable = 422;
+inline constexpr int kStatusTooMany = 429;
 inline constexpr int kStatusInternalError = 500;
 inline constexpr int kStatusBadGateway = 502;
 inline constexpr int kStatusUnavailable = 503;
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -103,6 +103,8 @@
 private:
   using State = CallState;
 
+  const std::string& IdHeader() const { return mTransport.mOptions.settings.idHeader; }
+
   int Socket() const { return bufferevent_getfd(evhttp_connection_get_bufferevent(mConnection)); }
 
   void WatchOutput()
@@ -121,13 +123,20 @@
     evhttp_request_set_chunked_cb(request, OnChunk);
     evhttp_request_set_error_cb(request, OnError);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", mKey.first.c_str());
-    evhttp_add_header(headers, kRequestIdHeader.data(), mRequest.id.Text().c_str());
+    if (FindHeader(mRequest.headers, "Host").empty()) {
+      evhttp_add_header(headers, "Host", mKey.first.c_str());
+    }
+    evhttp_add_header(headers, IdHeader().c_str(), mRequest.id.Text().c_str());
     for (const HttpHeader& it : mRequest.headers) {
       evhttp_add_header(headers, it.name.c_str(), it.value.c_str());
     }
     evbuffer* body = evhttp_request_get_output_buffer(request);
     evbuffer_add(body, mRequest.body.data(), mRequest.body.size());
+    if (!mRequest.body.empty()) {
+      // evhttp gives a length to some methods only; without one, a body would be read as the next
+      // request.
+      evhttp_add_header(headers, "Content-Length", std::to_string(mRequest.body.size()).c_str());
+    }
     const std::string target = mRequest.target;
     if (evhttp_make_request(mConnection, request, aCommand, target.c_str()) != 0) {
       // evhttp has let go of the request without a callback.
@@ -203,7 +212,7 @@
   int Headers(evhttp_request* aRequest)
   {
     const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-    const char* id = evhttp_find_header(headers, kRequestIdHeader.data());
+    const char* id = evhttp_find_header(headers, IdHeader().c_str());
     if (!id || mRequest.id.Text() != id) {
       mIdDiffers = true;
       return -1;
@@ -374,12 +383,18 @@
 evhttp_connection* HttpUpstreamTransport::Take(const Key& aKey)
 {
   const auto it = mIdle.find(aKey);
-  if (it == mIdle.end() || it->second.empty()) {
-    return Connect(aKey);
+  while (it != mIdle.end() && !it->second.empty()) {
+    const Idle idle = it->second.back();
+    it->second.pop_back();
+    // Bytes that wait on an idle connection belong to no request.
+    bufferevent* channel = evhttp_connection_get_bufferevent(idle.connection);
+    const bool clean = evbuffer_get_length(bufferevent_get_input(channel)) == 0;
+    if (clean && mOptions.loop.Now() - idle.since <= mOptions.settings.reuseWithin) {
+      return idle.connection;
+    }
+    CloseSoon(idle.connection, nullptr);
   }
-  evhttp_connection* connection = it->second.back().connection;
-  it->second.pop_back();
-  return connection;
+  return Connect(aKey);
 }
 
 evhttp_connection* HttpUpstreamTransport::Connect(const Key& aKey)
@@ -399,12 +414,14 @@
 void HttpUpstreamTransport::GiveBack(const Key& aKey, evhttp_connection* aConnection)
 {
   std::vector<Idle>& idle = mIdle[aKey];
-  if (idle.size() >= mOptions.settings.idlePerUpstream) {
+  bufferevent* channel = evhttp_connection_get_bufferevent(aConnection);
+  const bool clean = evbuffer_get_length(bufferevent_get_input(channel)) == 0;
+  if (!clean || idle.size() >= mOptions.settings.idlePerUpstream) {
     CloseSoon(aConnection, nullptr);
     return;
   }
   evhttp_connection_set_closecb(aConnection, OnIdleClosed, this);
-  idle.push_back({ .connection = aConnection });
+  idle.push_back({ .connection = aConnection, .since = mOptions.loop.Now() });
 }
 
 void HttpUpstreamTransport::CloseSoon(evhttp_connection* aConnection,
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.h
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.h
@@ -19,6 +19,10 @@
   core::Duration connect = std::chrono::seconds(1); ///< A slower connect has failed.
   core::Duration stall = std::chrono::seconds(30);  ///< Longer silence during an answer: failed.
   std::size_t idlePerUpstream = 64;                 ///< Idle connections kept for one upstream.
+  /// A connection idle for longer is not used again: the upstream may be about to close it.
+  core::Duration reuseWithin = std::chrono::hours(1);
+  /// Header that names the request, echoed by the upstream.
+  std::string idHeader{ kRequestIdHeader };
 };
 
 /// Calls upstreams by evhttp and keeps whole, idle connections for further calls. A connection
@@ -50,6 +54,7 @@
   struct Idle
   {
     evhttp_connection* connection = nullptr;
+    core::Instant since{};
   };
 
   evhttp_connection* Take(const Key& aKey);
--- /dev/null
+++ b/cuminfield/process/cluster/ClusterSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "cuminfield/core/Ids.h"
+#include "cuminfield/core/Units.h"
+#include "cuminfield/process/settings/HostSettings.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cuminfield::process::cluster {
+
+/// What a host of a cluster knows at its start: itself, and a few control hosts that may be gone.
+struct ClusterSettings
+{
+  core::HostId id; ///< The host's IP number: how the others reach it.
+  std::string name;
+  core::DataCentreId dataCentre;
+  core::RegionId region;
+  std::optional<settings::Endpoint> callers; ///< Of an entry host.
+  std::optional<settings::Endpoint> ready;   ///< Where an entry host tells whether it is ready.
+  std::optional<settings::Endpoint> control; ///< Of a control host.
+  settings::Endpoint peersListen;
+  std::vector<core::HostId> seeds; ///< Control hosts, some of which may be gone.
+  bool first = false;              ///< The whole cluster starts for the first time.
+  std::uint32_t voters = 3;        ///< Control hosts that vote.
+  std::string dataFolder;          ///< Of a control host.
+  core::Duration shutdown = std::chrono::seconds(8); ///< From SIGTERM to the process's end.
+  std::string logLevel = "info";
+  settings::LogFormat logFormat = settings::LogFormat::KeyValue;
+};
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/ClusterSettingsFile.cpp
@@ -0,0 +1,200 @@
+#include "cuminfield/process/cluster/ClusterSettingsFile.h"
+
+#include "cuminfield/process/settings/IniReader.h"
+#include "cuminfield/process/settings/Values.h"
+
+#include <array>
+#include <fstream>
+#include <sstream>
+
+namespace cuminfield::process::cluster {
+
+namespace {
+
+using settings::KeySpec;
+using settings::ValueType;
+
+constexpr std::int64_t kMaxLosses = 8;
+constexpr std::int64_t kSecond = 1'000'000;
+
+const std::array<KeySpec, 15> kReference{ {
+  { .section = "host",
+    .key = "id",
+    .type = ValueType::Name,
+    .fallback = "required",
+    .meaning = "IP number of this host: the others reach it there" },
+  { .section = "host",
+    .key = "name",
+    .type = ValueType::Name,
+    .fallback = "none",
+    .meaning = "name of this host in its log" },
+  { .section = "host",
+    .key = "data-centre",
+    .type = ValueType::Name,
+    .fallback = "required",
+    .meaning = "data centre of this host" },
+  { .section = "host",
+    .key = "region",
+    .type = ValueType::Name,
+    .fallback = "required",
+    .meaning = "region of this host" },
+  { .section = "host",
+    .key = "data-folder",
+    .type = ValueType::Text,
+    .fallback = "none",
+    .meaning = "folder of a control host's state" },
+  { .section = "listen",
+    .key = "callers",
+    .type = ValueType::Endpoint,
+    .fallback = "none",
+    .meaning = "where callers send requests; an entry host needs it" },
+  { .section = "listen",
+    .key = "ready",
+    .type = ValueType::Endpoint,
+    .fallback = "none",
+    .meaning = "where an entry host tells whether it is ready" },
+  { .section = "listen",
+    .key = "control",
+    .type = ValueType::Endpoint,
+    .fallback = "none",
+    .meaning = "where upstreams and operators call; a control host needs it" },
+  { .section = "listen",
+    .key = "peer-port",
+    .type = ValueType::Count,
+    .fallback = "required",
+    .meaning = "port between hosts, the same on all",
+    .min = 1,
+    .max = 65535 },
+  { .section = "cluster",
+    .key = "seeds",
+    .type = ValueType::Text,
+    .fallback = "required",
+    .meaning = "control addresses of some control hosts, separated by commas" },
+  { .section = "cluster",
+    .key = "first-start",
+    .type = ValueType::YesNo,
+    .fallback = "no",
+    .meaning = "the whole cluster starts for the first time, with empty disks" },
+  { .section = "cluster",
+    .key = "losses",
+    .type = ValueType::Count,
+    .fallback = "1",
+    .meaning = "control hosts that may be lost at once; twice as many and one vote",
+    .min = 0,
+    .max = kMaxLosses },
+  { .section = "limits",
+    .key = "shutdown",
+    .type = ValueType::Duration,
+    .fallback = "8s",
+    .meaning = "after SIGTERM the process is gone by then",
+    .min = kSecond },
+  { .section = "log",
+    .key = "level",
+    .type = ValueType::Choice,
+    .fallback = "info",
+    .meaning = "what is logged",
+    .choices = "trace debug info warn error" },
+  { .section = "log",
+    .key = "format",
+    .type = ValueType::Choice,
+    .fallback = "key-value",
+    .meaning = "how a log line looks",
+    .choices = "key-value json" },
+} };
+
+/// The hosts of `10.0.0.1:8080,10.0.0.2:8080`; hosts are named by their IP numbers.
+std::optional<std::vector<core::HostId>> ParseSeeds(const std::string& aText)
+{
+  std::vector<core::HostId> seeds;
+  std::istringstream text(aText);
+  for (std::string word; std::getline(text, word, ',');) {
+    const auto endpoint = settings::ParseEndpoint(word);
+    if (!endpoint) {
+      return std::nullopt;
+    }
+    seeds.emplace_back(endpoint->address);
+  }
+  return seeds;
+}
+
+void ReadCluster(settings::IniReader& aReader, ClusterSettings& aSettings)
+{
+  const settings::IniSection* cluster = aReader.Section("cluster");
+  if (!cluster) {
+    return;
+  }
+  std::string seeds;
+  std::uint32_t losses = 1;
+  aReader.Read(*cluster, "seeds", seeds);
+  aReader.Read(*cluster, "first-start", aSettings.first);
+  aReader.Read(*cluster, "losses", losses);
+  aSettings.voters = 2 * losses + 1;
+  if (auto parsed = ParseSeeds(seeds)) {
+    aSettings.seeds = std::move(*parsed);
+  } else {
+    aReader.Fault(*cluster, "seeds",
+                  "'" + seeds +
+                    "' is no list of addresses such as "
+                    "10.0.0.1:8080,10.0.0.2:8080");
+  }
+}
+
+} // namespace
+
+std::span<const KeySpec> ClusterSettingsReference()
+{
+  return kReference;
+}
+
+core::Result<ClusterSettings> LoadClusterSettings(const std::string& aPath)
+{
+  const std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return core::Fail(core::ErrorKind::Io,
+                      aPath + ": cannot be opened; check that it exists and may be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseClusterSettings(text.str(), aPath);
+}
+
+core::Result<ClusterSettings> ParseClusterSettings(const std::string& aText,
+                                                   const std::string& aName)
+{
+  settings::IniReader reader(aText, aName, ClusterSettingsReference());
+  ClusterSettings result;
+  if (const settings::IniSection* host = reader.Section("host")) {
+    reader.Read(*host, "id", result.id);
+    reader.Read(*host, "name", result.name);
+    reader.Read(*host, "data-centre", result.dataCentre);
+    reader.Read(*host, "region", result.region);
+    reader.Read(*host, "data-folder", result.dataFolder);
+  }
+  if (const settings::IniSection* listen = reader.Section("listen")) {
+    std::uint32_t port = 0;
+    reader.Read(*listen, "callers", result.callers);
+    reader.Read(*listen, "ready", result.ready);
+    reader.Read(*listen, "control", result.control);
+    reader.Read(*listen, "peer-port", port);
+    result.peersListen = { .address = result.id.Text(), .port = static_cast<std::uint16_t>(port) };
+  }
+  ReadCluster(reader, result);
+  if (const settings::IniSection* limits = reader.Section("limits")) {
+    reader.Read(*limits, "shutdown", result.shutdown);
+  }
+  if (const settings::IniSection* log = reader.Section("log")) {
+    std::size_t level = 0;
+    reader.ReadChoice(*log, "level", level);
+    if (const settings::IniEntry* entry = log->Find("level")) {
+      result.logLevel = entry->value;
+    }
+    reader.ReadChoice(*log, "format", result.logFormat);
+  }
+  const core::Result<void> verdict = reader.Verdict();
+  if (!verdict) {
+    return verdict.error();
+  }
+  return result;
+}
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/ClusterState.cpp
@@ -0,0 +1,164 @@
+#include "cuminfield/process/cluster/ClusterState.h"
+
+#include <algorithm>
+
+namespace cuminfield::process::cluster {
+
+namespace {
+
+/// Leaves remembered; the oldest go first. An upstream that leaves is gone within seconds.
+constexpr std::size_t kMaxLeaves = 512;
+
+/// The same order arriving within this time of the first is a repetition of it: operators send an
+/// order again for a few seconds while its answer is lost.
+constexpr std::uint64_t kRepeatedOrderMs = 8000;
+
+bool IsRunning(const proto::Move& aMove)
+{
+  return aMove.phase() == proto::CANARY || aMove.phase() == proto::SHIFTED;
+}
+
+} // namespace
+
+std::string ClusterState::Apply(core::LogIndex aIndex, std::string_view aCommand)
+{
+  proto::Command command;
+  proto::QueryAnswer answer;
+  if (!command.ParseFromArray(aCommand.data(), static_cast<int>(aCommand.size()))) {
+    return answer.SerializeAsString();
+  }
+  switch (command.body_case()) {
+    case proto::Command::kDocument:
+      ApplyDocument(command.document());
+      answer.mutable_document()->set_number(mDocument.number());
+      break;
+    case proto::Command::kMove:
+      ApplyMove(aIndex.Value(), command.move());
+      *answer.mutable_move() = mMoves[command.move().service()];
+      break;
+    case proto::Command::kSettle:
+      ApplySettle(aIndex.Value(), command.settle());
+      break;
+    case proto::Command::kLeave:
+      ApplyLeave(command.leave());
+      break;
+    case proto::Command::kVersion:
+      if (mVersions.try_emplace(command.version().service(), command.version().version()).second) {
+        mChanged = aIndex.Value();
+      }
+      break;
+    case proto::Command::BODY_NOT_SET:
+      break;
+  }
+  return answer.SerializeAsString();
+}
+
+void ClusterState::ApplyDocument(const proto::Document& aDocument)
+{
+  if (aDocument.number() > mDocument.number()) {
+    mDocument = aDocument;
+  }
+}
+
+void ClusterState::ApplyMove(std::uint64_t aIndex, const proto::Move& aMove)
+{
+  const auto former = mVersions.find(aMove.service());
+  const std::string version = former == mVersions.end() ? std::string() : former->second;
+  const auto known = mMoves.find(aMove.service());
+  if (known != mMoves.end() && known->second.target() == aMove.target()) {
+    const bool repeated = aMove.ordered_ms() < known->second.ordered_ms() + kRepeatedOrderMs;
+    if (IsRunning(known->second) || repeated || version == aMove.target()) {
+      return;
+    }
+  }
+  proto::Move& move = mMoves[aMove.service()];
+  move = aMove;
+  move.set_former(version);
+  move.set_phase(version == aMove.target() ? proto::COMPLETED : proto::CANARY);
+  move.set_number(aIndex);
+  mChanged = aIndex;
+}
+
+void ClusterState::ApplySettle(std::uint64_t aIndex, const proto::SettleMove& aSettle)
+{
+  const auto it = mMoves.find(aSettle.service());
+  if (it == mMoves.end() || it->second.number() != aSettle.number() || !IsRunning(it->second)) {
+    return;
+  }
+  it->second.set_phase(aSettle.phase());
+  if (aSettle.phase() == proto::COMPLETED) {
+    mVersions[aSettle.service()] = it->second.target();
+  }
+  mChanged = aIndex;
+}
+
+void ClusterState::ApplyLeave(const proto::Leave& aLeave)
+{
+  proto::Leave& leave = mLeaves[aLeave.upstream()];
+  if (aLeave.incarnation() >= leave.incarnation()) {
+    leave = aLeave;
+  }
+  if (mLeaves.size() > kMaxLeaves) {
+    mLeaves.erase(
+      std::min_element(mLeaves.begin(), mLeaves.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.at_ms() < aRight.second.at_ms();
+      }));
+  }
+}
+
+std::string ClusterState::Query(std::string_view aQuery) const
+{
+  proto::Query query;
+  proto::QueryAnswer answer;
+  if (!query.ParseFromArray(aQuery.data(), static_cast<int>(aQuery.size()))) {
+    return answer.SerializeAsString();
+  }
+  if (query.document()) {
+    *answer.mutable_document() = mDocument;
+  }
+  if (const auto it = mMoves.find(query.move_of()); it != mMoves.end()) {
+    *answer.mutable_move() = it->second;
+  }
+  return answer.SerializeAsString();
+}
+
+std::string ClusterState::Snapshot() const
+{
+  proto::State state;
+  *state.mutable_document() = mDocument;
+  state.set_applied(mChanged);
+  for (const auto& [service, move] : mMoves) {
+    *state.add_moves() = move;
+  }
+  for (const auto& [service, version] : mVersions) {
+    proto::ServiceVersion* it = state.add_versions();
+    it->set_service(service);
+    it->set_version(version);
+  }
+  for (const auto& [upstream, leave] : mLeaves) {
+    *state.add_leaves() = leave;
+  }
+  return state.SerializeAsString();
+}
+
+void ClusterState::Restore(std::string_view aSnapshot)
+{
+  proto::State state;
+  state.ParseFromArray(aSnapshot.data(), static_cast<int>(aSnapshot.size()));
+  mDocument = state.document();
+  mChanged = state.applied();
+  mMoves.clear();
+  mVersions.clear();
+  mLeaves.clear();
+  for (const proto::Move& it : state.moves()) {
+    mMoves[it.service()] = it;
+  }
+  for (const proto::ServiceVersion& it : state.versions()) {
+    mVersions[it.service()] = it.version();
+  }
+  for (const proto::Leave& it : state.leaves()) {
+    mLeaves[it.upstream()] = it;
+  }
+}
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/ClusterState.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cuminfield/process/cluster/cluster.pb.h"
+#include "cuminfield/process/log/StateMachine.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cuminfield::process::cluster {
+
+/// The replicated state of a cluster: the operator's document with the highest number, the version
+/// of each service, moves between versions, and the upstreams that have said that they leave.
+/// Commands are proto::Command, answers and query answers proto::QueryAnswer.
+class ClusterState : public log::StateMachine
+{
+public:
+  std::string Apply(core::LogIndex aIndex, std::string_view aCommand) override;
+  std::string Query(std::string_view aQuery) const override;
+  std::string Snapshot() const override;
+  void Restore(std::string_view aSnapshot) override;
+
+  const proto::Document& Document() const { return mDocument; }
+  const std::map<std::string, proto::Move>& Moves() const { return mMoves; }
+  const std::map<std::string, std::string>& Versions() const { return mVersions; }
+  const std::map<std::string, proto::Leave>& Leaves() const { return mLeaves; }
+
+  /// Log index of the last command that changed moves or versions.
+  std::uint64_t Changed() const { return mChanged; }
+
+private:
+  void ApplyDocument(const proto::Document& aDocument);
+  void ApplyMove(std::uint64_t aIndex, const proto::Move& aMove);
+  void ApplySettle(std::uint64_t aIndex, const proto::SettleMove& aSettle);
+  void ApplyLeave(const proto::Leave& aLeave);
+
+  proto::Document mDocument;
+  std::map<std::string, proto::Move> mMoves;    ///< The latest of each service.
+  std::map<std::string, std::string> mVersions; ///< Version in force by service.
+  std::map<std::string, proto::Leave> mLeaves;  ///< By upstream.
+  std::uint64_t mChanged = 0;
+};
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -0,0 +1,450 @@
+#include "cuminfield/process/cluster/ControlHost.h"
+
+#include "cuminfield/process/log/FileLogStorage.h"
+#include "cuminfield/process/log/PosixDisk.h"
+#include "cuminfield/process/log/ThreadedLogStorage.h"
+#include "cuminfield/process/logging/EventLog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfield::process::cluster {
+
+namespace {
+
+const core::GroupId kGroup("cluster");
+
+/// Pause between two proposals that this host makes by itself, for the first to be applied.
+constexpr core::Duration kOwnProposalPause = std::chrono::milliseconds(300);
+
+/// A service is seen with one version for this long before that counts as its version in force.
+constexpr core::Duration kVersionSettles = std::chrono::milliseconds(500);
+
+const char* ToString(proto::MovePhase aPhase)
+{
+  switch (aPhase) {
+    case proto::CANARY:
+      return "canary";
+    case proto::SHIFTED:
+      return "shifted";
+    case proto::COMPLETED:
+      return "completed";
+    default:
+      return "rolled-back";
+  }
+}
+
+log::LogGroupSettings GroupSettings(const ClusterSettings& aCluster)
+{
+  log::LogGroupSettings settings;
+  settings.log.openVoters = aCluster.voters;
+  return settings;
+}
+
+bool IsSeed(const ClusterSettings& aCluster)
+{
+  const auto& seeds = aCluster.seeds;
+  return std::find(seeds.begin(), seeds.end(), aCluster.id) != seeds.end();
+}
+
+} // namespace
+
+ControlHost::ControlHost(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mLife(static_cast<std::uint64_t>(mOptions.loop.WallNow().time_since_epoch().count()))
+  , mStarted(mOptions.loop.Now())
+  , mRegistry(mOptions.settings.registry)
+  , mFollowers(mOptions.settings.followers)
+  , mDirector(mOptions.settings.moves)
+{
+  const ClusterSettings& cluster = mOptions.cluster;
+  mDisk = std::make_unique<log::PosixDisk>();
+  mFile = std::make_unique<log::FileLogStorage>(
+    log::FileLogStorageOptions{ .folder = cluster.dataFolder, .group = kGroup, .disk = *mDisk });
+  // A slow disk must not hold up heartbeats.
+  mStorage = std::make_unique<log::ThreadedLogStorage>(log::ThreadedLogStorageOptions{
+    .inner = *mFile, .post = [&loop = mOptions.loop](std::function<void()> aWork) {
+      loop.Post(std::move(aWork));
+    } });
+  mGroup = std::make_unique<log::LogGroup>(
+    log::LogGroupOptions{ .group = kGroup,
+                          .self = cluster.id,
+                          .voters = cluster.seeds,
+                          .mayFound = cluster.first && IsSeed(cluster),
+                          .peers = mOptions.links,
+                          .timers = mOptions.loop,
+                          .storage = *mStorage,
+                          .machine = mState,
+                          .random = core::Random(mOptions.random.Bits()),
+                          .settings = GroupSettings(cluster) });
+}
+
+core::Result<void> ControlHost::Start()
+{
+  if (auto started = mGroup->Start(); !started) {
+    return started.error();
+  }
+  mOptions.links.OnMessage().connect(sigc::mem_fun(*this, &ControlHost::OnMessage));
+  mTick = mOptions.loop.Every(mOptions.settings.feed, [this] { Tick(); });
+  return core::Done();
+}
+
+std::uint64_t ControlHost::WallMs() const
+{
+  const auto now = mOptions.loop.WallNow().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+void ControlHost::Submit(bool aQuery, const google::protobuf::MessageLite& aMessage,
+                         core::Duration aTimeout, Done aDone)
+{
+  auto done = [aDone = std::move(aDone)](core::Result<std::string> aAnswer) {
+    if (!aAnswer) {
+      aDone(aAnswer.error());
+      return;
+    }
+    proto::QueryAnswer answer;
+    if (!answer.ParseFromString(aAnswer.value())) {
+      aDone(core::Error{ .kind = core::ErrorKind::Internal,
+                         .message = "unreadable answer of the group; update all control hosts" });
+      return;
+    }
+    aDone(std::move(answer));
+  };
+  if (aQuery) {
+    mGroup->Query(aMessage.SerializeAsString(), aTimeout, std::move(done));
+  } else {
+    mGroup->Propose(aMessage.SerializeAsString(), aTimeout, std::move(done));
+  }
+}
+
+void ControlHost::PutDocument(std::uint64_t aNumber, std::string aText, Done aDone)
+{
+  proto::Command command;
+  command.mutable_document()->set_number(aNumber);
+  command.mutable_document()->set_text(std::move(aText));
+  Submit(false, command, mOptions.settings.command, std::move(aDone));
+}
+
+void ControlHost::GetDocument(Done aDone)
+{
+  proto::Query query;
+  query.set_document(true);
+  Submit(true, query, mOptions.settings.read, std::move(aDone));
+}
+
+void ControlHost::StartMove(const std::string& aService, const std::string& aTarget,
+                            core::Duration aDuration, Done aDone)
+{
+  proto::Command command;
+  proto::Move* move = command.mutable_move();
+  move->set_service(aService);
+  move->set_target(aTarget);
+  move->set_duration_ms(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count()));
+  move->set_ordered_ms(WallMs());
+  Submit(false, command, mOptions.settings.command, std::move(aDone));
+}
+
+void ControlHost::GetMove(const std::string& aService, Done aDone)
+{
+  proto::Query query;
+  query.set_move_of(aService);
+  Submit(true, query, mOptions.settings.read, std::move(aDone));
+}
+
+void ControlHost::Heartbeat(const proto::Upstream& aUpstream, Done aDone)
+{
+  const bool known = mRegistry.IncarnationOf(aUpstream.id()) == aUpstream.incarnation();
+  if (!mRegistry.Hear(aUpstream, mOptions.loop.Now())) {
+    logging::Event(logging::Level::Info, "heartbeat-old",
+                   { { "upstream", aUpstream.id() }, { "sequence", aUpstream.sequence() } });
+    aDone(proto::QueryAnswer());
+    return;
+  }
+  mHeard[aUpstream.id()] = aUpstream;
+  if (!known) {
+    logging::Event(logging::Level::Info, "upstream-up",
+                   { { "upstream", aUpstream.id() },
+                     { "service", aUpstream.service() },
+                     { "version", aUpstream.version() },
+                     { "address", aUpstream.address() } });
+  }
+  const auto committed = mState.Leaves().find(aUpstream.id());
+  const bool leaveKnown = committed != mState.Leaves().end() &&
+                          committed->second.incarnation() >= aUpstream.incarnation();
+  if (!aUpstream.leaving() || leaveKnown) {
+    aDone(proto::QueryAnswer());
+    return;
+  }
+  ProposeLeave(aUpstream.id(), aUpstream.incarnation(), std::move(aDone));
+}
+
+void ControlHost::Leave(const std::string& aUpstream, Done aDone)
+{
+  const std::uint64_t known = mRegistry.IncarnationOf(aUpstream);
+  // Lives are numbered by the civil time of their start, so any life of it up to now is meant.
+  ProposeLeave(aUpstream, known != 0 ? known : WallMs(), std::move(aDone));
+}
+
+void ControlHost::ProposeLeave(const std::string& aUpstream, std::uint64_t aIncarnation, Done aDone)
+{
+  logging::Event(logging::Level::Info, "upstream-leaving",
+                 { { "upstream", aUpstream }, { "life", aIncarnation } });
+  mRegistry.Leave(aUpstream, aIncarnation);
+  proto::Command command;
+  proto::Leave* leave = command.mutable_leave();
+  leave->set_upstream(aUpstream);
+  leave->set_incarnation(aIncarnation);
+  leave->set_at_ms(WallMs());
+  // Committed before it is acknowledged: the promise holds also when this host dies right after.
+  Submit(false, command, mOptions.settings.read, std::move(aDone));
+}
+
+void ControlHost::OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage)
+{
+  if (aMessage.channel != peer::Channel::Cluster) {
+    return;
+  }
+  proto::Message message;
+  if (!message.ParseFromString(aMessage.payload)) {
+    logging::Event(logging::Level::Warning, "message-unreadable", { { "from", aFrom.Text() } });
+    return;
+  }
+  const core::Instant now = mOptions.loop.Now();
+  if (message.has_report()) {
+    if (!mFollowers.Followers().contains(aFrom)) {
+      logging::Event(logging::Level::Info, "host-follows", { { "host", aFrom.Text() } });
+    }
+    mFollowers.OnReport(aFrom, std::move(*message.mutable_report()), now);
+  } else if (message.has_exchange()) {
+    for (const proto::Upstream& it : message.exchange().upstreams()) {
+      mRegistry.Hear(it, now);
+    }
+    mFollowers.OnExchange(aFrom, std::move(*message.mutable_exchange()), now);
+  }
+}
+
+void ControlHost::Tick()
+{
+  const core::Instant now = mOptions.loop.Now();
+  TakeLeaves();
+  mRegistry.Expire(now);
+  mFollowers.Expire(now);
+  SendExchange();
+  SendFeeds();
+  Direct();
+  LogChanges();
+}
+
+void ControlHost::TakeLeaves()
+{
+  for (const auto& [id, leave] : mState.Leaves()) {
+    mRegistry.Leave(id, leave.incarnation());
+  }
+}
+
+std::vector<core::HostId> ControlHost::OtherControlHosts() const
+{
+  std::vector<core::HostId> hosts = mOptions.cluster.seeds;
+  for (const log::Member& it : mGroup->Voters().voters) {
+    hosts.push_back(it.host);
+  }
+  for (const auto& [host, dataCentre] : mFollowers.ControlHosts()) {
+    hosts.push_back(host);
+  }
+  std::sort(hosts.begin(), hosts.end());
+  hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
+  std::erase(hosts, mOptions.cluster.id);
+  return hosts;
+}
+
+void ControlHost::SendExchange()
+{
+  proto::Message message;
+  proto::Exchange* exchange = message.mutable_exchange();
+  exchange->set_life(mLife);
+  exchange->set_data_centre(mOptions.cluster.dataCentre.Text());
+  for (const auto& [id, upstream] : mHeard) {
+    *exchange->add_upstreams() = upstream;
+  }
+  mHeard.clear();
+  mFollowers.AddOwn(*exchange);
+  const std::string payload = message.SerializeAsString();
+  for (const core::HostId& it : OtherControlHosts()) {
+    mOptions.links.Send(it, { .channel = peer::Channel::Cluster, .payload = payload });
+  }
+}
+
+proto::Feed ControlHost::CommonFeed() const
+{
+  proto::Feed feed;
+  feed.set_life(mLife);
+  feed.set_led(!mGroup->Leader().Empty());
+  feed.set_complete(mOptions.loop.Now() - mStarted > mOptions.settings.warmUp);
+  feed.set_document_number(mState.Document().number());
+  feed.set_state_applied(mState.Changed());
+  for (const auto& [service, move] : mState.Moves()) {
+    *feed.add_moves() = move;
+  }
+  for (const auto& [service, version] : mState.Versions()) {
+    proto::ServiceVersion* it = feed.add_versions();
+    it->set_service(service);
+    it->set_version(version);
+  }
+  feed.set_registry_revision(mRegistry.Revision());
+  mFollowers.AddAll(feed);
+  proto::ControlHost* self = feed.add_control_hosts();
+  self->set_host(mOptions.cluster.id.Text());
+  self->set_data_centre(mOptions.cluster.dataCentre.Text());
+  for (const auto& [host, dataCentre] : mFollowers.ControlHosts()) {
+    proto::ControlHost* it = feed.add_control_hosts();
+    it->set_host(host.Text());
+    it->set_data_centre(dataCentre);
+  }
+  return feed;
+}
+
+void ControlHost::SendFeeds()
+{
+  const proto::Feed common = CommonFeed();
+  for (auto& [host, follower] : mFollowers.Followers()) {
+    SendFeed(host, follower, common);
+  }
+}
+
+void ControlHost::SendFeed(const core::HostId& aHost, FollowerTable::Follower& aFollower,
+                           const proto::Feed& aCommon)
+{
+  const core::Instant now = mOptions.loop.Now();
+  const core::Duration resend = mOptions.settings.resend;
+  proto::Message message;
+  proto::Feed* feed = message.mutable_feed();
+  *feed = aCommon;
+  const bool registryHeld = aFollower.report.registry_revision() == aCommon.registry_revision() &&
+                            aFollower.registrySent == aCommon.registry_revision();
+  const bool registrySent = aFollower.registrySent == aCommon.registry_revision() &&
+                            now - aFollower.registrySentAt < resend;
+  if (!registryHeld && !registrySent) {
+    feed->set_registry(true);
+    for (const proto::Upstream& it : mRegistry.List()) {
+      *feed->add_upstreams() = it;
+    }
+    aFollower.registrySent = aCommon.registry_revision();
+    aFollower.registrySentAt = now;
+  }
+  const std::uint64_t number = aCommon.document_number();
+  const bool documentSent =
+    aFollower.documentSent == number && now - aFollower.documentSentAt < resend;
+  if (aFollower.report.document_number() < number && !documentSent) {
+    *feed->mutable_document() = mState.Document();
+    aFollower.documentSent = number;
+    aFollower.documentSentAt = now;
+  }
+  mOptions.links.Send(
+    aHost, { .channel = peer::Channel::Cluster, .payload = message.SerializeAsString() });
+}
+
+void ControlHost::Direct()
+{
+  if (mGroup->CurrentRole() != log::Role::Leader) {
+    mMoveSeen.clear();
+    mServiceSeen.clear();
+    return;
+  }
+  if (mOptions.loop.Now() - mProposed < kOwnProposalPause) {
+    return;
+  }
+  LearnVersions();
+  for (const auto& [service, move] : mState.Moves()) {
+    if (move.phase() == proto::CANARY || move.phase() == proto::SHIFTED) {
+      DirectMove(move);
+    }
+  }
+}
+
+void ControlHost::DirectMove(const proto::Move& aMove)
+{
+  const core::Instant now = mOptions.loop.Now();
+  const auto [seen, isNew] = mMoveSeen.try_emplace(aMove.number(), now);
+  if (isNew) {
+    // A new leader goes by civil time for what passed before it led, if that is plausible.
+    const std::uint64_t wall = WallMs();
+    const std::uint64_t passed = wall > aMove.ordered_ms() ? wall - aMove.ordered_ms() : 0;
+    seen->second =
+      now - std::chrono::milliseconds(std::min<std::uint64_t>(passed, aMove.duration_ms()));
+  }
+  const auto next = mDirector.Decide(aMove, now - seen->second, mFollowers.Evidence());
+  if (!next) {
+    return;
+  }
+  proto::Command command;
+  command.mutable_settle()->set_service(aMove.service());
+  command.mutable_settle()->set_number(aMove.number());
+  command.mutable_settle()->set_phase(*next);
+  mProposed = now;
+  Submit(false, command, mOptions.settings.command, [](const core::Result<proto::QueryAnswer>&) {
+    // Decided again from the state when it was not applied.
+  });
+}
+
+void ControlHost::LearnVersions()
+{
+  const core::Instant now = mOptions.loop.Now();
+  std::map<std::string, std::string> oldest;
+  std::map<std::string, std::uint64_t> since;
+  for (const proto::Upstream& it : mRegistry.List()) {
+    if (mState.Versions().contains(it.service())) {
+      continue;
+    }
+    const auto [known, isNew] = since.try_emplace(it.service(), it.incarnation());
+    if (isNew || it.incarnation() < known->second) {
+      known->second = it.incarnation();
+      oldest[it.service()] = it.version();
+    }
+  }
+  for (const auto& [service, version] : oldest) {
+    const auto seen = mServiceSeen.try_emplace(service, now).first;
+    if (now - seen->second < kVersionSettles) {
+      continue;
+    }
+    proto::Command command;
+    command.mutable_version()->set_service(service);
+    command.mutable_version()->set_version(version);
+    mProposed = now;
+    Submit(false, command, mOptions.settings.command, [](const core::Result<proto::QueryAnswer>&) {
+      // Learned again from the registry when it was not applied.
+    });
+  }
+}
+
+void ControlHost::LogChanges()
+{
+  if (mGroup->Leader() != mLoggedLeader) {
+    mLoggedLeader = mGroup->Leader();
+    logging::Event(logging::Level::Info, mLoggedLeader.Empty() ? "leader-lost" : "leader-known",
+                   { { "leader", mLoggedLeader.Text() },
+                     { "role", log::ToString(mGroup->CurrentRole()) },
+                     { "term", mGroup->CurrentTerm().Value() },
+                     { "voters", mGroup->Voters().voters.size() } });
+  }
+  if (mState.Document().number() != mLoggedDocument) {
+    mLoggedDocument = mState.Document().number();
+    logging::Event(logging::Level::Info, "document-accepted",
+                   { { "number", mLoggedDocument }, { "bytes", mState.Document().text().size() } });
+  }
+  if (mState.Changed() != mLoggedChange) {
+    mLoggedChange = mState.Changed();
+    for (const auto& [service, move] : mState.Moves()) {
+      logging::Event(logging::Level::Info, "move",
+                     { { "service", service },
+                       { "target", move.target() },
+                       { "former", move.former() },
+                       { "phase", ToString(move.phase()) },
+                       { "index", mLoggedChange } });
+    }
+  }
+}
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -0,0 +1,242 @@
+#include "cuminfield/process/cluster/EntryHost.h"
+
+#include "cuminfield/process/logging/EventLog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfield::process::cluster {
+
+namespace {
+
+constexpr core::Duration kDrainCheck = std::chrono::milliseconds(50);
+
+std::uint64_t LifeOf(const core::EventLoop& aLoop)
+{
+  return static_cast<std::uint64_t>(aLoop.WallNow().time_since_epoch().count());
+}
+
+request::UpstreamAnnouncement ToAnnouncement(const proto::Upstream& aUpstream)
+{
+  return { .id = core::UpstreamId(aUpstream.id()),
+           .incarnation = core::Incarnation(aUpstream.incarnation()),
+           .service = core::ServiceId(aUpstream.service()),
+           .version = core::VersionId(aUpstream.version()),
+           .dataCentre = core::DataCentreId(aUpstream.data_centre()),
+           .region = {},
+           .address = aUpstream.address(),
+           .port = static_cast<std::uint16_t>(aUpstream.port()),
+           .slots = aUpstream.slots(),
+           .cacheCapacity = {},
+           .resumes = false,
+           .engine = aUpstream.model() };
+}
+
+} // namespace
+
+EntryHost::EntryHost(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mQuota(mOptions.settings.quota)
+  , mVersions(mOptions.settings.versions)
+  , mWatch(mVersions)
+  , mTransport({ .settings = mOptions.settings.transport, .loop = mOptions.loop })
+  , mForwards({ .settings = mOptions.settings.forward,
+                .timers = mOptions.loop,
+                .transport = mTransport,
+                .codec = mOptions.codec,
+                .observer = mWatch,
+                .quota = mQuota,
+                .catalogue = [this] { return mCatalogue; } })
+  , mScheduler({ .settings = mOptions.settings.placement,
+                 .timers = mOptions.loop,
+                 .random = mOptions.random,
+                 .listener = mForwards,
+                 .versions = mVersions,
+                 .dataCentre = mOptions.cluster.dataCentre })
+  , mServer({ .settings = mOptions.settings.callers,
+              .listen = mOptions.callers,
+              .loop = mOptions.loop,
+              .handler = mForwards })
+  , mFollower({ .cluster = mOptions.cluster,
+                .life = LifeOf(mOptions.loop),
+                .timers = mOptions.loop,
+                .links = mOptions.links,
+                .random = mOptions.random,
+                .describe = [this](proto::Report& aReport) { Describe(aReport); } })
+{
+  mForwards.Attach(mScheduler);
+  mForwards.OnRefused().connect([this](const core::RequestId& aId,
+                                       const core::WorkspaceId& aWorkspace,
+                                       const request::forward::ForwardFailure& aFailure) {
+    mWatch.OnRefused(aId, aWorkspace, aFailure);
+  });
+  mFollower.OnFeed().connect([this](const proto::Feed& aFeed) { OnFeed(aFeed); });
+}
+
+core::Result<void> EntryHost::Start()
+{
+  if (auto started = mServer.Start(); !started) {
+    return started.error();
+  }
+  mFollower.Start();
+  logging::Event(logging::Level::Info, "host-started",
+                 { { "host", mOptions.cluster.name },
+                   { "data_centre", mOptions.cluster.dataCentre.Text() },
+                   { "callers", mOptions.callers.Text() } });
+  return core::Done();
+}
+
+bool EntryHost::IsReady() const
+{
+  return mCatalogue && !mKnown.empty() && !mStopping;
+}
+
+void EntryHost::OnFeed(const proto::Feed& aFeed)
+{
+  if (aFeed.has_document()) {
+    TakeDocument(aFeed.document());
+  }
+  mVersions.Update(aFeed);
+  if (aFeed.registry()) {
+    TakeRegistry(aFeed);
+  }
+  TakeSums(aFeed);
+}
+
+void EntryHost::TakeDocument(const proto::Document& aDocument)
+{
+  auto read = mOptions.readCatalogue(aDocument.text());
+  if (!read) {
+    // Accepted by a control host of a newer version of the program: what is in force stays.
+    logging::Event(logging::Level::Error, "document-unreadable",
+                   { { "number", aDocument.number() }, { "error", read.error().message } });
+    return;
+  }
+  mCatalogue = std::make_shared<const version::catalogue::CatalogueIndex>(std::move(read.value()));
+  mFollower.SetDocumentNumber(aDocument.number());
+  logging::Event(
+    logging::Level::Info, "document-in-force",
+    { { "number", aDocument.number() }, { "routes", mCatalogue->Content().routes.size() } });
+}
+
+void EntryHost::TakeRegistry(const proto::Feed& aFeed)
+{
+  std::set<core::UpstreamId> known;
+  for (const proto::Upstream& it : aFeed.upstreams()) {
+    const core::UpstreamId id(it.id());
+    if (it.leaving()) {
+      mScheduler.UpstreamGone(id);
+      continue;
+    }
+    known.insert(id);
+    if (!mKnown.contains(id)) {
+      logging::Event(logging::Level::Info, "upstream-up",
+                     { { "upstream", it.id() },
+                       { "service", it.service() },
+                       { "version", it.version() },
+                       { "registry", aFeed.registry_revision() } });
+    }
+    mScheduler.UpstreamUp(ToAnnouncement(it));
+  }
+  for (const core::UpstreamId& it : mKnown) {
+    if (known.contains(it)) {
+      continue;
+    }
+    // A control host that has just started does not know every upstream yet.
+    if (!aFeed.complete()) {
+      known.insert(it);
+      continue;
+    }
+    logging::Event(logging::Level::Info, "upstream-gone",
+                   { { "upstream", it.Text() }, { "registry", aFeed.registry_revision() } });
+    mScheduler.UpstreamGone(it);
+  }
+  mKnown = std::move(known);
+}
+
+void EntryHost::TakeSums(const proto::Feed& aFeed)
+{
+  const core::Instant now = mOptions.loop.Now();
+  std::set<core::UpstreamId> told;
+  for (const proto::InFlight& it : aFeed.in_flight()) {
+    const core::UpstreamId id(it.upstream());
+    told.insert(id);
+    mScheduler.Board().SetTotal(id, it.requests(), it.prompt_tokens(), now);
+  }
+  for (auto& [id, entry] : mScheduler.Board().All()) {
+    if (!told.contains(id)) {
+      mScheduler.Board().SetTotal(id, 0, 0, now);
+    }
+  }
+  std::map<core::WorkspaceId, double> demand;
+  for (const proto::Demand& it : aFeed.demand()) {
+    demand[core::WorkspaceId(it.workspace())] = it.units_per_s();
+  }
+  mQuota.SetSums(demand, aFeed.hosts(), now);
+}
+
+void EntryHost::Describe(proto::Report& aReport)
+{
+  for (auto& [id, entry] : mScheduler.Board().All()) {
+    entry.ownReported = entry.own;
+    entry.ownPromptReported = entry.ownPrompt;
+    if (entry.own == 0) {
+      continue;
+    }
+    proto::InFlight* it = aReport.add_in_flight();
+    it->set_upstream(id.Text());
+    it->set_requests(entry.own);
+    it->set_prompt_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, entry.ownPrompt)));
+  }
+  for (const auto& [workspace, units] : mQuota.Demand(mOptions.loop.Now())) {
+    proto::Demand* it = aReport.add_demand();
+    it->set_workspace(workspace.Text());
+    it->set_units_per_s(units);
+  }
+  mVersions.Describe(aReport);
+}
+
+void EntryHost::Shutdown()
+{
+  if (std::exchange(mStopping, true)) {
+    return;
+  }
+  logging::Event(logging::Level::Info, "shutdown-begun", { { "in_flight", mForwards.Size() } });
+  mStoppedAt = mOptions.loop.Now();
+  mForwards.BeginShutdown();
+  mDrainTimer = mOptions.loop.Every(kDrainCheck, [this] { CheckDrained(); });
+}
+
+void EntryHost::CheckDrained()
+{
+  const core::Duration since = mOptions.loop.Now() - mStoppedAt;
+  if (since < mOptions.settings.leaveAfter) {
+    return;
+  }
+  if (mForwards.Size() == 0) {
+    logging::Event(logging::Level::Info, "shutdown-done", { { "cut", 0 } });
+    mDrainTimer = mOptions.loop.After(kDrainCheck, [this] { mOptions.loop.Stop(); });
+    return;
+  }
+  if (since >= mOptions.settings.shutdown) {
+    CutOff();
+  }
+}
+
+void EntryHost::CutOff()
+{
+  logging::Event(logging::Level::Warning, "shutdown-done", { { "cut", mForwards.Size() } });
+  mForwards.CutOffAll();
+  mDrainTimer = mOptions.loop.After(kDrainCheck, [this] { mOptions.loop.Stop(); });
+}
+
+std::string EntryHost::Metrics()
+{
+  std::string text = mWatch.Expose();
+  text += "cuminfield_requests_in_flight " + std::to_string(mForwards.Size()) + "\n";
+  text += "cuminfield_requests_waiting " + std::to_string(mScheduler.Waiting()) + "\n";
+  text += "cuminfield_upstreams_known " + std::to_string(mKnown.size()) + "\n";
+  return text;
+}
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "cuminfield/connection/caller/HttpServer.h"
+#include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
+#include "cuminfield/core/EventLoop.h"
+#include "cuminfield/core/Random.h"
+#include "cuminfield/process/cluster/ClusterFollower.h"
+#include "cuminfield/process/cluster/ForwardWatch.h"
+#include "cuminfield/process/cluster/VersionShares.h"
+#include "cuminfield/process/peer/PeerLinks.h"
+#include "cuminfield/request/forward/ForwardTable.h"
+#include "cuminfield/request/placement/PlacementScheduler.h"
+#include "cuminfield/version/catalogue/CatalogueIndex.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cuminfield::process::cluster {
+
+/// Tunables of an entry host.
+struct EntryHostSettings
+{
+  request::placement::PlacementSettings placement;
+  request::forward::ForwardSettings forward;
+  request::forward::WorkspaceQuotaSettings quota;
+  VersionSharesSettings versions;
+  connection::upstream::HttpUpstreamTransportSettings transport;
+  connection::caller::HttpServerSettings callers;
+  /// After a stop was asked for, requests still in flight are cut off after this.
+  core::Duration shutdown = std::chrono::milliseconds(7000);
+  /// New connections still come for this long after a stop was asked for: the balancer takes some
+  /// seconds to notice.
+  core::Duration leaveAfter = std::chrono::milliseconds(3200);
+};
+
+/// A host between callers and upstreams, in a cluster that is found by seeds. Lives for the
+/// process, on the loop's thread.
+class EntryHost
+{
+public:
+  /// Reads the text of a document into a catalogue.
+  using ReadCatalogue =
+    std::function<core::Result<version::catalogue::Catalogue>(const std::string&)>;
+
+  struct Options
+  {
+    EntryHostSettings settings{};
+    ClusterSettings cluster;
+    settings::Endpoint callers;
+    core::EventLoop& loop;
+    peer::PeerLinks& links;
+    core::Random& random;
+    const request::forward::ForwardCodec& codec;
+    ReadCatalogue readCatalogue;
+  };
+
+  explicit EntryHost(Options aOptions);
+
+  /// Listens and serves.
+  core::Result<void> Start();
+
+  /// True when callers can be served: a catalogue is in force, upstreams are known, no stop.
+  bool IsReady() const;
+
+  /// Graceful shutdown; stops the loop when all requests have ended.
+  void Shutdown();
+
+  /// Text exposition of the metrics.
+  std::string Metrics();
+
+private:
+  void OnFeed(const proto::Feed& aFeed);
+  void TakeDocument(const proto::Document& aDocument);
+  void TakeRegistry(const proto::Feed& aFeed);
+  void TakeSums(const proto::Feed& aFeed);
+  void Describe(proto::Report& aReport);
+  void CheckDrained();
+  void CutOff();
+
+  Options mOptions;
+  request::forward::WorkspaceQuota mQuota;
+  VersionShares mVersions;
+  ForwardWatch mWatch;
+  connection::upstream::HttpUpstreamTransport mTransport;
+  request::forward::ForwardTable mForwards;
+  request::placement::PlacementScheduler mScheduler;
+  connection::caller::HttpServer mServer;
+  ClusterFollower mFollower;
+  std::shared_ptr<const version::catalogue::CatalogueIndex> mCatalogue;
+  std::set<core::UpstreamId> mKnown; ///< Upstreams of the last registry.
+  bool mStopping = false;
+  core::Instant mStoppedAt{};
+  core::TimerHandle mDrainTimer;
+};
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "cuminfield/core/Ids.h"
+#include "cuminfield/core/Units.h"
+#include "cuminfield/process/cluster/cluster.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cuminfield::process::cluster {
+
+/// Tunables of the table.
+struct FollowerTableSettings
+{
+  /// A host or control host that reported nothing for this long counts no more.
+  core::Duration silence = std::chrono::milliseconds(1500);
+};
+
+/// What all hosts use and ask for, summed up at a control host: from the reports of the hosts that
+/// follow it, and from the sums of the other control hosts. Free of I/O.
+class FollowerTable
+{
+public:
+  explicit FollowerTable(FollowerTableSettings aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  void OnReport(const core::HostId& aHost, proto::Report aReport, core::Instant aNow);
+  void OnExchange(const core::HostId& aControlHost, proto::Exchange aExchange, core::Instant aNow);
+
+  /// Drops what is silent.
+  void Expire(core::Instant aNow);
+
+  /// Sums over the hosts that follow this control host.
+  void AddOwn(proto::Exchange& aExchange) const;
+
+  /// Sums over all hosts.
+  void AddAll(proto::Feed& aFeed) const;
+
+  /// The latest evidence of every host known here, by host and its life.
+  using EvidenceMap = std::map<std::pair<std::string, std::uint64_t>, std::vector<proto::Evidence>>;
+  EvidenceMap Evidence() const;
+
+  struct Follower
+  {
+    proto::Report report;
+    core::Instant heard{};
+    std::uint64_t registrySent = 0; ///< Revision of the registry sent to it last.
+    core::Instant registrySentAt{};
+    std::uint64_t documentSent = 0;
+    core::Instant documentSentAt{};
+  };
+  std::map<core::HostId, Follower>& Followers() { return mFollowers; }
+
+  /// Control hosts heard of, with their data centres.
+  std::map<core::HostId, std::string> ControlHosts() const;
+
+private:
+  struct Sums
+  {
+    std::map<std::string, proto::InFlight> inFlight;
+    std::map<std::string, double> demand;
+    std::uint32_t hosts = 0;
+
+    void Add(const proto::InFlight& aInFlight);
+  };
+  struct Peer
+  {
+    proto::Exchange exchange;
+    core::Instant heard{};
+  };
+
+  Sums OwnSums() const;
+  template<typename Message>
+  static void Write(const Sums& aSums, Message& aMessage);
+
+  FollowerTableSettings mSettings;
+  std::map<core::HostId, Follower> mFollowers;
+  std::map<core::HostId, Peer> mPeers;
+};
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/ForwardWatch.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cuminfield/process/cluster/VersionShares.h"
+#include "cuminfield/request/forward/ForwardObserver.h"
+
+#include <boost/histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cuminfield::process::cluster {
+
+/// Counts and logs what becomes of forwarded requests, and tells the versions' evidence.
+class ForwardWatch : public request::forward::ForwardObserver
+{
+public:
+  explicit ForwardWatch(VersionShares& aVersions);
+
+  void OnTry(const request::forward::ForwardRequest& aRequest,
+             const request::forward::ForwardTry& aTry) override;
+  void OnEnded(const request::forward::ForwardRequest& aRequest,
+               const request::forward::ForwardSummary& aSummary) override;
+
+  /// A request that was turned away before it was taken in.
+  void OnRefused(const core::RequestId& aId, const core::WorkspaceId& aWorkspace,
+                 const request::forward::ForwardFailure& aFailure);
+
+  /// Counters and histograms in the text exposition format.
+  std::string Expose() const;
+
+private:
+  using Histogram = decltype(boost::histogram::make_histogram(
+    boost::histogram::axis::variable<double>({ 0.0, 1.0 })));
+
+  Histogram& HistogramOf(std::uint32_t aRank);
+
+  VersionShares& mVersions;
+  std::map<std::string, std::uint64_t> mEnds;  ///< By rank and end.
+  std::map<std::string, std::uint64_t> mTries; ///< By service and outcome.
+  std::map<std::uint32_t, Histogram> mFirst;   ///< Seconds to the first event, by rank.
+};
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/Registry.cpp
@@ -0,0 +1,112 @@
+#include "cuminfield/process/cluster/Registry.h"
+
+#include <algorithm>
+
+namespace cuminfield::process::cluster {
+
+namespace {
+
+/// True when hosts would treat the upstream differently.
+bool Differs(const proto::Upstream& aLeft, const proto::Upstream& aRight)
+{
+  return aLeft.incarnation() != aRight.incarnation() || aLeft.service() != aRight.service() ||
+         aLeft.version() != aRight.version() || aLeft.address() != aRight.address() ||
+         aLeft.port() != aRight.port() || aLeft.slots() != aRight.slots() ||
+         aLeft.leaving() != aRight.leaving();
+}
+
+} // namespace
+
+bool Registry::Hear(const proto::Upstream& aUpstream, core::Instant aNow)
+{
+  const auto known = mEntries.find(aUpstream.id());
+  if (known != mEntries.end()) {
+    const proto::Upstream& upstream = known->second.upstream;
+    const bool sameLife = aUpstream.incarnation() == upstream.incarnation();
+    if (aUpstream.incarnation() < upstream.incarnation() ||
+        (sameLife && aUpstream.sequence() < upstream.sequence())) {
+      return false;
+    }
+  }
+  if (!YieldAddress(aUpstream)) {
+    return false;
+  }
+  Entry& entry = mEntries[aUpstream.id()];
+  proto::Upstream next = aUpstream;
+  next.set_leaving(aUpstream.leaving() || IsLeaving(aUpstream.id(), aUpstream.incarnation()));
+  if (next.leaving()) {
+    Leave(aUpstream.id(), aUpstream.incarnation());
+  }
+  if (Differs(entry.upstream, next)) {
+    ++mRevision;
+  }
+  entry.upstream = std::move(next);
+  entry.heard = aNow;
+  return true;
+}
+
+bool Registry::YieldAddress(const proto::Upstream& aUpstream)
+{
+  // Addresses are used again: the latest life at an address is the one that can be there.
+  for (auto it = mEntries.begin(); it != mEntries.end(); ++it) {
+    const proto::Upstream& other = it->second.upstream;
+    if (other.id() == aUpstream.id() || other.address() != aUpstream.address() ||
+        other.port() != aUpstream.port()) {
+      continue;
+    }
+    if (other.incarnation() > aUpstream.incarnation()) {
+      return false;
+    }
+    mEntries.erase(it);
+    ++mRevision;
+    return true;
+  }
+  return true;
+}
+
+void Registry::Leave(const std::string& aId, std::uint64_t aIncarnation)
+{
+  const std::uint64_t life = aIncarnation != 0 ? aIncarnation : IncarnationOf(aId);
+  std::uint64_t& left = mLeft[aId];
+  left = std::max(left, life);
+  const auto it = mEntries.find(aId);
+  if (it != mEntries.end() && it->second.upstream.incarnation() <= left &&
+      !it->second.upstream.leaving()) {
+    it->second.upstream.set_leaving(true);
+    ++mRevision;
+  }
+}
+
+void Registry::Expire(core::Instant aNow)
+{
+  const std::size_t before = mEntries.size();
+  std::erase_if(mEntries,
+                [&](const auto& aItem) { return aNow - aItem.second.heard > mSettings.lease; });
+  if (mEntries.size() != before) {
+    ++mRevision;
+  }
+}
+
+std::uint64_t Registry::IncarnationOf(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it == mEntries.end() ? 0 : it->second.upstream.incarnation();
+}
+
+bool Registry::IsLeaving(const std::string& aId, std::uint64_t aIncarnation) const
+{
+  const auto it = mLeft.find(aId);
+  return it != mLeft.end() && aIncarnation <= it->second;
+}
+
+std::vector<proto::Upstream> Registry::List() const
+{
+  std::vector<proto::Upstream> list;
+  list.reserve(mEntries.size());
+  for (const auto& [id, entry] : mEntries) {
+    list.push_back(entry.upstream);
+  }
+  return list;
+}
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/VersionShares.cpp
@@ -0,0 +1,81 @@
+#include "cuminfield/process/cluster/VersionShares.h"
+
+namespace cuminfield::process::cluster {
+
+bool VersionShares::IsRunning(const proto::Move& aMove)
+{
+  return aMove.phase() == proto::CANARY || aMove.phase() == proto::SHIFTED;
+}
+
+void VersionShares::Update(const proto::Feed& aFeed)
+{
+  if (aFeed.state_applied() == 0) {
+    return;
+  }
+  mMoves.clear();
+  mVersions.clear();
+  for (const proto::Move& it : aFeed.moves()) {
+    mMoves[core::ServiceId(it.service())] = it;
+  }
+  for (const proto::ServiceVersion& it : aFeed.versions()) {
+    mVersions[core::ServiceId(it.service())] = core::VersionId(it.version());
+  }
+  std::erase_if(mEvidence, [&](const auto& aItem) {
+    for (const auto& [service, move] : mMoves) {
+      if (move.number() == aItem.first.move && IsRunning(move)) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+core::VersionId VersionShares::Choose(const core::ServiceId& aService, const core::RouteId&,
+                                      double aPoint) const
+{
+  const auto version = mVersions.find(aService);
+  const core::VersionId inForce = version == mVersions.end() ? core::VersionId() : version->second;
+  const auto move = mMoves.find(aService);
+  if (move == mMoves.end()) {
+    return inForce;
+  }
+  switch (move->second.phase()) {
+    case proto::CANARY:
+      return aPoint < mSettings.canary ? core::VersionId(move->second.target()) : inForce;
+    case proto::SHIFTED:
+      return core::VersionId(move->second.target());
+    default:
+      return inForce;
+  }
+}
+
+void VersionShares::Count(const core::ServiceId& aService, const core::RouteId& aRoute,
+                          const core::VersionId& aVersion, bool aGood, core::Duration aFirst)
+{
+  const auto move = mMoves.find(aService);
+  if (move == mMoves.end() || !IsRunning(move->second)) {
+    return;
+  }
+  const bool target = aVersion.Text() == move->second.target();
+  const Key key{ .move = move->second.number(), .route = aRoute.Text(), .target = target };
+  proto::Evidence& evidence = mEvidence[key];
+  evidence.set_move(key.move);
+  evidence.set_route(key.route);
+  evidence.set_target(target);
+  if (!aGood) {
+    evidence.set_bad(evidence.bad() + 1);
+    return;
+  }
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aFirst).count();
+  evidence.set_good(evidence.good() + 1);
+  evidence.set_latency_ms(evidence.latency_ms() + static_cast<std::uint64_t>(ms));
+}
+
+void VersionShares::Describe(proto::Report& aReport) const
+{
+  for (const auto& [key, evidence] : mEvidence) {
+    *aReport.add_evidence() = evidence;
+  }
+}
+
+} // namespace cuminfield::process::cluster
--- /dev/null
+++ b/cuminfield/process/cluster/VersionShares.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "cuminfield/process/cluster/cluster.pb.h"
+#include "cuminfield/request/Scheduler.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace cuminfield::process::cluster {
+
+/// Tunables of the shares.
+struct VersionSharesSettings
+{
+  /// Share of a service's requests that go to a new version until it is proved. Below the bound on
+  /// what a bad version may get, so that the last step has room in that bound.
+  double canary = 0.045;
+};
+
+/// Which version of a service a request goes to, by the moves that the control hosts tell, and the
+/// evidence on both versions that this host has seen. Free of I/O.
+class VersionShares : public request::VersionChooser
+{
+public:
+  explicit VersionShares(VersionSharesSettings aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  /// Takes over the moves and versions of a feed that has them.
+  void Update(const proto::Feed& aFeed);
+
+  core::VersionId Choose(const core::ServiceId& aService, const core::RouteId& aRoute,
+                         double aPoint) const override;
+
+  /// Counts one try that ran at an upstream of this version.
+  void Count(const core::ServiceId& aService, const core::RouteId& aRoute,
+             const core::VersionId& aVersion, bool aGood, core::Duration aFirst);
+
+  /// Adds the evidence on running moves to a report.
+  void Describe(proto::Report& aReport) const;
+
+private:
+  struct Key
+  {
+    std::uint64_t move = 0;
+    std::string route;
+    bool target = false;
+
+    auto operator<=>(const Key&) const = default;
+  };
+
+  static bool IsRunning(const proto::Move& aMove);
+
+  VersionSharesSettings mSettings;
+  std::map<core::ServiceId, proto::Move> mMoves;
+  std::map<core::ServiceId, core::VersionId> mVersions;
+  std::map<Key, proto::Evidence> mEvidence;
+};
+
+} // namespace cuminfield::process::cluster
--- a/cuminfield/process/command/Commands.cpp
+++ b/cuminfield/process/command/Commands.cpp
@@ -102,6 +102,7 @@
   loop.OnSignal(SIGTERM, [&host] { host.Shutdown(); });
   loop.OnSignal(SIGINT, [&host] { host.Shutdown(); });
   loop.Run();
+  logging::TearDown();
   return host.ExitCode() == 0 ? ExitCode::Ok : ExitCode::Failed;
 }
 
@@ -346,13 +347,6 @@
   return ExitCode::Ok;
 }
 
-struct Command
-{
-  const char* name;
-  const char* summary;
-  ExitCode (*run)(const std::vector<std::string>&);
-};
-
 constexpr Command kCommands[] = {
   { "serve", "runs one host", Serve },
   { "check", "checks a host settings file or an environment document", Check },
@@ -362,28 +356,35 @@
   { "version", "prints the version", Version },
 };
 
-void PrintUsage(std::ostream& aStream)
+std::vector<Command> AllCommands(std::span<const Command> aFurther)
+{
+  std::vector<Command> commands(std::begin(kCommands), std::end(kCommands));
+  commands.insert(commands.end(), aFurther.begin(), aFurther.end());
+  return commands;
+}
+
+void PrintUsage(std::ostream& aStream, std::span<const Command> aFurther)
 {
   aStream << "cuminfield COMMAND [OPTIONS]; COMMAND --help tells more\n";
-  for (const Command& it : kCommands) {
+  for (const Command& it : AllCommands(aFurther)) {
     aStream << "  " << it.name << ": " << it.summary << "\n";
   }
 }
 
 } // namespace
 
-ExitCode Run(const std::vector<std::string>& aArguments)
+ExitCode Run(const std::vector<std::string>& aArguments, std::span<const Command> aFurther)
 {
   if (aArguments.empty()) {
-    PrintUsage(std::cerr);
+    PrintUsage(std::cerr, aFurther);
     return ExitCode::Usage;
   }
   const std::string& name = aArguments.front();
   if (name == "--help" || name == "help") {
-    PrintUsage(std::cout);
+    PrintUsage(std::cout, aFurther);
     return ExitCode::Ok;
   }
-  for (const Command& it : kCommands) {
+  for (const Command& it : AllCommands(aFurther)) {
     if (name == it.name) {
       return it.run({ aArguments.begin() + 1, aArguments.end() });
     }
--- a/cuminfield/process/log/GroupClient.cpp
+++ b/cuminfield/process/log/GroupClient.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/log/GroupClient.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cuminfield::process::log {
@@ -120,6 +121,15 @@
   mSend(mLeader, message);
 }
 
+void GroupClient::SetVoters(const Configuration& aVoters)
+{
+  for (const Member& it : aVoters.voters) {
+    if (std::find(mVoters.begin(), mVoters.end(), it.host) == mVoters.end()) {
+      mVoters.push_back(it.host);
+    }
+  }
+}
+
 void GroupClient::Probe()
 {
   for (const core::HostId& host : mVoters) {
--- a/cuminfield/process/log/GroupClient.h
+++ b/cuminfield/process/log/GroupClient.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Ids.h"
 #include "cuminfield/core/TimerService.h"
+#include "cuminfield/process/log/Configuration.h"
 #include "cuminfield/process/log/Group.h"
 #include "cuminfield/process/log/GroupClientSettings.h"
 #include "cuminfield/process/log/log.pb.h"
@@ -51,6 +52,9 @@
   /// The leader was lost.
   void LeaderLost() { mConfirmed = false; }
 
+  /// The voters of an open group as known now, asked besides those of the settings.
+  void SetVoters(const Configuration& aVoters);
+
   /// Leader as last heard; empty when unknown.
   const core::HostId& Leader() const { return mLeader; }
 
@@ -80,7 +84,7 @@
 
   const core::GroupId mGroup;
   const core::HostId mSelf;
-  const std::vector<core::HostId> mVoters;
+  std::vector<core::HostId> mVoters;
   core::TimerService& mTimers;
   const std::function<void(const core::HostId&, const proto::GroupMessage&)> mSend;
   const GroupClientSettings mSettings;
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -49,6 +49,7 @@
   mLog.emplace(ReplicatedLogOptions{ .group = mOptions.group,
                                      .self = mOptions.self,
                                      .voters = mOptions.voters,
+                                     .mayFound = mOptions.mayFound,
                                      .contents = std::move(contents),
                                      .random = random,
                                      .now = mOptions.timers.Now(),
@@ -310,6 +311,9 @@
 
 void LogGroup::WatchLeader()
 {
+  if (mOptions.settings.log.openVoters > 0) {
+    mClient.SetVoters(mLog->Voters());
+  }
   const core::HostId leader = mLog->Leader();
   if (leader.Empty()) {
     mClient.LeaderLost();
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -40,7 +40,8 @@
 {
   core::GroupId group;
   core::HostId self;
-  std::vector<core::HostId> voters; ///< The group's hosts by the settings, this one included.
+  std::vector<core::HostId> voters; ///< The group's hosts by the settings.
+  bool mayFound = true;             ///< False: only joins a group that others have founded.
   peer::PeerLinks& peers;
   core::TimerService& timers;
   LogStorage& storage;
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -28,6 +28,7 @@
   : mGroup(std::move(aOptions.group))
   , mSelf{ .host = std::move(aOptions.self), .incarnation = aOptions.contents.incarnation }
   , mHosts(std::move(aOptions.voters))
+  , mMayFound(aOptions.mayFound)
   , mSettings(aOptions.settings)
   , mRandom(aOptions.random)
   , mNow(aOptions.now)
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -66,7 +66,8 @@
 {
   core::GroupId group;
   core::HostId self;
-  std::vector<core::HostId> voters; ///< The group's hosts by the settings, this one included.
+  std::vector<core::HostId> voters; ///< The group's hosts by the settings.
+  bool mayFound = true;             ///< False: only joins a group that others have founded.
   LogContents contents;             ///< As loaded from storage.
   core::Random random;
   core::Instant now;
@@ -199,7 +200,9 @@
   void ChangeVoters();
   std::optional<Configuration> NextConfiguration() const;
   bool MayJoin(const Member& aMember, const Progress& aProgress) const;
-  bool InSettings(const core::HostId& aHost) const;
+  bool MayVote(const core::HostId& aHost) const;
+  const Member* VoterToReplace() const;
+  std::set<core::HostId> AnnounceTargets() const;
   bool QuorumHeard(const Configuration& aConfiguration) const;
   void ConfigurationChanged();
   void DropSilentLearners();
@@ -254,6 +257,7 @@
   const core::GroupId mGroup;
   const Member mSelf;
   const std::vector<core::HostId> mHosts;
+  const bool mMayFound;
   const ReplicatedLogSettings mSettings;
   core::Random mRandom;
   core::Instant mNow;
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -30,13 +30,22 @@
   }
   mAnnounceDue = mNow + mSettings.announce;
   TryFound();
-  for (const core::HostId& host : mHosts) {
-    if (host != mSelf.host) {
-      SendAnnouncement(host);
-    }
+  for (const core::HostId& host : AnnounceTargets()) {
+    SendAnnouncement(host);
   }
 }
 
+std::set<core::HostId> ReplicatedLog::AnnounceTargets() const
+{
+  std::set<core::HostId> targets(mHosts.begin(), mHosts.end());
+  // The hosts of the settings may all have been replaced since.
+  for (const Member& it : Voters().voters) {
+    targets.insert(it.host);
+  }
+  targets.erase(mSelf.host);
+  return targets;
+}
+
 void ReplicatedLog::SendAnnouncement(const core::HostId& aTo)
 {
   const Member anyLife{ .host = aTo, .incarnation = core::Incarnation() };
@@ -52,7 +61,7 @@
 void ReplicatedLog::HandleAnnouncement(const Member& aFrom,
                                        const proto::Announcement& aAnnouncement)
 {
-  if (!InSettings(aFrom.host) || aFrom.host == mSelf.host) {
+  if (!MayVote(aFrom.host) || aFrom.host == mSelf.host) {
     return;
   }
   if (mRole == Role::Leader && !Voters().Contains(aFrom)) {
@@ -71,7 +80,7 @@
 
 void ReplicatedLog::TryFound()
 {
-  if (mLog.Last() > 0) {
+  if (mLog.Last() > 0 || !mMayFound) {
     return;
   }
   if (const auto founders = mFounding.Proposal(); founders && mTerm == 0) {
@@ -127,9 +136,21 @@
   });
 }
 
-bool ReplicatedLog::InSettings(const core::HostId& aHost) const
+bool ReplicatedLog::MayVote(const core::HostId& aHost) const
+{
+  return mSettings.openVoters > 0 || std::find(mHosts.begin(), mHosts.end(), aHost) != mHosts.end();
+}
+
+const Member* ReplicatedLog::VoterToReplace() const
 {
-  return std::find(mHosts.begin(), mHosts.end(), aHost) != mHosts.end();
+  if (mSettings.openVoters == 0) {
+    return nullptr;
+  }
+  const auto& voters = Voters().voters;
+  const auto silent = std::find_if(voters.begin(), voters.end(), [this](const Member& aVoter) {
+    return !HeardSince(aVoter, mSettings.replaceSilent);
+  });
+  return silent == voters.end() ? nullptr : &*silent;
 }
 
 // One voter at a time (dissertation 4.1), and only when an entry of the leader's own term is
@@ -158,14 +179,20 @@
     // A voter whose disk was lost: its dead life goes first, then the new one comes in.
     const Member* former = Voters().Find(member.host);
     if (!former) {
-      return Voters().With(member);
+      if (mSettings.openVoters == 0 || Voters().voters.size() < mSettings.openVoters) {
+        return Voters().With(member);
+      }
+      if (const Member* silent = VoterToReplace()) {
+        return Voters().Without(*silent);
+      }
+      continue;
     }
     if (!HeardSince(*former, mSettings.electionTimeoutMax)) {
       return Voters().Without(*former);
     }
   }
   for (const Member& it : Voters().voters) {
-    if (!InSettings(it.host) && !HeardSince(it, mSettings.electionTimeoutMax)) {
+    if (!MayVote(it.host) && !HeardSince(it, mSettings.electionTimeoutMax)) {
       return Voters().Without(it);
     }
   }
@@ -177,7 +204,7 @@
   const bool caughtUp =
     !aProgress.snapshot && aProgress.match > 0 && aProgress.match + mSettings.learnerLag >= mCommit;
   return caughtUp && !Voters().Contains(aMember) && aMember.host != mSelf.host &&
-         InSettings(aMember.host) && HeardSince(aMember, mSettings.electionTimeoutMin);
+         MayVote(aMember.host) && HeardSince(aMember, mSettings.electionTimeoutMin);
 }
 
 } // namespace cuminfield::process::log
--- a/cuminfield/process/log/ReplicatedLogSettings.h
+++ b/cuminfield/process/log/ReplicatedLogSettings.h
@@ -44,6 +44,14 @@
 
   /// Entries proposed but not committed above which new proposals are refused.
   std::uint64_t maxUncommitted = 20'000;
+
+  /// How many voters an open group wants; 0: the group is closed, and votes are for the hosts of
+  /// the settings alone. Any host may join an open group: as a voter while it has fewer than this,
+  /// or in the place of a voter that is silent.
+  std::uint32_t openVoters = 0;
+
+  /// A voter of an open group that is silent for longer may be replaced.
+  core::Duration replaceSilent = std::chrono::milliseconds(3000);
 };
 
 } // namespace cuminfield::process::log
--- a/cuminfield/process/logging/EventLog.cpp
+++ b/cuminfield/process/logging/EventLog.cpp
@@ -1,6 +1,7 @@
 #include "cuminfield/process/logging/EventLog.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -11,6 +12,10 @@
 settings::LogFormat sFormat = settings::LogFormat::KeyValue;
 std::string sHost;
 
+/// Lines that may wait to be written.
+constexpr std::size_t kQueuedLines = 8192;
+constexpr std::chrono::seconds kFlushPeriod{ 1 };
+
 spdlog::level::level_enum ToSpdlog(Level aLevel)
 {
   switch (aLevel) {
@@ -37,7 +42,8 @@
 {
   sFormat = aFormat;
   sHost = aHost.Text();
-  auto logger = spdlog::stderr_logger_st("cuminfield");
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("cuminfield");
   logger->set_level(spdlog::level::from_str(aLevel));
   if (aFormat == settings::LogFormat::Json) {
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v})",
@@ -45,10 +51,22 @@
   } else {
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v", spdlog::pattern_time_type::utc);
   }
-  logger->flush_on(spdlog::level::info);
+  logger->flush_on(spdlog::level::warn);
+  spdlog::flush_every(kFlushPeriod);
   spdlog::set_default_logger(logger);
 }
 
+std::uint64_t Dropped()
+{
+  const auto pool = spdlog::thread_pool();
+  return pool ? pool->overrun_counter() : 0;
+}
+
+void TearDown()
+{
+  spdlog::shutdown();
+}
+
 std::string Format(settings::LogFormat aFormat, std::string_view aEvent,
                    std::initializer_list<Field> aFields)
 {
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -4,11 +4,17 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
 namespace cuminfield::process::peer {
 
+namespace {
+/// How often streams are checked for silence.
+constexpr core::Duration kWatchPeriod = std::chrono::milliseconds(250);
+} // namespace
+
 /// The sending end of a stream. Lives until gRPC reports it done; the loop and gRPC's threads
 /// share it, but only gRPC's methods are called on both.
 class GrpcPeerLinks::OutStream
@@ -184,6 +190,9 @@
   for (auto& [id, peer] : mPeers) {
     Open(peer);
   }
+  if (mOptions.settings.silence.count() > 0) {
+    mWatch = mOptions.loop.Every(kWatchPeriod, [this] { WatchSilence(); });
+  }
   return core::Done();
 }
 
@@ -206,11 +215,12 @@
 
 void GrpcPeerLinks::Send(const core::HostId& aTo, PeerMessage aMessage)
 {
-  const auto it = mPeers.find(aTo);
-  if (it == mPeers.end() || !*mAlive) {
+  Peer* known = *mAlive ? FindOrAdd(aTo) : nullptr;
+  if (!known) {
     return;
   }
-  Peer& peer = it->second;
+  Peer& peer = *known;
+  peer.sent = mOptions.loop.Now();
   if (peer.queue.size() >= mOptions.settings.maxQueuedFrames) {
     return;
   }
@@ -218,8 +228,53 @@
   Flush(peer);
 }
 
+GrpcPeerLinks::Peer* GrpcPeerLinks::FindOrAdd(const core::HostId& aHost)
+{
+  const auto it = mPeers.find(aHost);
+  if (it != mPeers.end()) {
+    return &it->second;
+  }
+  if (mOptions.settings.openPort == 0 || aHost == mOptions.self || aHost.Empty()) {
+    return nullptr;
+  }
+  Peer& peer = mPeers[aHost];
+  peer.settings = { .id = aHost,
+                    .endpoint = { .address = aHost.Text(), .port = mOptions.settings.openPort },
+                    .dataCentre = {} };
+  peer.temporary = true;
+  peer.sent = mOptions.loop.Now();
+  Open(peer);
+  return &peer;
+}
+
+void GrpcPeerLinks::WatchSilence()
+{
+  const core::Instant now = mOptions.loop.Now();
+  for (auto it = mPeers.begin(); it != mPeers.end();) {
+    Peer& peer = it->second;
+    const core::Duration unused = now - std::max(peer.sent, peer.heard);
+    if (peer.temporary && unused > mOptions.settings.forget) {
+      if (peer.stream) {
+        peer.stream->Close();
+      }
+      it = mPeers.erase(it);
+      continue;
+    }
+    ++it;
+    const core::Duration silent = now - std::max(peer.heard, peer.opened);
+    const bool wanted = now - peer.sent < mOptions.settings.silence;
+    if (peer.stream && wanted && silent > mOptions.settings.silence) {
+      peer.stream->Close();
+      peer.stream.reset();
+      peer.queue.clear();
+      Open(peer);
+    }
+  }
+}
+
 void GrpcPeerLinks::Open(Peer& aPeer)
 {
+  aPeer.opened = mOptions.loop.Now();
   aPeer.stream = std::make_shared<OutStream>(*this, aPeer.settings.id, aPeer.settings.endpoint);
   aPeer.stream->Begin();
   Flush(aPeer);
@@ -244,10 +299,11 @@
 
 void GrpcPeerLinks::OnWritten(const core::HostId& aPeer, const OutStream* aStream, bool aOk)
 {
-  Peer& peer = mPeers.at(aPeer);
-  if (peer.stream.get() != aStream) {
+  const auto it = mPeers.find(aPeer);
+  if (it == mPeers.end() || it->second.stream.get() != aStream) {
     return;
   }
+  Peer& peer = it->second;
   if (!aOk) {
     peer.stream->Close();
     return;
@@ -258,10 +314,11 @@
 
 void GrpcPeerLinks::OnClosed(const core::HostId& aPeer, const OutStream* aStream)
 {
-  Peer& peer = mPeers.at(aPeer);
-  if (peer.stream.get() != aStream) {
+  const auto it = mPeers.find(aPeer);
+  if (it == mPeers.end() || it->second.stream.get() != aStream) {
     return;
   }
+  Peer& peer = it->second;
   peer.stream->Close();
   peer.stream.reset();
   // What waited for the broken stream is old by the time of the next one.
@@ -277,9 +334,11 @@
   }
   mBytesReceived.value += static_cast<std::int64_t>(aBytes.size());
   const core::HostId from(batch.from());
-  if (!mPeers.contains(from)) {
+  Peer* known = FindOrAdd(from);
+  if (!known) {
     return;
   }
+  known->heard = mOptions.loop.Now();
   for (proto::Frame& it : *batch.mutable_frames()) {
     mOnMessage.emit(from, PeerMessage{ .channel = static_cast<Channel>(it.channel()),
                                        .payload = std::move(*it.mutable_payload()) });
--- a/cuminfield/process/peer/GrpcPeerLinks.h
+++ b/cuminfield/process/peer/GrpcPeerLinks.h
@@ -25,6 +25,14 @@
   core::Duration reconnect = std::chrono::milliseconds(200);
   /// Largest batch received, in bytes.
   int maxBatchBytes = 64 * 1024 * 1024;
+  /// Hosts that are not in the settings may be sent to and heard: their id is their IP number, and
+  /// they listen on the same port as this host. 0: only the peers of the settings.
+  std::uint16_t openPort = 0;
+  /// A peer that was heard before and is silent for this long gets a new stream: connections may go
+  /// silent for good. Zero: never.
+  core::Duration silence{ 0 };
+  /// An open peer that was neither sent to nor heard for this long is forgotten.
+  core::Duration forget = std::chrono::seconds(10);
 };
 
 /// Links to peers over gRPC: one stream for each direction between two hosts. gRPC's threads hand
@@ -69,8 +77,14 @@
     std::vector<PeerMessage> queue;
     std::shared_ptr<OutStream> stream;
     core::TimerHandle reconnect;
+    core::Instant heard{};  ///< When its last batch came.
+    core::Instant sent{};   ///< When something was last queued for it.
+    core::Instant opened{}; ///< When its stream was opened.
+    bool temporary = false; ///< Not of the settings.
   };
 
+  Peer* FindOrAdd(const core::HostId& aHost);
+  void WatchSilence();
   void Open(Peer& aPeer);
   void Flush(Peer& aPeer);
   void OnWritten(const core::HostId& aPeer, const OutStream* aStream, bool aOk);
@@ -82,6 +96,7 @@
   std::unique_ptr<Service> mService;
   std::unique_ptr<grpc::Server> mServer;
   std::shared_ptr<bool> mAlive; ///< False once stopped: late completions do nothing.
+  core::TimerHandle mWatch;
   core::Bytes mBytesSent;
   core::Bytes mBytesReceived;
 };
--- a/cuminfield/process/peer/PeerLinks.h
+++ b/cuminfield/process/peer/PeerLinks.h
@@ -18,6 +18,7 @@
   Capacity = 4,   ///< Demand and grants.
   Moves = 5,      ///< Observations of versions and verdicts on them.
   Documents = 6,  ///< Accepted documents and the steps of their moves.
+  Cluster = 7,    ///< Reports and feeds between hosts that find each other by seeds.
 };
 
 /// One message between two hosts: best effort. May be lost, repeated, delayed or overtaken, so
--- a/cuminfield/request/RequestSpec.h
+++ b/cuminfield/request/RequestSpec.h
@@ -31,6 +31,9 @@
   core::Tokens maxAnswer{ 0 };    ///< Upper bound the caller gave; 0 for plain calls.
   std::vector<PrefixHash> prefix; ///< One per block of kPrefixBlock tokens of the prompt.
   bool mayRepeat = true;          ///< Idempotent: may be sent again after a failure.
+  bool engine = false;            ///< Goes to a model engine.
+  bool resumed = false;   ///< The rest of a stream that broke off: its caller has begun to read.
+  core::UpstreamId avoid; ///< Where it failed before; used only if there is no other.
 };
 
 /// Tokens that one PrefixHash covers.
--- a/cuminfield/request/Scheduler.h
+++ b/cuminfield/request/Scheduler.h
@@ -22,12 +22,19 @@
 enum class TryOutcome
 {
   Succeeded,
-  Refused,       ///< Nothing ran: no connection, or the upstream said so.
+  Refused,       ///< Nothing ran: the upstream said so.
+  Unreachable,   ///< Nothing ran: no connection.
   Failed,        ///< The upstream answered with a fault of its own, or fell silent midway.
   RejectedInput, ///< The upstream blames the request (4xx); says nothing about its health.
   Cancelled,     ///< The caller left.
 };
 
+/// True when a try ended without anything of the request having run.
+inline bool NothingRan(TryOutcome aOutcome)
+{
+  return aOutcome == TryOutcome::Refused || aOutcome == TryOutcome::Unreachable;
+}
+
 /// Receives the scheduler's decisions.
 class SchedulerListener
 {
--- a/cuminfield/request/Upstream.h
+++ b/cuminfield/request/Upstream.h
@@ -24,6 +24,7 @@
   std::uint32_t slots = 1;         ///< Requests it runs at once before its pace falls.
   core::Tokens cacheCapacity{ 0 }; ///< Tokens of prefix cache.
   bool resumes = false;            ///< Streams can be read again from an offset by request id.
+  bool engine = false;             ///< A model engine.
 };
 
 /// An upstream's report on its load: true some time ago.
--- a/cuminfield/request/admission/TieredScheduler.cpp
+++ b/cuminfield/request/admission/TieredScheduler.cpp
@@ -339,7 +339,7 @@
   TakeFromUpstream(state);
   ObserveOutcome(mFleet.At(state.upstream), aOutcome);
   MarkDirty(state.pool);
-  if (aOutcome == TryOutcome::Refused) {
+  if (NothingRan(aOutcome)) {
     TryAgain(request);
   } else {
     Forget(request);
@@ -360,7 +360,7 @@
   } else {
     aUpstream.circuit.Succeeded(now);
   }
-  if (aOutcome == TryOutcome::Refused) {
+  if (NothingRan(aOutcome)) {
     aUpstream.pausedUntil = now + mSettings.router.refusalPause;
   }
 }
--- a/cuminfield/request/exchange/EventStream.h
+++ b/cuminfield/request/exchange/EventStream.h
@@ -18,6 +18,15 @@
   /// Whole data events so far, the closing `[DONE]` not counted.
   std::uint64_t Events() const { return mEvents; }
 
+  /// The `id:` of the last whole event; empty when none had one.
+  const std::string& LastId() const { return mLastId; }
+
+  /// True while a part of an event is kept.
+  bool Partial() const { return !mKept.empty(); }
+
+  /// Drops the part of an event that is kept: the stream goes on elsewhere.
+  void DropPartial() { mKept.clear(); }
+
   /// True once `data: [DONE]` came.
   bool Done() const { return mDone; }
 
@@ -26,6 +35,7 @@
 
   std::string mKept;  ///< Bytes of an event not yet whole.
   std::string mWhole; ///< What the last Take() returned.
+  std::string mLastId;
   std::uint64_t mEvents = 0;
   bool mDone = false;
 };
--- /dev/null
+++ b/cuminfield/request/forward/ForwardObserver.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cuminfield/request/Scheduler.h"
+#include "cuminfield/request/forward/ForwardRequest.h"
+
+#include <optional>
+
+namespace cuminfield::request::forward {
+
+/// How a try of a forwarded request went, for the judgement of versions and for metrics.
+struct ForwardTry
+{
+  UpstreamAnnouncement upstream;
+  TryOutcome outcome = TryOutcome::Succeeded;
+  int status = 0;
+  std::optional<core::Duration> first; ///< From sending to the first event, or the whole answer.
+};
+
+/// How a forwarded request ended for its caller.
+struct ForwardSummary
+{
+  int status = 0;     ///< 0: nothing was answered.
+  bool whole = false; ///< The upstream's whole answer was passed on.
+  bool callerLeft = false;
+  std::uint32_t tries = 0;
+  std::string reason;                  ///< Of a failure of ours.
+  core::UpstreamId upstream;           ///< Of the last try.
+  std::optional<core::Duration> first; ///< From arrival to the first event, or the whole answer.
+  core::Duration total{ 0 };
+  core::Duration worstGap{ 0 };
+  std::uint64_t events = 0;
+};
+
+/// Told of tries and ends of forwarded requests.
+class ForwardObserver
+{
+public:
+  virtual ~ForwardObserver() = default;
+  virtual void OnTry(const ForwardRequest& aRequest, const ForwardTry& aTry) = 0;
+  virtual void OnEnded(const ForwardRequest& aRequest, const ForwardSummary& aSummary) = 0;
+};
+
+} // namespace cuminfield::request::forward
--- /dev/null
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "cuminfield/core/Units.h"
+#include "cuminfield/request/admission/RetryBudget.h"
+
+#include <cstdint>
+
+namespace cuminfield::request::placement {
+
+/// Tunables of the upstreams' board.
+struct UpstreamBoardSettings
+{
+  /// First event of an idle engine with an empty prompt, before any answer taught better.
+  core::Duration firstBase = std::chrono::milliseconds(40);
+  /// Prompt tokens that an engine reads in a millisecond, likewise.
+  double promptTokensPerMs = 100;
+  /// Time between tokens, likewise.
+  double tokenMs = 5;
+  /// Work of a plain call, likewise.
+  core::Duration plainWork = std::chrono::milliseconds(20);
+  /// Weight of the newest observation in an average.
+  double learn = 0.15;
+  /// Bounds of what an upstream's speed may be learned to be, relative to the prediction.
+  double minFactor = 0.2;
+  double maxFactor = 20;
+  /// Added for an upstream of another data centre: links cost money, and time.
+  core::Duration otherDataCentre = std::chrono::milliseconds(25);
+  /// Part of the time that a stream takes after its first event that counts in a comparison: a slot
+  /// that is free again sooner serves the next request.
+  double durationWeight = 0.2;
+  /// Random part of a comparison: hosts with the same stale figures must not all choose the same.
+  double jitter = 0.25;
+  /// Load that an upstream told with an answer is preferred to the hosts' sums for this long.
+  core::Duration toldLasts = std::chrono::milliseconds(250);
+  /// After a failure to connect, and doubled by each further one up to the longest.
+  core::Duration pause = std::chrono::milliseconds(400);
+  core::Duration longestPause = std::chrono::milliseconds(3200);
+  /// No new work for an upstream that refused some because it was full.
+  core::Duration fullPause = std::chrono::milliseconds(120);
+  /// Share of failures above the mean of its service from which an upstream gets no work.
+  double failShareAbove = 0.22;
+  /// How long such an upstream is left alone before it is tried with one request at a time.
+  core::Duration failPause = std::chrono::milliseconds(1500);
+  /// An engine with requests in flight that sends nothing for this long gets no new ones.
+  core::Duration engineSilence = std::chrono::milliseconds(700);
+  /// The same for a plain service.
+  core::Duration plainSilence = std::chrono::milliseconds(600);
+  /// Requests at a plain service beyond its slots, as a multiple of the slots.
+  double plainQueue = 1.0;
+  /// Requests at an engine, as a multiple of its slots.
+  double engineFill = 1.0;
+};
+
+/// Tunables of PlacementScheduler.
+struct PlacementSettings
+{
+  UpstreamBoardSettings board;
+  /// Between two checks of what waits.
+  core::Duration tick = std::chrono::milliseconds(20);
+  /// How long a request may wait for a late answer, beyond its target: as a multiple of the target,
+  double lateTargets = 1.0;
+  /// and as a part of the time that its caller waits, whichever is longer.
+  double lateShare = 0.15;
+  /// Bounds of Retry-After.
+  core::Duration minRetryAfter = std::chrono::milliseconds(300);
+  core::Duration maxRetryAfter = std::chrono::milliseconds(4000);
+  /// Callers heed Retry-After up to this part of the time that they have left.
+  double retryAfterShare = 0.3;
+  /// The rate of dispatches is averaged over about this long.
+  core::Duration rateWindow = std::chrono::milliseconds(1500);
+  admission::RetryBudgetSettings retry{ .share = 0.12, .reserve = 3, .tries = 4 };
+};
+
+} // namespace cuminfield::request::placement
--- /dev/null
+++ b/cuminfield/request/placement/WaitingLine.cpp
@@ -0,0 +1,104 @@
+#include "cuminfield/request/placement/WaitingLine.h"
+
+#include <algorithm>
+
+namespace cuminfield::request::placement {
+
+std::size_t WaitingLine::Index(std::uint32_t aRank)
+{
+  return std::min<std::size_t>(aRank, kRanks - 1);
+}
+
+void WaitingLine::Add(const Waiting& aWaiting)
+{
+  auto& line = mOnTime[Index(aWaiting.rank)];
+  // Mostly at the end; one that comes back from an upstream keeps its place.
+  const auto place = std::upper_bound(
+    line.begin(), line.end(), aWaiting,
+    [](const Waiting& aLeft, const Waiting& aRight) { return aLeft.arrival < aRight.arrival; });
+  line.insert(place, aWaiting);
+}
+
+void WaitingLine::Remove(const core::RequestId& aId)
+{
+  for (auto* lines : { &mOnTime, &mLate }) {
+    for (auto& line : *lines) {
+      const auto it =
+        std::find_if(line.begin(), line.end(), [&](const Waiting& aIt) { return aIt.id == aId; });
+      if (it != line.end()) {
+        line.erase(it);
+        return;
+      }
+    }
+  }
+}
+
+void WaitingLine::MoveLate(core::Instant aNow)
+{
+  for (std::size_t n = 0; n < kRanks; ++n) {
+    auto& line = mOnTime[n];
+    for (auto it = line.begin(); it != line.end();) {
+      if (it->onTimeUntil > aNow) {
+        ++it;
+        continue;
+      }
+      mLate[n].push_back(*it);
+      it = line.erase(it);
+    }
+  }
+}
+
+const Waiting* WaitingLine::Next(core::Instant aNow)
+{
+  MoveLate(aNow);
+  for (auto* lines : { &mOnTime, &mLate }) {
+    for (auto& line : *lines) {
+      if (!line.empty()) {
+        return &line.front();
+      }
+    }
+  }
+  return nullptr;
+}
+
+void WaitingLine::RemoveExpired(core::Instant aNow,
+                                const std::function<void(const Waiting&)>& aShed)
+{
+  MoveLate(aNow);
+  std::deque<Waiting> expired;
+  for (auto* lines : { &mOnTime, &mLate }) {
+    for (auto& line : *lines) {
+      for (auto it = line.begin(); it != line.end();) {
+        if (it->waitsUntil > aNow) {
+          ++it;
+          continue;
+        }
+        expired.push_back(*it);
+        it = line.erase(it);
+      }
+    }
+  }
+  for (const Waiting& it : expired) {
+    aShed(it);
+  }
+}
+
+std::size_t WaitingLine::Ahead(std::uint32_t aRank) const
+{
+  std::size_t n = 0;
+  for (std::size_t rank = 0; rank <= Index(aRank); ++rank) {
+    n += mOnTime[rank].size();
+  }
+  return n;
+}
+
+std::size_t WaitingLine::Size() const
+{
+  std::size_t n = 0;
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
+    n += mOnTime[rank].size() + mLate[rank].size();
+  }
+  return n;
+}
+
+} // namespace cuminfield::request::placement
--- /dev/null
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -0,0 +1,95 @@
+#include "cuminfield/version/catalogue/CatalogueIndex.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace cuminfield::version::catalogue {
+
+namespace {
+
+std::string HostKey(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(),
+                 [](unsigned char aLetter) { return static_cast<char>(std::tolower(aLetter)); });
+  return key;
+}
+
+template<typename Map, typename Key>
+auto FindIn(const Map& aMap, const Key& aKey) -> typename Map::mapped_type
+{
+  const auto it = aMap.find(aKey);
+  return it == aMap.end() ? nullptr : it->second;
+}
+
+} // namespace
+
+CatalogueIndex::CatalogueIndex(Catalogue aCatalogue)
+  : mCatalogue(std::move(aCatalogue))
+{
+  for (const RouteRule& it : mCatalogue.routes) {
+    mHosts[HostKey(it.host)].push_back(&it);
+  }
+  for (auto& [host, routes] : mHosts) {
+    std::sort(routes.begin(), routes.end(), [](const RouteRule* aLeft, const RouteRule* aRight) {
+      return aLeft->pathPrefix.size() > aRight->pathPrefix.size();
+    });
+  }
+  for (const WorkspaceRule& it : mCatalogue.workspaces) {
+    mWorkspaces[it.id] = &it;
+    for (const std::string& key : it.keys) {
+      mKeys[key] = &it;
+    }
+  }
+  for (const ServiceRule& it : mCatalogue.services) {
+    mServices[it.id] = &it;
+  }
+}
+
+const RouteRule* CatalogueIndex::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  const auto it = mHosts.find(HostKey(aHost));
+  if (it == mHosts.end()) {
+    return nullptr;
+  }
+  for (const RouteRule* route : it->second) {
+    if (aPath.starts_with(route->pathPrefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const WorkspaceRule* CatalogueIndex::FindKey(const std::string& aKey) const
+{
+  return FindIn(mKeys, aKey);
+}
+
+const WorkspaceRule* CatalogueIndex::FindWorkspace(const core::WorkspaceId& aId) const
+{
+  return FindIn(mWorkspaces, aId);
+}
+
+const ServiceRule* CatalogueIndex::FindService(const core::ServiceId& aId) const
+{
+  return FindIn(mServices, aId);
+}
+
+const core::ServiceId& CatalogueIndex::ChooseService(const RouteRule& aRoute, double aPoint)
+{
+  double total = 0;
+  for (const ServiceShare& it : aRoute.services) {
+    total += it.weight;
+  }
+  double left = aPoint * total;
+  for (const ServiceShare& it : aRoute.services) {
+    left -= it.weight;
+    if (left < 0 && it.weight > 0) {
+      return it.service;
+    }
+  }
+  return aRoute.services.back().service;
+}
+
+} // namespace cuminfield::version::catalogue
