Quotas by the use of all hosts; a stopping host closes its idle connections

Change: hosts report what they took in the window; a host admits what fits beside the sum and what the others will probably take before they hear of it. What did not run is given back. After 2.5 s of a stop new requests are told not-run and idle connections are closed. Settings [quota] and [retries].

--- a/cuminfield/connection/caller/HttpServer.cpp
+++ b/cuminfield/connection/caller/HttpServer.cpp
@@ -148,6 +148,7 @@
     evhttp_connection* connection = evhttp_request_get_connection(mRequest);
     Release();
     if (connection) {
+      mServer.mIdle.erase(connection);
       bufferevent_disable(evhttp_connection_get_bufferevent(connection), EV_READ | EV_WRITE);
       mServer.CloseSoon(connection);
     }
@@ -183,7 +184,8 @@
     --mServer.mOpen;
     evhttp_connection* connection = evhttp_request_get_connection(request);
     if (connection) {
-      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      mServer.mIdle.insert(connection);
+      evhttp_connection_set_closecb(connection, OnIdleClosed, &mServer);
       const timeval idle = core::ToTimeval(mServer.mOptions.settings.idle);
       bufferevent* channel = evhttp_connection_get_bufferevent(connection);
       bufferevent_set_timeouts(channel, &idle, &idle);
@@ -248,6 +250,9 @@
 
 HttpServer::~HttpServer()
 {
+  for (evhttp_connection* it : mIdle) {
+    evhttp_connection_set_closecb(it, nullptr, nullptr);
+  }
   if (mServer) {
     evhttp_free(mServer);
   }
@@ -280,8 +285,28 @@
   }
 }
 
+void HttpServer::CloseIdle()
+{
+  const std::set<evhttp_connection*> idle = mIdle;
+  for (evhttp_connection* it : idle) {
+    bufferevent* channel = evhttp_connection_get_bufferevent(it);
+    const bool written = evbuffer_get_length(bufferevent_get_output(channel)) == 0;
+    const bool begun = evbuffer_get_length(bufferevent_get_input(channel)) > 0;
+    if (written && !begun) {
+      mIdle.erase(it);
+      CloseSoon(it);
+    }
+  }
+}
+
+void HttpServer::OnIdleClosed(evhttp_connection* aConnection, void* aSelf)
+{
+  static_cast<HttpServer*>(aSelf)->mIdle.erase(aConnection);
+}
+
 void HttpServer::Handle(evhttp_request* aRequest)
 {
+  mIdle.erase(evhttp_request_get_connection(aRequest));
   auto channel = std::make_shared<Channel>(*this, aRequest);
   channel->Watch();
   if (mOpen > mOptions.settings.maxOpen) {
--- a/cuminfield/connection/caller/HttpServer.h
+++ b/cuminfield/connection/caller/HttpServer.h
@@ -49,6 +49,10 @@
   /// Takes no new connections; those open go on.
   void StopAccepting();
 
+  /// Closes the connections that wait for a caller's next request. One whose request is on its way
+  /// is closed all the same: nothing of that request was read, so it is safe to send again.
+  void CloseIdle();
+
   /// Requests being answered now.
   std::size_t Open() const { return mOpen; }
 
@@ -57,6 +61,7 @@
 
   void Handle(evhttp_request* aRequest);
   void CloseSoon(evhttp_connection* aConnection);
+  static void OnIdleClosed(evhttp_connection* aConnection, void* aSelf);
   static void OnClosingClosed(evhttp_connection* aConnection, void* aSelf);
   static void OnRequest(evhttp_request* aRequest, void* aSelf);
 
@@ -65,6 +70,7 @@
   evhttp_bound_socket* mSocket = nullptr;
   std::size_t mOpen = 0;
   std::set<evhttp_connection*> mClosing; ///< Broken off, to be freed from the loop.
+  std::set<evhttp_connection*> mIdle;    ///< Answered; wait for the next request.
 };
 
 } // namespace cuminfield::connection::caller
--- a/cuminfield/process/cluster/ClusterSettings.h
+++ b/cuminfield/process/cluster/ClusterSettings.h
@@ -27,6 +27,10 @@
   std::uint32_t voters = 3;        ///< Control hosts that vote.
   std::string dataFolder;          ///< Of a control host.
   core::Duration shutdown = std::chrono::seconds(8); ///< From SIGTERM to the process's end.
+  core::Duration quotaWindow = std::chrono::seconds(8);
+  double quotaOvershoot = 0; ///< Tolerated above a quota in a window, as a share of it.
+  double quotaSlack = 0;     ///< Units tolerated beyond that, of all hosts together.
+  double retryShare = 0.1;   ///< Further tries of a service's requests, as a share of them.
   std::string logLevel = "info";
   settings::LogFormat logFormat = settings::LogFormat::KeyValue;
 };
--- a/cuminfield/process/cluster/ClusterSettingsFile.cpp
+++ b/cuminfield/process/cluster/ClusterSettingsFile.cpp
@@ -16,8 +16,9 @@
 
 constexpr std::int64_t kMaxLosses = 8;
 constexpr std::int64_t kSecond = 1'000'000;
+constexpr std::int64_t kWhole = 100; ///< In hundredths.
 
-const std::array<KeySpec, 15> kReference{ {
+const std::array<KeySpec, 19> kReference{ {
   { .section = "host",
     .key = "id",
     .type = ValueType::Name,
@@ -88,6 +89,29 @@
     .fallback = "8s",
     .meaning = "after SIGTERM the process is gone by then",
     .min = kSecond },
+  { .section = "quota",
+    .key = "window",
+    .type = ValueType::Duration,
+    .fallback = "8s",
+    .meaning = "quotas of workspaces are judged over windows of this length",
+    .min = kSecond },
+  { .section = "quota",
+    .key = "overshoot",
+    .type = ValueType::Ratio,
+    .fallback = "0",
+    .meaning = "tolerated above a quota, as a share of it",
+    .max = kWhole },
+  { .section = "quota",
+    .key = "slack",
+    .type = ValueType::Count,
+    .fallback = "0",
+    .meaning = "units tolerated above a quota, of all hosts together" },
+  { .section = "retries",
+    .key = "share",
+    .type = ValueType::Ratio,
+    .fallback = "0.1",
+    .meaning = "further tries of a service's requests, as a share of them",
+    .max = kWhole },
   { .section = "log",
     .key = "level",
     .type = ValueType::Choice,
@@ -182,6 +206,16 @@
   if (const settings::IniSection* limits = reader.Section("limits")) {
     reader.Read(*limits, "shutdown", result.shutdown);
   }
+  if (const settings::IniSection* quota = reader.Section("quota")) {
+    std::uint64_t slack = 0;
+    reader.Read(*quota, "window", result.quotaWindow);
+    reader.Read(*quota, "overshoot", result.quotaOvershoot);
+    reader.Read(*quota, "slack", slack);
+    result.quotaSlack = static_cast<double>(slack);
+  }
+  if (const settings::IniSection* retries = reader.Section("retries")) {
+    reader.Read(*retries, "share", result.retryShare);
+  }
   if (const settings::IniSection* log = reader.Section("log")) {
     std::size_t level = 0;
     reader.ReadChoice(*log, "level", level);
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -168,11 +168,11 @@
       mScheduler.Board().SetTotal(id, 0, 0, now);
     }
   }
-  std::map<core::WorkspaceId, double> demand;
+  std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
-    demand[core::WorkspaceId(it.workspace())] = it.units_per_s();
+    use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s() };
   }
-  mQuota.SetSums(demand, aFeed.hosts(), now);
+  mQuota.SetSums(std::move(use), aFeed.hosts(), now);
 }
 
 void EntryHost::Describe(proto::Report& aReport)
@@ -188,10 +188,11 @@
     it->set_requests(entry.own);
     it->set_prompt_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, entry.ownPrompt)));
   }
-  for (const auto& [workspace, units] : mQuota.Demand(mOptions.loop.Now())) {
+  for (const auto& [workspace, use] : mQuota.Report(mOptions.loop.Now())) {
     proto::Demand* it = aReport.add_demand();
     it->set_workspace(workspace.Text());
-    it->set_units_per_s(units);
+    it->set_units_per_s(use.demand);
+    it->set_used(use.used);
   }
   mVersions.Describe(aReport);
 }
@@ -213,6 +214,9 @@
   if (since < mOptions.settings.leaveAfter) {
     return;
   }
+  mForwards.RefuseNew();
+  mServer.StopAccepting();
+  mServer.CloseIdle();
   if (mForwards.Size() == 0) {
     logging::Event(logging::Level::Info, "shutdown-done", { { "cut", 0 } });
     mDrainTimer = mOptions.loop.After(kDrainCheck, [this] { mOptions.loop.Stop(); });
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -30,9 +30,9 @@
   connection::caller::HttpServerSettings callers;
   /// After a stop was asked for, requests still in flight are cut off after this.
   core::Duration shutdown = std::chrono::milliseconds(7000);
-  /// New connections still come for this long after a stop was asked for: the balancer takes some
-  /// seconds to notice.
-  core::Duration leaveAfter = std::chrono::milliseconds(3200);
+  /// New requests are still taken for this long after a stop was asked for: the balancer takes two
+  /// checks, a second apart, to notice.
+  core::Duration leaveAfter = std::chrono::milliseconds(2500);
 };
 
 /// A host between callers and upstreams, in a cluster that is found by seeds. Lives for the
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -40,6 +40,13 @@
   sum.set_held_tokens(sum.held_tokens() + aInFlight.held_tokens());
 }
 
+void FollowerTable::Sums::Add(const proto::Demand& aDemand)
+{
+  proto::Demand& sum = demand[aDemand.workspace()];
+  sum.set_units_per_s(sum.units_per_s() + aDemand.units_per_s());
+  sum.set_used(sum.used() + aDemand.used());
+}
+
 FollowerTable::Sums FollowerTable::OwnSums() const
 {
   Sums sums;
@@ -49,7 +56,7 @@
       sums.Add(it);
     }
     for (const proto::Demand& it : follower.report.demand()) {
-      sums.demand[it.workspace()] += it.units_per_s();
+      sums.Add(it);
     }
   }
   return sums;
@@ -64,10 +71,10 @@
     *it = sum;
     it->set_upstream(upstream);
   }
-  for (const auto& [workspace, units] : aSums.demand) {
+  for (const auto& [workspace, sum] : aSums.demand) {
     proto::Demand* it = aMessage.add_demand();
+    *it = sum;
     it->set_workspace(workspace);
-    it->set_units_per_s(units);
   }
 }
 
@@ -94,7 +101,7 @@
       sums.Add(it);
     }
     for (const proto::Demand& it : peer.exchange.demand()) {
-      sums.demand[it.workspace()] += it.units_per_s();
+      sums.Add(it);
     }
   }
   Write(sums, aFeed);
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -63,10 +63,11 @@
   struct Sums
   {
     std::map<std::string, proto::InFlight> inFlight;
-    std::map<std::string, double> demand;
+    std::map<std::string, proto::Demand> demand;
     std::uint32_t hosts = 0;
 
     void Add(const proto::InFlight& aInFlight);
+    void Add(const proto::Demand& aDemand);
   };
   struct Peer
   {
--- a/cuminfield/process/settings/IniReader.h
+++ b/cuminfield/process/settings/IniReader.h
@@ -30,7 +30,7 @@
   /// The section with exactly this name, or nullptr.
   const IniSection* Section(std::string_view aName) const;
 
-  /// Reads Duration, Size, Count, Percent, YesNo, Time, Endpoint, Name and Text values.
+  /// Reads Duration, Size, Count, Percent, Ratio, YesNo, Time, Endpoint, Name and Text values.
   void Read(const IniSection& aSection, const char* aKey, core::Duration& aTarget);
   void Read(const IniSection& aSection, const char* aKey, core::Bytes& aTarget);
   void Read(const IniSection& aSection, const char* aKey, std::uint64_t& aTarget);
--- a/cuminfield/process/settings/KeySpec.cpp
+++ b/cuminfield/process/settings/KeySpec.cpp
@@ -27,6 +27,8 @@
       return "whole number";
     case ValueType::Percent:
       return "per cent without unit";
+    case ValueType::Ratio:
+      return "share as 0.25";
     case ValueType::YesNo:
       return "yes or no";
     case ValueType::Time:
@@ -51,7 +53,7 @@
   if (aType == ValueType::Size) {
     return FormatSize(core::Bytes{ aValue });
   }
-  if (aType == ValueType::Percent) {
+  if (aType == ValueType::Percent || aType == ValueType::Ratio) {
     return FormatPercent(aValue);
   }
   return std::to_string(aValue);
--- a/cuminfield/process/settings/KeySpec.h
+++ b/cuminfield/process/settings/KeySpec.h
@@ -15,6 +15,7 @@
   Size,     ///< A whole number with unit: 512B, 64KiB, 32MiB, 1GiB.
   Count,    ///< A whole number without unit.
   Percent,  ///< A number without unit, decimals allowed; its range is in hundredths.
+  Ratio,    ///< A share of a whole as 0.25, up to two decimals; its range is in hundredths.
   YesNo,    ///< yes or no.
   Time,     ///< Civil time in UTC: 2026-12-05T18:00:00Z.
   Endpoint, ///< IPv4 number and port: 127.0.0.1:7301.
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -403,6 +403,9 @@
 {
   CUMINFIELD_INVARIANT("forward.not-run-never-after-dispatch",
                        aFailure.status != connection::kStatusUnavailable || !mSent);
+  if (!mSent) {
+    mOptions.onNotRun();
+  }
   connection::HttpHeaders headers = mOptions.codec.OwnAnswer(mOptions.request.spec.id, aFailure);
   if (mOptions.closing()) {
     headers.push_back({ .name = "Connection", .value = "close" });
--- a/cuminfield/request/forward/ForwardTable.cpp
+++ b/cuminfield/request/forward/ForwardTable.cpp
@@ -9,6 +9,9 @@
 /// Told to callers that come before this host knows its first catalogue.
 constexpr core::Duration kNotYetReady = std::chrono::milliseconds(500);
 
+/// Told to callers of a host that stops: another host can serve them at once.
+constexpr core::Duration kOtherHost = std::chrono::milliseconds(10);
+
 } // namespace
 
 ForwardTable::ForwardTable(Options aOptions)
@@ -19,6 +22,12 @@
 void ForwardTable::OnRequest(connection::caller::CallerRequest aRequest,
                              std::shared_ptr<connection::caller::CallerChannel> aChannel)
 {
+  if (mRefusing) {
+    Refuse(
+      *aChannel, {}, {},
+      { .status = connection::kStatusUnavailable, .reason = "stopping", .retryAfter = kOtherHost });
+    return;
+  }
   const auto catalogue = mOptions.catalogue();
   if (!catalogue) {
     Refuse(*aChannel, {}, {},
@@ -49,6 +58,9 @@
       return;
     }
   }
+  auto giveBack = [this, workspace = request.spec.workspace, units = request.quotaUnits] {
+    mOptions.quota.Return(workspace, units, mOptions.timers.Now());
+  };
   auto forward =
     std::make_unique<Forward>(Forward::Options{ .settings = mOptions.settings,
                                                 .timers = mOptions.timers,
@@ -58,6 +70,7 @@
                                                 .observer = mOptions.observer,
                                                 .caller = std::move(aChannel),
                                                 .request = std::move(request),
+                                                .onNotRun = std::move(giveBack),
                                                 .closing = [this] { return mStopping; },
                                                 .onFinished = [this, id] { Remove(id); } });
   Forward* started = forward.get();
--- a/cuminfield/request/forward/ForwardTable.h
+++ b/cuminfield/request/forward/ForwardTable.h
@@ -42,6 +42,9 @@
   /// From now on every answer asks its caller to use another connection.
   void BeginShutdown() { mStopping = true; }
 
+  /// From now on new requests are told that they have not run; those here go on to their end.
+  void RefuseNew() { mRefusing = true; }
+
   /// Ends every request that is left, telling its caller what is true.
   void CutOffAll();
 
@@ -60,6 +63,7 @@
   Options mOptions;
   placement::PlacementScheduler* mScheduler = nullptr;
   bool mStopping = false;
+  bool mRefusing = false;
   std::unordered_map<core::RequestId, std::unique_ptr<Forward>> mForwards;
   std::vector<std::unique_ptr<Forward>> mEnded; ///< Destroyed from the loop.
   core::TimerHandle mSweep;
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cuminfield::request::forward {
 
@@ -17,24 +18,39 @@
 
 } // namespace
 
-double WorkspaceQuota::ShareOf(const core::WorkspaceId& aId, const Account& aAccount,
-                               core::Instant aNow) const
+double WorkspaceQuota::Limit(const version::catalogue::WorkspaceRule& aRule) const
 {
-  const double even = 1.0 / std::max(1U, mHosts == 0 ? kUnknownHosts : mHosts);
-  const auto sum = mSums.find(aId);
-  if (sum == mSums.end() || aNow - mSumsAt > mSettings.sumsLast) {
-    return even;
-  }
-  const double all = std::max(sum->second, aAccount.demand);
-  const double own = all > 0 ? aAccount.demand / all : even;
-  // Floors of all hosts together take their part from the rest.
-  return mSettings.floor * even + (1 - mSettings.floor) * own;
+  const double quota = aRule.unitsPerSecond * Seconds(mSettings.window) + aRule.burst;
+  const double tolerated = quota * mSettings.overshoot + mSettings.slackUnits;
+  return quota + tolerated * mSettings.toleranceUsed;
 }
 
-void WorkspaceQuota::Decay(Account& aAccount, core::Instant aNow) const
+void WorkspaceQuota::Forget(Account& aAccount, core::Instant aNow) const
 {
-  const double passed = Seconds(aNow - aAccount.at) / Seconds(mSettings.window);
+  while (!aAccount.taken.empty() && aNow - aAccount.taken.front().at > mSettings.window) {
+    aAccount.used -= aAccount.taken.front().units;
+    aAccount.taken.pop_front();
+  }
+  if (aAccount.taken.empty()) {
+    aAccount.used = 0; // Sums of fractions do not come out at zero by themselves.
+  }
+  const double passed = Seconds(aNow - aAccount.demandAt) / Seconds(mSettings.demandWindow);
   aAccount.demand *= std::exp(-passed);
+  aAccount.demandAt = aNow;
+}
+
+double WorkspaceQuota::RoomFor(const core::WorkspaceId& aId, const Account& aAccount, double aLimit,
+                               core::Instant aNow) const
+{
+  const bool sumsKnown = mHosts > 0 && aNow - mSumsAt <= mSettings.sumsLast;
+  if (!sumsKnown) {
+    return aLimit / std::max(mHosts, kUnknownHosts) - aAccount.used;
+  }
+  const auto it = mSums.find(aId);
+  const QuotaUse sum = it == mSums.end() ? QuotaUse() : it->second;
+  const double othersUsed = std::max(0.0, sum.used - aAccount.reported.used);
+  const double othersDemand = std::max(0.0, sum.demand - aAccount.reported.demand);
+  return aLimit - othersUsed - aAccount.used - othersDemand * Seconds(mSettings.lag);
 }
 
 std::optional<core::Duration> WorkspaceQuota::Take(const version::catalogue::WorkspaceRule& aRule,
@@ -44,44 +60,52 @@
     return std::nullopt;
   }
   Account& account = mAccounts[aRule.id];
-  const core::Duration passed = aNow - account.at;
-  Decay(account, aNow);
-  account.at = aNow;
-  account.demand += aUnits / Seconds(mSettings.window);
-  const double share = ShareOf(aRule.id, account, aNow);
-  const double rate = aRule.unitsPerSecond * share;
-  const double burst = std::max(aRule.burst * share, aUnits);
-  if (!account.started) {
-    account.started = true;
-    account.tokens = burst;
-  } else {
-    account.tokens = std::min(burst, account.tokens + rate * Seconds(passed));
-  }
-  if (account.tokens >= aUnits) {
-    account.tokens -= aUnits;
+  Forget(account, aNow);
+  account.demand += aUnits / Seconds(mSettings.demandWindow);
+  const double room = RoomFor(aRule.id, account, Limit(aRule), aNow);
+  if (aUnits <= room) {
+    account.taken.push_back({ .at = aNow, .units = aUnits });
+    account.used += aUnits;
     return std::nullopt;
   }
-  const double wait = (aUnits - account.tokens) / std::max(rate, 1e-9);
-  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(wait));
+  const std::chrono::duration<double> wait((aUnits - room) / aRule.unitsPerSecond);
+  return std::clamp(std::chrono::duration_cast<core::Duration>(wait), mSettings.minRetryAfter,
+                    mSettings.maxRetryAfter);
+}
+
+void WorkspaceQuota::Return(const core::WorkspaceId& aWorkspace, double aUnits, core::Instant aNow)
+{
+  const auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end()) {
+    return;
+  }
+  Account& account = it->second;
+  Forget(account, aNow);
+  const auto taken = std::find_if(account.taken.rbegin(), account.taken.rend(),
+                                  [aUnits](const Taken& aTaken) { return aTaken.units == aUnits; });
+  if (taken != account.taken.rend()) {
+    taken->units = 0;
+    account.used -= aUnits;
+  }
 }
 
-void WorkspaceQuota::SetSums(const std::map<core::WorkspaceId, double>& aUnitsPerSecond,
-                             std::uint32_t aHosts, core::Instant aNow)
+void WorkspaceQuota::SetSums(std::map<core::WorkspaceId, QuotaUse> aSums, std::uint32_t aHosts,
+                             core::Instant aNow)
 {
-  mSums = aUnitsPerSecond;
+  mSums = std::move(aSums);
   mHosts = aHosts;
   mSumsAt = aNow;
 }
 
-std::map<core::WorkspaceId, double> WorkspaceQuota::Demand(core::Instant aNow) const
+std::map<core::WorkspaceId, QuotaUse> WorkspaceQuota::Report(core::Instant aNow)
 {
-  std::map<core::WorkspaceId, double> demand;
-  for (const auto& [id, account] : mAccounts) {
-    Account now = account;
-    Decay(now, aNow);
-    demand[id] = now.demand;
+  std::map<core::WorkspaceId, QuotaUse> use;
+  for (auto& [id, account] : mAccounts) {
+    Forget(account, aNow);
+    account.reported = { .used = account.used, .demand = account.demand };
+    use[id] = account.reported;
   }
-  return demand;
+  return use;
 }
 
 } // namespace cuminfield::request::forward
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -5,27 +5,47 @@
 #include "cuminfield/version/catalogue/Catalogue.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <unordered_map>
 
 namespace cuminfield::request::forward {
 
 /// Tunables of the quotas.
 struct WorkspaceQuotaSettings
 {
+  /// The quota is judged over any window of this length.
+  core::Duration window = std::chrono::seconds(8);
+  /// Tolerated above the quota in a window: a share of it,
+  double overshoot = 0;
+  /// and units of all hosts together.
+  double slackUnits = 0;
+  /// Part of that tolerance that is used; the rest is for requests that arrive later than counted.
+  double toleranceUsed = 0.6;
+  /// What hosts tell each other is known to all of them after about this long.
+  core::Duration lag = std::chrono::milliseconds(350);
   /// Demand is averaged over about this long.
-  core::Duration window = std::chrono::milliseconds(1000);
-  /// Part of a host's share of the rate that it has even when it saw no demand lately, as a part
-  /// of an even share.
-  double floor = 0.2;
-  /// Sums of other hosts that are older than this are not used: every host has an even share then.
+  core::Duration demandWindow = std::chrono::milliseconds(1500);
+  /// Sums of other hosts that are older than this are not used: every host then has an even part.
   core::Duration sumsLast = std::chrono::milliseconds(2500);
+  /// Bounds of the time after which a refused caller is asked to come back.
+  core::Duration minRetryAfter = std::chrono::milliseconds(500);
+  core::Duration maxRetryAfter = std::chrono::milliseconds(4000);
 };
 
-/// Holds workspaces to their quotas, which count over all hosts. Each host uses of the rate the
-/// share that it has of all hosts' demand, so that a caller population that is uneven over the
-/// hosts still gets the whole quota. Free of I/O.
+/// What one host, or all together, did with a workspace's quota lately.
+struct QuotaUse
+{
+  double used = 0;   ///< Units taken in the last window.
+  double demand = 0; ///< Units asked for in a second.
+};
+
+/// Holds workspaces to their quotas, which count over all hosts. Each host knows what all have
+/// used of the window, some time ago, and leaves room for what the others will probably take before
+/// they hear of this request.
+///
+/// Answers the load of a small workspace with large requests: parts of the quota handed out to each
+/// host would all be smaller than the request, though the quota is hardly used. Free of I/O.
 class WorkspaceQuota
 {
 public:
@@ -34,33 +54,43 @@
   {
   }
 
-  /// Takes a request's units out of the quota. When it has none left: how long until it has.
+  /// Takes a request's units out of the quota. When there is no room: when to come back.
   std::optional<core::Duration> Take(const version::catalogue::WorkspaceRule& aRule, double aUnits,
                                      core::Instant aNow);
 
-  /// The demand of all hosts together.
-  void SetSums(const std::map<core::WorkspaceId, double>& aUnitsPerSecond, std::uint32_t aHosts,
+  /// Gives units back that were taken for a request that did not run.
+  void Return(const core::WorkspaceId& aWorkspace, double aUnits, core::Instant aNow);
+
+  /// The use of all hosts together, as told by a control host.
+  void SetSums(std::map<core::WorkspaceId, QuotaUse> aSums, std::uint32_t aHosts,
                core::Instant aNow);
 
-  /// This host's demand by workspace, in units a second.
-  std::map<core::WorkspaceId, double> Demand(core::Instant aNow) const;
+  /// This host's use, for a report; what it says is taken to be in the sums that come later.
+  std::map<core::WorkspaceId, QuotaUse> Report(core::Instant aNow);
 
 private:
-  struct Account
+  struct Taken
   {
-    double demand = 0; ///< Units a second, averaged.
-    double tokens = 0; ///< Units that may be used now.
-    double share = 0;  ///< Of the rate, when last refilled.
     core::Instant at{};
-    bool started = false;
+    double units = 0;
+  };
+  struct Account
+  {
+    std::deque<Taken> taken; ///< In the last window, oldest first.
+    double used = 0;         ///< Their sum.
+    double demand = 0;       ///< Units a second, averaged.
+    core::Instant demandAt{};
+    QuotaUse reported;
   };
 
-  double ShareOf(const core::WorkspaceId& aId, const Account& aAccount, core::Instant aNow) const;
-  void Decay(Account& aAccount, core::Instant aNow) const;
+  double Limit(const version::catalogue::WorkspaceRule& aRule) const;
+  double RoomFor(const core::WorkspaceId& aId, const Account& aAccount, double aLimit,
+                 core::Instant aNow) const;
+  void Forget(Account& aAccount, core::Instant aNow) const;
 
   WorkspaceQuotaSettings mSettings;
-  std::unordered_map<core::WorkspaceId, Account> mAccounts;
-  std::map<core::WorkspaceId, double> mSums;
+  std::map<core::WorkspaceId, Account> mAccounts;
+  std::map<core::WorkspaceId, QuotaUse> mSums;
   std::uint32_t mHosts = 0;
   core::Instant mSumsAt{};
 };
--- a/cuminfield/request/placement/WaitingLine.h
+++ b/cuminfield/request/placement/WaitingLine.h
@@ -13,7 +13,7 @@
 namespace cuminfield::request::placement {
 
 /// Ranks that are kept apart; less urgent ones count as the last.
-inline constexpr std::size_t kRanks = 8;
+inline constexpr std::size_t kRanks = 32;
 
 /// A request that waits.
 struct Waiting
