--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -294,7 +294,6 @@
     it->set_version(version);
   }
   feed.set_registry_revision(mRegistry.Revision());
-  mFollowers.AddAll(feed);
   proto::ControlHost* self = feed.add_control_hosts();
   self->set_host(mOptions.cluster.id.Text());
   self->set_data_centre(mOptions.cluster.dataCentre.Text());
@@ -322,6 +321,7 @@
   proto::Message message;
   proto::Feed* feed = message.mutable_feed();
   *feed = aCommon;
+  mFollowers.AddOthers(aHost, *feed);
   const bool registryHeld = aFollower.report.registry_revision() == aCommon.registry_revision() &&
                             aFollower.registrySent == aCommon.registry_revision();
   const bool registrySent = aFollower.registrySent == aCommon.registry_revision() &&
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -100,7 +100,7 @@
   if (aFeed.registry()) {
     TakeRegistry(aFeed);
   }
-  TakeSums(aFeed);
+  TakeOthers(aFeed);
 }
 
 void EntryHost::TakeDocument(const proto::Document& aDocument)
@@ -154,32 +154,30 @@
   mKnown = std::move(known);
 }
 
-void EntryHost::TakeSums(const proto::Feed& aFeed)
+void EntryHost::TakeOthers(const proto::Feed& aFeed)
 {
   const core::Instant now = mOptions.loop.Now();
   std::set<core::UpstreamId> told;
   for (const proto::InFlight& it : aFeed.in_flight()) {
     const core::UpstreamId id(it.upstream());
     told.insert(id);
-    mScheduler.Board().SetTotal(id, it.requests(), it.prompt_tokens(), now);
+    mScheduler.Board().SetOthers(id, it.requests(), it.prompt_tokens(), now);
   }
   for (auto& [id, entry] : mScheduler.Board().All()) {
     if (!told.contains(id)) {
-      mScheduler.Board().SetTotal(id, 0, 0, now);
+      mScheduler.Board().SetOthers(id, 0, 0, now);
     }
   }
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
     use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s() };
   }
-  mQuota.SetSums(std::move(use), aFeed.hosts(), now);
+  mQuota.SetOthers(std::move(use), aFeed.hosts(), now);
 }
 
 void EntryHost::Describe(proto::Report& aReport)
 {
   for (auto& [id, entry] : mScheduler.Board().All()) {
-    entry.ownReported = entry.own;
-    entry.ownPromptReported = entry.ownPrompt;
     if (entry.own == 0) {
       continue;
     }
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -74,7 +74,7 @@
   void OnFeed(const proto::Feed& aFeed);
   void TakeDocument(const proto::Document& aDocument);
   void TakeRegistry(const proto::Feed& aFeed);
-  void TakeSums(const proto::Feed& aFeed);
+  void TakeOthers(const proto::Feed& aFeed);
   void Describe(proto::Report& aReport);
   void CheckDrained();
   void CutOff();
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -47,11 +47,14 @@
   sum.set_used(sum.used() + aDemand.used());
 }
 
-FollowerTable::Sums FollowerTable::OwnSums() const
+FollowerTable::Sums FollowerTable::OwnSums(const core::HostId& aWithout) const
 {
   Sums sums;
   for (const auto& [host, follower] : mFollowers) {
     ++sums.hosts;
+    if (host == aWithout) {
+      continue;
+    }
     for (const proto::InFlight& it : follower.report.in_flight()) {
       sums.Add(it);
     }
@@ -80,7 +83,7 @@
 
 void FollowerTable::AddOwn(proto::Exchange& aExchange) const
 {
-  Write(OwnSums(), aExchange);
+  Write(OwnSums({}), aExchange);
   for (const auto& [host, follower] : mFollowers) {
     if (follower.report.evidence_size() == 0) {
       continue;
@@ -92,9 +95,9 @@
   }
 }
 
-void FollowerTable::AddAll(proto::Feed& aFeed) const
+void FollowerTable::AddOthers(const core::HostId& aHost, proto::Feed& aFeed) const
 {
-  Sums sums = OwnSums();
+  Sums sums = OwnSums(aHost);
   for (const auto& [host, peer] : mPeers) {
     sums.hosts += peer.exchange.hosts();
     for (const proto::InFlight& it : peer.exchange.in_flight()) {
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -38,8 +38,8 @@
   /// Sums over the hosts that follow this control host.
   void AddOwn(proto::Exchange& aExchange) const;
 
-  /// Sums over all hosts.
-  void AddAll(proto::Feed& aFeed) const;
+  /// Sums over all hosts but aHost, whose own figures are newer than any sum.
+  void AddOthers(const core::HostId& aHost, proto::Feed& aFeed) const;
 
   /// The latest evidence of every host known here, by host and its life.
   using EvidenceMap = std::map<std::pair<std::string, std::uint64_t>, std::vector<proto::Evidence>>;
@@ -75,7 +75,8 @@
     core::Instant heard{};
   };
 
-  Sums OwnSums() const;
+  /// Leaves one follower out; its name may be empty.
+  Sums OwnSums(const core::HostId& aWithout) const;
   template<typename Message>
   static void Write(const Sums& aSums, Message& aMessage);
 
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -49,7 +49,7 @@
     ForwardObserver& observer;
     std::shared_ptr<connection::caller::CallerChannel> caller;
     ForwardRequest request;
-    std::function<void()> onNotRun; ///< It ends, and nothing of it has run.
+    std::function<void()> onNotRun;   ///< It ends, and nothing of it has run.
     std::function<bool()> closing;    ///< True: callers are asked to use another connection.
     std::function<void()> onFinished; ///< Nothing is left to do; destroy it, but not from inside.
   };
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -42,15 +42,13 @@
 double WorkspaceQuota::RoomFor(const core::WorkspaceId& aId, const Account& aAccount, double aLimit,
                                core::Instant aNow) const
 {
-  const bool sumsKnown = mHosts > 0 && aNow - mSumsAt <= mSettings.sumsLast;
-  if (!sumsKnown) {
+  const bool othersKnown = mHosts > 0 && aNow - mOthersAt <= mSettings.othersLast;
+  if (!othersKnown) {
     return aLimit / std::max(mHosts, kUnknownHosts) - aAccount.used;
   }
-  const auto it = mSums.find(aId);
-  const QuotaUse sum = it == mSums.end() ? QuotaUse() : it->second;
-  const double othersUsed = std::max(0.0, sum.used - aAccount.reported.used);
-  const double othersDemand = std::max(0.0, sum.demand - aAccount.reported.demand);
-  return aLimit - othersUsed - aAccount.used - othersDemand * Seconds(mSettings.lag);
+  const auto it = mOthers.find(aId);
+  const QuotaUse others = it == mOthers.end() ? QuotaUse() : it->second;
+  return aLimit - others.used - aAccount.used - others.demand * Seconds(mSettings.lag);
 }
 
 std::optional<core::Duration> WorkspaceQuota::Take(const version::catalogue::WorkspaceRule& aRule,
@@ -89,12 +87,12 @@
   }
 }
 
-void WorkspaceQuota::SetSums(std::map<core::WorkspaceId, QuotaUse> aSums, std::uint32_t aHosts,
-                             core::Instant aNow)
+void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, std::uint32_t aHosts,
+                               core::Instant aNow)
 {
-  mSums = std::move(aSums);
+  mOthers = std::move(aOthers);
   mHosts = aHosts;
-  mSumsAt = aNow;
+  mOthersAt = aNow;
 }
 
 std::map<core::WorkspaceId, QuotaUse> WorkspaceQuota::Report(core::Instant aNow)
@@ -102,8 +100,7 @@
   std::map<core::WorkspaceId, QuotaUse> use;
   for (auto& [id, account] : mAccounts) {
     Forget(account, aNow);
-    account.reported = { .used = account.used, .demand = account.demand };
-    use[id] = account.reported;
+    use[id] = { .used = account.used, .demand = account.demand };
   }
   return use;
 }
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -21,13 +21,14 @@
   /// and units of all hosts together.
   double slackUnits = 0;
   /// Part of that tolerance that is used; the rest is for requests that arrive later than counted.
-  double toleranceUsed = 0.6;
+  double toleranceUsed = 0.4;
   /// What hosts tell each other is known to all of them after about this long.
-  core::Duration lag = std::chrono::milliseconds(350);
+  core::Duration lag = std::chrono::milliseconds(450);
   /// Demand is averaged over about this long.
-  core::Duration demandWindow = std::chrono::milliseconds(1500);
-  /// Sums of other hosts that are older than this are not used: every host then has an even part.
-  core::Duration sumsLast = std::chrono::milliseconds(2500);
+  core::Duration demandWindow = std::chrono::milliseconds(1000);
+  /// Figures of other hosts that are older than this are not used: every host then has an even
+  /// part.
+  core::Duration othersLast = std::chrono::milliseconds(2500);
   /// Bounds of the time after which a refused caller is asked to come back.
   core::Duration minRetryAfter = std::chrono::milliseconds(500);
   core::Duration maxRetryAfter = std::chrono::milliseconds(4000);
@@ -61,11 +62,11 @@
   /// Gives units back that were taken for a request that did not run.
   void Return(const core::WorkspaceId& aWorkspace, double aUnits, core::Instant aNow);
 
-  /// The use of all hosts together, as told by a control host.
-  void SetSums(std::map<core::WorkspaceId, QuotaUse> aSums, std::uint32_t aHosts,
-               core::Instant aNow);
+  /// The use of the other hosts together, as told by a control host, and how many hosts there are.
+  void SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, std::uint32_t aHosts,
+                 core::Instant aNow);
 
-  /// This host's use, for a report; what it says is taken to be in the sums that come later.
+  /// This host's use, for a report.
   std::map<core::WorkspaceId, QuotaUse> Report(core::Instant aNow);
 
 private:
@@ -80,7 +81,6 @@
     double used = 0;         ///< Their sum.
     double demand = 0;       ///< Units a second, averaged.
     core::Instant demandAt{};
-    QuotaUse reported;
   };
 
   double Limit(const version::catalogue::WorkspaceRule& aRule) const;
@@ -90,9 +90,9 @@
 
   WorkspaceQuotaSettings mSettings;
   std::map<core::WorkspaceId, Account> mAccounts;
-  std::map<core::WorkspaceId, QuotaUse> mSums;
+  std::map<core::WorkspaceId, QuotaUse> mOthers;
   std::uint32_t mHosts = 0;
-  core::Instant mSumsAt{};
+  core::Instant mOthersAt{};
 };
 
 } // namespace cuminfield::request::forward
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -248,18 +248,18 @@
   }
 }
 
-void UpstreamBoard::SetTotal(const core::UpstreamId& aUpstream, std::uint32_t aRequests,
-                             std::int64_t aPrompt, core::Instant aNow)
+void UpstreamBoard::SetOthers(const core::UpstreamId& aUpstream, std::uint32_t aRequests,
+                              std::int64_t aPrompt, core::Instant aNow)
 {
   BoardEntry* entry = Find(aUpstream);
   if (!entry) {
     return;
   }
-  entry->othersPrompt = std::max<std::int64_t>(0, aPrompt - entry->ownPromptReported);
+  entry->othersPrompt = aPrompt;
   if (aNow - entry->toldAt < mSettings.toldLasts) {
     return;
   }
-  entry->others = aRequests > entry->ownReported ? aRequests - entry->ownReported : 0;
+  entry->others = aRequests;
 }
 
 void UpstreamBoard::SetTold(const core::UpstreamId& aUpstream, std::uint32_t aRequests,
--- a/cuminfield/request/placement/UpstreamBoard.h
+++ b/cuminfield/request/placement/UpstreamBoard.h
@@ -18,11 +18,9 @@
   bool up = true; ///< Takes new work.
 
   // Its load.
-  std::uint32_t own = 0;         ///< Requests of this host in flight there.
-  std::int64_t ownPrompt = 0;    ///< Their prompt tokens, until their first event.
-  std::uint32_t ownReported = 0; ///< As last told to the control host.
-  std::int64_t ownPromptReported = 0;
-  std::uint32_t others = 0; ///< Requests of all other hosts, as last heard.
+  std::uint32_t own = 0;      ///< Requests of this host in flight there.
+  std::int64_t ownPrompt = 0; ///< Their prompt tokens, until their first event.
+  std::uint32_t others = 0;   ///< Requests of all other hosts, as last heard.
   std::int64_t othersPrompt = 0;
   core::Instant toldAt{}; ///< When the upstream itself last told its load.
 
@@ -83,9 +81,9 @@
   /// A stream's mean time between tokens.
   void Paced(BoardEntry& aEntry, double aTokenMs);
 
-  /// All hosts' work in flight as the control host told it.
-  void SetTotal(const core::UpstreamId& aUpstream, std::uint32_t aRequests, std::int64_t aPrompt,
-                core::Instant aNow);
+  /// The other hosts' work in flight as the control host told it.
+  void SetOthers(const core::UpstreamId& aUpstream, std::uint32_t aRequests, std::int64_t aPrompt,
+                 core::Instant aNow);
 
   /// An upstream told its load with an answer.
   void SetTold(const core::UpstreamId& aUpstream, std::uint32_t aRequests, core::Instant aNow);
