--- a/UnitTests/docs/PagesTest.cpp
+++ b/UnitTests/docs/PagesTest.cpp
@@ -89,7 +89,7 @@
 {
   const auto events = FindInProduct(R"(logging::Event\(\s*logging::Level::\w+,\s*"([a-z-]+)\")");
   CHECK(events.size() > 5);
-  CheckNamed(events, "docs/Operations.md");
+  CheckNamed(events, "docs/OPERATIONS.md");
 }
 
 TEST(Pages, ProofNamesEveryInvariant)
--- /dev/null
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -0,0 +1,91 @@
+#include "platform/ConfigurationText.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace std::chrono_literals;
+
+TEST_GROUP(ConfigurationText)
+{
+  nlohmann::json body;
+
+  void setup() override
+  {
+    body = nlohmann::json::parse(R"({
+      "version": 7,
+      "routes": [
+        {"name":"r1","host":"h","path_prefix":"/a/","kind":"stream","timeout_ms":12000,
+         "target_latency_ms":250,"priority":1,"service":"s1","max_attempts":2,"public":false,
+         "resumable":true,"gap_goal_ms":200},
+        {"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe","timeout_ms":1000,
+         "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"public":true}],
+      "services": [{"name":"s1","max_conns":300,"engine":{"slots":15,"kv_capacity_tokens":900,
+                    "stride":6}},{"name":"s2"}],
+      "limits": {"idle_timeout_ms":15000},
+      "tenants": [{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"token_stream",
+                   "plain_tokens":200,"rate_per_s":1000,"burst":500}]})");
+  }
+
+  void ExpectInvalid()
+  {
+    const auto read = platform::ReadConfiguration(body.dump());
+    CHECK(read.has_error());
+    CHECK(read.error().kind == core::ErrorKind::InvalidRequest);
+  }
+};
+
+TEST(ConfigurationText, EveryFieldFindsItsPlace)
+{
+  const auto read = platform::ReadConfiguration(body.dump());
+  CHECK(read.has_value());
+  const auto& catalogue = read.value();
+  CHECK_EQUAL(7, catalogue.number);
+  const auto& stream = catalogue.routes[0];
+  CHECK(stream.stream && stream.resumable && stream.idempotent);
+  CHECK(stream.timeout == 12s && stream.target == 250ms && stream.pauseTarget == 200ms);
+  CHECK_EQUAL(2, stream.maxTries);
+  const auto& plain = catalogue.routes[1];
+  CHECK(!plain.idempotent && plain.open);
+  CHECK_EQUAL(2, plain.services.size());
+  CHECK_EQUAL(15, catalogue.services[0].engine->slots);
+  CHECK_FALSE(catalogue.services[1].engine.has_value());
+  CHECK_EQUAL(2, catalogue.workspaces[0].keys.size());
+  DOUBLES_EQUAL(200, catalogue.workspaces[0].plainUnits, 0);
+}
+
+TEST(ConfigurationText, InvalidOnesAreRefused)
+{
+  const nlohmann::json good = body;
+  STRCMP_CONTAINS("JSON",
+                  platform::ReadConfiguration(good.dump().substr(0, 200)).error().message.c_str());
+  body["routes"][0]["service"] = "nobody";
+  ExpectInvalid();
+  body = good;
+  body["routes"][1]["path_prefix"] = "/a/";
+  ExpectInvalid();
+  body = good;
+  body["routes"][1]["split"][0]["weight"] = 0;
+  body["routes"][1]["split"][1]["weight"] = 0;
+  ExpectInvalid();
+  body = good;
+  body["routes"][0]["timeout_ms"] = 0;
+  ExpectInvalid();
+  body = good;
+  body["tenants"].push_back({ { "name", "u" }, { "api_keys", { "k2" } } });
+  ExpectInvalid();
+  body = good;
+  body.erase("version");
+  ExpectInvalid();
+  body = good;
+  body["routes"] = "none";
+  ExpectInvalid();
+}
+
+TEST(ConfigurationText, UnknownFieldsAreIgnored)
+{
+  body["routes"][0]["later"] = { 1, 2 };
+  body["new"] = true;
+  CHECK(platform::ReadConfiguration(body.dump()).has_value());
+}
--- /dev/null
+++ b/UnitTests/platform/HeaderCodecTest.cpp
@@ -0,0 +1,160 @@
+#include "platform/HeaderCodec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace cuminfield::request;
+using namespace cuminfield::request::forward;
+using namespace std::chrono_literals;
+using connection::FindHeader;
+
+TEST_GROUP(HeaderCodec)
+{
+  const platform::HeaderCodec codec;
+  std::unique_ptr<version::catalogue::CatalogueIndex> catalogue;
+  connection::caller::CallerRequest request;
+  core::Instant now{ 50s };
+
+  void setup() override
+  {
+    version::catalogue::Catalogue content;
+    version::catalogue::RouteRule route;
+    route.id = core::RouteId("r");
+    route.host = "h.example";
+    route.pathPrefix = "/a/";
+    route.services = { { .service = core::ServiceId("s"), .weight = 1 } };
+    route.timeout = 12s;
+    route.rank = 2;
+    content.routes = { route };
+    content.workspaces = { { .id = core::WorkspaceId("w"),
+                             .keys = { "key" },
+                             .rank = 1,
+                             .unitsPerSecond = 5,
+                             .burst = 5,
+                             .plainUnits = 200 } };
+    catalogue = std::make_unique<version::catalogue::CatalogueIndex>(std::move(content));
+    request.method = "POST";
+    request.target = "/a/b?c";
+    request.path = "/a/b";
+    request.headers = { { .name = "Host", .value = "h.example" },
+                        { .name = "X-Cuminfield-Request-Id", .value = "id1" },
+                        { .name = "X-Cuminfield-Token-Count", .value = "1460,80" },
+                        { .name = "X-Cuminfield-Deadline-Ms", .value = "9000" },
+                        { .name = "X-Api-Key", .value = "key" } };
+  }
+
+  void Header(const std::string& aName, const std::string& aValue)
+  {
+    request.headers.push_back({ .name = aName, .value = aValue });
+  }
+
+  ForwardRequest Read() const
+  {
+    auto read = codec.Read(request, *catalogue, now);
+    CHECK(std::holds_alternative<ForwardRequest>(read));
+    return std::get<ForwardRequest>(read);
+  }
+
+  int Refused() const
+  {
+    const auto read = codec.Read(request, *catalogue, now);
+    CHECK(std::holds_alternative<ForwardFailure>(read));
+    return std::get<ForwardFailure>(read).status;
+  }
+
+  connection::HttpHeaders Sent(const std::string& aAfterEvent = "") const
+  {
+    UpstreamAnnouncement upstream;
+    upstream.id = core::UpstreamId("i-1");
+    return codec.ToUpstream(Read(), upstream, 1500ms, aAfterEvent);
+  }
+};
+
+TEST(HeaderCodec, WhatDecisionsNeedIsRead)
+{
+  const ForwardRequest read = Read();
+  STRCMP_EQUAL("id1", read.spec.id.Text().c_str());
+  STRCMP_EQUAL("w", read.spec.workspace.Text().c_str());
+  CHECK_EQUAL(1460, read.spec.prompt.value);
+  CHECK_EQUAL(80, read.spec.maxAnswer.value);
+  CHECK(read.callerDeadline == now + 9s);
+  CHECK(read.timeout == now + 9s);
+  DOUBLES_EQUAL(1540, read.quotaUnits, 0);
+  CHECK_FALSE(read.spec.mayRepeat);
+}
+
+TEST(HeaderCodec, ARequestWithoutTokenCountHasThePlainSize)
+{
+  request.headers.erase(request.headers.begin() + 2);
+  DOUBLES_EQUAL(200, Read().quotaUnits, 0);
+}
+
+TEST(HeaderCodec, RefusalsSayWhatIsWrong)
+{
+  request.headers.back().value = "nobody's";
+  CHECK_EQUAL(401, Refused());
+  request.path = "/z/";
+  CHECK_EQUAL(404, Refused());
+}
+
+TEST(HeaderCodec, TheSystemSetsItsOwnHeaders)
+{
+  Header("x-cuminfield-tenant", "forged");
+  Header("X-Cuminfield-Expect-Instance", "forged");
+  Header("X-Cuminfield-Hold", "forged");
+  Header("Kv-From", "forged");
+  Header("X-Cuminfield-Kv-Backup", "forged");
+  const auto sent = Sent();
+  STRCMP_EQUAL("w", std::string(FindHeader(sent, "X-Cuminfield-Tenant")).c_str());
+  STRCMP_EQUAL("i-1", std::string(FindHeader(sent, "X-Cuminfield-Expect-Instance")).c_str());
+  STRCMP_EQUAL("1500", std::string(FindHeader(sent, "X-Cuminfield-Deadline-Ms")).c_str());
+  for (const auto& it : sent) {
+    CHECK(it.value != "forged");
+    CHECK(it.value != "key");
+  }
+}
+
+TEST(HeaderCodec, HeadersOfOneConnectionGoNoFurther)
+{
+  Header("Connection", "close, X-Private");
+  Header("X-Private", "1");
+  Header("Transfer-Encoding", "chunked");
+  Header("Keep-Alive", "timeout=5");
+  Header("X-Public", "1");
+  const auto sent = Sent();
+  CHECK(FindHeader(sent, "Connection").empty());
+  CHECK(FindHeader(sent, "X-Private").empty());
+  CHECK(FindHeader(sent, "Transfer-Encoding").empty());
+  CHECK_FALSE(FindHeader(sent, "X-Public").empty());
+}
+
+TEST(HeaderCodec, AConnectionHeaderCannotTakeAwayWhatRoutesTheRequest)
+{
+  Header("Connection", "Host, X-Cuminfield-Token-Count");
+  const auto sent = Sent();
+  CHECK_FALSE(FindHeader(sent, "Host").empty());
+  CHECK_FALSE(FindHeader(sent, "X-Cuminfield-Token-Count").empty());
+}
+
+TEST(HeaderCodec, AStreamGoesOnAfterTheLastEvent)
+{
+  Header("Last-Event-Id", "3");
+  STRCMP_EQUAL("3", std::string(FindHeader(Sent(), "Last-Event-Id")).c_str());
+  STRCMP_EQUAL("8", std::string(FindHeader(Sent("8"), "Last-Event-Id")).c_str());
+}
+
+TEST(HeaderCodec, OnlyTheWordsOfTheWireMeanNotRun)
+{
+  CHECK(codec.SaysNotRun(421, {}));
+  CHECK(codec.SaysNotRun(503, { { .name = "X-Cuminfield-Not-Executed", .value = "1" } }));
+  CHECK_FALSE(codec.SaysNotRun(503, {}));
+  CHECK_FALSE(codec.SaysNotRun(500, {}));
+}
+
+TEST(HeaderCodec, RetryAfterIsInSecondsWithFractions)
+{
+  const auto headers = codec.OwnAnswer(
+    core::RequestId("id1"), { .status = 503, .reason = "overload", .retryAfter = 1250ms });
+  STRCMP_EQUAL("1.250", std::string(FindHeader(headers, "Retry-After")).c_str());
+  STRCMP_EQUAL("id1", std::string(FindHeader(headers, "X-Cuminfield-Request-Id")).c_str());
+}
--- /dev/null
+++ b/UnitTests/process/cluster/ClusterStateTest.cpp
@@ -0,0 +1,125 @@
+#include "cuminfield/process/cluster/ClusterState.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace cuminfield::process::cluster;
+
+TEST_GROUP(ClusterState)
+{
+  ClusterState state;
+  std::uint64_t index = 0;
+
+  proto::QueryAnswer Apply(const proto::Command& aCommand)
+  {
+    proto::QueryAnswer answer;
+    answer.ParseFromString(state.Apply(core::LogIndex(++index), aCommand.SerializeAsString()));
+    return answer;
+  }
+
+  void Put(std::uint64_t aNumber, const std::string& aText)
+  {
+    proto::Command command;
+    command.mutable_document()->set_number(aNumber);
+    command.mutable_document()->set_text(aText);
+    Apply(command);
+  }
+
+  void Version(const std::string& aVersion)
+  {
+    proto::Command command;
+    command.mutable_version()->set_service("s");
+    command.mutable_version()->set_version(aVersion);
+    Apply(command);
+  }
+
+  proto::Move Order(const std::string& aTarget, std::uint64_t aAtMs)
+  {
+    proto::Command command;
+    command.mutable_move()->set_service("s");
+    command.mutable_move()->set_target(aTarget);
+    command.mutable_move()->set_duration_ms(12000);
+    command.mutable_move()->set_ordered_ms(aAtMs);
+    return Apply(command).move();
+  }
+
+  void Settle(std::uint64_t aNumber, proto::MovePhase aPhase)
+  {
+    proto::Command command;
+    command.mutable_settle()->set_service("s");
+    command.mutable_settle()->set_number(aNumber);
+    command.mutable_settle()->set_phase(aPhase);
+    Apply(command);
+  }
+};
+
+TEST(ClusterState, TheHighestDocumentStaysInForce)
+{
+  Put(5, "five");
+  Put(3, "three");
+  Put(5, "another five");
+  STRCMP_EQUAL("five", state.Document().text().c_str());
+  Put(9, "nine");
+  CHECK_EQUAL(9, state.Document().number());
+}
+
+TEST(ClusterState, ACompletedMoveChangesTheVersionInForce)
+{
+  Version("v1");
+  Version("v9"); // Known already.
+  const proto::Move move = Order("v2", 1000);
+  STRCMP_EQUAL("v1", move.former().c_str());
+  Settle(move.number(), proto::SHIFTED);
+  STRCMP_EQUAL("v1", state.Versions().at("s").c_str());
+  Settle(move.number(), proto::COMPLETED);
+  STRCMP_EQUAL("v2", state.Versions().at("s").c_str());
+  Settle(move.number(), proto::ROLLED_BACK); // Too late.
+  STRCMP_EQUAL("v2", state.Versions().at("s").c_str());
+}
+
+TEST(ClusterState, AnOrderThatIsSentAgainStartsNothingNew)
+{
+  Version("v1");
+  const proto::Move first = Order("v2", 1000);
+  CHECK_EQUAL(first.number(), Order("v2", 3000).number());
+  Settle(first.number(), proto::ROLLED_BACK);
+  CHECK_EQUAL(first.number(), Order("v2", 4000).number());
+  CHECK(Order("v2", 60'000).number() > first.number()); // A new try, long after.
+}
+
+TEST(ClusterState, ASettlementOfAnEarlierMoveIsIgnored)
+{
+  Version("v1");
+  const proto::Move first = Order("v2", 1000);
+  Settle(first.number(), proto::ROLLED_BACK);
+  Order("v3", 60'000);
+  Settle(first.number(), proto::COMPLETED);
+  STRCMP_EQUAL("v1", state.Versions().at("s").c_str());
+  CHECK_EQUAL(proto::CANARY, state.Moves().at("s").phase());
+}
+
+TEST(ClusterState, ASnapshotRestoresEverything)
+{
+  Version("v1");
+  Put(4, "text");
+  Order("v2", 1000);
+  proto::Command command;
+  command.mutable_leave()->set_upstream("u");
+  command.mutable_leave()->set_incarnation(7);
+  Apply(command);
+  ClusterState copy;
+  copy.Restore(state.Snapshot());
+  STRCMP_EQUAL("text", copy.Document().text().c_str());
+  STRCMP_EQUAL("v2", copy.Moves().at("s").target().c_str());
+  STRCMP_EQUAL("v1", copy.Versions().at("s").c_str());
+  CHECK_EQUAL(7, copy.Leaves().at("u").incarnation());
+  CHECK_EQUAL(state.Changed(), copy.Changed());
+  CHECK(state.Snapshot() == copy.Snapshot());
+}
+
+TEST(ClusterState, UnreadableCommandsChangeNothing)
+{
+  Put(4, "text");
+  state.Apply(core::LogIndex(99), "\xff\xff\xff");
+  CHECK_EQUAL(4, state.Document().number());
+}
--- /dev/null
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -0,0 +1,72 @@
+#include "cuminfield/process/cluster/FollowerTable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace cuminfield::process::cluster;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FollowerTable)
+{
+  FollowerTable table{ {} };
+  core::Instant now{ 100s };
+
+  static proto::Report Report(std::uint32_t aRequests, double aUsed)
+  {
+    proto::Report report;
+    report.set_life(1);
+    proto::InFlight* inFlight = report.add_in_flight();
+    inFlight->set_upstream("u");
+    inFlight->set_requests(aRequests);
+    proto::Demand* demand = report.add_demand();
+    demand->set_workspace("w");
+    demand->set_used(aUsed);
+    return report;
+  }
+
+  proto::Feed FeedFor(const std::string& aHost) const
+  {
+    proto::Feed feed;
+    table.AddOthers(core::HostId(aHost), feed);
+    return feed;
+  }
+};
+
+TEST(FollowerTable, AHostHearsOfAllOthersButItself)
+{
+  table.OnReport(core::HostId("a"), Report(1, 10), now);
+  table.OnReport(core::HostId("b"), Report(2, 20), now);
+  proto::Exchange exchange;
+  exchange.set_hosts(3);
+  FollowerTable other{ {} };
+  other.OnReport(core::HostId("c"), Report(4, 40), now);
+  other.AddOwn(exchange);
+  table.OnExchange(core::HostId("control-2"), exchange, now);
+  const proto::Feed feed = FeedFor("a");
+  CHECK_EQUAL(6, feed.in_flight(0).requests());
+  DOUBLES_EQUAL(60, feed.demand(0).used(), 1e-9);
+  CHECK_EQUAL(3, feed.hosts()); // The receiver counts as a host.
+}
+
+TEST(FollowerTable, SilentHostsAndControlHostsCountNoMore)
+{
+  table.OnReport(core::HostId("a"), Report(1, 10), now);
+  proto::Exchange exchange;
+  exchange.set_hosts(5);
+  table.OnExchange(core::HostId("control-2"), exchange, now + 2s);
+  table.Expire(now + 3s);
+  CHECK_EQUAL(0, table.Followers().size());
+  CHECK_EQUAL(5, FeedFor("x").hosts());
+  table.Expire(now + 5s);
+  CHECK_EQUAL(0, FeedFor("x").hosts());
+}
+
+TEST(FollowerTable, ARestartedHostGetsEverythingAgain)
+{
+  table.OnReport(core::HostId("a"), Report(1, 10), now);
+  table.Followers().at(core::HostId("a")).registrySent = 7;
+  proto::Report report = Report(1, 10);
+  report.set_life(2);
+  table.OnReport(core::HostId("a"), report, now);
+  CHECK_EQUAL(0, table.Followers().at(core::HostId("a")).registrySent);
+}
--- /dev/null
+++ b/UnitTests/request/CallFakes.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "cuminfield/connection/caller/CallerChannel.h"
+#include "cuminfield/connection/upstream/UpstreamTransport.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cuminfield::unit_tests::request {
+
+/// Counts calls that live and those that were started.
+class FakeTransport : public connection::upstream::UpstreamTransport
+{
+public:
+  std::unique_ptr<connection::upstream::UpstreamCall> Start(
+    const std::string&, std::uint16_t, connection::upstream::UpstreamRequest aRequest,
+    connection::upstream::UpstreamCallListener& aListener) override
+  {
+    ++started;
+    ++live;
+    request = std::move(aRequest);
+    listener = &aListener;
+    return std::make_unique<Call>(*this);
+  }
+  void Notify(const std::string&, std::uint16_t,
+              connection::upstream::UpstreamRequest aRequest) override
+  {
+    notified = aRequest.method + " " + aRequest.target;
+  }
+
+  int started = 0;
+  int live = 0;
+  std::string notified;
+  connection::upstream::UpstreamRequest request;
+  connection::upstream::UpstreamCallListener* listener = nullptr;
+
+private:
+  struct Call : connection::upstream::UpstreamCall
+  {
+    explicit Call(FakeTransport& aTransport)
+      : transport(aTransport)
+    {
+    }
+    ~Call() override { --transport.live; }
+    void Pause(bool) override {}
+
+    FakeTransport& transport;
+  };
+};
+
+class FakeCaller : public connection::caller::CallerChannel
+{
+public:
+  void SendHead(int aStatus, const connection::HttpHeaders& aHeaders) override
+  {
+    status = aStatus;
+    headers = aHeaders;
+  }
+  void SendBody(std::string_view aBytes) override { body += aBytes; }
+  void End() override { ended = true; }
+  void Abort() override { aborted = true; }
+  void SendWhole(int aStatus, const connection::HttpHeaders& aHeaders,
+                 std::string_view aBody) override
+  {
+    status = aStatus;
+    headers = aHeaders;
+    body = aBody;
+    ended = true;
+  }
+
+  bool Told(const char* aOutcome) const
+  {
+    return body.find(std::string("\"outcome\":\"") + aOutcome + "\"") != std::string::npos;
+  }
+
+  int status = 0;
+  connection::HttpHeaders headers;
+  std::string body;
+  bool ended = false;
+  bool aborted = false;
+};
+
+} // namespace cuminfield::unit_tests::request
--- a/UnitTests/request/exchange/ExchangeTest.cpp
+++ b/UnitTests/request/exchange/ExchangeTest.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/request/exchange/Exchange.h"
 #include "TestFramework/time/ManualTimerService.h"
+#include "UnitTests/request/CallFakes.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,6 +13,8 @@
 using claims::ClaimReply;
 using claims::ClaimState;
 using claims::ClaimVerdict;
+using unit_tests::request::FakeCaller;
+using unit_tests::request::FakeTransport;
 
 namespace {
 
@@ -87,71 +90,6 @@
   Done mWaiting;
 };
 
-/// Counts calls that live and those that were started.
-class FakeTransport : public connection::upstream::UpstreamTransport
-{
-public:
-  std::unique_ptr<connection::upstream::UpstreamCall> Start(
-    const std::string&, std::uint16_t, connection::upstream::UpstreamRequest aRequest,
-    connection::upstream::UpstreamCallListener& aListener) override
-  {
-    ++started;
-    ++live;
-    request = std::move(aRequest);
-    listener = &aListener;
-    return std::make_unique<Call>(*this);
-  }
-  void Notify(const std::string&, std::uint16_t,
-              connection::upstream::UpstreamRequest aRequest) override
-  {
-    notified = aRequest.method + " " + aRequest.target;
-  }
-
-  int started = 0;
-  int live = 0;
-  std::string notified;
-  connection::upstream::UpstreamRequest request;
-  connection::upstream::UpstreamCallListener* listener = nullptr;
-
-private:
-  struct Call : connection::upstream::UpstreamCall
-  {
-    explicit Call(FakeTransport& aTransport)
-      : transport(aTransport)
-    {
-    }
-    ~Call() override { --transport.live; }
-    void Pause(bool) override {}
-
-    FakeTransport& transport;
-  };
-};
-
-class FakeCaller : public connection::caller::CallerChannel
-{
-public:
-  void SendHead(int aStatus, const connection::HttpHeaders&) override { status = aStatus; }
-  void SendBody(std::string_view aBytes) override { body += aBytes; }
-  void End() override { ended = true; }
-  void Abort() override { aborted = true; }
-  void SendWhole(int aStatus, const connection::HttpHeaders&, std::string_view aBody) override
-  {
-    status = aStatus;
-    body = aBody;
-    ended = true;
-  }
-
-  bool Told(const char* aOutcome) const
-  {
-    return body.find(std::string("\"outcome\":\"") + aOutcome + "\"") != std::string::npos;
-  }
-
-  int status = 0;
-  std::string body;
-  bool ended = false;
-  bool aborted = false;
-};
-
 class FakeObserver : public ExchangeObserver
 {
 public:
--- /dev/null
+++ b/UnitTests/request/forward/ForwardTest.cpp
@@ -0,0 +1,383 @@
+#include "cuminfield/request/forward/ForwardTable.h"
+
+#include "TestFramework/time/ManualTimerService.h"
+#include "UnitTests/request/CallFakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+using namespace cuminfield;
+using namespace cuminfield::request;
+using namespace cuminfield::request::forward;
+using namespace std::chrono_literals;
+using unit_tests::request::FakeCaller;
+using unit_tests::request::FakeTransport;
+
+namespace {
+
+/// Every request of the tests as the codec reads it; upstreams refuse with `Refused: yes`.
+class FakeCodec : public ForwardCodec
+{
+public:
+  std::variant<ForwardRequest, ForwardFailure> Read(connection::caller::CallerRequest aRequest,
+                                                    const version::catalogue::CatalogueIndex&,
+                                                    core::Instant aNow) const override
+  {
+    ForwardRequest request = next;
+    request.spec.id = core::RequestId(aRequest.target);
+    request.spec.service = core::ServiceId("s");
+    request.spec.arrival = aNow;
+    request.spec.deadline = aNow + 2s;
+    request.spec.firstTokenTarget = 200ms;
+    request.spec.tokenGapTarget = 200ms;
+    request.callerDeadline = aNow + 2s;
+    request.timeout = aNow + 1s;
+    request.raw = std::move(aRequest);
+    return request;
+  }
+  connection::HttpHeaders ToUpstream(const ForwardRequest&, const UpstreamAnnouncement&,
+                                     core::Duration aLeft,
+                                     const std::string& aAfterEvent) const override
+  {
+    left = aLeft;
+    afterEvent = aAfterEvent;
+    return {};
+  }
+  connection::HttpHeaders ToCaller(const connection::HttpHeaders& aHeaders) const override
+  {
+    return aHeaders;
+  }
+  bool SaysNotRun(int, const connection::HttpHeaders& aHeaders) const override
+  {
+    return !connection::FindHeader(aHeaders, "Refused").empty();
+  }
+  bool SaysOther(int aStatus, const connection::HttpHeaders&) const override
+  {
+    return aStatus == connection::kStatusMisdirected;
+  }
+  std::optional<ReportedLoad> Load(const connection::HttpHeaders&) const override { return {}; }
+  connection::HttpHeaders OwnAnswer(const core::RequestId&,
+                                    const ForwardFailure& aFailure) const override
+  {
+    failure = aFailure;
+    return {};
+  }
+
+  ForwardRequest next;
+  mutable core::Duration left{ 0 };
+  mutable std::string afterEvent;
+  mutable ForwardFailure failure;
+};
+
+class Watch : public ForwardObserver
+{
+public:
+  void OnPlaced(const ForwardRequest&, const UpstreamAnnouncement&, const PlacementBasis&) override
+  {
+  }
+  void OnTry(const ForwardRequest&, const ForwardTry& aTry) override
+  {
+    outcomes.push_back(aTry.outcome);
+  }
+  void OnEnded(const ForwardRequest&, const ForwardSummary& aSummary) override
+  {
+    ends.push_back(aSummary);
+  }
+
+  std::vector<TryOutcome> outcomes;
+  std::vector<ForwardSummary> ends;
+};
+
+class AnyVersion : public VersionChooser
+{
+public:
+  core::VersionId Choose(const core::ServiceId&, const core::RouteId&, double) const override
+  {
+    return {};
+  }
+};
+
+const connection::HttpHeaders kEvents{ { .name = "Content-Type", .value = "text/event-stream" } };
+const connection::HttpHeaders kRefused{ { .name = "Refused", .value = "yes" } };
+
+} // namespace
+
+TEST_GROUP(Forward)
+{
+  test_framework::time::ManualTimerService timers;
+  core::Random random{ 3 };
+  FakeTransport transport;
+  FakeCodec codec;
+  Watch watch;
+  AnyVersion versions;
+  WorkspaceQuota quota{ {} };
+  std::shared_ptr<const version::catalogue::CatalogueIndex> catalogue;
+  std::unique_ptr<ForwardTable> table;
+  std::unique_ptr<placement::PlacementScheduler> scheduler;
+  std::shared_ptr<FakeCaller> caller;
+
+  void setup() override
+  {
+    catalogue =
+      std::make_shared<const version::catalogue::CatalogueIndex>(version::catalogue::Catalogue());
+    table = std::make_unique<ForwardTable>(
+      ForwardTable::Options{ .timers = timers,
+                             .transport = transport,
+                             .codec = codec,
+                             .observer = watch,
+                             .quota = quota,
+                             .catalogue = [this] { return catalogue; } });
+    scheduler = std::make_unique<placement::PlacementScheduler>(
+      placement::PlacementSchedulerOptions{ .settings = {},
+                                            .timers = timers,
+                                            .random = random,
+                                            .listener = *table,
+                                            .versions = versions,
+                                            .dataCentre = core::DataCentreId("here") });
+    table->Attach(*scheduler);
+    Up("u1");
+    Up("u2");
+  }
+
+  void teardown() override
+  {
+    table.reset();
+    scheduler.reset();
+  }
+
+  void Up(const std::string& aId)
+  {
+    UpstreamAnnouncement upstream;
+    upstream.id = core::UpstreamId(aId);
+    upstream.service = core::ServiceId("s");
+    upstream.dataCentre = core::DataCentreId("here");
+    upstream.slots = 8;
+    scheduler->UpstreamUp(upstream);
+  }
+
+  void Send(const std::string& aId = "id")
+  {
+    caller = std::make_shared<FakeCaller>();
+    connection::caller::CallerRequest request;
+    request.method = "POST";
+    request.target = aId;
+    request.body = "body";
+    table->OnRequest(std::move(request), caller);
+  }
+
+  void Repeatable(std::uint32_t aTries)
+  {
+    codec.next.spec.mayRepeat = true;
+    codec.next.maxTries = aTries;
+  }
+
+  void Once()
+  {
+    codec.next.spec.mayRepeat = false;
+    codec.next.maxTries = 1;
+  }
+
+  static connection::upstream::UpstreamFailure Failure(bool aMayHaveRun)
+  {
+    return { .mayHaveRun = aMayHaveRun, .error = { .kind = {}, .message = "broke" } };
+  }
+};
+
+TEST(Forward, AnAnswerIsPassedOnAsItIs)
+{
+  Once();
+  Send();
+  STRCMP_EQUAL("POST", transport.request.method.c_str());
+  STRCMP_EQUAL("body", transport.request.body.c_str());
+  CHECK(transport.request.freshConnection);
+  transport.listener->OnHead(201, { { .name = "Seal", .value = "x" } });
+  transport.listener->OnBody("ans");
+  transport.listener->OnBody("wer");
+  CHECK_EQUAL(0, caller->status); // Held until it is whole.
+  transport.listener->OnEnd();
+  CHECK_EQUAL(201, caller->status);
+  STRCMP_EQUAL("answer", caller->body.c_str());
+  STRCMP_EQUAL("x", std::string(connection::FindHeader(caller->headers, "Seal")).c_str());
+  CHECK_EQUAL(0, table->Size());
+}
+
+TEST(Forward, ARequestThatMayNotRepeatIsNeverSentAgainAfterItLeft)
+{
+  Once();
+  Send();
+  transport.listener->OnFailed(Failure(true));
+  CHECK_EQUAL(1, transport.started);
+  CHECK_EQUAL(502, caller->status); // Not 503: it may have run.
+}
+
+TEST(Forward, ARequestThatNeverLeftGoesElsewhere)
+{
+  Once();
+  Send();
+  transport.listener->OnFailed(Failure(false));
+  CHECK_EQUAL(2, transport.started);
+  transport.listener->OnHead(200, {});
+  transport.listener->OnEnd();
+  CHECK_EQUAL(200, caller->status);
+}
+
+TEST(Forward, ARefusedRequestGoesElsewhere)
+{
+  Once();
+  Send();
+  transport.listener->OnHead(503, kRefused);
+  CHECK_EQUAL(2, transport.started);
+}
+
+TEST(Forward, WhereNothingRanTheCallerIsToldSo)
+{
+  Once();
+  Send();
+  // Until the budget of retries is used up.
+  for (int n = 0; n < 10 && caller->status == 0; ++n) {
+    transport.listener->OnHead(503, kRefused);
+    timers.Advance(200ms);
+  }
+  CHECK_EQUAL(503, caller->status);
+  CHECK(codec.failure.retryAfter.has_value());
+}
+
+TEST(Forward, ARefusalAfterATryThatMayHaveRunIsNotTold)
+{
+  Repeatable(2);
+  Send();
+  transport.listener->OnFailed(Failure(true));
+  for (int n = 0; n < 10 && caller->status == 0; ++n) {
+    transport.listener->OnHead(503, kRefused);
+    timers.Advance(200ms);
+  }
+  CHECK(caller->status == 502 || caller->status == 504);
+}
+
+TEST(Forward, AnIdempotentRequestIsTriedElsewhereOnFailure)
+{
+  Repeatable(2);
+  Send();
+  transport.listener->OnHead(500, {});
+  CHECK_EQUAL(2, transport.started);
+  transport.listener->OnHead(500, {});
+  transport.listener->OnBody("fault");
+  transport.listener->OnEnd();
+  CHECK_EQUAL(500, caller->status); // The last upstream's own words.
+  STRCMP_EQUAL("fault", caller->body.c_str());
+}
+
+TEST(Forward, APlainAnswerThatBreaksOffIsHadElsewhere)
+{
+  Repeatable(2);
+  Send();
+  transport.listener->OnHead(200, {});
+  transport.listener->OnBody("ha");
+  transport.listener->OnFailed(Failure(true));
+  CHECK_EQUAL(2, transport.started);
+  transport.listener->OnHead(200, {});
+  transport.listener->OnBody("whole");
+  transport.listener->OnEnd();
+  STRCMP_EQUAL("whole", caller->body.c_str());
+}
+
+TEST(Forward, ASilentUpstreamIsLeftForAnother)
+{
+  Repeatable(2);
+  Send();
+  timers.Advance(500ms);
+  CHECK_EQUAL(2, transport.started);
+  CHECK_EQUAL(1, transport.live);
+}
+
+TEST(Forward, AStreamGoesOnElsewhereAfterItsLastWholeEvent)
+{
+  Repeatable(2);
+  codec.next.stream = true;
+  codec.next.resumable = true;
+  Send();
+  transport.listener->OnHead(200, kEvents);
+  transport.listener->OnBody("id: 1\ndata: a\n\nid: 2\nda");
+  STRCMP_EQUAL("id: 1\ndata: a\n\n", caller->body.c_str());
+  transport.listener->OnFailed(Failure(true));
+  CHECK_EQUAL(2, transport.started);
+  STRCMP_EQUAL("1", codec.afterEvent.c_str());
+  transport.listener->OnHead(200, kEvents);
+  transport.listener->OnBody("id: 2\ndata: b\n\n");
+  transport.listener->OnEnd();
+  STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", caller->body.c_str());
+  CHECK(caller->ended);
+}
+
+TEST(Forward, AStreamThatMayNotBeResumedBreaksOffVisibly)
+{
+  Once();
+  codec.next.stream = true;
+  codec.next.resumable = false;
+  Send();
+  transport.listener->OnHead(200, kEvents);
+  transport.listener->OnBody("id: 1\ndata: a\n\nid: 2\nda");
+  transport.listener->OnEnd(); // Closed without its end.
+  CHECK(caller->aborted);
+  CHECK_FALSE(caller->ended);
+}
+
+TEST(Forward, ACallerWhoLeavesEndsTheWork)
+{
+  Once();
+  Send();
+  caller->onGone();
+  CHECK_EQUAL(0, transport.live);
+  CHECK(watch.ends.front().callerLeft);
+}
+
+TEST(Forward, TheFinalAnswerComesByTheTimeout)
+{
+  Once();
+  Send();
+  timers.Advance(1s);
+  CHECK_EQUAL(504, caller->status);
+  CHECK_EQUAL(0, transport.live);
+}
+
+TEST(Forward, AnUpstreamIsToldHowLongItMayWork)
+{
+  Once();
+  Send();
+  CHECK(codec.left == 1s); // The timeout, which is shorter than the caller's patience.
+}
+
+TEST(Forward, AnIdInUseIsRefused)
+{
+  Once();
+  Send("same");
+  const auto first = caller;
+  Send("same");
+  CHECK_EQUAL(400, caller->status);
+  CHECK_EQUAL(0, first->status);
+  CHECK_EQUAL(1, transport.started);
+}
+
+TEST(Forward, WithoutACatalogueNothingIsRefusedForGood)
+{
+  catalogue.reset();
+  Send();
+  CHECK_EQUAL(503, caller->status);
+}
+
+TEST(Forward, AStoppingHostTellsNewRequestsThatTheyHaveNotRun)
+{
+  Once();
+  Send("first");
+  table->BeginShutdown();
+  table->RefuseNew();
+  const auto first = caller;
+  Send("second");
+  CHECK_EQUAL(503, caller->status);
+  transport.listener->OnHead(200, {});
+  transport.listener->OnEnd();
+  CHECK_EQUAL(200, first->status);
+  STRCMP_EQUAL("close", std::string(connection::FindHeader(first->headers, "Connection")).c_str());
+}
--- /dev/null
+++ b/UnitTests/request/forward/WorkspaceQuotaTest.cpp
@@ -0,0 +1,144 @@
+#include "cuminfield/request/forward/WorkspaceQuota.h"
+
+#include "cuminfield/core/Random.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+
+using namespace cuminfield;
+using namespace cuminfield::request::forward;
+using namespace std::chrono_literals;
+
+TEST_GROUP(WorkspaceQuota)
+{
+  const WorkspaceQuotaSettings settings{ .overshoot = 0.1, .slackUnits = 140'000 };
+  core::Instant now{ 100s };
+
+  static version::catalogue::WorkspaceRule Rule(double aRate)
+  {
+    version::catalogue::WorkspaceRule rule;
+    rule.id = core::WorkspaceId("w");
+    rule.unitsPerSecond = aRate;
+    rule.burst = aRate;
+    return rule;
+  }
+
+  /// Hosts that hear of each other 400 ms late, a demand that is a multiple of the quota: the most
+  /// that all took in any window, relative to what is tolerated, and relative to the quota.
+  struct Load
+  {
+    double worst = 0;
+    double mean = 0;
+  };
+  Load Play(std::size_t aHosts, double aRate, double aDemand, double aMeanUnits) const
+  {
+    constexpr core::Duration kStep = 10ms;
+    constexpr std::size_t kLateSteps = 40;
+    core::Random random(7);
+    const auto rule = Rule(aRate);
+    std::vector<WorkspaceQuota> hosts(aHosts, WorkspaceQuota(settings));
+    std::deque<std::vector<QuotaUse>> told;
+    std::deque<double> window;
+    double used = 0;
+    Load load;
+    double total = 0;
+    const double perStep = aRate * aDemand / aMeanUnits * 0.01;
+    core::Instant time = now;
+    constexpr std::size_t kSteps = 3000;
+    for (std::size_t n = 0; n < kSteps; ++n, time += kStep) {
+      double taken = 0;
+      for (double due = perStep; due > 0; due -= 1) {
+        if (due < 1 && !random.Chance(due)) {
+          break;
+        }
+        const double units = random.Exponential(aMeanUnits);
+        // Callers are spread unevenly over the hosts.
+        const std::size_t host = std::min(random.Below(aHosts), random.Below(aHosts));
+        taken += hosts[host].Take(rule, units, time) ? 0 : units;
+      }
+      total += taken;
+      used += taken;
+      window.push_back(taken);
+      if (window.size() > 800) {
+        used -= window.front();
+        window.pop_front();
+      }
+      load.worst = std::max(load.worst, used / (aRate * 9 * 1.1 + settings.slackUnits));
+      std::vector<QuotaUse> uses;
+      for (WorkspaceQuota& it : hosts) {
+        const auto report = it.Report(time);
+        uses.push_back(report.contains(rule.id) ? report.at(rule.id) : QuotaUse());
+      }
+      told.push_back(uses);
+      if (told.size() > kLateSteps) {
+        told.pop_front();
+      }
+      for (std::size_t host = 0; host < aHosts; ++host) {
+        QuotaUse others;
+        for (std::size_t other = 0; other < aHosts; ++other) {
+          others.used += other == host ? 0 : told.front()[other].used;
+          others.demand += other == host ? 0 : told.front()[other].demand;
+        }
+        hosts[host].SetOthers({ { rule.id, others } }, static_cast<std::uint32_t>(aHosts), time);
+      }
+    }
+    load.mean = total / (aRate * kSteps * 0.01);
+    return load;
+  }
+};
+
+TEST(WorkspaceQuota, ARequestLargerThanAnyHostsPartPasses)
+{
+  WorkspaceQuota quota(settings);
+  quota.SetOthers({}, 80, now);
+  CHECK_FALSE(quota.Take(Rule(36'000), 55'000, now).has_value());
+}
+
+TEST(WorkspaceQuota, WhatTheOthersTookCounts)
+{
+  WorkspaceQuota quota(settings);
+  const auto rule = Rule(10'000);
+  quota.SetOthers({ { rule.id, { .used = 200'000, .demand = 0 } } }, 8, now);
+  const auto wait = quota.Take(rule, 5'000, now);
+  CHECK(wait.has_value());
+  CHECK(*wait >= settings.minRetryAfter);
+  quota.SetOthers({ { rule.id, { .used = 50'000, .demand = 0 } } }, 8, now);
+  CHECK_FALSE(quota.Take(rule, 5'000, now).has_value());
+}
+
+TEST(WorkspaceQuota, WhatDidNotRunIsGivenBack)
+{
+  WorkspaceQuota quota(settings);
+  const auto rule = Rule(10'000);
+  quota.SetOthers({}, 1, now);
+  CHECK_FALSE(quota.Take(rule, 100'000, now).has_value());
+  CHECK(quota.Take(rule, 100'000, now).has_value());
+  quota.Return(rule.id, 100'000, now);
+  CHECK_FALSE(quota.Take(rule, 100'000, now).has_value());
+}
+
+TEST(WorkspaceQuota, WithoutNewsOfTheOthersAHostKeepsToAnEvenPart)
+{
+  WorkspaceQuota quota(settings);
+  const auto rule = Rule(10'000);
+  quota.SetOthers({}, 10, now);
+  const core::Instant later = now + 5s;
+  CHECK_FALSE(quota.Take(rule, 10'000, later).has_value());
+  CHECK(quota.Take(rule, 10'000, later).has_value());
+}
+
+TEST(WorkspaceQuota, ADemandOfManyTimesTheQuotaStaysWithinTheTolerance)
+{
+  for (const std::size_t hosts : { 8, 20 }) {
+    const Load load = Play(hosts, 150'000, 7.5, 4'000);
+    CHECK(load.worst <= 1.0);
+    CHECK(load.mean >= 0.8); // What is below the quota is not refused in vain.
+  }
+}
+
+TEST(WorkspaceQuota, ADemandBelowTheQuotaIsHardlyRefused)
+{
+  const Load load = Play(8, 36'000, 0.55, 4'000);
+  CHECK(load.mean >= 0.53);
+}
--- /dev/null
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -0,0 +1,300 @@
+#include "cuminfield/request/placement/PlacementScheduler.h"
+
+#include "TestFramework/time/ManualTimerService.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+using namespace cuminfield;
+using namespace cuminfield::request;
+using namespace cuminfield::request::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Listener : public SchedulerListener
+{
+public:
+  void OnDispatch(const core::RequestId& aRequest, const UpstreamAnnouncement& aUpstream) override
+  {
+    placed[aRequest.Text()] = aUpstream.id.Text();
+    order.push_back(aRequest.Text());
+  }
+  void OnShed(const core::RequestId& aRequest, ShedReason aReason, core::Duration aAfter) override
+  {
+    shed[aRequest.Text()] = aReason;
+    retryAfter[aRequest.Text()] = aAfter;
+  }
+
+  std::map<std::string, std::string> placed;
+  std::vector<std::string> order;
+  std::map<std::string, ShedReason> shed;
+  std::map<std::string, core::Duration> retryAfter;
+};
+
+class OneVersion : public VersionChooser
+{
+public:
+  core::VersionId Choose(const core::ServiceId&, const core::RouteId&, double) const override
+  {
+    return version;
+  }
+
+  core::VersionId version{ "v1" };
+};
+
+} // namespace
+
+TEST_GROUP(PlacementScheduler)
+{
+  test_framework::time::ManualTimerService timers;
+  core::Random random{ 3 };
+  Listener listener;
+  OneVersion versions;
+  PlacementSettings settings;
+  std::unique_ptr<PlacementScheduler> scheduler;
+
+  void setup() override
+  {
+    scheduler = std::make_unique<PlacementScheduler>(
+      PlacementSchedulerOptions{ .settings = settings,
+                                 .timers = timers,
+                                 .random = random,
+                                 .listener = listener,
+                                 .versions = versions,
+                                 .dataCentre = core::DataCentreId("here") });
+  }
+
+  void Up(const std::string& aId, std::uint32_t aSlots = 2, const std::string& aVersion = "v1",
+          const std::string& aDataCentre = "here")
+  {
+    UpstreamAnnouncement upstream;
+    upstream.id = core::UpstreamId(aId);
+    upstream.incarnation = core::Incarnation(1);
+    upstream.service = core::ServiceId("s");
+    upstream.version = core::VersionId(aVersion);
+    upstream.dataCentre = core::DataCentreId(aDataCentre);
+    upstream.slots = aSlots;
+    upstream.engine = true;
+    scheduler->UpstreamUp(upstream);
+  }
+
+  RequestSpec Spec(const std::string& aId, TierRank aRank = 1) const
+  {
+    RequestSpec spec;
+    spec.id = core::RequestId(aId);
+    spec.service = core::ServiceId("s");
+    spec.tier = aRank;
+    spec.arrival = timers.Now();
+    spec.deadline = timers.Now() + 15s;
+    spec.firstTokenTarget = 400ms;
+    spec.prompt.value = 600;
+    spec.maxAnswer.value = 200;
+    spec.engine = true;
+    return spec;
+  }
+
+  void Submit(const std::string& aId, TierRank aRank = 1)
+  {
+    scheduler->Submit(Spec(aId, aRank));
+  }
+
+  void Finish(const std::string& aId, TryOutcome aOutcome = TryOutcome::Succeeded)
+  {
+    scheduler->Finished(core::RequestId(aId), aOutcome);
+  }
+};
+
+TEST(PlacementScheduler, ARequestGoesOutWhenAPlaceIsFree)
+{
+  Up("u", 1);
+  Submit("a");
+  Submit("b");
+  STRCMP_EQUAL("u", listener.placed.at("a").c_str());
+  CHECK_FALSE(listener.placed.contains("b"));
+  Finish("a");
+  STRCMP_EQUAL("u", listener.placed.at("b").c_str());
+}
+
+TEST(PlacementScheduler, TheMoreUrgentTakesTheNextFreePlace)
+{
+  Up("u", 1);
+  Submit("a");
+  Submit("low", 3);
+  Submit("top", 0);
+  Finish("a");
+  CHECK(listener.placed.contains("top"));
+  CHECK_FALSE(listener.placed.contains("low"));
+}
+
+TEST(PlacementScheduler, PlacesThatOtherHostsTookAreNotFree)
+{
+  Up("u", 2);
+  scheduler->Board().SetOthers(core::UpstreamId("u"), 2, 0, timers.Now());
+  Submit("a");
+  CHECK_FALSE(listener.placed.contains("a"));
+  scheduler->Board().SetOthers(core::UpstreamId("u"), 1, 0, timers.Now());
+  timers.Advance(settings.tick);
+  CHECK(listener.placed.contains("a"));
+}
+
+TEST(PlacementScheduler, OneThatWaitsTooLongIsTurnedAwayWithATimeToComeBack)
+{
+  Up("u", 1);
+  Submit("a");
+  Submit("b");
+  timers.Advance(10s);
+  CHECK(listener.shed.at("b") == ShedReason::Overload);
+  CHECK(listener.retryAfter.at("b") >= core::Duration::zero());
+}
+
+/// A burst of many times what can be served: whoever would wait too long is told at once, not
+/// after waiting.
+TEST(PlacementScheduler, ABurstIsTurnedAwayAtOnce)
+{
+  Up("u", 4);
+  for (int n = 0; n < 20; ++n) {
+    Submit("warm" + std::to_string(n));
+    timers.Advance(100ms);
+    Finish("warm" + std::to_string(n));
+  }
+  for (int n = 0; n < 200; ++n) {
+    Submit("burst" + std::to_string(n));
+  }
+  CHECK(listener.shed.size() > 100);
+  CHECK(scheduler->Waiting() < 100);
+  for (const auto& [id, after] : listener.retryAfter) {
+    CHECK(after >= settings.minRetryAfter);
+    CHECK(after <= settings.maxRetryAfter);
+  }
+}
+
+TEST(PlacementScheduler, OnlyTheChosenVersionGetsRequests)
+{
+  Up("old", 8, "v1");
+  Up("new", 8, "v2");
+  for (int n = 0; n < 8; ++n) {
+    Submit(std::to_string(n));
+  }
+  for (const auto& [id, upstream] : listener.placed) {
+    STRCMP_EQUAL("old", upstream.c_str());
+  }
+  versions.version = core::VersionId("v2");
+  Submit("next");
+  STRCMP_EQUAL("new", listener.placed.at("next").c_str());
+}
+
+TEST(PlacementScheduler, AnUpstreamOfThisDataCentreIsPreferredUntilItIsFull)
+{
+  Up("far", 4, "v1", "there");
+  Up("near", 4);
+  for (int n = 0; n < 5; ++n) {
+    RequestSpec spec = Spec(std::to_string(n));
+    spec.prompt.value = 0;
+    spec.maxAnswer.value = 10;
+    scheduler->Submit(spec);
+  }
+  STRCMP_EQUAL("near", listener.placed.at("0").c_str());
+  STRCMP_EQUAL("far", listener.placed.at("4").c_str());
+}
+
+TEST(PlacementScheduler, ARefusedRequestGoesElsewhere)
+{
+  Up("u1", 8);
+  Submit("a");
+  Up("u2", 8);
+  Finish("a", TryOutcome::Refused);
+  STRCMP_EQUAL("u2", listener.placed.at("a").c_str());
+}
+
+TEST(PlacementScheduler, RetriesAreBounded)
+{
+  Up("u1", 8);
+  Up("u2", 8);
+  for (int n = 0; n < 50; ++n) {
+    const std::string id = std::to_string(n);
+    Submit(id);
+    for (int tries = 0; tries < 8 && !listener.shed.contains(id); ++tries) {
+      Finish(id, TryOutcome::Refused);
+      timers.Advance(200ms);
+    }
+  }
+  const double allowed = 50 * (1 + settings.retry.share) + settings.retry.reserve;
+  CHECK(static_cast<double>(listener.order.size()) <= allowed);
+}
+
+TEST(PlacementScheduler, AnUpstreamThatCannotBeReachedIsLeftAlone)
+{
+  Up("dead", 8);
+  Submit("a");
+  Finish("a", TryOutcome::Unreachable);
+  Up("alive", 8);
+  for (int n = 0; n < 6; ++n) {
+    Submit(std::to_string(n));
+    STRCMP_EQUAL("alive", listener.placed.at(std::to_string(n)).c_str());
+  }
+}
+
+TEST(PlacementScheduler, AnUpstreamThatIsSilentGetsNoMore)
+{
+  Up("dark", 8);
+  Submit("a");
+  timers.Advance(1s);
+  Submit("b");
+  CHECK_FALSE(listener.placed.contains("b"));
+  scheduler->FirstToken(core::RequestId("a"));
+  timers.Advance(settings.tick);
+  CHECK(listener.placed.contains("b"));
+}
+
+TEST(PlacementScheduler, AnUpstreamThatFailsALotLosesItsPlaceToOthers)
+{
+  Up("grey", 50);
+  Up("sound", 50);
+  int atGrey = 0;
+  for (int n = 0; n < 200; ++n) {
+    const std::string id = std::to_string(n);
+    Submit(id);
+    timers.Advance(10ms);
+    const bool grey = listener.placed.at(id) == "grey";
+    atGrey += grey && n >= 100 ? 1 : 0;
+    Finish(id, grey && n % 2 == 0 ? TryOutcome::Failed : TryOutcome::Succeeded);
+  }
+  CHECK(atGrey < 25);
+}
+
+TEST(PlacementScheduler, WithoutAnyUpstreamTheReasonIsTold)
+{
+  Submit("a");
+  timers.Advance(10s);
+  CHECK(listener.shed.at("a") == ShedReason::NoUpstream);
+}
+
+TEST(PlacementScheduler, AResumedStreamGoesBeforeAllThatWait)
+{
+  Up("u", 1);
+  Submit("a");
+  Submit("top", 0);
+  RequestSpec spec = Spec("resumed", 5);
+  spec.resumed = true;
+  spec.arrival -= 3s;
+  scheduler->Submit(spec);
+  Finish("a");
+  CHECK(listener.placed.contains("resumed"));
+}
+
+TEST(PlacementScheduler, ANewLifeOfAnUpstreamStartsWithoutThePast)
+{
+  Up("u", 4);
+  Submit("a");
+  Finish("a", TryOutcome::Unreachable);
+  Submit("b");
+  CHECK_FALSE(listener.placed.contains("b"));
+  UpstreamAnnouncement upstream = scheduler->Board().Find(core::UpstreamId("u"))->upstream;
+  upstream.incarnation = core::Incarnation(2);
+  scheduler->UpstreamUp(upstream);
+  CHECK(listener.placed.contains("b"));
+}
--- /dev/null
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -0,0 +1,50 @@
+#include "cuminfield/version/catalogue/CatalogueIndex.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace cuminfield::version::catalogue;
+
+TEST_GROUP(CatalogueIndex){ static RouteRule Route(const std::string& aName,
+                                                   const std::string& aHost,
+                                                   const std::string& aPrefix){ RouteRule rule;
+rule.id = core::RouteId(aName);
+rule.host = aHost;
+rule.pathPrefix = aPrefix;
+rule.services = { { .service = core::ServiceId("a"), .weight = 1 },
+                  { .service = core::ServiceId("b"), .weight = 0 },
+                  { .service = core::ServiceId("c"), .weight = 3 } };
+return rule;
+}
+}
+;
+
+TEST(CatalogueIndex, TheLongestPrefixOfTheHostWins)
+{
+  Catalogue catalogue;
+  catalogue.routes = { Route("short", "One.example", "/a/"), Route("long", "one.example", "/a/b/"),
+                       Route("other", "two.example", "/a/b/c/") };
+  const CatalogueIndex index(std::move(catalogue));
+  STRCMP_EQUAL("long", index.FindRoute("ONE.example:8080", "/a/b/c/d")->id.Text().c_str());
+  STRCMP_EQUAL("short", index.FindRoute("one.example", "/a/x")->id.Text().c_str());
+  POINTERS_EQUAL(nullptr, index.FindRoute("one.example", "/b/"));
+  POINTERS_EQUAL(nullptr, index.FindRoute("three.example", "/a/"));
+}
+
+TEST(CatalogueIndex, KeysLeadToTheirWorkspaces)
+{
+  Catalogue catalogue;
+  catalogue.workspaces = { { .id = core::WorkspaceId("w"), .keys = { "k1", "k2" }, .rank = {} } };
+  const CatalogueIndex index(std::move(catalogue));
+  STRCMP_EQUAL("w", index.FindKey("k2")->id.Text().c_str());
+  POINTERS_EQUAL(nullptr, index.FindKey("k3"));
+}
+
+TEST(CatalogueIndex, ServicesGetTheirShares)
+{
+  const RouteRule route = Route("r", "h", "/");
+  STRCMP_EQUAL("a", CatalogueIndex::ChooseService(route, 0.0).Text().c_str());
+  STRCMP_EQUAL("a", CatalogueIndex::ChooseService(route, 0.24).Text().c_str());
+  STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.26).Text().c_str());
+  STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.999).Text().c_str());
+}
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -238,6 +238,7 @@
   text += "cuminfield_requests_in_flight " + std::to_string(mForwards.Size()) + "\n";
   text += "cuminfield_requests_waiting " + std::to_string(mScheduler.Waiting()) + "\n";
   text += "cuminfield_upstreams_known " + std::to_string(mKnown.size()) + "\n";
+  text += "cuminfield_log_lines_dropped " + std::to_string(logging::Dropped()) + "\n";
   return text;
 }
 
--- a/cuminfield/process/cluster/ForwardWatch.cpp
+++ b/cuminfield/process/cluster/ForwardWatch.cpp
@@ -69,6 +69,21 @@
     .first->second;
 }
 
+void ForwardWatch::OnPlaced(const request::forward::ForwardRequest& aRequest,
+                            const request::UpstreamAnnouncement& aUpstream,
+                            const request::forward::PlacementBasis& aBasis)
+{
+  logging::Event(logging::Level::Info, "request-placed",
+                 { { "request", aRequest.spec.id.Text() },
+                   { "upstream", aUpstream.id.Text() },
+                   { "version", aUpstream.version.Text() },
+                   { "own", aBasis.own },
+                   { "others", aBasis.others },
+                   { "others_age_ms", Ms(aBasis.othersAge) },
+                   { "waited_ms", Ms(aBasis.waited) },
+                   { "waiting", aBasis.waiting } });
+}
+
 void ForwardWatch::OnTry(const request::forward::ForwardRequest& aRequest,
                          const request::forward::ForwardTry& aTry)
 {
--- a/cuminfield/process/cluster/ForwardWatch.h
+++ b/cuminfield/process/cluster/ForwardWatch.h
@@ -17,6 +17,9 @@
 public:
   explicit ForwardWatch(VersionShares& aVersions);
 
+  void OnPlaced(const request::forward::ForwardRequest& aRequest,
+                const request::UpstreamAnnouncement& aUpstream,
+                const request::forward::PlacementBasis& aBasis) override;
   void OnTry(const request::forward::ForwardRequest& aRequest,
              const request::forward::ForwardTry& aTry) override;
   void OnEnded(const request::forward::ForwardRequest& aRequest,
--- a/cuminfield/process/command/ExitCode.h
+++ b/cuminfield/process/command/ExitCode.h
@@ -2,7 +2,7 @@
 
 namespace cuminfield::process::command {
 
-/// Exit codes of the program, the same for all commands (docs/Operations.md).
+/// Exit codes of the program, the same for all commands (docs/OPERATIONS.md).
 enum class ExitCode
 {
   Ok = 0,          ///< Done.
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -65,9 +65,23 @@
   CUMINFIELD_INVARIANT("forward.dispatch-only-while-waiting", mState == State::Waiting);
   mUpstream = aUpstream;
   mSummary.upstream = aUpstream.id;
+  mOptions.observer.OnPlaced(mOptions.request, aUpstream, Basis());
   Call();
 }
 
+PlacementBasis Forward::Basis()
+{
+  const core::Instant now = mOptions.timers.Now();
+  PlacementBasis basis{ .waited = now - mOptions.request.spec.arrival,
+                        .waiting = mOptions.scheduler.Waiting() };
+  if (const placement::BoardEntry* entry = mOptions.scheduler.Board().Find(mUpstream.id)) {
+    basis.own = entry->own;
+    basis.others = entry->others;
+    basis.othersAge = now - entry->othersAt;
+  }
+  return basis;
+}
+
 void Forward::Call()
 {
   const ForwardRequest& request = mOptions.request;
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -84,6 +84,7 @@
     Ended,
   };
 
+  PlacementBasis Basis();
   void Call();
   void NoteFirst();
   void TakeEvents(std::string_view aBytes);
--- a/cuminfield/request/forward/ForwardObserver.h
+++ b/cuminfield/request/forward/ForwardObserver.h
@@ -7,6 +7,16 @@
 
 namespace cuminfield::request::forward {
 
+/// What decided where a request went.
+struct PlacementBasis
+{
+  std::uint32_t own = 0;         ///< Requests of this host at the upstream, this one included.
+  std::uint32_t others = 0;      ///< Of all other hosts, as last heard.
+  core::Duration othersAge{ 0 }; ///< How old that figure is.
+  core::Duration waited{ 0 };    ///< Since the request's arrival.
+  std::size_t waiting = 0;       ///< Requests that still wait here.
+};
+
 /// How a try of a forwarded request went, for the judgement of versions and for metrics.
 struct ForwardTry
 {
@@ -31,11 +41,13 @@
   std::uint64_t events = 0;
 };
 
-/// Told of tries and ends of forwarded requests.
+/// Told of decisions, tries and ends of forwarded requests.
 class ForwardObserver
 {
 public:
   virtual ~ForwardObserver() = default;
+  virtual void OnPlaced(const ForwardRequest& aRequest, const UpstreamAnnouncement& aUpstream,
+                        const PlacementBasis& aBasis) = 0;
   virtual void OnTry(const ForwardRequest& aRequest, const ForwardTry& aTry) = 0;
   virtual void OnEnded(const ForwardRequest& aRequest, const ForwardSummary& aSummary) = 0;
 };
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -21,7 +21,7 @@
   /// and units of all hosts together.
   double slackUnits = 0;
   /// Part of that tolerance that is used; the rest is for requests that arrive later than counted.
-  double toleranceUsed = 0.4;
+  double toleranceUsed = 0.2;
   /// What hosts tell each other is known to all of them after about this long.
   core::Duration lag = std::chrono::milliseconds(450);
   /// Demand is averaged over about this long.
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -260,6 +260,7 @@
     return;
   }
   entry->others = aRequests;
+  entry->othersAt = aNow;
 }
 
 void UpstreamBoard::SetTold(const core::UpstreamId& aUpstream, std::uint32_t aRequests,
@@ -270,6 +271,7 @@
     return;
   }
   entry->toldAt = aNow;
+  entry->othersAt = aNow;
   entry->others = aRequests > entry->own ? aRequests - entry->own : 0;
 }
 
--- a/cuminfield/request/placement/UpstreamBoard.h
+++ b/cuminfield/request/placement/UpstreamBoard.h
@@ -22,7 +22,8 @@
   std::int64_t ownPrompt = 0; ///< Their prompt tokens, until their first event.
   std::uint32_t others = 0;   ///< Requests of all other hosts, as last heard.
   std::int64_t othersPrompt = 0;
-  core::Instant toldAt{}; ///< When the upstream itself last told its load.
+  core::Instant othersAt{}; ///< When that was heard.
+  core::Instant toldAt{};   ///< When the upstream itself last told its load.
 
   // Its speed.
   double firstFactor = 1; ///< Observed time to the first event, relative to the prediction.
