Placing by what a stream's pauses and duration need; scarce places by pressure

Ruled out: stragglers by failure share (slow runners do not fail).

Change: an upstream suits a request when the predicted pause and duration fit; the most urgent may fill an engine, lower ranks 0.9 of its slots, late ones 0.75; a request that finds no place does not hold up those behind it; Retry-After is 0.6 to 1 of what callers heed.

--- a/UnitTests/request/placement/WaitingLineTest.cpp
+++ b/UnitTests/request/placement/WaitingLineTest.cpp
@@ -25,8 +25,12 @@
 
   std::string Next(core::Duration aAt)
   {
-    const Waiting* next = line.Next(start + aAt);
-    return next ? next->id.Text() : std::string();
+    std::string next;
+    line.ForEach(start + aAt, [&](const Waiting& aWaiting) {
+      next = next.empty() ? aWaiting.id.Text() : next;
+      return false;
+    });
+    return next;
   }
 };
 
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -263,9 +263,9 @@
     const std::uint64_t events = mEvents.Events() - mEventsBefore;
     const core::Duration took = mOptions.timers.Now() - mFirstAt;
     if (events > 1) {
+      const double tokens = static_cast<double>(events - 1) * mOptions.request.spec.eventTokens;
       mOptions.scheduler.Paced(mUpstream.id,
-                               std::chrono::duration<double, std::milli>(took).count() /
-                                 static_cast<double>(events - 1));
+                               std::chrono::duration<double, std::milli>(took).count() / tokens);
     }
   }
   const bool failed = mStatus >= connection::kStatusInternalError;
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -50,16 +50,14 @@
   return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(ahead / rate));
 }
 
-core::Duration PlacementScheduler::RetryAfter(const Service& aService, const RequestSpec& aSpec)
+core::Duration PlacementScheduler::RetryAfter(const RequestSpec& aSpec)
 {
+  const core::Duration left = std::max(aSpec.deadline - mTimers.Now(), core::Duration::zero());
+  const core::Duration heeded = Scaled(left, mSettings.retryAfterShare);
+  const double least = mSettings.retryAfterLeast;
   // Spread, so that those turned away together do not come back together.
-  const core::Duration wait =
-    std::max(PredictedWait(aService, aSpec.tier), mSettings.minRetryAfter);
-  const core::Duration spread = Scaled(wait, 1 + mRandom.Uniform());
-  const core::Duration left = aSpec.deadline - mTimers.Now();
-  const core::Duration heeded =
-    std::max(Scaled(left, mSettings.retryAfterShare), core::Duration::zero());
-  return std::min({ spread, mSettings.maxRetryAfter, heeded });
+  const core::Duration spread = Scaled(heeded, least + (1 - least) * mRandom.Uniform());
+  return std::clamp(spread, std::min(mSettings.minRetryAfter, heeded), mSettings.maxRetryAfter);
 }
 
 void PlacementScheduler::Submit(RequestSpec aSpec)
@@ -70,6 +68,7 @@
   state.spec = std::move(aSpec);
   state.point = mRandom.Uniform();
   Service& service = ServiceOf(state.spec.service);
+  service.topRank = std::min(service.topRank, state.spec.tier);
   const bool crowded =
     service.line.Size() > 0 && PredictedWait(service, state.spec.tier) > LongestWait(state.spec);
   if (crowded && !state.spec.resumed) {
@@ -88,6 +87,7 @@
   aState.began = false;
   placement::Waiting waiting{ .id = spec.id,
                               .rank = spec.tier,
+                              .top = spec.tier <= ServiceOf(spec.service).topRank,
                               .arrival = spec.arrival,
                               .onTimeUntil =
                                 spec.arrival + spec.firstTokenTarget - mBoard.FirstIdle(spec),
@@ -95,6 +95,7 @@
   if (spec.resumed) {
     // Its caller has begun to read: it goes before all that have not.
     waiting.rank = 0;
+    waiting.top = true;
     waiting.onTimeUntil = spec.deadline;
     waiting.waitsUntil = spec.deadline;
   }
@@ -104,24 +105,30 @@
 void PlacementScheduler::Run(const core::ServiceId& aId)
 {
   Service& service = ServiceOf(aId);
-  while (const placement::Waiting* next = service.line.Next(mTimers.Now())) {
-    const auto it = mRequests.find(next->id);
-    if (!Place(it->second, service)) {
-      return;
-    }
+  // One that finds no place does not hold up those behind it that need less.
+  service.line.ForEach(mTimers.Now(), [&](const placement::Waiting& aWaiting) {
+    const auto it = mRequests.find(aWaiting.id);
+    return Place(it->second, service, PressureOf(aWaiting, mTimers.Now()));
+  });
+}
+
+Pressure PlacementScheduler::PressureOf(const placement::Waiting& aWaiting, core::Instant aNow)
+{
+  if (aWaiting.onTimeUntil <= aNow) {
+    return Pressure::Late;
   }
+  return aWaiting.top ? Pressure::Top : Pressure::Lower;
 }
 
-bool PlacementScheduler::Place(State& aState, Service& aService)
+bool PlacementScheduler::Place(State& aState, Service& aService, Pressure aPressure)
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
   const core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.point);
-  BoardEntry* entry = mBoard.Choose(spec, version, now);
+  BoardEntry* entry = mBoard.Choose(spec, version, aPressure, now);
   if (!entry) {
     return false;
   }
-  aService.line.Remove(spec.id);
   const core::Duration passed = now - aService.rateAt;
   const double window = std::chrono::duration<double>(mSettings.rateWindow).count();
   aService.rate =
@@ -240,7 +247,7 @@
   const core::VersionId version =
     mVersions.Choose(state.spec.service, state.spec.route, state.point);
   const bool any = mBoard.Any(state.spec.service, version);
-  mListener.OnShed(aId, any ? aReason : ShedReason::NoUpstream, RetryAfter(service, state.spec));
+  mListener.OnShed(aId, any ? aReason : ShedReason::NoUpstream, RetryAfter(state.spec));
 }
 
 std::size_t PlacementScheduler::Waiting() const
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -7,6 +7,7 @@
 #include "cuminfield/request/placement/UpstreamBoard.h"
 #include "cuminfield/request/placement/WaitingLine.h"
 
+#include <limits>
 #include <map>
 #include <unordered_map>
 
@@ -72,17 +73,19 @@
 
     WaitingLine line;
     admission::RetryBudget retries;
-    double rate = 0; ///< Dispatches a second, averaged.
+    TierRank topRank = std::numeric_limits<TierRank>::max(); ///< The most urgent seen.
+    double rate = 0;                                         ///< Dispatches a second, averaged.
     core::Instant rateAt{};
   };
 
   Service& ServiceOf(const core::ServiceId& aId);
   void Enqueue(State& aState);
   void Run(const core::ServiceId& aId);
-  bool Place(State& aState, Service& aService);
+  bool Place(State& aState, Service& aService, Pressure aPressure);
+  static Pressure PressureOf(const placement::Waiting& aWaiting, core::Instant aNow);
   core::Duration LongestWait(const RequestSpec& aSpec) const;
   core::Duration PredictedWait(const Service& aService, std::uint32_t aRank) const;
-  core::Duration RetryAfter(const Service& aService, const RequestSpec& aSpec);
+  core::Duration RetryAfter(const RequestSpec& aSpec);
   void Shed(const core::RequestId& aId, ShedReason aReason);
   void Tick();
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -47,8 +47,18 @@
   core::Duration plainSilence = std::chrono::milliseconds(600);
   /// Requests at a plain service beyond its slots, as a multiple of the slots.
   double plainQueue = 1.0;
-  /// Requests at an engine, as a multiple of its slots.
-  double engineFill = 1.0;
+  /// Requests at an engine, as a multiple of its slots, up to which the most urgent are sent there.
+  double topFill = 1.0;
+  /// The same for those below: other hosts' urgent requests must find a place, too.
+  double lowerFill = 0.9;
+  /// The same for those that are late already: they get what is spare.
+  double lateFill = 0.75;
+  /// Prompt tokens that an engine reads between two tokens of the answers beside.
+  double chunkTokens = 1024;
+  /// Part of the pause target that a predicted pause may take.
+  double pauseShare = 0.95;
+  /// Part of the time left that a predicted answer may take.
+  double durationShare = 0.8;
 };
 
 /// Tunables of PlacementScheduler.
@@ -63,9 +73,12 @@
   double lateShare = 0.15;
   /// Bounds of Retry-After.
   core::Duration minRetryAfter = std::chrono::milliseconds(300);
-  core::Duration maxRetryAfter = std::chrono::milliseconds(4000);
-  /// Callers heed Retry-After up to this part of the time that they have left.
-  double retryAfterShare = 0.3;
+  core::Duration maxRetryAfter = std::chrono::milliseconds(5000);
+  /// Callers heed Retry-After up to this part of the time that they have left. Bursts last seconds,
+  /// and one who comes back too early is turned away again: the part is used nearly whole.
+  double retryAfterShare = 0.32;
+  /// Least part of it that is told; the rest spreads callers who were turned away together.
+  double retryAfterLeast = 0.6;
   /// The rate of dispatches is averaged over about this long.
   core::Duration rateWindow = std::chrono::milliseconds(1500);
   admission::RetryBudgetSettings retry{ .share = 0.12, .reserve = 3, .tries = 4 };
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -74,7 +74,7 @@
 }
 
 BoardEntry* UpstreamBoard::Choose(const RequestSpec& aSpec, const core::VersionId& aVersion,
-                                  core::Instant aNow)
+                                  Pressure aPressure, core::Instant aNow)
 {
   double failures = 0;
   std::size_t known = 0;
@@ -85,13 +85,20 @@
     }
   }
   const double meanFailShare = known == 0 ? 0 : failures / static_cast<double>(known);
+  const auto serves = [&](const BoardEntry& aEntry) {
+    return aEntry.up && aEntry.upstream.service == aSpec.service && aNow >= aEntry.pausedUntil &&
+           (aVersion.Empty() || aEntry.upstream.version == aVersion);
+  };
+  // An answer that no upstream can give in time, idle or not, goes to whichever is best.
+  const bool suitable = std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& aItem) {
+    return serves(aItem.second) && Suits(aItem.second, aSpec, aNow);
+  });
   BoardEntry* best = nullptr;
   BoardEntry* avoided = nullptr;
   double bestScore = 0;
   for (auto& [id, entry] : mEntries) {
-    const bool fits = entry.up && entry.upstream.service == aSpec.service &&
-                      (aVersion.Empty() || entry.upstream.version == aVersion);
-    if (!fits || !Usable(entry, aSpec, meanFailShare, aNow)) {
+    const bool fits = serves(entry) && (!suitable || Suits(entry, aSpec, aNow));
+    if (!fits || !Usable(entry, aPressure, meanFailShare, aNow)) {
       continue;
     }
     if (id == aSpec.avoid) {
@@ -107,15 +114,51 @@
   return best ? best : avoided;
 }
 
-bool UpstreamBoard::HasRoom(const BoardEntry& aEntry) const
+bool UpstreamBoard::HasRoom(const BoardEntry& aEntry, Pressure aPressure) const
 {
   if (aEntry.onTrial && aEntry.own > 0) {
     return false;
   }
   const double slots = aEntry.upstream.slots;
-  const double room =
-    aEntry.upstream.engine ? slots * mSettings.engineFill : slots * (1 + mSettings.plainQueue);
-  return aEntry.Load() < room;
+  if (!aEntry.upstream.engine) {
+    return aEntry.Load() < slots * (1 + mSettings.plainQueue);
+  }
+  switch (aPressure) {
+    case Pressure::Top:
+      return aEntry.Load() < slots * mSettings.topFill;
+    case Pressure::Lower:
+      return aEntry.Load() + 1 <= std::max(1.0, slots * mSettings.lowerFill);
+    case Pressure::Late:
+      return aEntry.Load() + 1 <= std::max(1.0, slots * mSettings.lateFill);
+  }
+  return false;
+}
+
+double UpstreamBoard::TokenMs(const BoardEntry& aEntry) const
+{
+  return aEntry.tokenMs > 0 ? aEntry.tokenMs : mSettings.tokenMs;
+}
+
+bool UpstreamBoard::Suits(const BoardEntry& aEntry, const RequestSpec& aSpec,
+                          core::Instant aNow) const
+{
+  if (!aSpec.engine || aSpec.maxAnswer.value == 0) {
+    return true;
+  }
+  const double tokenMs = TokenMs(aEntry);
+  const double answerMs = static_cast<double>(aSpec.maxAnswer.value) * tokenMs;
+  if (answerMs > Ms(aSpec.deadline - aNow) * mSettings.durationShare) {
+    return false;
+  }
+  if (aSpec.tokenGapTarget.count() == 0) {
+    return true;
+  }
+  // While the engine reads this prompt, the answers beside it pause for a chunk at each token.
+  const double chunks =
+    std::min(static_cast<double>(aSpec.prompt.value), mSettings.chunkTokens * aSpec.eventTokens);
+  const double pause =
+    tokenMs * aSpec.eventTokens + chunks * aEntry.firstFactor / mSettings.promptTokensPerMs;
+  return pause <= Ms(aSpec.tokenGapTarget) * mSettings.pauseShare;
 }
 
 bool UpstreamBoard::Silent(const BoardEntry& aEntry, core::Instant aNow) const
@@ -125,10 +168,10 @@
   return aEntry.own > 0 && aNow - aEntry.heard > limit;
 }
 
-bool UpstreamBoard::Usable(const BoardEntry& aEntry, const RequestSpec&, double aMeanFailShare,
+bool UpstreamBoard::Usable(const BoardEntry& aEntry, Pressure aPressure, double aMeanFailShare,
                            core::Instant aNow) const
 {
-  if (aNow < aEntry.pausedUntil || !HasRoom(aEntry) || Silent(aEntry, aNow)) {
+  if (!HasRoom(aEntry, aPressure) || Silent(aEntry, aNow)) {
     return false;
   }
   const bool failing = aEntry.failShare > aMeanFailShare + mSettings.failShareAbove;
@@ -161,7 +204,7 @@
 {
   double score = Ms(First(aEntry, aSpec));
   if (aSpec.engine) {
-    const double tokenMs = aEntry.tokenMs > 0 ? aEntry.tokenMs : mSettings.tokenMs;
+    const double tokenMs = TokenMs(aEntry);
     const double fill = static_cast<double>(aEntry.Load()) / std::max(1U, aEntry.upstream.slots);
     const double tokens = static_cast<double>(aSpec.maxAnswer.value) * kExpectedShareOfBound;
     score += mSettings.durationWeight * tokens * tokenMs * (1 + fill);
--- a/cuminfield/request/placement/UpstreamBoard.h
+++ b/cuminfield/request/placement/UpstreamBoard.h
@@ -11,6 +11,14 @@
 
 namespace cuminfield::request::placement {
 
+/// How pressing a request is when places are scarce.
+enum class Pressure
+{
+  Top,   ///< Of the highest rank, and can be in time; or its caller reads already.
+  Lower, ///< Can be in time.
+  Late,  ///< Cannot be in time any more.
+};
+
 /// One upstream as this host sees it.
 struct BoardEntry
 {
@@ -55,7 +63,8 @@
   void Gone(const core::UpstreamId& aUpstream);
 
   /// The best upstream that has room for the request; null: none.
-  BoardEntry* Choose(const RequestSpec& aSpec, const core::VersionId& aVersion, core::Instant aNow);
+  BoardEntry* Choose(const RequestSpec& aSpec, const core::VersionId& aVersion, Pressure aPressure,
+                     core::Instant aNow);
 
   BoardEntry* Find(const core::UpstreamId& aUpstream);
 
@@ -92,9 +101,11 @@
   std::unordered_map<core::UpstreamId, BoardEntry>& All() { return mEntries; }
 
 private:
-  bool Usable(const BoardEntry& aEntry, const RequestSpec& aSpec, double aMeanFailShare,
+  bool Usable(const BoardEntry& aEntry, Pressure aPressure, double aMeanFailShare,
               core::Instant aNow) const;
-  bool HasRoom(const BoardEntry& aEntry) const;
+  bool HasRoom(const BoardEntry& aEntry, Pressure aPressure) const;
+  bool Suits(const BoardEntry& aEntry, const RequestSpec& aSpec, core::Instant aNow) const;
+  double TokenMs(const BoardEntry& aEntry) const;
   bool Silent(const BoardEntry& aEntry, core::Instant aNow) const;
   double Score(const BoardEntry& aEntry, const RequestSpec& aSpec);
   void NoteFailure(BoardEntry& aEntry, core::Duration aPause, core::Instant aNow) const;
--- a/cuminfield/request/placement/WaitingLine.cpp
+++ b/cuminfield/request/placement/WaitingLine.cpp
@@ -4,6 +4,11 @@
 
 namespace cuminfield::request::placement {
 
+namespace {
+/// Requests of one rank that are offered before the next rank's turn.
+constexpr std::size_t kOfferedBehind = 4;
+} // namespace
+
 std::size_t WaitingLine::Index(std::uint32_t aRank)
 {
   return std::min<std::size_t>(aRank, kRanks - 1);
@@ -48,17 +53,25 @@
   }
 }
 
-const Waiting* WaitingLine::Next(core::Instant aNow)
+void WaitingLine::ForEach(core::Instant aNow, const std::function<bool(const Waiting&)>& aServe)
 {
   MoveLate(aNow);
   for (auto* lines : { &mOnTime, &mLate }) {
     for (auto& line : *lines) {
-      if (!line.empty()) {
-        return &line.front();
+      std::size_t passed = 0;
+      while (passed < std::min(line.size(), kOfferedBehind)) {
+        // Taken out first: serving it may change the line.
+        const auto place = line.begin() + static_cast<std::ptrdiff_t>(passed);
+        const Waiting next = *place;
+        line.erase(place);
+        if (!aServe(next)) {
+          line.insert(line.begin() + static_cast<std::ptrdiff_t>(std::min(passed, line.size())),
+                      next);
+          ++passed;
+        }
       }
     }
   }
-  return nullptr;
 }
 
 void WaitingLine::RemoveExpired(core::Instant aNow,
--- a/cuminfield/request/placement/WaitingLine.h
+++ b/cuminfield/request/placement/WaitingLine.h
@@ -20,6 +20,7 @@
 {
   core::RequestId id;
   std::uint32_t rank = 0;
+  bool top = false; ///< Of the most urgent kind.
   core::Instant arrival{};
   core::Instant onTimeUntil{}; ///< Dispatched by then it is probably answered in time.
   core::Instant waitsUntil{};  ///< Turned away then.
@@ -37,8 +38,10 @@
   void Add(const Waiting& aWaiting);
   void Remove(const core::RequestId& aId);
 
-  /// The request to serve next; null: none waits. Valid until the next change.
-  const Waiting* Next(core::Instant aNow);
+  /// Offers the requests in the order in which they are served; aServe says whether it took one,
+  /// which is removed. One that is not taken stays; a few behind it in its rank are offered, too:
+  /// they may need less.
+  void ForEach(core::Instant aNow, const std::function<bool(const Waiting&)>& aServe);
 
   /// Calls aShed for each that has waited too long, and removes it.
   void RemoveExpired(core::Instant aNow, const std::function<void(const Waiting&)>& aShed);
