A cluster that starts serves sooner; quotas are paced under great demand

A tenant with a multiple of its usual demand used its window up in 3 s and was then refused for 5 s.

--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -56,8 +56,15 @@
   report->set_registry_revision(mRegistryRevision);
   report->set_data_centre(mOptions.cluster.dataCentre.Text());
   mOptions.describe(*report);
-  mOptions.links.Send(
-    mFollowed, { .channel = peer::Channel::Cluster, .payload = message.SerializeAsString() });
+  const std::string payload = message.SerializeAsString();
+  if (mFirstFeed) {
+    mOptions.links.Send(mFollowed, { .channel = peer::Channel::Cluster, .payload = payload });
+    return;
+  }
+  // Nothing can be served before the first feed: whoever answers first is followed.
+  for (const auto& [host, dataCentre] : mControlHosts) {
+    mOptions.links.Send(host, { .channel = peer::Channel::Cluster, .payload = payload });
+  }
 }
 
 void ClusterFollower::ChangeIfSilent()
@@ -114,7 +121,8 @@
 
 void ClusterFollower::OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage)
 {
-  if (aMessage.channel != peer::Channel::Cluster || aFrom != mFollowed) {
+  const bool expected = aFrom == mFollowed || !mFirstFeed;
+  if (aMessage.channel != peer::Channel::Cluster || !expected) {
     return;
   }
   proto::Message message;
@@ -123,6 +131,12 @@
     return;
   }
   if (message.has_feed()) {
+    if (!mFirstFeed && (!message.feed().led() || message.feed().document_number() == 0)) {
+      return; // It knows nothing yet; another one may.
+    }
+    if (aFrom != mFollowed) {
+      Follow(aFrom, "first-answer");
+    }
     TakeFeed(*message.mutable_feed());
   }
 }
--- a/cuminfield/process/cluster/ClusterState.cpp
+++ b/cuminfield/process/cluster/ClusterState.cpp
@@ -47,6 +47,9 @@
         mChanged = aIndex.Value();
       }
       break;
+    case proto::Command::kKnown:
+      mKnown = command.known();
+      break;
     case proto::Command::BODY_NOT_SET:
       break;
   }
@@ -127,6 +130,7 @@
   proto::State state;
   *state.mutable_document() = mDocument;
   state.set_applied(mChanged);
+  *state.mutable_known() = mKnown;
   for (const auto& [service, move] : mMoves) {
     *state.add_moves() = move;
   }
@@ -147,6 +151,7 @@
   state.ParseFromArray(aSnapshot.data(), static_cast<int>(aSnapshot.size()));
   mDocument = state.document();
   mChanged = state.applied();
+  mKnown = state.known();
   mMoves.clear();
   mVersions.clear();
   mLeaves.clear();
--- a/cuminfield/process/cluster/ClusterState.h
+++ b/cuminfield/process/cluster/ClusterState.h
@@ -25,6 +25,9 @@
   const std::map<std::string, std::string>& Versions() const { return mVersions; }
   const std::map<std::string, proto::Leave>& Leaves() const { return mLeaves; }
 
+  /// The upstreams known when a leader last looked.
+  const proto::KnownUpstreams& Known() const { return mKnown; }
+
   /// Log index of the last command that changed moves or versions.
   std::uint64_t Changed() const { return mChanged; }
 
@@ -38,6 +41,7 @@
   std::map<std::string, proto::Move> mMoves;    ///< The latest of each service.
   std::map<std::string, std::string> mVersions; ///< Version in force by service.
   std::map<std::string, proto::Leave> mLeaves;  ///< By upstream.
+  proto::KnownUpstreams mKnown;
   std::uint64_t mChanged = 0;
 };
 
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -20,6 +20,15 @@
 /// A service is seen with one version for this long before that counts as its version in force.
 constexpr core::Duration kVersionSettles = std::chrono::milliseconds(500);
 
+/// While no leader is known no host that starts can be told the document in force, so a leader is
+/// replaced quickly: links between regions take 17 ms both ways, syncs of a slow disk 30 ms.
+constexpr core::Duration kElectionMin = std::chrono::milliseconds(300);
+constexpr core::Duration kElectionMax = std::chrono::milliseconds(600);
+constexpr core::Duration kHeartbeat = std::chrono::milliseconds(75);
+constexpr core::Duration kLease = std::chrono::milliseconds(220);
+constexpr core::Duration kAnnounce = std::chrono::milliseconds(100);
+constexpr core::Duration kResend = std::chrono::milliseconds(250);
+
 const char* ToString(proto::MovePhase aPhase)
 {
   switch (aPhase) {
@@ -38,6 +47,12 @@
 {
   log::LogGroupSettings settings;
   settings.log.openVoters = aCluster.voters;
+  settings.log.electionTimeoutMin = kElectionMin;
+  settings.log.electionTimeoutMax = kElectionMax;
+  settings.log.heartbeat = kHeartbeat;
+  settings.log.lease = kLease;
+  settings.log.announce = kAnnounce;
+  settings.client.resend = kResend;
   return settings;
 }
 
@@ -229,6 +244,7 @@
 void ControlHost::Tick()
 {
   const core::Instant now = mOptions.loop.Now();
+  TakeKnown();
   TakeLeaves();
   mRegistry.Expire(now);
   mFollowers.Expire(now);
@@ -357,6 +373,7 @@
     return;
   }
   LearnVersions();
+  KeepRegistry();
   for (const auto& [service, move] : mState.Moves()) {
     if (move.phase() == proto::CANARY || move.phase() == proto::SHIFTED) {
       DirectMove(move);
@@ -389,6 +406,39 @@
   });
 }
 
+void ControlHost::KeepRegistry()
+{
+  if (mRegistry.Revision() == mKept || !mKnownTaken || mProposed == mOptions.loop.Now()) {
+    return;
+  }
+  mKept = mRegistry.Revision();
+  proto::Command command;
+  for (const proto::Upstream& it : mRegistry.List()) {
+    *command.mutable_known()->add_upstreams() = it;
+  }
+  mProposed = mOptions.loop.Now();
+  Submit(false, command, mOptions.settings.command,
+         [this](const core::Result<proto::QueryAnswer>& aAnswer) {
+           if (!aAnswer) {
+             mKept = 0; // Not kept: again at the next look.
+           }
+         });
+}
+
+void ControlHost::TakeKnown()
+{
+  if (mKnownTaken || mGroup->Leader().Empty() || mState.Document().number() == 0) {
+    return;
+  }
+  mKnownTaken = true;
+  const core::Instant now = mOptions.loop.Now();
+  for (const proto::Upstream& it : mState.Known().upstreams()) {
+    if (mRegistry.IncarnationOf(it.id()) == 0) {
+      mRegistry.Hear(it, now);
+    }
+  }
+}
+
 void ControlHost::LearnVersions()
 {
   const core::Instant now = mOptions.loop.Now();
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -101,6 +101,8 @@
   void Direct();
   void DirectMove(const proto::Move& aMove);
   void LearnVersions();
+  void KeepRegistry();
+  void TakeKnown();
   void ProposeLeave(const std::string& aUpstream, std::uint64_t aIncarnation, Done aDone);
   std::uint64_t WallMs() const;
   void LogChanges();
@@ -120,6 +122,8 @@
   std::map<std::uint64_t, core::Instant> mMoveSeen;  ///< When this host learned of a move.
   std::map<std::string, core::Instant> mServiceSeen; ///< Services without a known version.
   core::Instant mProposed{};                         ///< Last own proposal.
+  std::uint64_t mKept = 0;  ///< Revision of the registry that was last kept in the state.
+  bool mKnownTaken = false; ///< The state's upstreams were taken over after the start.
   std::uint64_t mLoggedDocument = 0;
   std::uint64_t mLoggedChange = 0;
   core::HostId mLoggedLeader;
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -93,14 +93,15 @@
 
 void EntryHost::OnFeed(const proto::Feed& aFeed)
 {
-  if (aFeed.has_document()) {
-    TakeDocument(aFeed.document());
-  }
   mVersions.Update(aFeed);
   if (aFeed.registry()) {
     TakeRegistry(aFeed);
   }
   TakeOthers(aFeed);
+  // Last: requests that wait for the first document then find all else known.
+  if (aFeed.has_document()) {
+    TakeDocument(aFeed.document());
+  }
 }
 
 void EntryHost::TakeDocument(const proto::Document& aDocument)
@@ -114,6 +115,7 @@
   }
   mCatalogue = std::make_shared<const version::catalogue::CatalogueIndex>(std::move(read.value()));
   mFollower.SetDocumentNumber(aDocument.number());
+  mForwards.CatalogueCame();
   logging::Event(
     logging::Level::Info, "document-in-force",
     { { "number", aDocument.number() }, { "routes", mCatalogue->Content().routes.size() } });
@@ -170,7 +172,9 @@
   }
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
-    use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s() };
+    use[core::WorkspaceId(it.workspace())] = { .used = it.used(),
+                                               .paced = it.paced(),
+                                               .demand = it.units_per_s() };
   }
   mQuota.SetOthers(std::move(use), aFeed.hosts(), now);
 }
@@ -191,6 +195,7 @@
     it->set_workspace(workspace.Text());
     it->set_units_per_s(use.demand);
     it->set_used(use.used);
+    it->set_paced(use.paced);
   }
   mVersions.Describe(aReport);
 }
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -29,6 +29,11 @@
   double pauseTargets = 4.0;
   /// but not before this.
   core::Duration pauseAtLeast = std::chrono::milliseconds(900);
+  /// How long a request that comes before the first catalogue is held; a host that starts knows it
+  /// within about a second.
+  core::Duration holdEarly = std::chrono::milliseconds(1200);
+  /// Requests held so at once.
+  std::size_t maxEarly = 400;
   /// Least time left that a try is worth.
   core::Duration leastLeft = std::chrono::milliseconds(20);
 };
--- a/cuminfield/request/forward/ForwardTable.cpp
+++ b/cuminfield/request/forward/ForwardTable.cpp
@@ -28,16 +28,53 @@
       { .status = connection::kStatusUnavailable, .reason = "stopping", .retryAfter = kOtherHost });
     return;
   }
-  const auto catalogue = mOptions.catalogue();
-  if (!catalogue) {
-    Refuse(*aChannel, {}, {},
-           { .status = connection::kStatusUnavailable,
-             .reason = "no-catalogue",
-             .retryAfter = kNotYetReady });
+  if (!mOptions.catalogue()) {
+    Hold(std::move(aRequest), std::move(aChannel));
     return;
   }
+  Begin(std::move(aRequest), std::move(aChannel), mOptions.timers.Now());
+}
+
+void ForwardTable::Hold(connection::caller::CallerRequest aRequest,
+                        std::shared_ptr<connection::caller::CallerChannel> aChannel)
+{
+  const ForwardFailure failure{ .status = connection::kStatusUnavailable,
+                                .reason = "no-catalogue",
+                                .retryAfter = kNotYetReady };
+  if (mEarly.size() >= mOptions.settings.maxEarly) {
+    Refuse(*aChannel, {}, {}, failure);
+    return;
+  }
+  const auto early = mEarly.insert(mEarly.end(), { .request = std::move(aRequest),
+                                                   .channel = std::move(aChannel),
+                                                   .arrival = mOptions.timers.Now(),
+                                                   .timer = {} });
+  early->channel->onGone = [this, early] { mEarly.erase(early); };
+  early->timer = mOptions.timers.After(mOptions.settings.holdEarly, [this, early, failure] {
+    early->channel->onGone = nullptr;
+    Refuse(*early->channel, {}, {}, failure);
+    mEarly.erase(early);
+  });
+}
+
+void ForwardTable::CatalogueCame()
+{
+  std::list<Early> early = std::move(mEarly);
+  mEarly.clear();
+  for (Early& it : early) {
+    it.timer.Cancel();
+    it.channel->onGone = nullptr;
+    Begin(std::move(it.request), std::move(it.channel), it.arrival);
+  }
+}
+
+void ForwardTable::Begin(connection::caller::CallerRequest aRequest,
+                         std::shared_ptr<connection::caller::CallerChannel> aChannel,
+                         core::Instant aArrival)
+{
+  const auto catalogue = mOptions.catalogue();
   const core::Instant now = mOptions.timers.Now();
-  auto read = mOptions.codec.Read(std::move(aRequest), *catalogue, now);
+  auto read = mOptions.codec.Read(std::move(aRequest), *catalogue, aArrival);
   if (const auto* failure = std::get_if<ForwardFailure>(&read)) {
     Refuse(*aChannel, {}, {}, *failure);
     return;
--- a/cuminfield/request/forward/ForwardTable.h
+++ b/cuminfield/request/forward/ForwardTable.h
@@ -4,6 +4,7 @@
 #include "cuminfield/request/forward/WorkspaceQuota.h"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,9 @@
   void OnShed(const core::RequestId& aRequest, ShedReason aReason,
               core::Duration aRetryAfter) override;
 
+  /// The first catalogue is in force: requests that waited for it go on.
+  void CatalogueCame();
+
   /// From now on every answer asks its caller to use another connection.
   void BeginShutdown() { mStopping = true; }
 
@@ -56,6 +60,19 @@
   RefusedSignal& OnRefused() { return mOnRefused; }
 
 private:
+  /// A request that came before the first catalogue.
+  struct Early
+  {
+    connection::caller::CallerRequest request;
+    std::shared_ptr<connection::caller::CallerChannel> channel;
+    core::Instant arrival{};
+    core::TimerHandle timer;
+  };
+
+  void Hold(connection::caller::CallerRequest aRequest,
+            std::shared_ptr<connection::caller::CallerChannel> aChannel);
+  void Begin(connection::caller::CallerRequest aRequest,
+             std::shared_ptr<connection::caller::CallerChannel> aChannel, core::Instant aArrival);
   void Refuse(connection::caller::CallerChannel& aChannel, const core::RequestId& aId,
               const core::WorkspaceId& aWorkspace, const ForwardFailure& aFailure);
   void Remove(const core::RequestId& aId);
@@ -67,6 +84,7 @@
   std::unordered_map<core::RequestId, std::unique_ptr<Forward>> mForwards;
   std::vector<std::unique_ptr<Forward>> mEnded; ///< Destroyed from the loop.
   core::TimerHandle mSweep;
+  std::list<Early> mEarly;
   RefusedSignal mOnRefused;
 };
 
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -18,37 +18,52 @@
 
 } // namespace
 
-double WorkspaceQuota::Limit(const version::catalogue::WorkspaceRule& aRule) const
+double WorkspaceQuota::Tolerated(const version::catalogue::WorkspaceRule& aRule) const
 {
   const double quota = aRule.unitsPerSecond * Seconds(mSettings.window) + aRule.burst;
-  const double tolerated = quota * mSettings.overshoot + mSettings.slackUnits;
-  return quota + tolerated * mSettings.toleranceUsed;
+  return (quota * mSettings.overshoot + mSettings.slackUnits) * mSettings.toleranceUsed;
 }
 
-void WorkspaceQuota::Forget(Account& aAccount, core::Instant aNow) const
+void WorkspaceQuota::ForgetBefore(std::deque<Taken>& aTaken, double& aSum, core::Instant aBefore)
 {
-  while (!aAccount.taken.empty() && aNow - aAccount.taken.front().at > mSettings.window) {
-    aAccount.used -= aAccount.taken.front().units;
-    aAccount.taken.pop_front();
+  while (!aTaken.empty() && aTaken.front().at < aBefore) {
+    aSum -= aTaken.front().units;
+    aTaken.pop_front();
   }
-  if (aAccount.taken.empty()) {
-    aAccount.used = 0; // Sums of fractions do not come out at zero by themselves.
+  if (aTaken.empty()) {
+    aSum = 0; // Sums of fractions do not come out at zero by themselves.
   }
+}
+
+void WorkspaceQuota::Forget(Account& aAccount, core::Instant aNow) const
+{
+  ForgetBefore(aAccount.taken, aAccount.used, aNow - mSettings.window);
+  ForgetBefore(aAccount.recent, aAccount.paced, aNow - mSettings.pacing);
   const double passed = Seconds(aNow - aAccount.demandAt) / Seconds(mSettings.demandWindow);
   aAccount.demand *= std::exp(-passed);
   aAccount.demandAt = aNow;
 }
 
-double WorkspaceQuota::RoomFor(const core::WorkspaceId& aId, const Account& aAccount, double aLimit,
-                               core::Instant aNow) const
+double WorkspaceQuota::RoomFor(const version::catalogue::WorkspaceRule& aRule,
+                               const Account& aAccount, core::Instant aNow) const
 {
+  const double rate = aRule.unitsPerSecond;
+  const double tolerated = Tolerated(aRule);
+  const double limit = rate * Seconds(mSettings.window) + aRule.burst + tolerated;
   const bool othersKnown = mHosts > 0 && aNow - mOthersAt <= mSettings.othersLast;
   if (!othersKnown) {
-    return aLimit / std::max(mHosts, kUnknownHosts) - aAccount.used;
+    return limit / std::max(mHosts, kUnknownHosts) - aAccount.used;
   }
-  const auto it = mOthers.find(aId);
+  const auto it = mOthers.find(aRule.id);
   const QuotaUse others = it == mOthers.end() ? QuotaUse() : it->second;
-  return aLimit - others.used - aAccount.used - others.demand * Seconds(mSettings.lag);
+  const double underWay = others.demand * Seconds(mSettings.lag);
+  const double room = limit - others.used - aAccount.used - underWay;
+  if (others.demand + aAccount.demand < rate * mSettings.pacingFrom) {
+    return room;
+  }
+  const double pace =
+    rate * Seconds(mSettings.pacing) + aRule.burst * mSettings.pacingBurst + tolerated;
+  return std::min(room, pace - others.paced - aAccount.paced - underWay);
 }
 
 std::optional<core::Duration> WorkspaceQuota::Take(const version::catalogue::WorkspaceRule& aRule,
@@ -60,10 +75,12 @@
   Account& account = mAccounts[aRule.id];
   Forget(account, aNow);
   account.demand += aUnits / Seconds(mSettings.demandWindow);
-  const double room = RoomFor(aRule.id, account, Limit(aRule), aNow);
+  const double room = RoomFor(aRule, account, aNow);
   if (aUnits <= room) {
     account.taken.push_back({ .at = aNow, .units = aUnits });
+    account.recent.push_back({ .at = aNow, .units = aUnits });
     account.used += aUnits;
+    account.paced += aUnits;
     return std::nullopt;
   }
   const std::chrono::duration<double> wait((aUnits - room) / aRule.unitsPerSecond);
@@ -79,12 +96,16 @@
   }
   Account& account = it->second;
   Forget(account, aNow);
-  const auto taken = std::find_if(account.taken.rbegin(), account.taken.rend(),
-                                  [aUnits](const Taken& aTaken) { return aTaken.units == aUnits; });
-  if (taken != account.taken.rend()) {
-    taken->units = 0;
-    account.used -= aUnits;
-  }
+  const auto giveBack = [aUnits](std::deque<Taken>& aTaken, double& aSum) {
+    const auto taken = std::find_if(aTaken.rbegin(), aTaken.rend(),
+                                    [aUnits](const Taken& aIt) { return aIt.units == aUnits; });
+    if (taken != aTaken.rend()) {
+      taken->units = 0;
+      aSum -= aUnits;
+    }
+  };
+  giveBack(account.taken, account.used);
+  giveBack(account.recent, account.paced);
 }
 
 void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, std::uint32_t aHosts,
@@ -100,7 +121,7 @@
   std::map<core::WorkspaceId, QuotaUse> use;
   for (auto& [id, account] : mAccounts) {
     Forget(account, aNow);
-    use[id] = { .used = account.used, .demand = account.demand };
+    use[id] = { .used = account.used, .paced = account.paced, .demand = account.demand };
   }
   return use;
 }
