Pacing of quotas taken out again; tests of placing, early requests, followers and open groups

Change: pacing reverted. Tests: long prompts and answers keep away from slow engines, the last places, spare places, early requests, feeds that never go back, hosts that join and replace voters.

--- /dev/null
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -0,0 +1,125 @@
+#include "cuminfield/process/cluster/ClusterFollower.h"
+
+#include "TestFramework/time/ManualTimerService.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <vector>
+
+using namespace cuminfield;
+using namespace cuminfield::process;
+using namespace cuminfield::process::cluster;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Links : public peer::PeerLinks
+{
+public:
+  void Send(const core::HostId& aTo, peer::PeerMessage) override { sent.insert(aTo.Text()); }
+
+  std::set<std::string> sent;
+};
+
+} // namespace
+
+TEST_GROUP(ClusterFollower)
+{
+  test_framework::time::ManualTimerService timers;
+  core::Random random{ 1 };
+  Links links;
+  std::vector<proto::Feed> feeds;
+  std::unique_ptr<ClusterFollower> follower;
+
+  void setup() override
+  {
+    ClusterSettings settings;
+    settings.id = core::HostId("10.0.0.9");
+    settings.dataCentre = core::DataCentreId("here");
+    settings.seeds = { core::HostId("10.0.0.1"), core::HostId("10.0.0.2") };
+    follower = std::make_unique<ClusterFollower>(
+      ClusterFollower::Options{ .cluster = settings,
+                                .life = 1,
+                                .timers = timers,
+                                .links = links,
+                                .random = random,
+                                .describe = [](proto::Report&) {} });
+    follower->OnFeed().connect([this](const proto::Feed& aFeed) { feeds.push_back(aFeed); });
+    follower->Start();
+  }
+
+  static proto::Feed Feed(std::uint64_t aDocument, std::uint64_t aApplied = 1)
+  {
+    proto::Feed feed;
+    feed.set_life(1);
+    feed.set_led(true);
+    feed.set_document_number(aDocument);
+    feed.mutable_document()->set_number(aDocument);
+    feed.set_state_applied(aApplied);
+    feed.add_moves()->set_service("s");
+    return feed;
+  }
+
+  void Receive(const std::string& aFrom, const proto::Feed& aFeed)
+  {
+    proto::Message message;
+    *message.mutable_feed() = aFeed;
+    links.OnMessage().emit(core::HostId(aFrom), { .channel = peer::Channel::Cluster,
+                                                  .payload = message.SerializeAsString() });
+  }
+
+  /// Whom it reports to.
+  std::set<std::string> Reports()
+  {
+    links.sent.clear();
+    timers.Advance(100ms);
+    return links.sent;
+  }
+};
+
+TEST(ClusterFollower, BeforeTheFirstFeedItReportsToAll)
+{
+  CHECK_EQUAL(2, Reports().size());
+  Receive("10.0.0.2", Feed(5));
+  CHECK_EQUAL(1, feeds.size());
+  CHECK(Reports() == std::set<std::string>{ "10.0.0.2" });
+}
+
+TEST(ClusterFollower, OneThatKnowsNothingIsNotFollowed)
+{
+  proto::Feed feed = Feed(5);
+  feed.set_led(false);
+  Receive("10.0.0.1", feed);
+  CHECK_EQUAL(0, feeds.size());
+  CHECK_EQUAL(2, Reports().size());
+}
+
+TEST(ClusterFollower, ASilentControlHostIsLeft)
+{
+  Receive("10.0.0.1", Feed(5));
+  timers.Advance(1100ms);
+  CHECK(Reports() == std::set<std::string>{ "10.0.0.2" });
+}
+
+TEST(ClusterFollower, WhatIsKnownNeverGoesBack)
+{
+  Receive("10.0.0.1", Feed(5, 9));
+  follower->SetDocumentNumber(5);
+  timers.Advance(1100ms);
+  Receive("10.0.0.2", Feed(4, 7)); // Lags behind the one that fell silent.
+  CHECK_EQUAL(2, feeds.size());
+  CHECK_FALSE(feeds.back().has_document());
+  CHECK_EQUAL(0, feeds.back().moves_size());
+  CHECK_EQUAL(0, feeds.back().state_applied());
+}
+
+TEST(ClusterFollower, ControlHostsThatItIsToldOfReplaceTheSeeds)
+{
+  proto::Feed feed = Feed(5);
+  feed.add_control_hosts()->set_host("10.0.0.3");
+  feed.mutable_control_hosts(0)->set_data_centre("here");
+  Receive("10.0.0.1", feed);
+  timers.Advance(1100ms);
+  CHECK(Reports() == std::set<std::string>{ "10.0.0.3" });
+}
--- a/UnitTests/process/cluster/ClusterStateTest.cpp
+++ b/UnitTests/process/cluster/ClusterStateTest.cpp
@@ -117,6 +117,16 @@
   CHECK(state.Snapshot() == copy.Snapshot());
 }
 
+TEST(ClusterState, TheKnownUpstreamsOutliveARestart)
+{
+  proto::Command command;
+  command.mutable_known()->add_upstreams()->set_id("u");
+  Apply(command);
+  ClusterState copy;
+  copy.Restore(state.Snapshot());
+  CHECK_EQUAL(1, copy.Known().upstreams_size());
+}
+
 TEST(ClusterState, UnreadableCommandsChangeNothing)
 {
   Put(4, "text");
--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -107,10 +107,16 @@
   settings.snapshotEntries = 40;
   settings.log.trailing = 10;
   settings.log.snapshotPiece = 300;
+  settings.log.openVoters = mSettings.openVoters;
+  const bool open = mSettings.openVoters > 0;
+  const auto known =
+    open ? mIds.begin() + static_cast<std::ptrdiff_t>(mSettings.seeds) : mIds.end();
+  const std::vector<core::HostId> seeds(mIds.begin(), known);
   host.group = std::make_unique<process::log::LogGroup>(
     process::log::LogGroupOptions{ .group = core::GroupId("g"),
                                    .self = mIds[aHost],
-                                   .voters = mIds,
+                                   .voters = seeds,
+                                   .mayFound = !open || aHost < mSettings.seeds,
                                    .peers = *host.links,
                                    .timers = *host.timers,
                                    .storage = *host.storage,
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -77,7 +77,9 @@
 /// How the net and the hosts of a cluster misbehave.
 struct ClusterSettings
 {
-  std::size_t voters = 3;
+  std::size_t voters = 3;       ///< Hosts; of a closed group, all vote.
+  std::size_t seeds = 0;        ///< Hosts that an open group's hosts know, and that found it.
+  std::uint32_t openVoters = 0; ///< Voters that an open group wants; 0: closed.
   std::uint64_t seed = 1;
   double loss = 0.0;
   double repeat = 0.0;
--- a/UnitTests/request/forward/ForwardTest.cpp
+++ b/UnitTests/request/forward/ForwardTest.cpp
@@ -360,11 +360,36 @@
   CHECK_EQUAL(1, transport.started);
 }
 
-TEST(Forward, WithoutACatalogueNothingIsRefusedForGood)
+TEST(Forward, ARequestBeforeTheFirstCatalogueIsHeldAndThenServed)
+{
+  const auto first = std::move(catalogue);
+  Send();
+  CHECK_EQUAL(0, caller->status);
+  CHECK_EQUAL(0, transport.started);
+  timers.Advance(800ms);
+  catalogue = first;
+  table->CatalogueCame();
+  CHECK_EQUAL(1, transport.started);
+  CHECK(codec.left == 200ms); // Its time runs from its arrival.
+}
+
+TEST(Forward, WithoutACatalogueForLongTheCallerIsToldToComeBack)
 {
   catalogue.reset();
   Send();
+  timers.Advance(1200ms);
   CHECK_EQUAL(503, caller->status);
+  CHECK(codec.failure.retryAfter.has_value());
+}
+
+TEST(Forward, ACallerWhoLeavesBeforeTheFirstCatalogueIsForgotten)
+{
+  const auto first = std::move(catalogue);
+  Send();
+  caller->onGone();
+  catalogue = first;
+  table->CatalogueCame();
+  CHECK_EQUAL(0, transport.started);
 }
 
 TEST(Forward, AStoppingHostTellsNewRequestsThatTheyHaveNotRun)
--- a/UnitTests/request/forward/WorkspaceQuotaTest.cpp
+++ b/UnitTests/request/forward/WorkspaceQuotaTest.cpp
@@ -78,7 +78,6 @@
         QuotaUse others;
         for (std::size_t other = 0; other < aHosts; ++other) {
           others.used += other == host ? 0 : told.front()[other].used;
-          others.paced += other == host ? 0 : told.front()[other].paced;
           others.demand += other == host ? 0 : told.front()[other].demand;
         }
         hosts[host].SetOthers({ { rule.id, others } }, static_cast<std::uint32_t>(aHosts), time);
@@ -100,11 +99,11 @@
 {
   WorkspaceQuota quota(settings);
   const auto rule = Rule(10'000);
-  quota.SetOthers({ { rule.id, { .used = 200'000, .paced = 0, .demand = 0 } } }, 8, now);
+  quota.SetOthers({ { rule.id, { .used = 200'000, .demand = 0 } } }, 8, now);
   const auto wait = quota.Take(rule, 5'000, now);
   CHECK(wait.has_value());
   CHECK(*wait >= settings.minRetryAfter);
-  quota.SetOthers({ { rule.id, { .used = 50'000, .paced = 0, .demand = 0 } } }, 8, now);
+  quota.SetOthers({ { rule.id, { .used = 50'000, .demand = 0 } } }, 8, now);
   CHECK_FALSE(quota.Take(rule, 5'000, now).has_value());
 }
 
--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -266,6 +266,87 @@
   CHECK(atGrey < 25);
 }
 
+/// A third of the engines is several times slower: a long prompt read there would make the streams
+/// beside it pause for longer than their callers bear, and a long answer would never end.
+TEST(PlacementScheduler, LongPromptsAndLongAnswersKeepAwayFromSlowEngines)
+{
+  Up("slow", 15);
+  Up("fast", 15);
+  for (int n = 0; n < 40; ++n) {
+    scheduler->Paced(core::UpstreamId("slow"), 16);
+    scheduler->Paced(core::UpstreamId("fast"), 3);
+  }
+  scheduler->Board().Find(core::UpstreamId("slow"))->firstFactor = 3;
+  for (int n = 0; n < 10; ++n) {
+    RequestSpec spec = Spec("prompt" + std::to_string(n));
+    spec.tokenGapTarget = 200ms;
+    spec.eventTokens = 6;
+    spec.prompt.value = 6'600;
+    scheduler->Submit(spec);
+    STRCMP_EQUAL("fast", listener.placed.at(spec.id.Text()).c_str());
+  }
+  RequestSpec answer = Spec("answer");
+  answer.maxAnswer.value = 1'000; // 16 s on the slow one.
+  answer.prompt.value = 100;
+  scheduler->Submit(answer);
+  STRCMP_EQUAL("fast", listener.placed.at("answer").c_str());
+}
+
+TEST(PlacementScheduler, AnAnswerThatNobodyCanEndInTimeIsStillTried)
+{
+  Up("only", 15);
+  RequestSpec spec = Spec("a");
+  spec.maxAnswer.value = 100'000;
+  scheduler->Submit(spec);
+  CHECK(listener.placed.contains("a"));
+}
+
+/// All hosts see the same places: the last ones are left to the most urgent of every host.
+TEST(PlacementScheduler, TheLastPlacesAreForTheMostUrgent)
+{
+  Up("u", 10);
+  Submit("seen", 0);
+  Finish("seen");
+  scheduler->Board().SetOthers(core::UpstreamId("u"), 9, 0, timers.Now());
+  Submit("low", 3);
+  CHECK_FALSE(listener.placed.contains("low"));
+  Submit("top", 0);
+  CHECK(listener.placed.contains("top"));
+}
+
+TEST(PlacementScheduler, LateOnesGetOnlySparePlaces)
+{
+  Up("u", 10);
+  scheduler->Board().SetOthers(core::UpstreamId("u"), 10, 0, timers.Now());
+  Submit("late", 0);
+  timers.Advance(500ms); // Past its target.
+  scheduler->Board().SetOthers(core::UpstreamId("u"), 8, 0, timers.Now());
+  timers.Advance(settings.tick);
+  CHECK_FALSE(listener.placed.contains("late"));
+  scheduler->Board().SetOthers(core::UpstreamId("u"), 6, 0, timers.Now());
+  timers.Advance(settings.tick);
+  CHECK(listener.placed.contains("late"));
+}
+
+TEST(PlacementScheduler, OneThatFindsNoPlaceDoesNotHoldUpThoseBehindIt)
+{
+  Up("slow", 15);
+  Up("fast", 1);
+  for (int n = 0; n < 40; ++n) {
+    scheduler->Paced(core::UpstreamId("slow"), 20);
+    scheduler->Paced(core::UpstreamId("fast"), 3);
+  }
+  scheduler->Board().SetOthers(core::UpstreamId("fast"), 1, 0, timers.Now());
+  RequestSpec longAnswer = Spec("long");
+  longAnswer.maxAnswer.value = 1'500;
+  scheduler->Submit(longAnswer);
+  CHECK_FALSE(listener.placed.contains("long"));
+  RequestSpec shortAnswer = Spec("short");
+  shortAnswer.maxAnswer.value = 20;
+  scheduler->Submit(shortAnswer);
+  STRCMP_EQUAL("slow", listener.placed.at("short").c_str());
+}
+
 TEST(PlacementScheduler, WithoutAnyUpstreamTheReasonIsTold)
 {
   Submit("a");
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -172,9 +172,7 @@
   }
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
-    use[core::WorkspaceId(it.workspace())] = { .used = it.used(),
-                                               .paced = it.paced(),
-                                               .demand = it.units_per_s() };
+    use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s() };
   }
   mQuota.SetOthers(std::move(use), aFeed.hosts(), now);
 }
@@ -195,7 +193,6 @@
     it->set_workspace(workspace.Text());
     it->set_units_per_s(use.demand);
     it->set_used(use.used);
-    it->set_paced(use.paced);
   }
   mVersions.Describe(aReport);
 }
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -45,7 +45,6 @@
   proto::Demand& sum = demand[aDemand.workspace()];
   sum.set_units_per_s(sum.units_per_s() + aDemand.units_per_s());
   sum.set_used(sum.used() + aDemand.used());
-  sum.set_paced(sum.paced() + aDemand.paced());
 }
 
 FollowerTable::Sums FollowerTable::OwnSums(const core::HostId& aWithout) const
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -24,21 +24,15 @@
   return (quota * mSettings.overshoot + mSettings.slackUnits) * mSettings.toleranceUsed;
 }
 
-void WorkspaceQuota::ForgetBefore(std::deque<Taken>& aTaken, double& aSum, core::Instant aBefore)
+void WorkspaceQuota::Forget(Account& aAccount, core::Instant aNow) const
 {
-  while (!aTaken.empty() && aTaken.front().at < aBefore) {
-    aSum -= aTaken.front().units;
-    aTaken.pop_front();
+  while (!aAccount.taken.empty() && aNow - aAccount.taken.front().at > mSettings.window) {
+    aAccount.used -= aAccount.taken.front().units;
+    aAccount.taken.pop_front();
   }
-  if (aTaken.empty()) {
-    aSum = 0; // Sums of fractions do not come out at zero by themselves.
+  if (aAccount.taken.empty()) {
+    aAccount.used = 0; // Sums of fractions do not come out at zero by themselves.
   }
-}
-
-void WorkspaceQuota::Forget(Account& aAccount, core::Instant aNow) const
-{
-  ForgetBefore(aAccount.taken, aAccount.used, aNow - mSettings.window);
-  ForgetBefore(aAccount.recent, aAccount.paced, aNow - mSettings.pacing);
   const double passed = Seconds(aNow - aAccount.demandAt) / Seconds(mSettings.demandWindow);
   aAccount.demand *= std::exp(-passed);
   aAccount.demandAt = aNow;
@@ -56,14 +50,7 @@
   }
   const auto it = mOthers.find(aRule.id);
   const QuotaUse others = it == mOthers.end() ? QuotaUse() : it->second;
-  const double underWay = others.demand * Seconds(mSettings.lag);
-  const double room = limit - others.used - aAccount.used - underWay;
-  if (others.demand + aAccount.demand < rate * mSettings.pacingFrom) {
-    return room;
-  }
-  const double pace =
-    rate * Seconds(mSettings.pacing) + aRule.burst * mSettings.pacingBurst + tolerated;
-  return std::min(room, pace - others.paced - aAccount.paced - underWay);
+  return limit - others.used - aAccount.used - others.demand * Seconds(mSettings.lag);
 }
 
 std::optional<core::Duration> WorkspaceQuota::Take(const version::catalogue::WorkspaceRule& aRule,
@@ -78,9 +65,7 @@
   const double room = RoomFor(aRule, account, aNow);
   if (aUnits <= room) {
     account.taken.push_back({ .at = aNow, .units = aUnits });
-    account.recent.push_back({ .at = aNow, .units = aUnits });
     account.used += aUnits;
-    account.paced += aUnits;
     return std::nullopt;
   }
   const std::chrono::duration<double> wait((aUnits - room) / aRule.unitsPerSecond);
@@ -96,16 +81,12 @@
   }
   Account& account = it->second;
   Forget(account, aNow);
-  const auto giveBack = [aUnits](std::deque<Taken>& aTaken, double& aSum) {
-    const auto taken = std::find_if(aTaken.rbegin(), aTaken.rend(),
-                                    [aUnits](const Taken& aIt) { return aIt.units == aUnits; });
-    if (taken != aTaken.rend()) {
-      taken->units = 0;
-      aSum -= aUnits;
-    }
-  };
-  giveBack(account.taken, account.used);
-  giveBack(account.recent, account.paced);
+  const auto taken = std::find_if(account.taken.rbegin(), account.taken.rend(),
+                                  [aUnits](const Taken& aTaken) { return aTaken.units == aUnits; });
+  if (taken != account.taken.rend()) {
+    taken->units = 0;
+    account.used -= aUnits;
+  }
 }
 
 void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, std::uint32_t aHosts,
@@ -121,7 +102,7 @@
   std::map<core::WorkspaceId, QuotaUse> use;
   for (auto& [id, account] : mAccounts) {
     Forget(account, aNow);
-    use[id] = { .used = account.used, .paced = account.paced, .demand = account.demand };
+    use[id] = { .used = account.used, .demand = account.demand };
   }
   return use;
 }
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -16,14 +16,6 @@
 {
   /// The quota is judged over any window of this length.
   core::Duration window = std::chrono::seconds(8);
-  /// While more is asked for than the rate, the quota is also held in windows of this length, so
-  /// that it is not used up in the first seconds and everything refused after them.
-  core::Duration pacing = std::chrono::seconds(3);
-  /// Part of the burst that such a window may use: as many windows as fit into one of the quota
-  /// then keep within it.
-  double pacingBurst = 0.35;
-  /// Demand relative to the rate from which quotas are paced.
-  double pacingFrom = 1.2;
   /// Tolerated above the quota in a window: a share of it,
   double overshoot = 0;
   /// and units of all hosts together.
@@ -46,7 +38,6 @@
 struct QuotaUse
 {
   double used = 0;   ///< Units taken in the last window.
-  double paced = 0;  ///< Units taken in the last pacing window.
   double demand = 0; ///< Units asked for in a second.
 };
 
@@ -86,18 +77,15 @@
   };
   struct Account
   {
-    std::deque<Taken> taken;  ///< In the last window, oldest first.
-    double used = 0;          ///< Their sum.
-    std::deque<Taken> recent; ///< Those in the last pacing window.
-    double paced = 0;         ///< Their sum.
-    double demand = 0;        ///< Units a second, averaged.
+    std::deque<Taken> taken; ///< In the last window, oldest first.
+    double used = 0;         ///< Their sum.
+    double demand = 0;       ///< Units a second, averaged.
     core::Instant demandAt{};
   };
 
   double Tolerated(const version::catalogue::WorkspaceRule& aRule) const;
   double RoomFor(const version::catalogue::WorkspaceRule& aRule, const Account& aAccount,
                  core::Instant aNow) const;
-  static void ForgetBefore(std::deque<Taken>& aTaken, double& aSum, core::Instant aBefore);
   void Forget(Account& aAccount, core::Instant aNow) const;
 
   WorkspaceQuotaSettings mSettings;
