Waits end at twice the target; what can be in time is judged by first events under load

Change: a wait ends at twice the target; the last moment of being in time uses the service's learned first events relative to idle ones; a wait is predicted only behind four or more.

--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -35,9 +35,7 @@
 core::Duration PlacementScheduler::LongestWait(const RequestSpec& aSpec) const
 {
   const core::Duration total = aSpec.deadline - aSpec.arrival;
-  const core::Duration late = std::max(Scaled(aSpec.firstTokenTarget, mSettings.lateTargets),
-                                       Scaled(total, mSettings.lateShare));
-  return std::min(aSpec.firstTokenTarget + late, total);
+  return std::min(Scaled(aSpec.firstTokenTarget, 1 + mSettings.lateTargets), total);
 }
 
 core::Duration PlacementScheduler::PredictedWait(const Service& aService, std::uint32_t aRank) const
@@ -69,8 +67,8 @@
   state.point = mRandom.Uniform();
   Service& service = ServiceOf(state.spec.service);
   service.topRank = std::min(service.topRank, state.spec.tier);
-  const bool crowded =
-    service.line.Size() > 0 && PredictedWait(service, state.spec.tier) > LongestWait(state.spec);
+  const bool crowded = service.line.Ahead(state.spec.tier) >= mSettings.crowd &&
+                       PredictedWait(service, state.spec.tier) > LongestWait(state.spec);
   if (crowded && !state.spec.resumed) {
     Shed(id, ShedReason::Overload);
     return;
@@ -90,7 +88,8 @@
                               .top = spec.tier <= ServiceOf(spec.service).topRank,
                               .arrival = spec.arrival,
                               .onTimeUntil =
-                                spec.arrival + spec.firstTokenTarget - mBoard.FirstIdle(spec),
+                                spec.arrival + spec.firstTokenTarget -
+                                Scaled(mBoard.FirstIdle(spec), ServiceOf(spec.service).loadFactor),
                               .waitsUntil = spec.arrival + LongestWait(spec) };
   if (spec.resumed) {
     // Its caller has begun to read: it goes before all that have not.
@@ -174,6 +173,11 @@
   state.began = true;
   const core::Instant now = mTimers.Now();
   mBoard.FirstCame(*entry, state.spec, now - state.sentAt, state.predicted, now);
+  Service& service = ServiceOf(state.spec.service);
+  const auto idle = static_cast<double>(mBoard.FirstIdle(state.spec).count());
+  const double factor = static_cast<double>((now - state.sentAt).count()) / std::max(1.0, idle);
+  service.loadFactor +=
+    mSettings.learnLoad * (std::clamp(factor, 1.0, mSettings.maxLoadFactor) - service.loadFactor);
 }
 
 void PlacementScheduler::Token(const core::RequestId& aRequest)
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -74,7 +74,8 @@
     WaitingLine line;
     admission::RetryBudget retries;
     TierRank topRank = std::numeric_limits<TierRank>::max(); ///< The most urgent seen.
-    double rate = 0;                                         ///< Dispatches a second, averaged.
+    double loadFactor = 1; ///< Time to the first event, relative to an idle upstream.
+    double rate = 0;       ///< Dispatches a second, averaged.
     core::Instant rateAt{};
   };
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -67,10 +67,16 @@
   UpstreamBoardSettings board;
   /// Between two checks of what waits.
   core::Duration tick = std::chrono::milliseconds(20);
-  /// How long a request may wait for a late answer, beyond its target: as a multiple of the target,
+  /// How long a request may wait for a late answer, beyond its target, as a multiple of the target.
+  /// Callers give a stream up that has not begun after four targets, and one who is turned away
+  /// while there is time can come back.
   double lateTargets = 1.0;
-  /// and as a part of the time that its caller waits, whichever is longer.
-  double lateShare = 0.15;
+  /// Requests ahead of a new one from which its wait is predicted at all.
+  std::size_t crowd = 4;
+  /// Bounds of what the first event takes under load, relative to an idle upstream.
+  double maxLoadFactor = 4.0;
+  /// Weight of the newest observation of that.
+  double learnLoad = 0.05;
   /// Bounds of Retry-After.
   core::Duration minRetryAfter = std::chrono::milliseconds(300);
   core::Duration maxRetryAfter = std::chrono::milliseconds(5000);
