--- /dev/null
+++ b/Build/soak.py
@@ -0,0 +1,428 @@
+#!/usr/bin/env python3
+"""Fault soak: real hosts as processes, stand-in runners behind loopback proxies, random faults.
+
+    Build/soak.py --seed 7 --seconds 20 [--program build/cuminfield] [--keep]
+
+Checks what callers and runners see: a request that may not repeat runs at most once; `not run` is
+true; every whole answer is the caller's own; streams have no gap; what an operator was acknowledged
+is read back, and never an older document; an acknowledged leave is heeded; service is back after the
+last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
+"""
+import argparse
+import asyncio
+import collections
+import json
+import os
+import random
+import shutil
+import signal
+import tempfile
+import time
+
+CONTROLS, ENTRIES, RUNNERS = 3, 2, 4
+GRACE = 8.0          # Seconds from SIGTERM to SIGKILL.
+LEAVE_HEEDED = 2.5   # After an acknowledged leave no new request comes.
+CONFIG_APPLIED = 2.5  # After an acknowledged document no older one is read.
+CALM = 4.0           # Undisturbed time after which bounds on time hold.
+RECOVERED = 12.0     # After the last fault, service is back.
+NOT_RUN = {408, 421, 429, 503}
+
+
+class Soak:
+    def __init__(self, args):
+        self.args, self.rng = args, random.Random(args.seed)
+        self.base = 20000 + (args.seed * 37 + args.offset * 101) % 20000
+        self.folder = tempfile.mkdtemp(prefix=f"cuminfield-soak-{args.seed}-")
+        self.violations, self.events = [], []
+        self.processes, self.stopping = {}, False
+        self.disturbed = time.monotonic()
+        self.runs = collections.Counter()      # Request id to runs begun.
+        self.refused, self.sent = {}, {}       # Unsafe ids told not-run; all ids with their kind.
+        self.outcomes = []                     # (time, good) of every request.
+        self.number, self.acknowledged = 0, []  # Documents: (number, time of the acknowledgement).
+
+    def log(self, text):
+        self.events.append(f"{time.monotonic() - self.start:8.3f} {text}")
+
+    def violate(self, text):
+        self.log("VIOLATION " + text)
+        self.violations.append(text)
+
+    # Hosts.
+    def address(self, name):
+        kind, index = name[:-1], int(name[-1])
+        return f"127.{60 if kind == 'control' else 70}.{self.args.seed % 250}.{index + 1}"
+
+    def settings(self, name):
+        ip = self.address(name)
+        seeds = ",".join(f"{self.address(f'control{n}')}:{self.base + 1}" for n in range(CONTROLS))
+        first = not os.path.exists(f"{self.folder}/founded")
+        lines = ["[host]", f"id = {ip}", f"name = {name}", f"data-centre = dc{int(name[-1]) % 3}",
+                 "region = r"]
+        lines += [f"data-folder = {self.folder}/{name}/state"] if name.startswith("control") else []
+        lines += ["[listen]", f"peer-port = {self.base}"]
+        if name.startswith("control"):
+            lines.append(f"control = {ip}:{self.base + 1}")
+        else:
+            lines += [f"callers = {ip}:{self.base + 2}", f"ready = {ip}:{self.base + 3}"]
+        lines += ["[cluster]", f"seeds = {seeds}", f"first-start = {'yes' if first else 'no'}",
+                  "[limits]", f"shutdown = {GRACE:.0f}s"]
+        path = f"{self.folder}/{name}.ini"
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines) + "\n")
+        return path
+
+    async def launch(self, name):
+        os.makedirs(f"{self.folder}/{name}/state", exist_ok=True)
+        with open(f"{self.folder}/{name}.log", "ab") as log:
+            role = "control" if name.startswith("control") else "entry"
+            process = await asyncio.create_subprocess_exec(
+                self.args.program, role, "--settings", self.settings(name), stdout=log, stderr=log)
+        self.processes[name] = process
+        asyncio.create_task(self.watch(name, process))
+
+    async def watch(self, name, process):
+        code = await process.wait()
+        if self.processes.get(name) is process and not getattr(process, "expected", False):
+            self.violate(f"{name} ended by itself with code {code}")
+
+    def send_signal(self, name, number):
+        process = self.processes[name]
+        if process.returncode is None:
+            process.send_signal(number)
+
+    async def end(self, name, gently):
+        process = self.processes[name]
+        process.expected = True
+        self.send_signal(name, signal.SIGTERM if gently else signal.SIGKILL)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE + 1)
+        except asyncio.TimeoutError:
+            self.violate(f"{name} was still there at the end of its grace")
+            process.kill()
+            await process.wait()
+
+    # HTTP, as little of it as the checks need.
+    @staticmethod
+    async def read_head(reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        return head[0], {k.lower(): v.strip() for k, _, v in (h.partition(":") for h in head[1:]) if k}
+
+    async def read_body(self, reader, headers, on_part=None):
+        if headers.get("transfer-encoding") == "chunked":
+            body = b""
+            while True:
+                size = int((await reader.readline()).strip() or b"x", 16)
+                part = await reader.readexactly(size + 2)
+                if size == 0:
+                    return body
+                body += part[:-2]
+                if on_part:
+                    on_part(body)
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+
+    async def call(self, host, port, method, path, body=b"", headers=()):
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 1)
+        try:
+            lines = [f"{method} {path} HTTP/1.1", "Host: soak.example",
+                     f"Content-Length: {len(body)}", *headers]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            status, answer = await self.read_head(reader)
+            return int(status.split()[1]), answer, await self.read_body(reader, answer)
+        finally:
+            writer.close()
+
+    async def order(self, method, path, body=None, tries=12):
+        data = json.dumps(body).encode() if body is not None else b""
+        for n in range(tries):
+            host = self.address(f"control{self.rng.randrange(CONTROLS)}")
+            try:
+                status, _, answer = await asyncio.wait_for(
+                    self.call(host, self.base + 1, method, path, data), 1.5)
+                if status < 500:
+                    return status, answer
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                pass
+            await asyncio.sleep(0.1 * (n + 1))
+        return 0, b""
+
+    # Operator.
+    def document(self, number):
+        route = lambda name, kind, **more: {"name": name, "host": "soak.example", "kind": kind,
+                                            "path_prefix": f"/{name}/", "timeout_ms": 4000,
+                                            "target_latency_ms": 400, "service": "s", **more}
+        return {"version": number, "services": [{"name": "s"}], "routes": [
+            route("unsafe", "unsafe"), route("safe", "safe", max_attempts=2),
+            route("stream", "stream", gap_goal_ms=300),
+            route("resumable", "stream", resumable=True, max_attempts=3, gap_goal_ms=300)]}
+
+    async def operate(self):
+        while not self.stopping:
+            self.number += self.rng.randrange(1, 4)
+            number = self.number
+            status, _ = await self.order("PUT", "/v1/configuration", self.document(number))
+            if status == 200:
+                open(f"{self.folder}/founded", "a", encoding="utf-8").close()
+                self.acknowledged.append((number, time.monotonic()))
+            elif status:
+                self.violate(f"document {number} was refused with {status}")
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+            asked = time.monotonic()
+            status, body = await self.order("GET", "/v1/configuration", tries=3)
+            due = max((n for n, at in self.acknowledged if at + CONFIG_APPLIED < asked), default=0)
+            if status == 200 and json.loads(body)["version"] < due:
+                self.violate(f"read document {json.loads(body)['version']}, {due} was acknowledged")
+
+    # Runners, each behind a proxy of its own.
+    async def runner(self, index):
+        state = {"id": f"i-{index}-0", "born": int(time.time() * 1000), "leaving": None, "up": True,
+                 "mode": "pass", "life": 0, "open": set(), "sequence": 0}
+        host = f"127.80.{self.args.seed % 250}.{index + 1}"
+
+        async def serve(reader, writer):
+            try:
+                while state["up"]:
+                    line, headers = await self.read_head(reader)
+                    body = await self.read_body(reader, headers)
+                    if not await self.run(state, line, headers, body, writer):
+                        return
+            except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
+                pass
+            finally:
+                writer.close()
+
+        async def pump(reader, writer, back):
+            try:
+                while data := await reader.read(65536):
+                    while state["mode"] == "silent" or (state["mode"] == "one-way" and back):
+                        await asyncio.sleep(0.05)
+                    await asyncio.sleep(0.2 if state["mode"] == "slow" else 0)
+                    writer.write(data)
+                    await writer.drain()
+            except OSError:
+                pass
+            finally:
+                writer.close()
+
+        async def proxy(reader, writer):
+            state["open"].add(writer)
+            try:
+                inner_reader, inner = await asyncio.open_connection(host, self.base + 4)
+                await asyncio.gather(pump(reader, inner, False), pump(inner_reader, writer, True))
+            except OSError:
+                writer.close()
+            finally:
+                state["open"].discard(writer)
+
+        await asyncio.start_server(serve, host, self.base + 4)
+        await asyncio.start_server(proxy, host, self.base + 5)
+        state["address"] = f"{host}:{self.base + 5}"
+        self.runner_states.append(state)
+        while not self.stopping:
+            if state["up"]:
+                state["sequence"] += 1
+                status, _ = await self.order("PUT", f"/v1/instances/{state['id']}", {
+                    "service": "s", "address": state["address"], "zone": f"dc{index % 3}",
+                    "version": "v1", "slots": 8, "sequence": state["sequence"],
+                    "born": state["born"], "cold_left_ms": 0,
+                    "state": "draining" if state["leaving"] else "ready"}, tries=4)
+                if status == 200 and state["leaving"] == "asked":
+                    state["leaving"] = time.monotonic()
+            await asyncio.sleep(0.8)
+
+    async def run(self, state, line, headers, body, writer):
+        method, path, _ = line.split()
+        request = headers.get("x-cuminfield-request-id", "")
+        reply = lambda status, text, more="": writer.write(
+            (f"HTTP/1.1 {status} X\r\nX-Cuminfield-Request-Id: {request}\r\n{more}"
+             f"Content-Length: {len(text)}\r\n\r\n{text}").encode())
+        if headers.get("x-cuminfield-expect-instance", state["id"]) != state["id"]:
+            reply(421, "other")
+            return True
+        left = state["leaving"]
+        calm = time.monotonic() - self.disturbed > CALM
+        if isinstance(left, float) and time.monotonic() - left > LEAVE_HEEDED and calm:
+            self.violate(f"{request} came to {state['id']} after its leave was acknowledged")
+        kind = self.sent.get(request)
+        if kind is None or body != request.encode():
+            self.violate(f"{request} is nobody's request, or its body was changed")
+        self.runs[request] += 2 if self.args.plant and self.rng.random() < 0.01 else 1
+        if self.runs[request] > 1 and kind in ("unsafe", "stream"):
+            self.violate(f"{kind} {request} ran {self.runs[request]} times")
+        if request in self.refused:
+            self.violate(f"{kind} {request} ran after it was told not-run")
+        await asyncio.sleep(self.rng.uniform(0.002, 0.03))
+        if kind in ("unsafe", "safe"):
+            reply(200, f"answer {request}", "X-Cuminfield-Server-Seal: x\r\n")
+            return True
+        writer.write((f"HTTP/1.1 200 X\r\nX-Cuminfield-Request-Id: {request}\r\nContent-Type: "
+                      "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for n in range(int(headers.get("last-event-id", 0)) + 1, 9):
+            event = f"id: {n}\ndata: {request} {n}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    # Callers.
+    async def caller(self, index):
+        rng = random.Random(self.args.seed * 1000 + index)
+        connection = None
+        while not self.stopping:
+            kind = rng.choice(["unsafe", "safe", "stream", "resumable"])
+            request = f"{rng.getrandbits(64):016x}"
+            self.sent[request] = kind
+            good = False
+            try:
+                if connection is None:
+                    host = self.address(f"entry{rng.randrange(ENTRIES)}")
+                    connection = await asyncio.wait_for(
+                        asyncio.open_connection(host, self.base + 2), 1)
+                reader, writer = connection
+                writer.write((f"POST /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 16\r\n"
+                              f"X-Cuminfield-Request-Id: {request}\r\nX-Cuminfield-Deadline-Ms: 4000"
+                              f"\r\n\r\n{request}").encode())
+                good, close = await asyncio.wait_for(self.answer(request, kind, reader), 5)
+                if close or rng.random() < 0.1:
+                    writer.close()
+                    connection = None
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                if connection:
+                    connection[1].close()
+                connection = None
+            self.outcomes.append((time.monotonic(), good))
+            await asyncio.sleep(rng.uniform(0.01, 0.08))
+
+    async def answer(self, request, kind, reader):
+        line, headers = await self.read_head(reader)
+        status = int(line.split()[1])
+        body = (await self.read_body(reader, headers)).decode()
+        if status == 200 and kind in ("unsafe", "safe") and body != f"answer {request}":
+            self.violate(f"{request} got another answer: {body[:60]!r}")
+        whole = "".join(f"id: {n}\ndata: {request} {n}\n\n" for n in range(1, 9))
+        if status == 200 and kind in ("stream", "resumable") and body != whole:
+            self.violate(f"stream {request} has a gap, or is another's: {body[:80]!r}")
+        if status in NOT_RUN and kind in ("unsafe", "stream"):
+            self.refused[request] = status
+            if self.runs[request]:
+                self.violate(f"{kind} {request} was told {status} and ran")
+        return status == 200, headers.get("connection") == "close"
+
+    # Faults: in series, and overlapping.
+    async def fault(self):
+        hosts = [f"control{n}" for n in range(CONTROLS)] + [f"entry{n}" for n in range(ENTRIES)]
+        what = self.rng.choice(["kill", "freeze", "term", "hup", "wipe", "herd", "proxy", "crash",
+                                "leave", "reset"])
+        if what in ("kill", "freeze", "term", "hup", "wipe"):
+            name = self.rng.choice(hosts[:CONTROLS] if what == "wipe" else hosts)
+            if name in self.busy or (what == "wipe" and any(b.startswith("control") for b in self.busy)):
+                return
+            self.busy.add(name)
+            self.log(f"{what} {name}")
+            if what == "hup":
+                self.send_signal(name, signal.SIGHUP)
+            elif what == "freeze":
+                self.send_signal(name, signal.SIGSTOP)
+                await asyncio.sleep(self.rng.uniform(0.3, 3))
+                self.send_signal(name, signal.SIGCONT)
+            else:
+                await self.end(name, gently=what == "term")
+                if what == "wipe":
+                    shutil.rmtree(f"{self.folder}/{name}/state")
+                await asyncio.sleep(self.rng.uniform(0.05, 1.5))
+                await self.launch(name)
+                # A disk that was lost counts as lost until its host has caught up.
+                await asyncio.sleep(4 if what == "wipe" else 0.5)
+            self.busy.discard(name)
+        elif what == "herd" and not self.busy:
+            self.busy.update(hosts[:CONTROLS])
+            self.log("kill all control hosts")
+            await asyncio.gather(*(self.end(n, gently=False) for n in hosts[:CONTROLS]))
+            await asyncio.gather(*(self.launch(n) for n in hosts[:CONTROLS]))
+            await asyncio.sleep(1)
+            self.busy.difference_update(hosts[:CONTROLS])
+        elif what in ("proxy", "reset", "crash", "leave"):
+            await self.runner_fault(what, self.rng.choice(self.runner_states))
+        self.disturbed = time.monotonic()
+
+    async def runner_fault(self, what, state):
+        if what == "reset":
+            self.log(f"reset connections of {state['id']}")
+            for writer in list(state["open"]):
+                writer.transport.abort()
+        elif what == "proxy":
+            state["mode"] = self.rng.choice(["silent", "one-way", "slow"])
+            self.log(f"{state['mode']} {state['id']}")
+            await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+            state["mode"] = "pass"
+        elif state["up"] and state["leaving"] is None:
+            self.log(f"{what} {state['id']}")
+            if what == "leave":
+                state["leaving"] = "asked"
+                await asyncio.sleep(6)
+            state["up"] = False
+            for writer in list(state["open"]):
+                writer.transport.abort()
+            await asyncio.sleep(self.rng.uniform(0.2, 2))
+            state["life"] += 1
+            state.update(id=f"{state['id'].rsplit('-', 1)[0]}-{state['life']}", up=True, leaving=None,
+                         born=int(time.time() * 1000), sequence=0)
+
+    async def main(self):
+        self.start, self.busy, self.runner_states = time.monotonic(), set(), []
+        names = [f"control{n}" for n in range(CONTROLS)] + [f"entry{n}" for n in range(ENTRIES)]
+        await asyncio.gather(*(self.launch(n) for n in names))
+        tasks = [asyncio.create_task(self.runner(n)) for n in range(RUNNERS)]
+        tasks.append(asyncio.create_task(self.operate()))
+        await asyncio.sleep(4)
+        tasks += [asyncio.create_task(self.caller(n)) for n in range(16)]
+        faults, end = set(), time.monotonic() + self.args.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rng.expovariate(1 / 0.8))
+            task = asyncio.create_task(self.fault())
+            faults.add(task)
+            task.add_done_callback(faults.discard)
+        await asyncio.gather(*faults)
+        self.log("last fault is over")
+        await asyncio.sleep(RECOVERED / 2)
+        since = time.monotonic()
+        await asyncio.sleep(RECOVERED / 4)
+        late = [good for at, good in self.outcomes if at > since]
+        if not late or sum(late) < 0.9 * len(late):
+            self.violate(f"after the faults {sum(late)} of {len(late)} requests were served")
+        newest = max((n for n, _ in self.acknowledged), default=0)
+        status, body = await self.order("GET", "/v1/configuration")
+        if status != 200 or json.loads(body)["version"] < newest:
+            self.violate(f"document {newest} was acknowledged; read back: {status} {body[:60]!r}")
+        self.stopping = True
+        for process in self.processes.values():
+            process.expected = True
+            if process.returncode is None:
+                process.kill()
+        served = sum(good for _, good in self.outcomes)
+        print(f"seed {self.args.seed}: {len(self.outcomes)} requests, {served} served, "
+              f"{len(self.acknowledged)} documents, {len(self.violations)} violations")
+        if self.violations:
+            print("\n".join(self.events[-200:]))
+            print(f"logs: {self.folder}")
+        elif not self.args.keep:
+            shutil.rmtree(self.folder)
+        print("soak: failed" if self.violations else "soak: ok", flush=True)
+        os._exit(1 if self.violations else 0)  # Tasks of open connections need no farewell.
+
+
+def parse():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", 1)[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--program", default="build/cuminfield")
+    parser.add_argument("--offset", type=int, default=0, help="moves the ports")
+    parser.add_argument("--plant", action="store_true",
+                        help="counts some runs twice: the checks must find it")
+    parser.add_argument("--keep", action="store_true", help="keeps the logs also without violations")
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    asyncio.run(Soak(parse()).main())
--- a/Build/test.sh
+++ b/Build/test.sh
@@ -23,6 +23,28 @@
     unexpected=$((unexpected + 1))
   fi
 done
+# Real processes under faults, and the same with a planted fault that the checks must find.
+soak=0
+for plant in "" --plant; do
+  python3 Build/soak.py --seed 1 --seconds 10 --program "$build/cuminfield" $plant >"$build/results/soak$plant.log" 2>&1
+  status=$?
+  head -1 "$build/results/soak$plant.log"
+  if [ -z "$plant" ] && [ $status -ne 0 ]; then
+    if grep -q '^Build/soak.py --seed 1 ' KNOWN-RED.txt; then
+      echo "known red: Build/soak.py --seed 1"
+    else
+      cat "$build/results/soak.log"
+      echo "failed: Build/soak.py --seed 1"
+      unexpected=$((unexpected + 1))
+    fi
+    soak=1
+  fi
+  if [ -n "$plant" ] && [ $status -eq 0 ]; then
+    echo "failed: the soak did not find a planted fault"
+    unexpected=$((unexpected + 1))
+    soak=1
+  fi
+done
 total_failed=$(echo "$failed" | grep -c 'TEST')
 if ! grep -qE '^(OK|Errors) \(' "$log"; then
   tail -20 "$log"
@@ -30,5 +52,6 @@
   unexpected=$((unexpected + 1))
   total_failed=$((total_failed + 1))
 fi
-echo "$((${ran:-0} - total_failed)) passed, $total_failed failed"
+total_failed=$((total_failed + soak))
+echo "$((${ran:-0} + 1 - total_failed)) passed, $total_failed failed"
 [ "$unexpected" -eq 0 ]
--- /dev/null
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -0,0 +1,141 @@
+#include "platform/ControlApi.h"
+
+#include "TestFramework/time/ManualTimerService.h"
+#include "UnitTests/request/CallFakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <filesystem>
+#include <unistd.h>
+
+using namespace cuminfield;
+using namespace cuminfield::process;
+using namespace std::chrono_literals;
+using unit_tests::request::FakeCaller;
+
+namespace {
+
+class NoLinks : public peer::PeerLinks
+{
+public:
+  void Send(const core::HostId&, peer::PeerMessage) override {}
+};
+
+} // namespace
+
+/// The calls of runners and operators against a control host that is alone in its group.
+TEST_GROUP(ControlApi)
+{
+  core::EventLoop loop;
+  NoLinks links;
+  core::Random random{ 5 };
+  std::string folder;
+  std::unique_ptr<cluster::ControlHost> control;
+  std::unique_ptr<platform::ControlApi> api;
+
+  void setup() override
+  {
+    folder = std::filesystem::temp_directory_path() /
+             ("cuminfield-control-api-" + std::to_string(::getpid()));
+    cluster::ClusterSettings settings;
+    settings.id = core::HostId("10.0.0.1");
+    settings.dataCentre = core::DataCentreId("here");
+    settings.seeds = { settings.id };
+    settings.first = true;
+    settings.voters = 1;
+    settings.dataFolder = folder;
+    control = std::make_unique<cluster::ControlHost>(cluster::ControlHost::Options{
+      .cluster = settings, .loop = loop, .links = links, .random = random });
+    CHECK(control->Start().has_value());
+    api = std::make_unique<platform::ControlApi>(*control);
+    RunFor(1s);
+  }
+
+  void teardown() override
+  {
+    api.reset();
+    control.reset();
+    std::filesystem::remove_all(folder);
+  }
+
+  void RunFor(core::Duration aDuration)
+  {
+    const core::TimerHandle end = loop.After(aDuration, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  std::shared_ptr<FakeCaller> Call(const std::string& aMethod, const std::string& aPath,
+                                   const std::string& aBody = "")
+  {
+    auto caller = std::make_shared<FakeCaller>();
+    connection::caller::CallerRequest request;
+    request.method = aMethod;
+    request.target = aPath;
+    request.path = aPath;
+    request.body = aBody;
+    api->OnRequest(std::move(request), caller);
+    for (int n = 0; n < 40 && caller->status == 0; ++n) {
+      RunFor(50ms);
+    }
+    return caller;
+  }
+
+  static std::string Configuration(int aVersion, const std::string& aName)
+  {
+    return R"({"version":)" + std::to_string(aVersion) +
+           R"(,"routes":[{"name":")" + aName +
+           R"(","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":100,"service":"s"}],)" +
+           R"("services":[{"name":"s"}]})";
+  }
+
+  static std::string Beat(const std::string& aState)
+  {
+    return R"({"service":"s","address":"10.9.0.1:80","zone":"here","version":"v1","slots":4,)"
+           R"("state":")" +
+           aState + R"(","sequence":1,"born":1700000000000})";
+  }
+};
+
+TEST(ControlApi, TheHighestConfigurationIsReadBackAsItWasSent)
+{
+  CHECK_EQUAL(503, Call("GET", "/v1/configuration")->status);
+  CHECK_EQUAL(200, Call("PUT", "/v1/configuration", Configuration(7, "seven"))->status);
+  CHECK_EQUAL(200, Call("PUT", "/v1/configuration", Configuration(5, "five"))->status);
+  CHECK_EQUAL(200, Call("PUT", "/v1/configuration", Configuration(7, "other"))->status);
+  const auto read = Call("GET", "/v1/configuration");
+  CHECK_EQUAL(200, read->status);
+  STRCMP_EQUAL(Configuration(7, "seven").c_str(), read->body.c_str());
+}
+
+TEST(ControlApi, AnInvalidConfigurationIsRefused)
+{
+  CHECK_EQUAL(400, Call("PUT", "/v1/configuration", "{\"version\":3")->status);
+}
+
+TEST(ControlApi, ARolloutIsReadBack)
+{
+  CHECK_EQUAL(404, Call("GET", "/v1/rollouts/s")->status);
+  const std::string order = R"({"service":"s","target":"v2","duration_s":12})";
+  CHECK_EQUAL(200, Call("POST", "/v1/rollouts", order)->status);
+  CHECK_EQUAL(200, Call("POST", "/v1/rollouts", order)->status); // Its answer was lost.
+  const auto read = Call("GET", "/v1/rollouts/s");
+  STRCMP_CONTAINS("running", read->body.c_str());
+  CHECK_EQUAL(400, Call("POST", "/v1/rollouts", "{}")->status);
+}
+
+TEST(ControlApi, HeartbeatsAndLeavesAreAcknowledged)
+{
+  CHECK_EQUAL(200, Call("PUT", "/v1/instances/i-1", Beat("ready"))->status);
+  CHECK_EQUAL(1, control->Upstreams());
+  CHECK_EQUAL(200, Call("PUT", "/v1/instances/i-1", Beat("draining"))->status);
+  CHECK_EQUAL(200, Call("DELETE", "/v1/instances/i-1")->status);
+  CHECK_EQUAL(200, Call("DELETE", "/v1/instances/nobody")->status);
+}
+
+TEST(ControlApi, AForeignHeartbeatNamesNoRunner)
+{
+  CHECK_EQUAL(400, Call("PUT", "/v1/instances/i-1", "\xff\xfe")->status);
+  CHECK_EQUAL(400, Call("PUT", "/v1/instances/i-1", Beat("sleeping"))->status);
+  CHECK_EQUAL(400, Call("PUT", "/v1/instances/i-1", R"({"service":"s"})")->status);
+  CHECK_EQUAL(0, control->Upstreams());
+}
--- /dev/null
+++ b/UnitTests/process/cluster/ClusterSettingsTest.cpp
@@ -0,0 +1,77 @@
+#include "cuminfield/process/cluster/ClusterSettingsFile.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace cuminfield;
+using namespace cuminfield::process::cluster;
+using namespace std::chrono_literals;
+
+TEST_GROUP(ClusterSettings)
+{
+  std::string text = "[host]\n"
+                     "id = 10.1.0.25\n"
+                     "name = front-gent-a-1\n"
+                     "data-centre = gent-a\n"
+                     "region = vlaanderen\n"
+                     "[listen]\n"
+                     "callers = 10.1.0.25:8221\n"
+                     "ready = 10.1.0.25:8224\n"
+                     "peer-port = 7600\n"
+                     "[cluster]\n"
+                     "seeds = 10.1.0.28:8229,10.2.0.20:8229\n"
+                     "first-start = yes\n"
+                     "losses = 2\n"
+                     "[limits]\n"
+                     "shutdown = 8s\n"
+                     "[quota]\n"
+                     "overshoot = 0.1\n"
+                     "slack = 140000\n";
+
+  void ExpectFault(const char* aWhat)
+  {
+    const auto parsed = ParseClusterSettings(text, "file.ini");
+    CHECK(parsed.has_error());
+    STRCMP_CONTAINS(aWhat, parsed.error().message.c_str());
+  }
+};
+
+TEST(ClusterSettings, EveryKeyFindsItsPlace)
+{
+  const auto parsed = ParseClusterSettings(text, "file.ini");
+  CHECK_TEXT(parsed.has_value(), parsed.has_error() ? parsed.error().message.c_str() : "");
+  const ClusterSettings& settings = parsed.value();
+  STRCMP_EQUAL("10.1.0.25:7600", settings.peersListen.Text().c_str());
+  CHECK_EQUAL(2, settings.seeds.size());
+  STRCMP_EQUAL("10.2.0.20", settings.seeds[1].Text().c_str());
+  CHECK_EQUAL(5, settings.voters);
+  CHECK(settings.first);
+  CHECK(settings.shutdown == 8s);
+  DOUBLES_EQUAL(0.1, settings.quotaOvershoot, 1e-9);
+  DOUBLES_EQUAL(140'000, settings.quotaSlack, 0);
+  CHECK_FALSE(settings.control.has_value());
+}
+
+TEST(ClusterSettings, FaultsNameLineAndRemedy)
+{
+  text += "[cluser]\nx = 1\n";
+  ExpectFault("cluser");
+}
+
+TEST(ClusterSettings, SeedsMustBeAddresses)
+{
+  text.replace(text.find("10.2.0.20:8229"), 14, "elsewhere");
+  ExpectFault("seeds");
+}
+
+TEST(ClusterSettings, ThePageHasEveryKey)
+{
+  const std::ifstream file(CUMINFIELD_SOURCE_DIR "/docs/ClusterSettings.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  for (const auto& spec : ClusterSettingsReference()) {
+    STRCMP_CONTAINS((spec.Row() + "\n").c_str(), page.str().c_str());
+  }
+}
