--- a/UnitTests/platform/HeaderCodecTest.cpp
+++ b/UnitTests/platform/HeaderCodecTest.cpp
@@ -10,7 +10,7 @@
 
 TEST_GROUP(HeaderCodec)
 {
-  const platform::HeaderCodec codec;
+  platform::HeaderCodec codec;
   std::unique_ptr<version::catalogue::CatalogueIndex> catalogue;
   connection::caller::CallerRequest request;
   core::Instant now{ 50s };
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace cuminfield::connection::upstream {
 
@@ -346,7 +347,7 @@
 };
 
 HttpUpstreamTransport::HttpUpstreamTransport(Options aOptions)
-  : mOptions(aOptions)
+  : mOptions(std::move(aOptions))
 {
 }
 
--- a/cuminfield/process/cluster/VersionShares.cpp
+++ b/cuminfield/process/cluster/VersionShares.cpp
@@ -34,7 +34,7 @@
                                       double aPoint) const
 {
   const auto version = mVersions.find(aService);
-  const core::VersionId inForce = version == mVersions.end() ? core::VersionId() : version->second;
+  core::VersionId inForce = version == mVersions.end() ? core::VersionId() : version->second;
   const auto move = mMoves.find(aService);
   if (move == mMoves.end()) {
     return inForce;
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -413,7 +413,7 @@
   Answer({ .status = connection::kStatusBadGateway, .reason = "stopping", .retryAfter = {} });
 }
 
-void Forward::Answer(ForwardFailure aFailure)
+void Forward::Answer(const ForwardFailure& aFailure)
 {
   CUMINFIELD_INVARIANT("forward.not-run-never-after-dispatch",
                        aFailure.status != connection::kStatusUnavailable || !mSent);
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -101,7 +101,7 @@
   void OnSilence();
   void OnTimeout();
   void OnCallerGone();
-  void Answer(ForwardFailure aFailure);
+  void Answer(const ForwardFailure& aFailure);
   void BreakOff(const std::string& aReason);
   void End();
 
