--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -27,7 +27,7 @@
   proto::Feed FeedFor(const std::string& aHost) const
   {
     proto::Feed feed;
-    table.AddOthers(core::HostId(aHost), feed);
+    table.AddOthers(core::HostId(aHost), feed, true);
     return feed;
   }
 };
@@ -40,7 +40,7 @@
   exchange.set_hosts(3);
   FollowerTable other{ {} };
   other.OnReport(core::HostId("c"), Report(4, 40), now);
-  other.AddOwn(exchange);
+  other.AddOwn(exchange, true);
   table.OnExchange(core::HostId("control-2"), exchange, now);
   const proto::Feed feed = FeedFor("a");
   CHECK_EQUAL(6, feed.in_flight(0).requests());
@@ -61,6 +61,34 @@
   CHECK_EQUAL(0, FeedFor("x").hosts());
 }
 
+/// Control hosts that are cut off from each other must not both give the whole quota away.
+TEST(FollowerTable, HostsOfASilentControlHostStayKnownForAWhile)
+{
+  FollowerTable other{ {} };
+  for (const char* host : { "b", "c", "d" }) {
+    proto::Report report = Report(1, 10);
+    report.set_quota_memory(0.5);
+    other.OnReport(core::HostId(host), report, now);
+  }
+  proto::Exchange exchange;
+  other.AddOwn(exchange, true);
+  table.OnExchange(core::HostId("control-2"), exchange, now);
+  proto::Report own = Report(1, 10);
+  own.set_quota_memory(1);
+  table.OnReport(core::HostId("a"), own, now);
+  DOUBLES_EQUAL(2.5, FeedFor("a").quota_memory(), 1e-9);
+  table.OnReport(core::HostId("a"), own, now + 4s);
+  table.OnReport(core::HostId("b"), own, now + 4s); // It follows this one now.
+  table.Expire(now + 4s);
+  CHECK_EQUAL(2, FeedFor("a").hosts());
+  CHECK_EQUAL(4, FeedFor("a").hosts_known());
+  DOUBLES_EQUAL(2, FeedFor("a").quota_memory(), 1e-9);
+  table.OnReport(core::HostId("a"), own, now + 11s);
+  table.OnReport(core::HostId("b"), own, now + 11s);
+  table.Expire(now + 11s);
+  CHECK_EQUAL(2, FeedFor("a").hosts_known());
+}
+
 TEST(FollowerTable, ARestartedHostGetsEverythingAgain)
 {
   table.OnReport(core::HostId("a"), Report(1, 10), now);
--- a/UnitTests/request/forward/ForwardTest.cpp
+++ b/UnitTests/request/forward/ForwardTest.cpp
@@ -112,7 +112,7 @@
   FakeCodec codec;
   Watch watch;
   AnyVersion versions;
-  WorkspaceQuota quota{ {} };
+  WorkspaceQuota quota{ {}, {}, true };
   std::shared_ptr<const version::catalogue::CatalogueIndex> catalogue;
   std::unique_ptr<ForwardTable> table;
   std::unique_ptr<placement::PlacementScheduler> scheduler;
--- a/UnitTests/request/forward/WorkspaceQuotaTest.cpp
+++ b/UnitTests/request/forward/WorkspaceQuotaTest.cpp
@@ -5,6 +5,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <deque>
+#include <numeric>
+#include <vector>
 
 using namespace cuminfield;
 using namespace cuminfield::request::forward;
@@ -24,6 +26,11 @@
     return rule;
   }
 
+  static QuotaHosts All(std::uint32_t aHosts)
+  {
+    return { .told = aHosts, .known = aHosts, .memory = static_cast<double>(aHosts) };
+  }
+
   /// Hosts that hear of each other 400 ms late, a demand that is a multiple of the quota: the most
   /// that all took in any window, relative to what is tolerated, and relative to the quota.
   struct Load
@@ -37,7 +44,7 @@
     constexpr core::Duration kStep = 10ms;
     core::Random random(7);
     const auto rule = Rule(aRate);
-    std::vector<WorkspaceQuota> hosts(aHosts, WorkspaceQuota(settings));
+    std::vector<WorkspaceQuota> hosts(aHosts, WorkspaceQuota(settings, now, true));
     std::deque<std::vector<QuotaUse>> told;
     std::deque<double> window;
     double used = 0;
@@ -80,7 +87,7 @@
           others.used += other == host ? 0 : told.front()[other].used;
           others.demand += other == host ? 0 : told.front()[other].demand;
         }
-        hosts[host].SetOthers({ { rule.id, others } }, static_cast<std::uint32_t>(aHosts), time);
+        hosts[host].SetOthers({ { rule.id, others } }, All(static_cast<std::uint32_t>(aHosts)), time);
       }
     }
     load.mean = total / (aRate * kSteps * 0.01);
@@ -90,37 +97,37 @@
 
 TEST(WorkspaceQuota, ARequestLargerThanAnyHostsPartPasses)
 {
-  WorkspaceQuota quota(settings);
-  quota.SetOthers({}, 80, now);
+  WorkspaceQuota quota(settings, now, true);
+  quota.SetOthers({}, All(80), now);
   CHECK_FALSE(quota.Take(Rule(36'000), 55'000, now).has_value());
 }
 
 TEST(WorkspaceQuota, WhatTheOthersTookCounts)
 {
-  WorkspaceQuota quota(settings);
+  WorkspaceQuota quota(settings, now, true);
   const auto rule = Rule(10'000);
-  quota.SetOthers({ { rule.id, { .used = 200'000, .demand = 0 } } }, 8, now);
+  quota.SetOthers({ { rule.id, { .used = 200'000, .demand = 0 } } }, All(8), now);
   const auto wait = quota.Take(rule, 5'000, now);
   CHECK(wait.has_value());
   CHECK(*wait >= settings.minRetryAfter);
-  quota.SetOthers({ { rule.id, { .used = 50'000, .demand = 0 } } }, 8, now);
+  quota.SetOthers({ { rule.id, { .used = 50'000, .demand = 0 } } }, All(8), now);
   CHECK_FALSE(quota.Take(rule, 5'000, now).has_value());
 }
 
 TEST(WorkspaceQuota, OldFiguresLeaveLessRoom)
 {
-  WorkspaceQuota quota(settings);
+  WorkspaceQuota quota(settings, now, true);
   const auto rule = Rule(100'000);
-  quota.SetOthers({ { rule.id, { .used = 0, .demand = 700'000 } } }, 60, now);
+  quota.SetOthers({ { rule.id, { .used = 0, .demand = 700'000 } } }, All(60), now);
   CHECK_FALSE(quota.Take(rule, 5'000, now).has_value());
   CHECK(quota.Take(rule, 5'000, now + 1200ms).has_value());
 }
 
 TEST(WorkspaceQuota, WhatDidNotRunIsGivenBack)
 {
-  WorkspaceQuota quota(settings);
+  WorkspaceQuota quota(settings, now, true);
   const auto rule = Rule(10'000);
-  quota.SetOthers({}, 1, now);
+  quota.SetOthers({}, All(1), now);
   CHECK_FALSE(quota.Take(rule, 100'000, now).has_value());
   CHECK(quota.Take(rule, 100'000, now).has_value());
   quota.Return(rule.id, 100'000, now);
@@ -129,9 +136,9 @@
 
 TEST(WorkspaceQuota, WithoutNewsOfTheOthersAHostKeepsToAnEvenPart)
 {
-  WorkspaceQuota quota(settings);
+  WorkspaceQuota quota(settings, now, true);
   const auto rule = Rule(10'000);
-  quota.SetOthers({}, 10, now);
+  quota.SetOthers({}, All(10), now);
   const core::Instant later = now + 5s;
   CHECK_FALSE(quota.Take(rule, 10'000, later).has_value());
   CHECK(quota.Take(rule, 10'000, later).has_value());
@@ -160,3 +167,65 @@
   const Load load = Play(8, 36'000, 0.55, 4'000);
   CHECK(load.mean >= 0.53);
 }
+
+/// The control hosts are cut into halves: each host hears of the others on its side only.
+TEST(WorkspaceQuota, TwoHalvesTogetherKeepToTheQuota)
+{
+  const auto rule = Rule(100'000);
+  const double allowed = 900'000 * 1.1 + settings.slackUnits;
+  constexpr std::uint32_t kHosts = 20;
+  std::vector<WorkspaceQuota> hosts(kHosts, WorkspaceQuota(settings, now, true));
+  std::vector<double> used(kHosts, 0);
+  core::Instant time = now;
+  for (int step = 0; step < 800; ++step, time += 10ms) {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      used[host] += hosts[host].Take(rule, 4'000, time) ? 0 : 4'000;
+    }
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      QuotaUse others;
+      for (std::size_t other = host % 2; other < kHosts; other += 2) {
+        others.used += other == host ? 0 : used[other];
+        others.demand += other == host ? 0 : 400'000;
+      }
+      hosts[host].SetOthers({ { rule.id, others } },
+                            { .told = kHosts / 2, .known = kHosts, .memory = kHosts / 2 }, time);
+    }
+  }
+  const double all = std::accumulate(used.begin(), used.end(), 0.0);
+  CHECK(all <= allowed);
+  CHECK(all >= 0.8 * 900'000);
+}
+
+TEST(WorkspaceQuota, WhatAHostTookBeforeItsRestartCounts)
+{
+  const auto rule = Rule(100'000);
+  WorkspaceQuota before(settings, now, true);
+  before.SetOthers({}, All(1), now);
+  double took = 0;
+  while (!before.Take(rule, 5'000, now)) {
+    took += 5'000;
+  }
+  const core::Instant restart = now + 1s;
+  WorkspaceQuota after(settings, restart, false);
+  for (core::Instant time = restart; time < now + 8s; time += 100ms) {
+    after.SetOthers({}, { .told = 1, .known = 1, .memory = after.Memory(time) }, time);
+    for (int n = 0; n < 5; ++n) { // 250,000 units a second.
+      took += after.Take(rule, 5'000, time) ? 0 : 5'000;
+    }
+  }
+  CHECK(took <= 900'000 * 1.1 + settings.slackUnits);
+}
+
+TEST(WorkspaceQuota, AfterARestartAUsualDemandIsServed)
+{
+  const auto rule = Rule(100'000);
+  const core::Instant restart = now + 1s;
+  WorkspaceQuota quota(settings, restart, false);
+  double took = 0;
+  for (core::Instant time = restart; time < restart + 8s; time += 100ms) {
+    quota.SetOthers({}, { .told = 1, .known = 1, .memory = quota.Memory(time) }, time);
+    took += quota.Take(rule, 5'000, time) ? 0 : 5'000;
+  }
+  CHECK(took >= 0.9 * 8 * 50'000);
+  CHECK_EQUAL(1.0, quota.Memory(restart + 8s));
+}
--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -276,7 +276,7 @@
     scheduler->Paced(core::UpstreamId("slow"), 16);
     scheduler->Paced(core::UpstreamId("fast"), 3);
   }
-  scheduler->Board().Find(core::UpstreamId("slow"))->firstFactor = 3;
+  scheduler->Board().SetTold(core::UpstreamId("slow"), { .firsts = 20, .firstFactor = 60 });
   for (int n = 0; n < 10; ++n) {
     RequestSpec spec = Spec("prompt" + std::to_string(n));
     spec.tokenGapTarget = 200ms;
@@ -337,17 +337,93 @@
   }
   Submit("seen", 0);
   Finish("seen");
-  scheduler->SetOthersWanted({ { core::ServiceId("s"), 380 } });
+  scheduler->SetOthersWanted({ { { core::ServiceId("s"), 3 }, 380 } });
   for (int n = 0; n < 20; ++n) {
     Submit("low" + std::to_string(n), 3);
   }
   CHECK(listener.placed.size() <= 1 + 5); // 20 of 400 that are wanted, of 95 places.
   CHECK(listener.placed.size() >= 1 + 2);
-  scheduler->SetOthersWanted({ { core::ServiceId("s"), 40 } });
+  scheduler->SetOthersWanted({ { { core::ServiceId("s"), 3 }, 40 } });
   timers.Advance(settings.tick);
   CHECK_EQUAL(1 + 20, listener.placed.size());
 }
 
+/// The same burst, where the others' requests are more urgent: what they want is left to them, but
+/// for a small part, so that no rank starves.
+TEST(PlacementScheduler, InACrowdTheLessUrgentLeaveThePlacesToTheUrgentOfOtherHosts)
+{
+  for (int n = 0; n < 10; ++n) {
+    Up("u" + std::to_string(n), 10);
+  }
+  scheduler->SetOthersWanted(
+    { { { core::ServiceId("s"), 0 }, 200 }, { { core::ServiceId("s"), 3 }, 80 } });
+  for (int n = 0; n < 20; ++n) {
+    Submit("low" + std::to_string(n), 3);
+  }
+  CHECK(listener.placed.size() <= 2); // A fifth of 5 places.
+  scheduler->SetOthersWanted(
+    { { { core::ServiceId("s"), 0 }, 45 }, { { core::ServiceId("s"), 3 }, 80 } });
+  timers.Advance(settings.tick);
+  CHECK(listener.placed.size() >= 8); // A fifth of the 50 that are left.
+  CHECK(listener.placed.size() <= 12);
+}
+
+/// Engines that are too slow for the urgent requests are free for the others.
+TEST(PlacementScheduler, InACrowdThePlacesThatDoNotSuitTheUrgentAreUsed)
+{
+  for (int n = 0; n < 5; ++n) {
+    Up("fast" + std::to_string(n), 10);
+    Up("slow" + std::to_string(n), 10);
+    scheduler->Board().SetTold(core::UpstreamId("slow" + std::to_string(n)),
+                               { .paces = 20, .tokenMs = 300, .firsts = 20, .firstFactor = 60 });
+  }
+  RequestSpec urgent = Spec("urgent", 0);
+  urgent.prompt.value = 6'600;
+  urgent.tokenGapTarget = 250ms;
+  urgent.eventTokens = 8;
+  scheduler->Submit(urgent);
+  scheduler->SetOthersWanted(
+    { { { core::ServiceId("s"), 0 }, 200 }, { { core::ServiceId("s"), 3 }, 20 } });
+  for (int n = 0; n < 20; ++n) {
+    RequestSpec spec = Spec("low" + std::to_string(n), 3);
+    spec.tokenGapTarget = 250ms;
+    spec.eventTokens = 8;
+    scheduler->Submit(spec);
+  }
+  CHECK(listener.placed.size() >= 1 + 18); // Half of 40 that are wanted, of 95 - 47 places.
+}
+
+/// Urgent requests, too, wait here and not in the engines, where nobody can overtake.
+TEST(PlacementScheduler, InACrowdTheMostUrgentKeepToTheirShare)
+{
+  for (int n = 0; n < 10; ++n) {
+    Up("u" + std::to_string(n), 10);
+  }
+  scheduler->SetOthersWanted({ { { core::ServiceId("s"), 0 }, 180 } });
+  for (int n = 0; n < 20; ++n) {
+    Submit("top" + std::to_string(n), 0);
+  }
+  CHECK(listener.placed.size() >= 8); // A tenth of 95 places.
+  CHECK(listener.placed.size() <= 11);
+}
+
+/// Those that were turned away wanted a place, too: a host that turns many away keeps its share.
+TEST(PlacementScheduler, WhatWasTurnedAwayCountsAsWantedForAWhile)
+{
+  Up("u", 1);
+  Submit("a", 3);
+  Submit("b", 3);
+  timers.Advance(5s);
+  CHECK(listener.shed.contains("b"));
+  Submit("c", 3);
+  Submit("d", 3);
+  timers.Advance(settings.firstHold);
+  const double soon = scheduler->Wanted().at({ core::ServiceId("s"), 3 });
+  CHECK(soon >= 3);
+  timers.Advance(10s);
+  DOUBLES_EQUAL(1, scheduler->Wanted().at({ core::ServiceId("s"), 3 }), 0.01);
+}
+
 TEST(PlacementScheduler, OneThatFindsNoPlaceDoesNotHoldUpThoseBehindIt)
 {
   Up("slow", 15);
--- a/cuminfield/core/Units.h
+++ b/cuminfield/core/Units.h
@@ -26,6 +26,33 @@
 /// A point in civil time (Unix epoch). May step; used only where hosts must compare times.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
+constexpr double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+constexpr double Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+constexpr Duration FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
+}
+
+constexpr Duration FromMilliseconds(double aMilliseconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(aMilliseconds));
+}
+
+/// A multiple of a length of time.
+constexpr Duration Scaled(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
 /// A count in one unit that cannot be mixed up with a count in another.
 template<typename Tag>
 struct Quantity
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -100,7 +100,7 @@
     double rank = mOptions.random.Uniform();
     rank += dataCentre == mOptions.cluster.dataCentre.Text() ? 0 : 1;
     if (silent != mGivenUp.end() && now - silent->second < kAvoid) {
-      rank += 2 + std::chrono::duration<double>(kAvoid - (now - silent->second)).count();
+      rank += 2 + core::Seconds(kAvoid - (now - silent->second));
     }
     ranked.emplace_back(rank, host);
   }
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -29,6 +29,10 @@
 constexpr core::Duration kAnnounce = std::chrono::milliseconds(100);
 constexpr core::Duration kResend = std::chrono::milliseconds(250);
 
+/// What hosts found out about upstreams is told every so many feeds: it is as long as all the rest,
+/// and changes over seconds.
+constexpr std::uint64_t kObservedEvery = 4;
+
 const char* ToString(proto::MovePhase aPhase)
 {
   switch (aPhase) {
@@ -248,6 +252,7 @@
   TakeLeaves();
   mRegistry.Expire(now);
   mFollowers.Expire(now);
+  mTellObserved = mTicks++ % kObservedEvery == 0;
   SendExchange();
   SendFeeds();
   Direct();
@@ -286,7 +291,7 @@
     *exchange->add_upstreams() = upstream;
   }
   mHeard.clear();
-  mFollowers.AddOwn(*exchange);
+  mFollowers.AddOwn(*exchange, mTellObserved);
   const std::string payload = message.SerializeAsString();
   for (const core::HostId& it : OtherControlHosts()) {
     mOptions.links.Send(it, { .channel = peer::Channel::Cluster, .payload = payload });
@@ -337,7 +342,7 @@
   proto::Message message;
   proto::Feed* feed = message.mutable_feed();
   *feed = aCommon;
-  mFollowers.AddOthers(aHost, *feed);
+  mFollowers.AddOthers(aHost, *feed, mTellObserved);
   const bool registryHeld = aFollower.report.registry_revision() == aCommon.registry_revision() &&
                             aFollower.registrySent == aCommon.registry_revision();
   const bool registrySent = aFollower.registrySent == aCommon.registry_revision() &&
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -128,6 +128,8 @@
   std::uint64_t mLoggedChange = 0;
   core::HostId mLoggedLeader;
   core::TimerHandle mTick;
+  std::uint64_t mTicks = 0;
+  bool mTellObserved = false; ///< With this tick's messages.
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -11,6 +11,13 @@
 
 constexpr core::Duration kDrainCheck = std::chrono::milliseconds(50);
 
+/// What this host found out about upstreams is told with every so many reports: it changes over
+/// seconds.
+constexpr std::uint64_t kObservedEvery = 4;
+
+/// Observations that have faded below this sum are told no more.
+constexpr double kLeastObserved = 0.05;
+
 std::uint64_t LifeOf(const core::EventLoop& aLoop)
 {
   return static_cast<std::uint64_t>(aLoop.WallNow().time_since_epoch().count());
@@ -36,7 +43,7 @@
 
 EntryHost::EntryHost(Options aOptions)
   : mOptions(std::move(aOptions))
-  , mQuota(mOptions.settings.quota)
+  , mQuota(mOptions.settings.quota, mOptions.loop.Now(), mOptions.cluster.first)
   , mVersions(mOptions.settings.versions)
   , mWatch(mVersions)
   , mTransport({ .settings = mOptions.settings.transport, .loop = mOptions.loop })
@@ -164,34 +171,63 @@
     const core::UpstreamId id(it.upstream());
     told.insert(id);
     mScheduler.Board().SetOthers(id, it.requests(), it.prompt_tokens(), now);
+    mScheduler.Board().SetTrust(id, it.doubting(), it.trusting(), now);
+  }
+  for (const proto::Observed& it : aFeed.observed()) {
+    mScheduler.Board().SetTold(core::UpstreamId(it.upstream()),
+                               { .answers = it.answers(),
+                                 .failures = it.failures(),
+                                 .paces = it.paces(),
+                                 .tokenMs = it.token_ms(),
+                                 .firsts = it.firsts(),
+                                 .firstFactor = it.first_factor() });
   }
   for (auto& [id, entry] : mScheduler.Board().All()) {
     if (!told.contains(id)) {
       mScheduler.Board().SetOthers(id, 0, 0, now);
+      mScheduler.Board().SetTrust(id, 0, 0, now);
     }
   }
-  std::map<core::ServiceId, std::uint32_t> wanted;
+  request::placement::PlacementScheduler::WantedPlaces wanted;
   for (const proto::Wanted& it : aFeed.wanted()) {
-    wanted[core::ServiceId(it.service())] = it.requests();
+    wanted[{ core::ServiceId(it.service()), it.rank() }] = it.places();
   }
   mScheduler.SetOthersWanted(std::move(wanted));
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
     use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s() };
   }
-  mQuota.SetOthers(std::move(use), aFeed.hosts(), now);
+  mQuota.SetOthers(std::move(use),
+                   { .told = aFeed.hosts(),
+                     .known = aFeed.hosts_known(),
+                     .memory = aFeed.quota_memory() },
+                   now);
 }
 
 void EntryHost::Describe(proto::Report& aReport)
 {
+  const core::Instant now = mOptions.loop.Now();
+  aReport.set_has_observed(mReports++ % kObservedEvery == 0);
   for (auto& [id, entry] : mScheduler.Board().All()) {
-    if (entry.own == 0) {
-      continue;
+    const auto opinion = mScheduler.Board().Opinion(entry, now);
+    if (entry.own > 0 || opinion.doubting > 0 || opinion.trusting > 0) {
+      proto::InFlight* it = aReport.add_in_flight();
+      it->set_upstream(id.Text());
+      it->set_requests(entry.own);
+      it->set_prompt_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, entry.ownPrompt)));
+      it->set_doubting(opinion.doubting);
+      it->set_trusting(opinion.trusting);
+    }
+    if (aReport.has_observed() && opinion.answers + opinion.firsts + opinion.paces > kLeastObserved) {
+      proto::Observed* it = aReport.add_observed();
+      it->set_upstream(id.Text());
+      it->set_answers(static_cast<float>(opinion.answers));
+      it->set_failures(static_cast<float>(opinion.failures));
+      it->set_paces(static_cast<float>(opinion.paces));
+      it->set_token_ms(static_cast<float>(opinion.tokenMs));
+      it->set_firsts(static_cast<float>(opinion.firsts));
+      it->set_first_factor(static_cast<float>(opinion.firstFactor));
     }
-    proto::InFlight* it = aReport.add_in_flight();
-    it->set_upstream(id.Text());
-    it->set_requests(entry.own);
-    it->set_prompt_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, entry.ownPrompt)));
   }
   for (const auto& [workspace, use] : mQuota.Report(mOptions.loop.Now())) {
     proto::Demand* it = aReport.add_demand();
@@ -199,11 +235,13 @@
     it->set_units_per_s(use.demand);
     it->set_used(use.used);
   }
-  for (const auto& [service, requests] : mScheduler.Wanted()) {
+  for (const auto& [key, places] : mScheduler.Wanted()) {
     proto::Wanted* it = aReport.add_wanted();
-    it->set_service(service.Text());
-    it->set_requests(requests);
+    it->set_service(key.first.Text());
+    it->set_rank(key.second);
+    it->set_places(places);
   }
+  aReport.set_quota_memory(mQuota.Memory(mOptions.loop.Now()));
   mVersions.Describe(aReport);
 }
 
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -93,6 +93,7 @@
   bool mStopping = false;
   core::Instant mStoppedAt{};
   core::TimerHandle mDrainTimer;
+  std::uint64_t mReports = 0;
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/cluster/FollowerTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cuminfield::process::cluster {
@@ -11,17 +12,27 @@
     follower.registrySent = 0;
     follower.documentSent = 0;
   }
+  if (!aReport.has_observed()) {
+    aReport.mutable_observed()->Swap(follower.report.mutable_observed());
+  }
   follower.report = std::move(aReport);
   follower.heard = aNow;
+  mHostsSeen[aHost] = aNow;
 }
 
 void FollowerTable::OnExchange(const core::HostId& aControlHost, proto::Exchange aExchange,
                                core::Instant aNow)
 {
   Peer& peer = mPeers[aControlHost];
+  if (!aExchange.has_observed()) {
+    aExchange.mutable_observed()->Swap(peer.exchange.mutable_observed());
+  }
   peer.exchange = std::move(aExchange);
   peer.exchange.clear_upstreams();
   peer.heard = aNow;
+  for (const std::string& it : peer.exchange.followers()) {
+    mHostsSeen[core::HostId(it)] = aNow;
+  }
 }
 
 void FollowerTable::Expire(core::Instant aNow)
@@ -30,6 +41,8 @@
                 [&](const auto& aItem) { return aNow - aItem.second.heard > mSettings.silence; });
   std::erase_if(mPeers,
                 [&](const auto& aItem) { return aNow - aItem.second.heard > mSettings.silence; });
+  std::erase_if(mHostsSeen,
+                [&](const auto& aItem) { return aNow - aItem.second > mSettings.remembered; });
 }
 
 void FollowerTable::Sums::Add(const proto::InFlight& aInFlight)
@@ -38,6 +51,36 @@
   sum.set_requests(sum.requests() + aInFlight.requests());
   sum.set_prompt_tokens(sum.prompt_tokens() + aInFlight.prompt_tokens());
   sum.set_held_tokens(sum.held_tokens() + aInFlight.held_tokens());
+  sum.set_doubting(sum.doubting() + aInFlight.doubting());
+  sum.set_trusting(sum.trusting() + aInFlight.trusting());
+}
+
+void FollowerTable::Sums::Add(const proto::Observed& aObserved)
+{
+  proto::Observed& sum = observed[aObserved.upstream()];
+  sum.set_answers(sum.answers() + aObserved.answers());
+  sum.set_failures(sum.failures() + aObserved.failures());
+  sum.set_paces(sum.paces() + aObserved.paces());
+  sum.set_token_ms(sum.token_ms() + aObserved.token_ms());
+  sum.set_firsts(sum.firsts() + aObserved.firsts());
+  sum.set_first_factor(sum.first_factor() + aObserved.first_factor());
+}
+
+template<typename Message>
+void FollowerTable::Sums::AddAll(const Message& aMessage)
+{
+  for (const proto::InFlight& it : aMessage.in_flight()) {
+    Add(it);
+  }
+  for (const proto::Demand& it : aMessage.demand()) {
+    Add(it);
+  }
+  for (const proto::Wanted& it : aMessage.wanted()) {
+    wanted[{ it.service(), it.rank() }] += it.places();
+  }
+  for (const proto::Observed& it : aMessage.observed()) {
+    Add(it);
+  }
 }
 
 void FollowerTable::Sums::Add(const proto::Demand& aDemand)
@@ -52,47 +95,52 @@
   Sums sums;
   for (const auto& [host, follower] : mFollowers) {
     ++sums.hosts;
+    sums.quotaMemory += follower.report.quota_memory();
     if (host == aWithout) {
       continue;
     }
-    for (const proto::InFlight& it : follower.report.in_flight()) {
-      sums.Add(it);
-    }
-    for (const proto::Demand& it : follower.report.demand()) {
-      sums.Add(it);
-    }
-    for (const proto::Wanted& it : follower.report.wanted()) {
-      sums.wanted[it.service()] += it.requests();
-    }
+    sums.AddAll(follower.report);
   }
   return sums;
 }
 
 template<typename Message>
-void FollowerTable::Write(const Sums& aSums, Message& aMessage)
+void FollowerTable::Write(const Sums& aSums, bool aObserved, Message& aMessage)
 {
   aMessage.set_hosts(aSums.hosts);
+  aMessage.set_quota_memory(aSums.quotaMemory);
   for (const auto& [upstream, sum] : aSums.inFlight) {
     proto::InFlight* it = aMessage.add_in_flight();
     *it = sum;
     it->set_upstream(upstream);
   }
-  for (const auto& [service, requests] : aSums.wanted) {
+  for (const auto& [key, places] : aSums.wanted) {
     proto::Wanted* it = aMessage.add_wanted();
-    it->set_service(service);
-    it->set_requests(requests);
+    it->set_service(key.first);
+    it->set_rank(key.second);
+    it->set_places(places);
   }
   for (const auto& [workspace, sum] : aSums.demand) {
     proto::Demand* it = aMessage.add_demand();
     *it = sum;
     it->set_workspace(workspace);
   }
+  aMessage.set_has_observed(aObserved);
+  if (!aObserved) {
+    return;
+  }
+  for (const auto& [upstream, sum] : aSums.observed) {
+    proto::Observed* it = aMessage.add_observed();
+    *it = sum;
+    it->set_upstream(upstream);
+  }
 }
 
-void FollowerTable::AddOwn(proto::Exchange& aExchange) const
+void FollowerTable::AddOwn(proto::Exchange& aExchange, bool aObserved) const
 {
-  Write(OwnSums({}), aExchange);
+  Write(OwnSums({}), aObserved, aExchange);
   for (const auto& [host, follower] : mFollowers) {
+    aExchange.add_followers(host.Text());
     if (follower.report.evidence_size() == 0) {
       continue;
     }
@@ -103,22 +151,16 @@
   }
 }
 
-void FollowerTable::AddOthers(const core::HostId& aHost, proto::Feed& aFeed) const
+void FollowerTable::AddOthers(const core::HostId& aHost, proto::Feed& aFeed, bool aObserved) const
 {
   Sums sums = OwnSums(aHost);
   for (const auto& [host, peer] : mPeers) {
     sums.hosts += peer.exchange.hosts();
-    for (const proto::InFlight& it : peer.exchange.in_flight()) {
-      sums.Add(it);
-    }
-    for (const proto::Demand& it : peer.exchange.demand()) {
-      sums.Add(it);
-    }
-    for (const proto::Wanted& it : peer.exchange.wanted()) {
-      sums.wanted[it.service()] += it.requests();
-    }
+    sums.quotaMemory += peer.exchange.quota_memory();
+    sums.AddAll(peer.exchange);
   }
-  Write(sums, aFeed);
+  Write(sums, aObserved, aFeed);
+  aFeed.set_hosts_known(std::max(sums.hosts, static_cast<std::uint32_t>(mHostsSeen.size())));
 }
 
 FollowerTable::EvidenceMap FollowerTable::Evidence() const
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -17,6 +17,9 @@
 {
   /// A host or control host that reported nothing for this long counts no more.
   core::Duration silence = std::chrono::milliseconds(1500);
+  /// What a silent host used of a quota counts on for this long: the quota's window of 8 s, and 2 s
+  /// for reports that were on their way.
+  core::Duration remembered = std::chrono::seconds(10);
 };
 
 /// What all hosts use and ask for, summed up at a control host: from the reports of the hosts that
@@ -35,11 +38,12 @@
   /// Drops what is silent.
   void Expire(core::Instant aNow);
 
-  /// Sums over the hosts that follow this control host.
-  void AddOwn(proto::Exchange& aExchange) const;
+  /// Sums over the hosts that follow this control host; aObserved: with what they found out about
+  /// upstreams.
+  void AddOwn(proto::Exchange& aExchange, bool aObserved) const;
 
   /// Sums over all hosts but aHost, whose own figures are newer than any sum.
-  void AddOthers(const core::HostId& aHost, proto::Feed& aFeed) const;
+  void AddOthers(const core::HostId& aHost, proto::Feed& aFeed, bool aObserved) const;
 
   /// The latest evidence of every host known here, by host and its life.
   using EvidenceMap = std::map<std::pair<std::string, std::uint64_t>, std::vector<proto::Evidence>>;
@@ -64,11 +68,18 @@
   {
     std::map<std::string, proto::InFlight> inFlight;
     std::map<std::string, proto::Demand> demand;
-    std::map<std::string, std::uint32_t> wanted; ///< By service.
+    std::map<std::pair<std::string, std::uint32_t>, double> wanted; ///< By service and rank.
+    std::map<std::string, proto::Observed> observed;
     std::uint32_t hosts = 0;
+    double quotaMemory = 0; ///< Of them, together.
 
     void Add(const proto::InFlight& aInFlight);
     void Add(const proto::Demand& aDemand);
+    void Add(const proto::Observed& aObserved);
+
+    /// Adds what a report or an exchange tells.
+    template<typename Message>
+    void AddAll(const Message& aMessage);
   };
   struct Peer
   {
@@ -79,11 +90,12 @@
   /// Leaves one follower out; its name may be empty.
   Sums OwnSums(const core::HostId& aWithout) const;
   template<typename Message>
-  static void Write(const Sums& aSums, Message& aMessage);
+  static void Write(const Sums& aSums, bool aObserved, Message& aMessage);
 
   FollowerTableSettings mSettings;
   std::map<core::HostId, Follower> mFollowers;
   std::map<core::HostId, Peer> mPeers;
+  std::map<core::HostId, core::Instant> mHostsSeen; ///< Following any control host.
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/ForwardWatch.cpp
+++ b/cuminfield/process/cluster/ForwardWatch.cpp
@@ -110,7 +110,7 @@
 {
   ++mEnds[std::to_string(aRequest.spec.tier) + "\",end=\"" + EndOf(aSummary)];
   if (aSummary.first) {
-    HistogramOf(aRequest.spec.tier)(std::chrono::duration<double>(*aSummary.first).count());
+    HistogramOf(aRequest.spec.tier)(core::Seconds(*aSummary.first));
   }
   logging::Event(logging::Level::Info, "request-ended",
                  { { "request", aRequest.spec.id.Text() },
--- a/cuminfield/process/cluster/MoveDirector.cpp
+++ b/cuminfield/process/cluster/MoveDirector.cpp
@@ -22,7 +22,7 @@
   const bool fails = target.bad >= mSettings.minBad &&
                      target.BadShare() > former.BadShare() + mSettings.badShareAbove;
   const bool timed = target.good >= mSettings.minTimed && former.good >= mSettings.minTimed;
-  const double marginMs = std::chrono::duration<double, std::milli>(mSettings.slowMargin).count();
+  const double marginMs = core::Milliseconds(mSettings.slowMargin);
   const bool slow = timed && target.MeanMs() > former.MeanMs() * mSettings.slowFactor &&
                     target.MeanMs() > former.MeanMs() + marginMs;
   return fails || slow;
--- a/cuminfield/process/metrics/Metrics.cpp
+++ b/cuminfield/process/metrics/Metrics.cpp
@@ -16,11 +16,6 @@
 const std::vector<double> kBounds{ 0.0,  0.001, 0.002, 0.005, 0.01, 0.02, 0.039, 0.08,
                                    0.16, 0.24,  0.48,  1.0,   2.0,  5.0,  10.0,  30.0 };
 
-double Seconds(core::Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 std::string Escape(const std::string& aText)
 {
   std::string escaped;
@@ -62,9 +57,9 @@
   Block& block = BlockOf(index);
   const int row = static_cast<int>(index % kBlockSize);
   const int rank = static_cast<int>(std::min(spec.tier, mSettings.maxTiers - 1));
-  block.firstToken(row, rank, Seconds(*aSummary.firstToken));
+  block.firstToken(row, rank, core::Seconds(*aSummary.firstToken));
   if (aSummary.tokens > 1) {
-    block.tokenGap(row, rank, Seconds(aSummary.meanGap));
+    block.tokenGap(row, rank, core::Seconds(aSummary.meanGap));
   }
 }
 
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -11,11 +11,9 @@
 
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
-core::Duration Scaled(core::Duration aDuration, double aFactor)
-{
-  return core::Duration(
-    static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
-}
+/// A stream's pace is measured over so many events: a second or less, so that an engine that turns
+/// slow is noticed while its streams still run.
+constexpr std::uint64_t kPaceEvents = 8;
 
 const char* Reason(ShedReason aReason)
 {
@@ -116,8 +114,8 @@
   const ForwardSettings& settings = mOptions.settings;
   const core::Duration limit =
     mTryFirst
-      ? std::max(Scaled(request.spec.tokenGapTarget, settings.pauseTargets), settings.pauseAtLeast)
-      : std::max(Scaled(request.spec.firstTokenTarget, settings.silentTargets),
+      ? std::max(core::Scaled(request.spec.tokenGapTarget, settings.pauseTargets), settings.pauseAtLeast)
+      : std::max(core::Scaled(request.spec.firstTokenTarget, settings.silentTargets),
                  settings.silentAtLeast);
   mSilence = mOptions.timers.After(limit, [this] { OnSilence(); });
 }
@@ -193,7 +191,8 @@
   }
   const core::Instant now = mOptions.timers.Now();
   mTryFirst = now - mSentAt;
-  mFirstAt = now;
+  mPacedAt = now;
+  mPacedEvents = mEvents.Events();
   if (!mSummary.first) {
     mSummary.first = now - mOptions.request.spec.arrival;
     mLastAt = now;
@@ -232,12 +231,26 @@
     mSummary.worstGap = std::max(mSummary.worstGap, now - mLastAt);
     mLastAt = now;
     mOptions.scheduler.Token(mOptions.request.spec.id);
+    NotePace(kPaceEvents);
   }
   PassHead();
   mOptions.caller->SendBody(whole);
   ArmSilence();
 }
 
+void Forward::NotePace(std::uint64_t aLeast)
+{
+  const std::uint64_t events = mEvents.Events() - mPacedEvents;
+  if (events < aLeast) {
+    return;
+  }
+  const core::Instant now = mOptions.timers.Now();
+  const double tokens = static_cast<double>(events) * mOptions.request.spec.eventTokens;
+  mOptions.scheduler.Paced(mUpstream.id, core::Milliseconds(now - mPacedAt) / tokens);
+  mPacedAt = now;
+  mPacedEvents = mEvents.Events();
+}
+
 void Forward::PassHead()
 {
   if (std::exchange(mHeadSent, true)) {
@@ -260,13 +273,7 @@
   }
   NoteFirst();
   if (mEvented) {
-    const std::uint64_t events = mEvents.Events() - mEventsBefore;
-    const core::Duration took = mOptions.timers.Now() - mFirstAt;
-    if (events > 1) {
-      const double tokens = static_cast<double>(events - 1) * mOptions.request.spec.eventTokens;
-      mOptions.scheduler.Paced(mUpstream.id,
-                               std::chrono::duration<double, std::milli>(took).count() / tokens);
-    }
+    NotePace(1);
   }
   const bool failed = mStatus >= connection::kStatusInternalError;
   const bool rejected = mStatus >= connection::kStatusBadRequest;
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -97,6 +97,7 @@
   bool MayTryElsewhere() const;
   void FailTry(const std::string& aReason);
   void FinishTry(TryOutcome aOutcome);
+  void NotePace(std::uint64_t aLeast);
   void ArmSilence();
   void OnSilence();
   void OnTimeout();
@@ -120,7 +121,8 @@
   std::uint64_t mEventsBefore = 0; ///< Events of earlier tries.
   core::Instant mSentAt{};
   std::optional<core::Duration> mTryFirst;
-  core::Instant mFirstAt{};
+  core::Instant mPacedAt{};        ///< The pace is measured from here,
+  std::uint64_t mPacedEvents = 0;  ///< after so many events.
   core::Instant mLastAt{};
   core::TimerHandle mTimeout;
   core::TimerHandle mSilence;
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -11,16 +11,11 @@
 /// Hosts assumed before any control host has told how many there are.
 constexpr std::uint32_t kUnknownHosts = 8;
 
-double Seconds(core::Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 double WorkspaceQuota::Tolerated(const version::catalogue::WorkspaceRule& aRule) const
 {
-  const double quota = aRule.unitsPerSecond * Seconds(mSettings.window) + aRule.burst;
+  const double quota = aRule.unitsPerSecond * core::Seconds(mSettings.window) + aRule.burst;
   return (quota * mSettings.overshoot + mSettings.slackUnits) * mSettings.toleranceUsed;
 }
 
@@ -33,7 +28,7 @@
   if (aAccount.taken.empty()) {
     aAccount.used = 0; // Sums of fractions do not come out at zero by themselves.
   }
-  const double passed = Seconds(aNow - aAccount.demandAt) / Seconds(mSettings.demandWindow);
+  const double passed = core::Seconds(aNow - aAccount.demandAt) / core::Seconds(mSettings.demandWindow);
   aAccount.demand *= std::exp(-passed);
   aAccount.demandAt = aNow;
 }
@@ -43,21 +38,24 @@
 {
   const double rate = aRule.unitsPerSecond;
   const double tolerated = Tolerated(aRule);
-  const double limit = rate * Seconds(mSettings.window) + aRule.burst + tolerated;
-  const bool othersKnown = mHosts > 0 && aNow - mOthersAt <= mSettings.othersLast;
+  const double whole = rate * core::Seconds(mSettings.window) + aRule.burst + tolerated;
+  const bool othersKnown = mHosts.told > 0 && aNow - mOthersAt <= mSettings.othersLast;
   if (!othersKnown) {
-    return limit / std::max(mHosts, kUnknownHosts) - aAccount.used;
+    return whole * Memory(aNow) / std::max(mHosts.known, kUnknownHosts) - aAccount.used;
   }
   const auto it = mOthers.find(aRule.id);
   const QuotaUse others = it == mOthers.end() ? QuotaUse() : it->second;
   // Either there is room for all that the others will ask for until they hear of this request,
   const core::Duration unheard = mSettings.lag + (aNow - mOthersAt);
-  const bool hot = others.demand + aAccount.demand > aRule.unitsPerSecond * mSettings.hotFrom;
-  const double room = limit * (hot ? mSettings.hotShare : 1) - others.used - aAccount.used;
-  const double besideAll = room - others.demand * Seconds(unheard);
-  // or each host keeps to its share, by demand, of what is left, with what it took unheard.
   const double demand = aAccount.demand + others.demand;
   const double share = demand > 0 ? aAccount.demand / demand : 0;
+  const bool hot = demand > aRule.unitsPerSecond * mSettings.hotFrom;
+  const double limit = whole * KnownPart(hot);
+  // What is unknown is the others' part only.
+  const double margin = hot ? (1 - mSettings.hotShare) * (1 - share) : 0;
+  const double room = limit * (1 - margin) - others.used - aAccount.used;
+  const double besideAll = room - others.demand * core::Seconds(unheard);
+  // or each host keeps to its share, by demand, of what is left, with what it took unheard.
   const double taken = TakenSince(aAccount, aNow - unheard);
   const double ownShare = (room + taken) * share - taken;
   return std::max(besideAll, ownShare);
@@ -82,7 +80,7 @@
   Forget(account, aNow);
   const double room = RoomFor(aRule, account, aNow);
   // Only now: a share that counted the request itself would be too large on every host.
-  account.demand += aUnits / Seconds(mSettings.demandWindow);
+  account.demand += aUnits / core::Seconds(mSettings.demandWindow);
   if (aUnits <= room) {
     account.taken.push_back({ .at = aNow, .units = aUnits });
     account.used += aUnits;
@@ -106,11 +104,27 @@
   if (taken != account.taken.rend()) {
     taken->units = 0;
     account.used -= aUnits;
+    account.demand = std::max(0.0, account.demand - aUnits / core::Seconds(mSettings.demandWindow));
   }
 }
 
-void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, std::uint32_t aHosts,
-                               core::Instant aNow)
+double WorkspaceQuota::KnownPart(bool aHot) const
+{
+  const double told = mHosts.told;
+  const double heard = std::min(1.0, told / std::max(1.0, static_cast<double>(mHosts.known)));
+  const double forgotten = std::clamp(1 - mHosts.memory / told, 0.0, 1.0);
+  // One that asks for little now has probably taken little before. One that asks for more than its
+  // quota has probably had all of it.
+  return heard * (aHot ? std::max(0.0, 1 - forgotten * mSettings.hotForgotten) : 1 - forgotten);
+}
+
+double WorkspaceQuota::Memory(core::Instant aNow) const
+{
+  return mRemembersAll ? 1 : std::min(1.0, core::Seconds(aNow - mStarted) / core::Seconds(mSettings.window));
+}
+
+void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers,
+                               const QuotaHosts& aHosts, core::Instant aNow)
 {
   mOthers = std::move(aOthers);
   mHosts = aHosts;
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -29,6 +29,9 @@
   /// grows fast takes many units before all hosts know of it.
   double hotFrom = 1.3;
   double hotShare = 0.93;
+  /// Under such a demand a forgotten part of the window counts this many times: eight, so that hosts
+  /// that all restart together begin with nothing and are back in the window's last second.
+  double hotForgotten = 8;
   /// Demand is averaged over about this long.
   core::Duration demandWindow = std::chrono::milliseconds(1000);
   /// Figures of other hosts that are older than this are not used: every host then has an even
@@ -46,17 +49,33 @@
   double demand = 0; ///< Units asked for in a second.
 };
 
+/// Of how many hosts the figures of all others tell.
+struct QuotaHosts
+{
+  std::uint32_t told = 0;  ///< Hosts whose use is in the figures, with this one.
+  std::uint32_t known = 0; ///< With those that were heard of lately, and are silent now.
+  /// Parts of the window that the told ones remember, added up: a host that has just started has
+  /// forgotten what it took before.
+  double memory = 0;
+};
+
 /// Holds workspaces to their quotas, which count over all hosts. Each host knows what all have
 /// used of the window, some time ago, and leaves room for what the others will probably take before
 /// they hear of this request.
 ///
 /// Answers the load of a small workspace with large requests: parts of the quota handed out to each
-/// host would all be smaller than the request, though the quota is hardly used. Free of I/O.
+/// host would all be smaller than the request, though the quota is hardly used.
+///
+/// Answers cuts and restarts, too: hosts that hear of a part of all hosts keep to that part's share
+/// of the quota, and what hosts have forgotten counts as used. Free of I/O.
 class WorkspaceQuota
 {
 public:
-  explicit WorkspaceQuota(WorkspaceQuotaSettings aSettings)
+  /// aRemembersAll: nothing can have been taken before aStarted.
+  WorkspaceQuota(WorkspaceQuotaSettings aSettings, core::Instant aStarted, bool aRemembersAll)
     : mSettings(aSettings)
+    , mStarted(aStarted)
+    , mRemembersAll(aRemembersAll)
   {
   }
 
@@ -67,10 +86,13 @@
   /// Gives units back that were taken for a request that did not run.
   void Return(const core::WorkspaceId& aWorkspace, double aUnits, core::Instant aNow);
 
-  /// The use of the other hosts together, as told by a control host, and how many hosts there are.
-  void SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, std::uint32_t aHosts,
+  /// The use of the other hosts together, as told by a control host.
+  void SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, const QuotaHosts& aHosts,
                  core::Instant aNow);
 
+  /// Part of the window that this host remembers, from 0 to 1.
+  double Memory(core::Instant aNow) const;
+
   /// This host's use, for a report.
   std::map<core::WorkspaceId, QuotaUse> Report(core::Instant aNow);
 
@@ -88,6 +110,7 @@
     core::Instant demandAt{};
   };
 
+  double KnownPart(bool aHot) const;
   double Tolerated(const version::catalogue::WorkspaceRule& aRule) const;
   static double TakenSince(const Account& aAccount, core::Instant aSince);
   double RoomFor(const version::catalogue::WorkspaceRule& aRule, const Account& aAccount,
@@ -97,8 +120,10 @@
   WorkspaceQuotaSettings mSettings;
   std::map<core::WorkspaceId, Account> mAccounts;
   std::map<core::WorkspaceId, QuotaUse> mOthers;
-  std::uint32_t mHosts = 0;
+  QuotaHosts mHosts;
   core::Instant mOthersAt{};
+  core::Instant mStarted;
+  bool mRemembersAll;
 };
 
 } // namespace cuminfield::request::forward
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -6,16 +6,6 @@
 
 namespace cuminfield::request::placement {
 
-namespace {
-
-core::Duration Scaled(core::Duration aDuration, double aFactor)
-{
-  return core::Duration(
-    static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
-} // namespace
-
 PlacementScheduler::PlacementScheduler(const PlacementSchedulerOptions& aOptions)
   : mSettings(aOptions.settings)
   , mTimers(aOptions.timers)
@@ -35,26 +25,75 @@
 core::Duration PlacementScheduler::LongestWait(const RequestSpec& aSpec) const
 {
   const core::Duration total = aSpec.deadline - aSpec.arrival;
-  return std::min(Scaled(aSpec.firstTokenTarget, 1 + mSettings.lateTargets), total);
+  return std::min(core::Scaled(aSpec.firstTokenTarget, 1 + mSettings.lateTargets), total);
 }
 
-core::Duration PlacementScheduler::PredictedWait(const Service& aService, std::uint32_t aRank) const
+core::Duration PlacementScheduler::PredictedWait(const Service& aService, TierRank aRank)
 {
+  // Places that this host's requests of such ranks leave in a second.
+  double freed = 0;
+  for (const auto& [rank, state] : aService.ranks) {
+    if (rank <= aRank && state.hold.count() > 0) {
+      freed += std::max(1U, state.inFlight) / core::Seconds(state.hold);
+    }
+  }
   const auto ahead = static_cast<double>(aService.line.Ahead(aRank));
-  const core::Duration passed = mTimers.Now() - aService.rateAt;
-  const double fade = std::exp(-std::chrono::duration<double>(passed).count() /
-                               std::chrono::duration<double>(mSettings.rateWindow).count());
-  const double rate = std::max(aService.rate * fade, 0.5);
-  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(ahead / rate));
+  return freed > 0 ? core::FromSeconds(ahead / freed) : core::Duration::zero();
+}
+
+PlacementScheduler::Rank& PlacementScheduler::RankOf(Service& aService, TierRank aRank) const
+{
+  const auto [it, isNew] = aService.ranks.try_emplace(aRank);
+  if (isNew) {
+    it->second.turnedAwayAt = mTimers.Now();
+  }
+  return it->second;
+}
+
+void PlacementScheduler::LearnRank(Rank& aRank, const RequestSpec& aSpec) const
+{
+  RequestSpec typical = aSpec;
+  if (aRank.typical.service == aSpec.service) {
+    const auto mean = [this](core::Tokens aMean, core::Tokens aNew) {
+      const double change = mSettings.learnRank * static_cast<double>((aNew - aMean).value);
+      return aMean + core::Tokens{ static_cast<std::int64_t>(change) };
+    };
+    typical.prompt = mean(aRank.typical.prompt, aSpec.prompt);
+    typical.maxAnswer = mean(aRank.typical.maxAnswer, aSpec.maxAnswer);
+  }
+  aRank.typical = std::move(typical);
+}
+
+void PlacementScheduler::CountPlaces(Service& aService)
+{
+  const core::Instant now = mTimers.Now();
+  for (auto& [rank, state] : aService.ranks) {
+    if (state.placesAt != core::Instant() && now - state.placesAt < mSettings.countPlaces) {
+      continue;
+    }
+    RequestSpec typical = state.typical;
+    typical.deadline = now + (typical.deadline - typical.arrival);
+    state.places = mBoard.EnginePlaces(typical, now);
+    state.placesAt = now;
+  }
+}
+
+double PlacementScheduler::WantedBy(const Service& aService, TierRank aRank,
+                                    const Rank& aState) const
+{
+  const core::Duration hold = std::max(aState.hold, mSettings.firstHold);
+  const core::Duration passed = mTimers.Now() - aState.turnedAwayAt;
+  return aState.inFlight + static_cast<double>(aService.line.SizeOf(aRank)) +
+         aState.turnedAway * std::exp(-core::Seconds(passed) / core::Seconds(hold));
 }
 
 core::Duration PlacementScheduler::RetryAfter(const RequestSpec& aSpec)
 {
   const core::Duration left = std::max(aSpec.deadline - mTimers.Now(), core::Duration::zero());
-  const core::Duration heeded = Scaled(left, mSettings.retryAfterShare);
+  const core::Duration heeded = core::Scaled(left, mSettings.retryAfterShare);
   const double least = mSettings.retryAfterLeast;
   // Spread, so that those turned away together do not come back together.
-  const core::Duration spread = Scaled(heeded, least + (1 - least) * mRandom.Uniform());
+  const core::Duration spread = core::Scaled(heeded, least + (1 - least) * mRandom.Uniform());
   return std::clamp(spread, std::min(mSettings.minRetryAfter, heeded), mSettings.maxRetryAfter);
 }
 
@@ -66,7 +105,7 @@
   state.spec = std::move(aSpec);
   state.point = mRandom.Uniform();
   Service& service = ServiceOf(state.spec.service);
-  service.topRank = std::min(service.topRank, state.spec.tier);
+  LearnRank(RankOf(service, state.spec.tier), state.spec);
   const bool crowded = service.line.Ahead(state.spec.tier) >= mSettings.crowd &&
                        PredictedWait(service, state.spec.tier) > LongestWait(state.spec);
   if (crowded && !state.spec.resumed) {
@@ -85,11 +124,11 @@
   aState.began = false;
   placement::Waiting waiting{ .id = spec.id,
                               .rank = spec.tier,
-                              .top = spec.tier <= ServiceOf(spec.service).topRank,
+                              .top = spec.tier <= ServiceOf(spec.service).ranks.begin()->first,
                               .arrival = spec.arrival,
                               .onTimeUntil =
                                 spec.arrival + spec.firstTokenTarget -
-                                Scaled(mBoard.FirstIdle(spec), ServiceOf(spec.service).loadFactor),
+                                core::Scaled(mBoard.FirstIdle(spec), ServiceOf(spec.service).loadFactor),
                               .waitsUntil = spec.arrival + LongestWait(spec) };
   if (spec.resumed) {
     // Its caller has begun to read: it goes before all that have not.
@@ -119,35 +158,65 @@
   return aWaiting.top ? Pressure::Top : Pressure::Lower;
 }
 
-std::map<core::ServiceId, std::uint32_t> PlacementScheduler::Wanted() const
+PlacementScheduler::WantedPlaces PlacementScheduler::Wanted() const
 {
-  std::map<core::ServiceId, std::uint32_t> wanted;
+  WantedPlaces wanted;
   for (const auto& [id, service] : mServices) {
-    wanted[id] = service.inFlight + static_cast<std::uint32_t>(service.line.Size());
+    for (const auto& [rank, state] : service.ranks) {
+      wanted[{ id, rank }] = WantedBy(service, rank, state);
+    }
   }
   return wanted;
 }
 
-bool PlacementScheduler::HasShare(const core::ServiceId& aId, const Service& aService) const
+bool PlacementScheduler::HasShare(const State& aState, Service& aService)
 {
-  const auto it = mOthersWanted.find(aId);
-  if (it == mOthersWanted.end()) {
+  const RequestSpec& spec = aState.spec;
+  if (!spec.engine || spec.resumed) {
     return true;
   }
-  const double places = mBoard.EnginePlaces(aId);
-  const double own = aService.inFlight + static_cast<double>(aService.line.Size()) + 1;
-  const double all = own + it->second;
-  if (places == 0 || all < places * mSettings.crowdedFrom) {
+  CountPlaces(aService);
+  double before = 0; // Wanted by more urgent ranks,
+  double placesBefore = 0; // in the places that suit them.
+  double own = 1;          // This one is in no line now.
+  double others = 0;
+  const auto first = mOthersWanted.lower_bound({ spec.service, 0 });
+  for (auto it = first; it != mOthersWanted.end() && it->first.first == spec.service; ++it) {
+    const TierRank rank = it->first.second;
+    if (rank <= spec.tier) {
+      (rank < spec.tier ? before : others) += it->second;
+    }
+  }
+  for (const auto& [rank, state] : aService.ranks) {
+    if (rank < spec.tier) {
+      before += WantedBy(aService, rank, state);
+      placesBefore = std::max(placesBefore, state.places);
+    } else if (rank == spec.tier) {
+      own += WantedBy(aService, rank, state);
+    }
+  }
+  const Rank& rank = aService.ranks.at(spec.tier);
+  if (rank.places == 0) {
+    return true; // What is silent or cannot be reached may be probed.
+  }
+  // Ranks of which this host has seen no request may use any place.
+  placesBefore = placesBefore == 0 ? rank.places : placesBefore;
+  const double left =
+    std::max(mSettings.sharedFill * rank.places -
+               std::min(before, mSettings.sharedFill * placesBefore),
+             mSettings.leastShare * rank.places);
+  if (own + others <= left) {
     return true;
   }
-  return aService.inFlight < std::max(1.0, places * mSettings.crowdedFill * own / all);
+  // A part of a place is one for that part of the requests.
+  return rank.inFlight + aState.point < left * own / (own + others);
 }
 
 bool PlacementScheduler::Place(State& aState, Service& aService, Pressure aPressure)
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
-  if (aPressure != Pressure::Top && !HasShare(spec.service, aService)) {
+  if (!HasShare(aState, aService)) {
     return false;
   }
   const core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.point);
@@ -155,21 +224,16 @@
   if (!entry) {
     return false;
   }
-  const core::Duration passed = now - aService.rateAt;
-  const double window = std::chrono::duration<double>(mSettings.rateWindow).count();
-  aService.rate =
-    aService.rate * std::exp(-std::chrono::duration<double>(passed).count() / window) + 1 / window;
-  aService.rateAt = now;
   if (aState.tries == 0) {
     aService.retries.FirstTry();
   }
   ++aState.tries;
-  ++aService.inFlight;
+  ++RankOf(aService, spec.tier).inFlight;
   aState.waiting = false;
   aState.began = false;
   aState.upstream = entry->upstream.id;
   aState.sentAt = now;
-  aState.predicted = mBoard.First(*entry, spec);
+  aState.predicted = mBoard.FirstAtUsualSpeed(*entry, spec);
   mBoard.Dispatched(*entry, spec, now);
   const core::RequestId id = spec.id;
   const UpstreamAnnouncement upstream = entry->upstream;
@@ -227,8 +291,15 @@
   }
   State& state = it->second;
   const core::ServiceId service = state.spec.service;
-  if (std::uint32_t& inFlight = ServiceOf(service).inFlight; inFlight > 0) {
-    --inFlight;
+  Rank& rank = RankOf(ServiceOf(service), state.spec.tier);
+  if (rank.inFlight > 0) {
+    --rank.inFlight;
+  }
+  if (aOutcome == TryOutcome::Succeeded) {
+    const core::Duration held = mTimers.Now() - state.sentAt;
+    rank.hold = rank.hold.count() == 0
+                  ? held
+                  : rank.hold + core::Scaled(held - rank.hold, mSettings.learnRank);
   }
   if (BoardEntry* entry = mBoard.Find(state.upstream)) {
     mBoard.Ended(*entry, state.spec, aOutcome, state.began, mTimers.Now());
@@ -252,7 +323,7 @@
 void PlacementScheduler::Paced(const core::UpstreamId& aUpstream, double aTokenMs)
 {
   if (BoardEntry* entry = mBoard.Find(aUpstream)) {
-    mBoard.Paced(*entry, aTokenMs);
+    mBoard.Paced(*entry, aTokenMs, mTimers.Now());
   }
 }
 
@@ -269,7 +340,7 @@
 
 void PlacementScheduler::Load(const LoadReport& aReport)
 {
-  mBoard.SetTold(aReport.id, aReport.running + aReport.waiting, mTimers.Now());
+  mBoard.SetLoad(aReport.id, aReport.running + aReport.waiting, mTimers.Now());
 }
 
 void PlacementScheduler::Shed(const core::RequestId& aId, ShedReason aReason)
@@ -279,6 +350,12 @@
   mRequests.erase(it);
   Service& service = ServiceOf(state.spec.service);
   service.line.Remove(aId);
+  Rank& rank = RankOf(service, state.spec.tier);
+  const core::Duration hold = std::max(rank.hold, mSettings.firstHold);
+  const core::Duration passed = mTimers.Now() - rank.turnedAwayAt;
+  rank.turnedAway =
+    1 + rank.turnedAway * std::exp(-core::Seconds(passed) / core::Seconds(hold));
+  rank.turnedAwayAt = mTimers.Now();
   const core::VersionId version =
     mVersions.Choose(state.spec.service, state.spec.route, state.point);
   const bool any = mBoard.Any(state.spec.service, version);
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -7,9 +7,9 @@
 #include "cuminfield/request/placement/UpstreamBoard.h"
 #include "cuminfield/request/placement/WaitingLine.h"
 
-#include <limits>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace cuminfield::request::placement {
 
@@ -28,6 +28,10 @@
 /// here, since upstreams serve in order of arrival and know no urgency; one goes out when an
 /// upstream has a free place for it. One that would wait longer than it may is turned away at once,
 /// with the time after which there will probably be room.
+///
+/// Answers a burst at many hosts: each would fill the places with whatever it has at hand, and the
+/// urgent requests of the others would queue in the engines. When all want more places than there
+/// are, each host keeps to its part of what the more urgent ranks of all hosts leave.
 class PlacementScheduler : public Scheduler
 {
 public:
@@ -49,11 +53,15 @@
   /// A stream's mean time between tokens at its upstream.
   void Paced(const core::UpstreamId& aUpstream, double aTokenMs);
 
-  /// What this host has in flight and waiting, by service; for the other hosts.
-  std::map<core::ServiceId, std::uint32_t> Wanted() const;
+  /// Places that are wanted, by service and rank: for requests in flight, waiting, and turned away
+  /// a moment ago.
+  using WantedPlaces = std::map<std::pair<core::ServiceId, TierRank>, double>;
 
-  /// The same of all other hosts together.
-  void SetOthersWanted(std::map<core::ServiceId, std::uint32_t> aWanted)
+  /// By this host; for the other hosts.
+  WantedPlaces Wanted() const;
+
+  /// By all other hosts together.
+  void SetOthersWanted(WantedPlaces aWanted)
   {
     mOthersWanted = std::move(aWanted);
   }
@@ -73,6 +81,17 @@
     core::Instant sentAt{};
     core::Duration predicted{ 0 };
   };
+  /// What this host did with the requests of one rank of a service.
+  struct Rank
+  {
+    std::uint32_t inFlight = 0;
+    core::Duration hold{ 0 }; ///< Mean time in flight.
+    RequestSpec typical;      ///< With the mean lengths of prompt and answer.
+    double places = 0;        ///< Of the engines that suit it.
+    core::Instant placesAt{};
+    double turnedAway = 0;    ///< Places that those turned away would hold now.
+    core::Instant turnedAwayAt{};
+  };
   struct Service
   {
     explicit Service(const admission::RetryBudgetSettings& aRetry)
@@ -82,11 +101,8 @@
 
     WaitingLine line;
     admission::RetryBudget retries;
-    TierRank topRank = std::numeric_limits<TierRank>::max(); ///< The most urgent seen.
-    std::uint32_t inFlight = 0;                              ///< Of this host.
+    std::map<TierRank, Rank> ranks;
     double loadFactor = 1; ///< Time to the first event, relative to an idle upstream.
-    double rate = 0;       ///< Dispatches a second, averaged.
-    core::Instant rateAt{};
   };
 
   Service& ServiceOf(const core::ServiceId& aId);
@@ -94,9 +110,13 @@
   void Run(const core::ServiceId& aId);
   bool Place(State& aState, Service& aService, Pressure aPressure);
   static Pressure PressureOf(const placement::Waiting& aWaiting, core::Instant aNow);
-  bool HasShare(const core::ServiceId& aId, const Service& aService) const;
+  Rank& RankOf(Service& aService, TierRank aRank) const;
+  void LearnRank(Rank& aRank, const RequestSpec& aSpec) const;
+  void CountPlaces(Service& aService);
+  double WantedBy(const Service& aService, TierRank aRank, const Rank& aState) const;
+  bool HasShare(const State& aState, Service& aService);
   core::Duration LongestWait(const RequestSpec& aSpec) const;
-  core::Duration PredictedWait(const Service& aService, std::uint32_t aRank) const;
+  static core::Duration PredictedWait(const Service& aService, TierRank aRank);
   core::Duration RetryAfter(const RequestSpec& aSpec);
   void Shed(const core::RequestId& aId, ShedReason aReason);
   void Tick();
@@ -109,7 +129,7 @@
   UpstreamBoard mBoard;
   std::unordered_map<core::RequestId, State> mRequests;
   std::map<core::ServiceId, Service> mServices;
-  std::map<core::ServiceId, std::uint32_t> mOthersWanted;
+  WantedPlaces mOthersWanted;
   core::TimerHandle mTick;
 };
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -18,8 +18,12 @@
   double tokenMs = 5;
   /// Work of a plain call, likewise.
   core::Duration plainWork = std::chrono::milliseconds(20);
-  /// Weight of the newest observation in an average.
-  double learn = 0.15;
+  /// Observations of upstreams count about this long: troubles last seconds.
+  core::Duration opinionLasts = std::chrono::seconds(3);
+  /// Observations that the figures above stand for, until others outweigh them.
+  double speedPrior = 0.5;
+  /// Good answers that every upstream starts with: one failure does not condemn it.
+  double answerPrior = 6;
   /// Bounds of what an upstream's speed may be learned to be, relative to the prediction.
   double minFactor = 0.2;
   double maxFactor = 20;
@@ -28,6 +32,9 @@
   /// Part of the time that a stream takes after its first event that counts in a comparison: a slot
   /// that is free again sooner serves the next request.
   double durationWeight = 0.2;
+  /// Upstreams that are compared for one request. Three find a good one nearly always, and leave
+  /// the choice to chance where many hosts know the same.
+  std::size_t compared = 3;
   /// Random part of a comparison: hosts with the same stale figures must not all choose the same.
   double jitter = 0.25;
   /// Load that an upstream told with an answer is preferred to the hosts' sums for this long.
@@ -37,14 +44,25 @@
   core::Duration longestPause = std::chrono::milliseconds(3200);
   /// No new work for an upstream that refused some because it was full.
   core::Duration fullPause = std::chrono::milliseconds(120);
-  /// Share of failures above the mean of its service from which an upstream gets no work.
-  double failShareAbove = 0.22;
+  /// Share of failures above the mean of its service's others from which an upstream gets no work.
+  double failShareAbove = 0.15;
+  /// Added in a comparison for a failure that is certain; a request that fails is lost, or late.
+  core::Duration failPenalty = std::chrono::milliseconds(600);
   /// How long such an upstream is left alone before it is tried with one request at a time.
   core::Duration failPause = std::chrono::milliseconds(1500);
   /// An engine with requests in flight that sends nothing for this long gets no new ones.
   core::Duration engineSilence = std::chrono::milliseconds(700);
   /// The same for a plain service.
   core::Duration plainSilence = std::chrono::milliseconds(600);
+  /// A host that heard from an upstream this lately vouches for it; the streams of a loaded one
+  /// bring an event every 100 ms.
+  core::Duration trustLasts = std::chrono::milliseconds(300);
+  /// Between two requests that a host sends to an upstream that is silent here, to see whether it
+  /// answers; doubled by each one.
+  core::Duration probePause = std::chrono::milliseconds(500);
+  /// The same, half as long to half again as long, where only other hosts find it silent: they may
+  /// be cut off from it.
+  core::Duration doubtedPause = std::chrono::milliseconds(2000);
   /// Requests at a plain service beyond its slots, as a multiple of the slots.
   double plainQueue = 1.0;
   /// Requests at an engine, as a multiple of its slots, up to which the most urgent are sent there.
@@ -71,12 +89,17 @@
   /// Callers give a stream up that has not begun after four targets, and one who is turned away
   /// while there is time can come back.
   double lateTargets = 1.0;
-  /// Requests that all hosts have in flight and waiting, relative to the places of a service's
-  /// engines, from which each host keeps to its share of the places: figures of the others are a
-  /// fraction of a second old, and many hosts that see the same free place all take it.
-  double crowdedFrom = 0.8;
-  /// Part of the places that are shared out then.
-  double crowdedFill = 0.95;
+  /// Part of the places of a service's engines that are shared out, rank by rank, when all hosts
+  /// together want more: the rest is for requests that were placed by figures that were old.
+  double sharedFill = 0.95;
+  /// Part of the places that each rank may use however much the more urgent ones want.
+  double leastShare = 0.05;
+  /// How long a request holds its place, before any taught better.
+  core::Duration firstHold = std::chrono::milliseconds(500);
+  /// Weight of the newest observation of that, and of the lengths of a rank's prompts and answers.
+  double learnRank = 0.1;
+  /// The places that suit a rank's requests are counted this often.
+  core::Duration countPlaces = std::chrono::milliseconds(100);
   /// Requests ahead of a new one from which its wait is predicted at all.
   std::size_t crowd = 4;
   /// Bounds of what the first event takes under load, relative to an idle upstream.
@@ -91,8 +114,6 @@
   double retryAfterShare = 0.32;
   /// Least part of it that is told; the rest spreads callers who were turned away together.
   double retryAfterLeast = 0.6;
-  /// The rate of dispatches is averaged over about this long.
-  core::Duration rateWindow = std::chrono::milliseconds(1500);
   admission::RetryBudgetSettings retry{ .share = 0.12, .reserve = 3, .tries = 4 };
 };
 
--- a/cuminfield/request/placement/WaitingLine.cpp
+++ b/cuminfield/request/placement/WaitingLine.cpp
@@ -114,4 +114,9 @@
   return n;
 }
 
+std::size_t WaitingLine::SizeOf(std::uint32_t aRank) const
+{
+  return mOnTime[Index(aRank)].size() + mLate[Index(aRank)].size();
+}
+
 } // namespace cuminfield::request::placement
--- a/cuminfield/request/placement/WaitingLine.h
+++ b/cuminfield/request/placement/WaitingLine.h
@@ -51,6 +51,9 @@
 
   std::size_t Size() const;
 
+  /// Requests of this rank that wait.
+  std::size_t SizeOf(std::uint32_t aRank) const;
+
 private:
   static std::size_t Index(std::uint32_t aRank);
   void MoveLate(core::Instant aNow);
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -8,12 +8,6 @@
 
 constexpr double kMicrosPerSecond = 1e6;
 
-core::Duration Scaled(core::Duration aDuration, double aFactor)
-{
-  return core::Duration(
-    static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 Router::Router(const RouterSettings& aSettings, Fleet& aFleet, core::Random& aRandom)
@@ -135,7 +129,7 @@
   const double age = static_cast<double>(aState.load.Age(aNow).count()) / kMicrosPerSecond;
   const double ageSpread = aState.load.HasReport() ? age * mSettings.agePerSecond : 0;
   const double spread = mSettings.spreadWeight * aState.rates.Spread() + ageSpread;
-  const core::Instant predicted = aNow + Scaled(FirstToken(aState, aUncached, aNow), 1 + spread);
+  const core::Instant predicted = aNow + core::Scaled(FirstToken(aState, aUncached, aNow), 1 + spread);
   const core::Instant target = aSpec.arrival + aSpec.firstTokenTarget;
   if (predicted <= target) {
     return true;
@@ -156,7 +150,7 @@
   const double alone = aState.local ? 1.0 : mSettings.remotePrefill;
   const double part = shared ? std::min(1.0, aState.grant / slots) : alone;
   const core::Duration own = aState.rates.Prefill(aState.load.OwnPrefill() + aUncached);
-  return own <= Scaled(mSettings.prefillBudget, part);
+  return own <= core::Scaled(mSettings.prefillBudget, part);
 }
 
 core::Tokens Router::Uncached(UpstreamIndex aUpstream, const RequestSpec& aSpec) const
--- a/cuminfield/version/moves/MoveShares.cpp
+++ b/cuminfield/version/moves/MoveShares.cpp
@@ -144,7 +144,7 @@
     return true;
   }
   const core::Instant now = mTimers.Now();
-  const double seconds = std::chrono::duration<double>(now - aMove.refilled).count();
+  const double seconds = core::Seconds(now - aMove.refilled);
   aMove.allowance = std::min(mSettings.rateBurst, aMove.allowance + rate * seconds);
   aMove.refilled = now;
   if (aMove.allowance < 1.0) {
