Places left by a host's own requests are filled by it, free ones by parts

Figures are about 200 ms old; when one engine shows five free places, every host that has somebody waiting sends one there within 130 ms (traced at 20.71 to 20.89 s: 20 requests by 20 hosts). Change: when all hosts together want 0.7 of the places or more, a host fills the places that its own requests have just left, which nobody else knows of yet, and takes of the free ones its part by what it wants. Whether an engine suits a prompt goes by its pace, not by its times to the first event, which include queues.

--- /dev/null
+++ b/UnitTests/request/placement/CrowdOfHosts.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "TestFramework/time/ManualTimerService.h"
+#include "cuminfield/request/placement/PlacementScheduler.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cuminfield::unit_tests {
+
+/// Many hosts and many engines in virtual time: every host has its own scheduler, engines serve in
+/// order of arrival, and what hosts know of each other is as old as in a real cluster.
+class CrowdOfHosts
+{
+public:
+  struct Options
+  {
+    std::size_t hosts = 60;
+    std::size_t engines = 40;
+    std::uint32_t slots = 10;
+    core::Duration meanHold = std::chrono::milliseconds(1200);
+    /// Between two rounds of figures.
+    core::Duration round = std::chrono::milliseconds(100);
+    /// Rounds by which figures are old: report, exchange and feed.
+    std::size_t roundsOld = 2;
+    request::placement::PlacementSettings placement{};
+  };
+
+  /// What came of the requests of one rank.
+  struct Outcome
+  {
+    std::size_t asked = 0;
+    std::size_t inTime = 0; ///< Began within the target.
+    std::size_t late = 0;
+    std::size_t turnedAway = 0;
+  };
+
+  /// What the engines were seen to do, every 20 ms.
+  struct Engines
+  {
+    double busy = 0;     ///< Part of the places in use.
+    double overfull = 0; ///< Part of the engines with more than three requests in their queues.
+  };
+
+  explicit CrowdOfHosts(const Options& aOptions);
+  ~CrowdOfHosts();
+
+  /// Requests a second of a rank, from now on.
+  void SetLoad(request::TierRank aRank, double aPerSecond) { mLoad[aRank] = aPerSecond; }
+
+  void Play(core::Duration aDuration);
+
+  /// Since the last call of Forget.
+  std::map<request::TierRank, Outcome> Outcomes() const { return mOutcomes; }
+  Engines Seen() const;
+  void Forget();
+
+private:
+  class Host;
+  struct Engine
+  {
+    std::size_t running = 0;
+    std::deque<std::pair<Host*, core::RequestId>> queue;
+  };
+
+  struct Running
+  {
+    std::string engine;
+    Host* host = nullptr;
+    core::RequestId request;
+  };
+
+  void Step();
+  void Arrive();
+  void EndDue();
+  void Send(Host& aHost, const std::string& aEngine, const core::RequestId& aRequest);
+  void Begin(const std::string& aEngine, Host& aHost, const core::RequestId& aRequest);
+  void Exchange();
+  void Look();
+
+  Options mOptions;
+  test_framework::time::ManualTimerService mTimers;
+  core::Random mRandom{ 11 };
+  std::map<std::string, Engine> mEngines;
+  std::vector<std::unique_ptr<Host>> mHosts;
+  std::map<request::TierRank, double> mLoad;
+  std::map<request::TierRank, Outcome> mOutcomes;
+  std::uint64_t mRequests = 0;
+  std::size_t mLooks = 0;
+  Engines mSums;
+  std::multimap<core::Instant, Running> mRunning; ///< By when they end.
+  core::TimerHandle mSteps;
+  core::TimerHandle mRounds;
+  core::TimerHandle mLooking;
+};
+
+} // namespace cuminfield::unit_tests
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -190,7 +190,7 @@
   }
   request::placement::PlacementScheduler::WantedPlaces wanted;
   for (const proto::Wanted& it : aFeed.wanted()) {
-    wanted[{ core::ServiceId(it.service()), it.rank() }] = it.places();
+    wanted[{ core::ServiceId(it.service()), it.rank() }] = it.requests();
   }
   mScheduler.SetOthersWanted(std::move(wanted));
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
@@ -235,11 +235,11 @@
     it->set_units_per_s(use.demand);
     it->set_used(use.used);
   }
-  for (const auto& [key, places] : mScheduler.Wanted()) {
+  for (const auto& [key, requests] : mScheduler.Wanted()) {
     proto::Wanted* it = aReport.add_wanted();
     it->set_service(key.first.Text());
     it->set_rank(key.second);
-    it->set_places(places);
+    it->set_requests(requests);
   }
   aReport.set_quota_memory(mQuota.Memory(mOptions.loop.Now()));
   mVersions.Describe(aReport);
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -76,7 +76,7 @@
     Add(it);
   }
   for (const proto::Wanted& it : aMessage.wanted()) {
-    wanted[{ it.service(), it.rank() }] += it.places();
+    wanted[{ it.service(), it.rank() }] += it.requests();
   }
   for (const proto::Observed& it : aMessage.observed()) {
     Add(it);
@@ -114,11 +114,11 @@
     *it = sum;
     it->set_upstream(upstream);
   }
-  for (const auto& [key, places] : aSums.wanted) {
+  for (const auto& [key, requests] : aSums.wanted) {
     proto::Wanted* it = aMessage.add_wanted();
     it->set_service(key.first);
     it->set_rank(key.second);
-    it->set_places(places);
+    it->set_requests(requests);
   }
   for (const auto& [workspace, sum] : aSums.demand) {
     proto::Demand* it = aMessage.add_demand();
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -68,7 +68,7 @@
   {
     std::map<std::string, proto::InFlight> inFlight;
     std::map<std::string, proto::Demand> demand;
-    std::map<std::pair<std::string, std::uint32_t>, double> wanted; ///< By service and rank.
+    std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> wanted; ///< By service and rank.
     std::map<std::string, proto::Observed> observed;
     std::uint32_t hosts = 0;
     double quotaMemory = 0; ///< Of them, together.
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -1,7 +1,6 @@
 #include "cuminfield/request/placement/PlacementScheduler.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace cuminfield::request::placement {
@@ -41,15 +40,6 @@
   return freed > 0 ? core::FromSeconds(ahead / freed) : core::Duration::zero();
 }
 
-PlacementScheduler::Rank& PlacementScheduler::RankOf(Service& aService, TierRank aRank) const
-{
-  const auto [it, isNew] = aService.ranks.try_emplace(aRank);
-  if (isNew) {
-    it->second.turnedAwayAt = mTimers.Now();
-  }
-  return it->second;
-}
-
 void PlacementScheduler::LearnRank(Rank& aRank, const RequestSpec& aSpec) const
 {
   RequestSpec typical = aSpec;
@@ -78,13 +68,10 @@
   }
 }
 
-double PlacementScheduler::WantedBy(const Service& aService, TierRank aRank,
-                                    const Rank& aState) const
+std::uint32_t PlacementScheduler::WantedBy(const Service& aService, TierRank aRank,
+                                           const Rank& aState)
 {
-  const core::Duration hold = std::max(aState.hold, mSettings.firstHold);
-  const core::Duration passed = mTimers.Now() - aState.turnedAwayAt;
-  return aState.inFlight + static_cast<double>(aService.line.SizeOf(aRank)) +
-         aState.turnedAway * std::exp(-core::Seconds(passed) / core::Seconds(hold));
+  return aState.inFlight + static_cast<std::uint32_t>(aService.line.SizeOf(aRank));
 }
 
 core::Duration PlacementScheduler::RetryAfter(const RequestSpec& aSpec)
@@ -105,7 +92,7 @@
   state.spec = std::move(aSpec);
   state.point = mRandom.Uniform();
   Service& service = ServiceOf(state.spec.service);
-  LearnRank(RankOf(service, state.spec.tier), state.spec);
+  LearnRank(service.ranks[state.spec.tier], state.spec);
   const bool crowded = service.line.Ahead(state.spec.tier) >= mSettings.crowd &&
                        PredictedWait(service, state.spec.tier) > LongestWait(state.spec);
   if (crowded && !state.spec.resumed) {
@@ -176,8 +163,9 @@
     return true;
   }
   CountPlaces(aService);
-  double before = 0; // Wanted by more urgent ranks,
-  double placesBefore = 0; // in the places that suit them.
+  double before = 0;       // Wanted by more urgent ranks.
+  double placesBefore = 0; // That suit them.
+  double places = 0;       // That suit any rank.
   double own = 1;          // This one is in no line now.
   double others = 0;
   const auto first = mOthersWanted.lower_bound({ spec.service, 0 });
@@ -188,6 +176,7 @@
     }
   }
   for (const auto& [rank, state] : aService.ranks) {
+    places = std::max(places, state.places);
     if (rank < spec.tier) {
       before += WantedBy(aService, rank, state);
       placesBefore = std::max(placesBefore, state.places);
@@ -201,10 +190,9 @@
   }
   // Ranks of which this host has seen no request may use any place.
   placesBefore = placesBefore == 0 ? rank.places : placesBefore;
-  const double left =
-    std::max(mSettings.sharedFill * rank.places -
-               std::min(before, mSettings.sharedFill * placesBefore),
-             mSettings.leastShare * rank.places);
+  const double left = std::max({ places * mSettings.sharedFill - before, // What they leave,
+                                 rank.places - placesBefore,             // or cannot use.
+                                 rank.places * mSettings.leastShare });
   if (own + others <= left) {
     return true;
   }
@@ -212,6 +200,75 @@
   return rank.inFlight + aState.point < left * own / (own + others);
 }
 
+void PlacementScheduler::SetOthersWanted(WantedPlaces aWanted)
+{
+  mOthersWanted = std::move(aWanted);
+  for (auto& [id, service] : mServices) {
+    // Parts of a place add up; a place that was not needed is not kept.
+    service.partLeft = std::clamp(PartOfFree(id, service) - service.taken, 0.0, 1.0);
+    service.taken = 0;
+    service.free = mBoard.FreeEnginePlaces(id, mTimers.Now());
+  }
+}
+
+double PlacementScheduler::PartOfFree(const core::ServiceId& aId, const Service& aService) const
+{
+  const Crowd crowd = CrowdOf(aId, aService);
+  const double share = crowd.all > 0 ? crowd.own / crowd.all : 0;
+  return aService.partLeft + aService.free * mSettings.takenEachRound * share;
+}
+
+PlacementScheduler::Crowd PlacementScheduler::CrowdOf(const core::ServiceId& aId,
+                                                      const Service& aService) const
+{
+  Crowd crowd;
+  for (const auto& [rank, state] : aService.ranks) {
+    crowd.own += WantedBy(aService, rank, state);
+  }
+  crowd.all = crowd.own;
+  const auto first = mOthersWanted.lower_bound({ aId, 0 });
+  for (auto it = first; it != mOthersWanted.end() && it->first.first == aId; ++it) {
+    crowd.all += it->second;
+  }
+  return crowd;
+}
+
+bool PlacementScheduler::IsCrowded(const RequestSpec& aSpec, Service& aService)
+{
+  if (!aSpec.engine || mOthersWanted.empty()) {
+    return false;
+  }
+  CountPlaces(aService);
+  double places = 0;
+  for (const auto& [rank, state] : aService.ranks) {
+    places = std::max(places, state.places);
+  }
+  return CrowdOf(aSpec.service, aService).all > places * mSettings.crowdedFrom;
+}
+
+BoardEntry* PlacementScheduler::Choose(const State& aState, Service& aService, Pressure aPressure)
+{
+  const RequestSpec& spec = aState.spec;
+  const core::Instant now = mTimers.Now();
+  const core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.point);
+  if (!IsCrowded(spec, aService)) {
+    return mBoard.Choose(spec, version, aPressure, UpstreamBoard::Free::Any, now);
+  }
+  // The places are shared out by rank: none is kept back for the more urgent besides.
+  if (BoardEntry* own =
+        mBoard.Choose(spec, version, Pressure::Top, UpstreamBoard::Free::Own, now)) {
+    return own;
+  }
+  if (aService.taken + 1 > PartOfFree(spec.service, aService) && !spec.resumed) {
+    return nullptr;
+  }
+  BoardEntry* entry = mBoard.Choose(spec, version, Pressure::Top, UpstreamBoard::Free::Any, now);
+  if (entry) {
+    aService.taken += 1;
+  }
+  return entry;
+}
+
 bool PlacementScheduler::Place(State& aState, Service& aService, Pressure aPressure)
 {
   const RequestSpec& spec = aState.spec;
@@ -219,8 +276,7 @@
   if (!HasShare(aState, aService)) {
     return false;
   }
-  const core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.point);
-  BoardEntry* entry = mBoard.Choose(spec, version, aPressure, now);
+  BoardEntry* entry = Choose(aState, aService, aPressure);
   if (!entry) {
     return false;
   }
@@ -228,7 +284,7 @@
     aService.retries.FirstTry();
   }
   ++aState.tries;
-  ++RankOf(aService, spec.tier).inFlight;
+  ++aService.ranks[spec.tier].inFlight;
   aState.waiting = false;
   aState.began = false;
   aState.upstream = entry->upstream.id;
@@ -291,7 +347,7 @@
   }
   State& state = it->second;
   const core::ServiceId service = state.spec.service;
-  Rank& rank = RankOf(ServiceOf(service), state.spec.tier);
+  Rank& rank = ServiceOf(service).ranks[state.spec.tier];
   if (rank.inFlight > 0) {
     --rank.inFlight;
   }
@@ -350,12 +406,6 @@
   mRequests.erase(it);
   Service& service = ServiceOf(state.spec.service);
   service.line.Remove(aId);
-  Rank& rank = RankOf(service, state.spec.tier);
-  const core::Duration hold = std::max(rank.hold, mSettings.firstHold);
-  const core::Duration passed = mTimers.Now() - rank.turnedAwayAt;
-  rank.turnedAway =
-    1 + rank.turnedAway * std::exp(-core::Seconds(passed) / core::Seconds(hold));
-  rank.turnedAwayAt = mTimers.Now();
   const core::VersionId version =
     mVersions.Choose(state.spec.service, state.spec.route, state.point);
   const bool any = mBoard.Any(state.spec.service, version);
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -31,7 +31,10 @@
 ///
 /// Answers a burst at many hosts: each would fill the places with whatever it has at hand, and the
 /// urgent requests of the others would queue in the engines. When all want more places than there
-/// are, each host keeps to its part of what the more urgent ranks of all hosts leave.
+/// are, each host keeps to its part of what the more urgent ranks of all hosts leave. And whoever
+/// waits at any host would be sent to the one engine that shows a free place; so a host then fills
+/// the places that its own requests leave, which nobody else knows of yet, and takes of the free
+/// ones its part only.
 class PlacementScheduler : public Scheduler
 {
 public:
@@ -53,18 +56,14 @@
   /// A stream's mean time between tokens at its upstream.
   void Paced(const core::UpstreamId& aUpstream, double aTokenMs);
 
-  /// Places that are wanted, by service and rank: for requests in flight, waiting, and turned away
-  /// a moment ago.
-  using WantedPlaces = std::map<std::pair<core::ServiceId, TierRank>, double>;
+  /// Requests in flight and waiting, by service and rank.
+  using WantedPlaces = std::map<std::pair<core::ServiceId, TierRank>, std::uint32_t>;
 
   /// By this host; for the other hosts.
   WantedPlaces Wanted() const;
 
   /// By all other hosts together.
-  void SetOthersWanted(WantedPlaces aWanted)
-  {
-    mOthersWanted = std::move(aWanted);
-  }
+  void SetOthersWanted(WantedPlaces aWanted);
 
   UpstreamBoard& Board() { return mBoard; }
   std::size_t Waiting() const;
@@ -85,12 +84,10 @@
   struct Rank
   {
     std::uint32_t inFlight = 0;
-    core::Duration hold{ 0 }; ///< Mean time in flight.
+    core::Duration hold{ 0 }; ///< Mean time in flight; 0: not known yet.
     RequestSpec typical;      ///< With the mean lengths of prompt and answer.
     double places = 0;        ///< Of the engines that suit it.
     core::Instant placesAt{};
-    double turnedAway = 0;    ///< Places that those turned away would hold now.
-    core::Instant turnedAwayAt{};
   };
   struct Service
   {
@@ -103,6 +100,9 @@
     admission::RetryBudget retries;
     std::map<TierRank, Rank> ranks;
     double loadFactor = 1; ///< Time to the first event, relative to an idle upstream.
+    double free = 0;       ///< Places, when the others' figures came last.
+    double taken = 0;      ///< Of them, by this host since.
+    double partLeft = 0;   ///< Part of a place that this host was allowed before and did not take.
   };
 
   Service& ServiceOf(const core::ServiceId& aId);
@@ -110,10 +110,19 @@
   void Run(const core::ServiceId& aId);
   bool Place(State& aState, Service& aService, Pressure aPressure);
   static Pressure PressureOf(const placement::Waiting& aWaiting, core::Instant aNow);
-  Rank& RankOf(Service& aService, TierRank aRank) const;
   void LearnRank(Rank& aRank, const RequestSpec& aSpec) const;
   void CountPlaces(Service& aService);
-  double WantedBy(const Service& aService, TierRank aRank, const Rank& aState) const;
+  static std::uint32_t WantedBy(const Service& aService, TierRank aRank, const Rank& aState);
+  /// What all hosts together want of a service, and this host's part of it.
+  struct Crowd
+  {
+    double all = 0;
+    double own = 0;
+  };
+  Crowd CrowdOf(const core::ServiceId& aId, const Service& aService) const;
+  double PartOfFree(const core::ServiceId& aId, const Service& aService) const;
+  bool IsCrowded(const RequestSpec& aSpec, Service& aService);
+  BoardEntry* Choose(const State& aState, Service& aService, Pressure aPressure);
   bool HasShare(const State& aState, Service& aService);
   core::Duration LongestWait(const RequestSpec& aSpec) const;
   static core::Duration PredictedWait(const Service& aService, TierRank aRank);
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -37,6 +37,9 @@
   std::size_t compared = 3;
   /// Random part of a comparison: hosts with the same stale figures must not all choose the same.
   double jitter = 0.25;
+  /// A place that a request of this host has left is known to this host only for about this long:
+  /// report, exchange and feed are 100 ms apart each.
+  core::Duration freedLasts = std::chrono::milliseconds(250);
   /// Load that an upstream told with an answer is preferred to the hosts' sums for this long.
   core::Duration toldLasts = std::chrono::milliseconds(250);
   /// After a failure to connect, and doubled by each further one up to the longest.
@@ -90,13 +93,18 @@
   /// while there is time can come back.
   double lateTargets = 1.0;
   /// Part of the places of a service's engines that are shared out, rank by rank, when all hosts
-  /// together want more: the rest is for requests that were placed by figures that were old.
-  double sharedFill = 0.95;
+  /// together want more.
+  double sharedFill = 1.0;
   /// Part of the places that each rank may use however much the more urgent ones want.
   double leastShare = 0.05;
-  /// How long a request holds its place, before any taught better.
-  core::Duration firstHold = std::chrono::milliseconds(500);
-  /// Weight of the newest observation of that, and of the lengths of a rank's prompts and answers.
+  /// Places that all hosts want, relative to those there are, from which a host fills only the
+  /// places that its own requests leave, and its part of the free ones.
+  double crowdedFrom = 0.7;
+  /// Part of the free places that all hosts together take in a round of figures: until what they
+  /// took is known to all, two more rounds pass.
+  double takenEachRound = 0.3;
+  /// Weight of the newest observation of how long a rank's requests hold their places, and of the
+  /// lengths of their prompts and answers.
   double learnRank = 0.1;
   /// The places that suit a rank's requests are counted this often.
   core::Duration countPlaces = std::chrono::milliseconds(100);
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -104,7 +104,7 @@
 }
 
 BoardEntry* UpstreamBoard::Choose(const RequestSpec& aSpec, const core::VersionId& aVersion,
-                                  Pressure aPressure, core::Instant aNow)
+                                  Pressure aPressure, Free aFree, core::Instant aNow)
 {
   ServiceBoard& service = BoardOf(aSpec.service, aNow);
   const auto serves = [&](const BoardEntry& aEntry) {
@@ -120,7 +120,8 @@
   mCandidates.clear();
   for (BoardEntry* entry : service.entries) {
     const bool fits = serves(*entry) && (!suitable || Suits(*entry, aSpec, aNow));
-    if (!fits || !Usable(*entry, service, aPressure, aNow)) {
+    const bool counts = aFree == Free::Any || HasFreedPlace(*entry, aNow);
+    if (!fits || !counts || !Usable(*entry, service, aPressure, aNow)) {
       continue;
     }
     if (entry->upstream.id == aSpec.avoid) {
@@ -133,6 +134,22 @@
   return best ? best : avoided;
 }
 
+bool UpstreamBoard::HasFreedPlace(const BoardEntry& aEntry, core::Instant aNow) const
+{
+  return aEntry.freed > 0 && aNow - aEntry.freedAt <= mSettings.freedLasts;
+}
+
+double UpstreamBoard::FreeEnginePlaces(const core::ServiceId& aService, core::Instant aNow)
+{
+  double free = 0;
+  for (const BoardEntry* entry : BoardOf(aService, aNow).entries) {
+    const bool usable = entry->upstream.engine && aNow >= entry->pausedUntil &&
+                        !Silent(*entry, aNow) && !IsDoubted(*entry, aNow);
+    free += usable ? std::max(0.0, Places(*entry, Pressure::Top) - entry->Load()) : 0;
+  }
+  return free;
+}
+
 BoardEntry* UpstreamBoard::BestOfFew(const RequestSpec& aSpec)
 {
   double total = 0;
@@ -298,11 +315,14 @@
   if (aSpec.tokenGapTarget.count() == 0) {
     return true;
   }
+  // An engine that takes longer for a token takes longer for a prompt in the same measure. Its times
+  // to the first event do not show that: they include waits in its queue.
+  const double slowness = tokenMs / mSettings.tokenMs;
   // While the engine reads this prompt, the answers beside it pause for a chunk at each token.
   const double chunks =
     std::min(static_cast<double>(aSpec.prompt.value), mSettings.chunkTokens * aSpec.eventTokens);
   const double pause =
-    tokenMs * aSpec.eventTokens + chunks * FirstFactor(aEntry) / mSettings.promptTokensPerMs;
+    tokenMs * aSpec.eventTokens + chunks * slowness / mSettings.promptTokensPerMs;
   return pause <= core::Milliseconds(aSpec.tokenGapTarget) * mSettings.pauseShare;
 }
 
@@ -405,6 +425,9 @@
     aEntry.heard = aNow;
   }
   ++aEntry.own;
+  if (aEntry.freed > 0) {
+    --aEntry.freed;
+  }
   aEntry.ownPrompt += aSpec.prompt.value;
 }
 
@@ -441,6 +464,10 @@
   if (aEntry.own > 0) {
     --aEntry.own;
   }
+  if (!NothingRan(aOutcome)) {
+    aEntry.freed = aNow - aEntry.freedAt <= mSettings.freedLasts ? aEntry.freed + 1 : 1;
+    aEntry.freedAt = aNow;
+  }
   if (!aBegan) {
     aEntry.ownPrompt -= aSpec.prompt.value;
   }
--- a/cuminfield/request/placement/UpstreamBoard.h
+++ b/cuminfield/request/placement/UpstreamBoard.h
@@ -32,6 +32,8 @@
   std::uint32_t others = 0;   ///< Requests of all other hosts, as last heard.
   std::int64_t othersPrompt = 0;
   core::Instant othersAt{}; ///< When that was heard.
+  std::uint32_t freed = 0;  ///< Places that this host's requests left, of which the others know not.
+  core::Instant freedAt{};  ///< The newest of them.
   core::Instant toldAt{};   ///< When the upstream itself last told its load.
 
   // Its speed and its health.
@@ -69,9 +71,19 @@
   void Up(const UpstreamAnnouncement& aUpstream);
   void Gone(const core::UpstreamId& aUpstream);
 
+  /// Which free places count.
+  enum class Free
+  {
+    Any,
+    Own, ///< Those that this host's own requests have just left.
+  };
+
   /// The best upstream that has room for the request; null: none.
   BoardEntry* Choose(const RequestSpec& aSpec, const core::VersionId& aVersion, Pressure aPressure,
-                     core::Instant aNow);
+                     Free aFree, core::Instant aNow);
+
+  /// Free places of the service's engines, as far as this host knows.
+  double FreeEnginePlaces(const core::ServiceId& aService, core::Instant aNow);
 
   BoardEntry* Find(const core::UpstreamId& aUpstream);
 
@@ -151,6 +163,7 @@
   bool MayBeProbed(const BoardEntry& aEntry, core::Instant aNow) const;
   bool IsDoubted(const BoardEntry& aEntry, core::Instant aNow) const;
   void FadeTo(BoardEntry& aEntry, core::Instant aNow) const;
+  bool HasFreedPlace(const BoardEntry& aEntry, core::Instant aNow) const;
   BoardEntry* BestOfFew(const RequestSpec& aSpec);
   double Places(const BoardEntry& aEntry, Pressure aPressure) const;
   double FreePlaces(const BoardEntry& aEntry, Pressure aPressure) const;
