Free places are shared by what waits; figures every 50 ms; quotas after restarts follow the usual demand

Ruled out: turning away at arrival when the first of a line has waited for 0.25 to 0.8 of its target (model: no difference; taken out again). Change: parts of free places go by what waits; hosts and control hosts tell figures every 50 ms instead of 100; a forgotten window counts in full from 2.5 times the rate only; a host that starts has been down for a second.

--- a/UnitTests/request/placement/CrowdOfHosts.h
+++ b/UnitTests/request/placement/CrowdOfHosts.h
@@ -23,7 +23,7 @@
     std::uint32_t slots = 10;
     core::Duration meanHold = std::chrono::milliseconds(1200);
     /// Between two rounds of figures.
-    core::Duration round = std::chrono::milliseconds(100);
+    core::Duration round = std::chrono::milliseconds(50);
     /// Rounds by which figures are old: report, exchange and feed.
     std::size_t roundsOld = 2;
     request::placement::PlacementSettings placement{};
--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -102,11 +102,14 @@
     scheduler->Submit(Spec(aId, aRank));
   }
 
-  /// Figures of the other hosts come, and come again for a second.
-  void OthersWant(const PlacementScheduler::WantedPlaces& aWanted)
+  /// Figures of the other hosts come, and come again, while the answers go on.
+  void OthersWant(const PlacementScheduler::WantedPlaces& aWanted, core::Duration aFor = 1s)
   {
-    for (int n = 0; n < 10; ++n) {
+    for (core::Duration passed{ 0 }; passed < aFor; passed += 100ms) {
       scheduler->SetOthersWanted(aWanted);
+      for (const auto& [id, upstream] : listener.placed) {
+        scheduler->Token(core::RequestId(id));
+      }
       timers.Advance(100ms);
     }
   }
@@ -389,6 +392,7 @@
     Up("slow" + std::to_string(n), 10);
     scheduler->Board().SetTold(core::UpstreamId("slow" + std::to_string(n)),
                                { .paces = 20, .tokenMs = 300, .firsts = 20, .firstFactor = 60 });
+    scheduler->Board().SetOthers(core::UpstreamId("fast" + std::to_string(n)), 9, 0, timers.Now());
   }
   RequestSpec urgent = Spec("urgent", 0);
   urgent.prompt.value = 6'600;
@@ -404,7 +408,7 @@
     spec.firstTokenTarget = 5s;
     scheduler->Submit(spec);
   }
-  OthersWant({ { { core::ServiceId("s"), 0 }, 200 }, { { core::ServiceId("s"), 3 }, 20 } });
+  OthersWant({ { { core::ServiceId("s"), 0 }, 200 }, { { core::ServiceId("s"), 3 }, 20 } }, 8s);
   CHECK(listener.placed.size() >= 1 + 18); // Half of 40 that are wanted, of 100 - 50 places.
 }
 
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -19,7 +19,7 @@
 struct ClusterFollowerSettings
 {
   /// Between two reports.
-  core::Duration report = std::chrono::milliseconds(100);
+  core::Duration report = std::chrono::milliseconds(50);
   /// A control host that sends nothing for this long is left for another one.
   core::Duration silence = std::chrono::milliseconds(900);
   /// One that has no leader is left after this long, if another one has.
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -31,7 +31,7 @@
 
 /// What hosts found out about upstreams is told every so many feeds: it is as long as all the rest,
 /// and changes over seconds.
-constexpr std::uint64_t kObservedEvery = 4;
+constexpr std::uint64_t kObservedEvery = 8;
 
 const char* ToString(proto::MovePhase aPhase)
 {
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -23,7 +23,7 @@
 struct ControlHostSettings
 {
   /// Between two feeds to the hosts that follow.
-  core::Duration feed = std::chrono::milliseconds(100);
+  core::Duration feed = std::chrono::milliseconds(50);
   /// A registry or document that a host does not confirm is sent to it again after this long.
   core::Duration resend = std::chrono::milliseconds(900);
   /// After a start, the registry is incomplete for this long: every upstream has been heard then.
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -13,7 +13,7 @@
 
 /// What this host found out about upstreams is told with every so many reports: it changes over
 /// seconds.
-constexpr std::uint64_t kObservedEvery = 4;
+constexpr std::uint64_t kObservedEvery = 8;
 
 /// Observations that have faded below this sum are told no more.
 constexpr double kLeastObserved = 0.05;
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -50,7 +50,8 @@
   const double demand = aAccount.demand + others.demand;
   const double share = demand > 0 ? aAccount.demand / demand : 0;
   const bool hot = demand > aRule.unitsPerSecond * mSettings.hotFrom;
-  const double limit = whole * KnownPart(hot);
+  const bool exhausted = demand > aRule.unitsPerSecond * mSettings.forgottenFrom;
+  const double limit = whole * KnownPart(exhausted);
   // What is unknown is the others' part only.
   const double margin = hot ? (1 - mSettings.hotShare) * (1 - share) : 0;
   const double room = limit * (1 - margin) - others.used - aAccount.used;
@@ -108,19 +109,20 @@
   }
 }
 
-double WorkspaceQuota::KnownPart(bool aHot) const
+double WorkspaceQuota::KnownPart(bool aExhausted) const
 {
   const double told = mHosts.told;
   const double heard = std::min(1.0, told / std::max(1.0, static_cast<double>(mHosts.known)));
   const double forgotten = std::clamp(1 - mHosts.memory / told, 0.0, 1.0);
-  // One that asks for little now has probably taken little before. One that asks for more than its
-  // quota has probably had all of it.
-  return heard * (aHot ? std::max(0.0, 1 - forgotten * mSettings.hotForgotten) : 1 - forgotten);
+  // One that asks for little now has probably taken little before. One that asks for a multiple of
+  // its quota has probably had all of it.
+  return heard * (aExhausted ? std::max(0.0, 1 - forgotten * mSettings.hotForgotten) : 1 - forgotten);
 }
 
 double WorkspaceQuota::Memory(core::Instant aNow) const
 {
-  return mRemembersAll ? 1 : std::min(1.0, core::Seconds(aNow - mStarted) / core::Seconds(mSettings.window));
+  const core::Duration since = aNow - mStarted + mSettings.leastDown;
+  return mRemembersAll ? 1 : std::min(1.0, core::Seconds(since) / core::Seconds(mSettings.window));
 }
 
 void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers,
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -29,8 +29,12 @@
   /// grows fast takes many units before all hosts know of it.
   double hotFrom = 1.3;
   double hotShare = 0.93;
-  /// Under such a demand a forgotten part of the window counts this many times: eight, so that hosts
-  /// that all restart together begin with nothing and are back in the window's last second.
+  /// A host that starts had ended at least this long before, and took nothing meanwhile.
+  core::Duration leastDown = std::chrono::seconds(1);
+  /// Demand relative to the rate from which a forgotten part of the window counts this many times:
+  /// eight, so that hosts that all restart together begin with nothing and are back in the window's
+  /// last second. Callers who come back after an outage ask for up to twice the rate.
+  double forgottenFrom = 2.5;
   double hotForgotten = 8;
   /// Demand is averaged over about this long.
   core::Duration demandWindow = std::chrono::milliseconds(1000);
@@ -110,7 +114,7 @@
     core::Instant demandAt{};
   };
 
-  double KnownPart(bool aHot) const;
+  double KnownPart(bool aExhausted) const;
   double Tolerated(const version::catalogue::WorkspaceRule& aRule) const;
   static double TakenSince(const Account& aAccount, core::Instant aSince);
   double RoomFor(const version::catalogue::WorkspaceRule& aRule, const Account& aAccount,
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -208,13 +208,17 @@
     service.partLeft = std::clamp(PartOfFree(id, service) - service.taken, 0.0, 1.0);
     service.taken = 0;
     service.free = mBoard.FreeEnginePlaces(id, mTimers.Now());
+    service.othersInFlight = mBoard.OthersInFlight(id);
   }
 }
 
 double PlacementScheduler::PartOfFree(const core::ServiceId& aId, const Service& aService) const
 {
+  // Shared by what waits. One that asks is in no line now.
+  const double own = static_cast<double>(aService.line.Size()) + 1;
   const Crowd crowd = CrowdOf(aId, aService);
-  const double share = crowd.all > 0 ? crowd.own / crowd.all : 0;
+  const double others = std::max(0.0, crowd.all - crowd.own - aService.othersInFlight);
+  const double share = own / (own + others);
   return aService.partLeft + aService.free * mSettings.takenEachRound * share;
 }
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -38,8 +38,8 @@
   /// Random part of a comparison: hosts with the same stale figures must not all choose the same.
   double jitter = 0.25;
   /// A place that a request of this host has left is known to this host only for about this long:
-  /// report, exchange and feed are 100 ms apart each.
-  core::Duration freedLasts = std::chrono::milliseconds(250);
+  /// report, exchange and feed are 50 ms apart each, and take their way.
+  core::Duration freedLasts = std::chrono::milliseconds(200);
   /// Load that an upstream told with an answer is preferred to the hosts' sums for this long.
   core::Duration toldLasts = std::chrono::milliseconds(250);
   /// After a failure to connect, and doubled by each further one up to the longest.
@@ -77,7 +77,7 @@
   /// Prompt tokens that an engine reads between two tokens of the answers beside.
   double chunkTokens = 1024;
   /// Part of the pause target that a predicted pause may take.
-  double pauseShare = 0.95;
+  double pauseShare = 0.8;
   /// Part of the time left that a predicted answer may take.
   double durationShare = 0.8;
 };
@@ -100,9 +100,9 @@
   /// Places that all hosts want, relative to those there are, from which a host fills only the
   /// places that its own requests leave, and its part of the free ones.
   double crowdedFrom = 0.7;
-  /// Part of the free places that all hosts together take in a round of figures: until what they
-  /// took is known to all, two more rounds pass.
-  double takenEachRound = 0.3;
+  /// Part of the free places that all hosts together take in a round of figures, shared by what
+  /// waits: until what they took is known to all, two more rounds pass.
+  double takenEachRound = 0.35;
   /// Weight of the newest observation of how long a rank's requests hold their places, and of the
   /// lengths of their prompts and answers.
   double learnRank = 0.1;
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -134,6 +134,18 @@
   return best ? best : avoided;
 }
 
+double UpstreamBoard::OthersInFlight(const core::ServiceId& aService) const
+{
+  const auto it = mServices.find(aService);
+  double others = 0;
+  if (it != mServices.end()) {
+    for (const BoardEntry* entry : it->second.entries) {
+      others += entry->others;
+    }
+  }
+  return others;
+}
+
 bool UpstreamBoard::HasFreedPlace(const BoardEntry& aEntry, core::Instant aNow) const
 {
   return aEntry.freed > 0 && aNow - aEntry.freedAt <= mSettings.freedLasts;
--- a/cuminfield/request/placement/UpstreamBoard.h
+++ b/cuminfield/request/placement/UpstreamBoard.h
@@ -85,6 +85,9 @@
   /// Free places of the service's engines, as far as this host knows.
   double FreeEnginePlaces(const core::ServiceId& aService, core::Instant aNow);
 
+  /// Requests of all other hosts at the service's upstreams, as last heard.
+  double OthersInFlight(const core::ServiceId& aService) const;
+
   BoardEntry* Find(const core::UpstreamId& aUpstream);
 
   /// True when some upstream of the service and version takes work, whether it has room or not.
