Near upstreams weigh more in the draw; restarted hosts count as empty from twice the rate

A workspace that asks for 2.5 times its rate after a restart got a ramp on top of what it had used up (unit test WhatAHostTookBeforeItsRestartCounts). Change: upstreams of the host's data centre weigh six times as much; the bound is twice the rate again.

--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -121,8 +121,8 @@
 
 double WorkspaceQuota::Memory(core::Instant aNow) const
 {
-  const core::Duration since = aNow - mStarted + mSettings.leastDown;
-  return mRemembersAll ? 1 : std::min(1.0, core::Seconds(since) / core::Seconds(mSettings.window));
+  const double part = core::Seconds(aNow - mStarted) / core::Seconds(mSettings.window);
+  return mRemembersAll ? 1 : std::min(1.0, part);
 }
 
 void WorkspaceQuota::SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers,
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -29,12 +29,10 @@
   /// grows fast takes many units before all hosts know of it.
   double hotFrom = 1.3;
   double hotShare = 0.93;
-  /// A host that starts had ended at least this long before, and took nothing meanwhile.
-  core::Duration leastDown = std::chrono::seconds(1);
   /// Demand relative to the rate from which a forgotten part of the window counts this many times:
   /// eight, so that hosts that all restart together begin with nothing and are back in the window's
-  /// last second. Callers who come back after an outage ask for up to twice the rate.
-  double forgottenFrom = 2.5;
+  /// last second. Callers who come back after an outage ask for up to about twice the rate.
+  double forgottenFrom = 2.0;
   double hotForgotten = 8;
   /// Demand is averaged over about this long.
   core::Duration demandWindow = std::chrono::milliseconds(1000);
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -35,6 +35,9 @@
   /// Upstreams that are compared for one request. Three find a good one nearly always, and leave
   /// the choice to chance where many hosts know the same.
   std::size_t compared = 3;
+  /// Weight of this data centre's upstreams in the draw: links to others cost money, and each
+  /// upstream is then used by fewer hosts, which know it better.
+  double nearWeight = 6;
   /// Random part of a comparison: hosts with the same stale figures must not all choose the same.
   double jitter = 0.25;
   /// A place that a request of this host has left is known to this host only for about this long:
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -128,7 +128,10 @@
       avoided = entry;
       continue;
     }
-    mCandidates.push_back({ .entry = entry, .weight = FreePlaces(*entry, aPressure) });
+    const bool near = entry->upstream.dataCentre == mDataCentre;
+    mCandidates.push_back(
+      { .entry = entry,
+        .weight = FreePlaces(*entry, aPressure) * (near ? mSettings.nearWeight : 1) });
   }
   BoardEntry* best = BestOfFew(aSpec);
   return best ? best : avoided;
