Quotas are recorded in the replicated state; late requests get spare places only

Hosts forgot what had been taken, and the ramp that replaced it was smaller than the room kept for the others' unheard takes. Ruled out: a head start of the ramp (a workspace that had used all of its quota would have it again: WhatAHostTookBeforeItsRestartCounts). Change: the leader records each second what was used; after hosts have restarted that record counts in full until they remember a window, by the part of the hosts that restarted. Without a record the ramp stays. Late requests keep to 0.75 of an engine's places also in a crowd.

--- a/UnitTests/request/forward/WorkspaceQuotaTest.cpp
+++ b/UnitTests/request/forward/WorkspaceQuotaTest.cpp
@@ -28,7 +28,7 @@
 
   static QuotaHosts All(std::uint32_t aHosts)
   {
-    return { .told = aHosts, .known = aHosts, .memory = static_cast<double>(aHosts) };
+    return { .told = aHosts, .known = aHosts, .memory = static_cast<double>(aHosts), .forgetful = 0, .recorded = false };
   }
 
   /// Hosts that hear of each other 400 ms late, a demand that is a multiple of the quota: the most
@@ -188,7 +188,7 @@
         others.demand += other == host ? 0 : 400'000;
       }
       hosts[host].SetOthers({ { rule.id, others } },
-                            { .told = kHosts / 2, .known = kHosts, .memory = kHosts / 2 }, time);
+                            { .told = kHosts / 2, .known = kHosts, .memory = kHosts / 2, .forgetful = 0, .recorded = false }, time);
     }
   }
   const double all = std::accumulate(used.begin(), used.end(), 0.0);
@@ -208,7 +208,7 @@
   const core::Instant restart = now + 1s;
   WorkspaceQuota after(settings, restart, false);
   for (core::Instant time = restart; time < now + 8s; time += 100ms) {
-    after.SetOthers({}, { .told = 1, .known = 1, .memory = after.Memory(time) }, time);
+    after.SetOthers({}, { .told = 1, .known = 1, .memory = after.Memory(time), .forgetful = 0, .recorded = false }, time);
     for (int n = 0; n < 5; ++n) { // 250,000 units a second.
       took += after.Take(rule, 5'000, time) ? 0 : 5'000;
     }
@@ -223,9 +223,43 @@
   WorkspaceQuota quota(settings, restart, false);
   double took = 0;
   for (core::Instant time = restart; time < restart + 8s; time += 100ms) {
-    quota.SetOthers({}, { .told = 1, .known = 1, .memory = quota.Memory(time) }, time);
+    quota.SetOthers({}, { .told = 1, .known = 1, .memory = quota.Memory(time), .forgetful = 0, .recorded = false }, time);
     took += quota.Take(rule, 5'000, time) ? 0 : 5'000;
   }
   CHECK(took >= 0.9 * 8 * 50'000);
   CHECK_EQUAL(1.0, quota.Memory(restart + 8s));
 }
+
+/// All hosts lose power together; the control hosts kept a record of what was used.
+TEST(WorkspaceQuota, WhatWasRecordedCountsUntilHostsRememberAWindow)
+{
+  const auto rule = Rule(100'000);
+  const core::Instant restart = now + 1s;
+  WorkspaceQuota exhausted(settings, restart, false);
+  WorkspaceQuota usual(settings, restart, false);
+  double took = 0;
+  double served = 0;
+  double refused = 0;
+  for (core::Instant time = restart; time < now + 8s; time += 100ms) {
+    const auto tell = [&](WorkspaceQuota& aQuota, double aRecorded) {
+      aQuota.SetOthers({ { rule.id, { .used = 0, .demand = 0, .recorded = aRecorded } } },
+                       { .told = 1,
+                         .known = 1,
+                         .memory = aQuota.Memory(time),
+                         .forgetful = aQuota.Memory(time) < 1 ? 1U : 0U,
+                         .recorded = true },
+                       time);
+    };
+    tell(exhausted, 900'000);
+    tell(usual, 440'000);
+    for (int n = 0; n < 5; ++n) { // 250,000 units a second.
+      took += exhausted.Take(rule, 5'000, time) ? 0 : 5'000;
+    }
+    // Twice the usual in the first second: callers come back.
+    for (int n = 0; n < (time < restart + 1s ? 2 : 1); ++n) {
+      (usual.Take(rule, 5'000, time) ? refused : served) += 5'000;
+    }
+  }
+  CHECK(900'000 + took <= 900'000 * 1.1 + settings.slackUnits);
+  CHECK(refused <= 0.02 * served);
+}
--- a/cuminfield/process/cluster/ClusterState.cpp
+++ b/cuminfield/process/cluster/ClusterState.cpp
@@ -50,6 +50,9 @@
     case proto::Command::kKnown:
       mKnown = command.known();
       break;
+    case proto::Command::kQuota:
+      mQuota = command.quota();
+      break;
     case proto::Command::BODY_NOT_SET:
       break;
   }
@@ -131,6 +134,7 @@
   *state.mutable_document() = mDocument;
   state.set_applied(mChanged);
   *state.mutable_known() = mKnown;
+  *state.mutable_quota() = mQuota;
   for (const auto& [service, move] : mMoves) {
     *state.add_moves() = move;
   }
@@ -152,6 +156,7 @@
   mDocument = state.document();
   mChanged = state.applied();
   mKnown = state.known();
+  mQuota = state.quota();
   mMoves.clear();
   mVersions.clear();
   mLeaves.clear();
--- a/cuminfield/process/cluster/ClusterState.h
+++ b/cuminfield/process/cluster/ClusterState.h
@@ -28,6 +28,9 @@
   /// The upstreams known when a leader last looked.
   const proto::KnownUpstreams& Known() const { return mKnown; }
 
+  /// What had been used of quotas when a leader last recorded it.
+  const proto::QuotaRecord& Quota() const { return mQuota; }
+
   /// Log index of the last command that changed moves or versions.
   std::uint64_t Changed() const { return mChanged; }
 
@@ -42,6 +45,7 @@
   std::map<std::string, std::string> mVersions; ///< Version in force by service.
   std::map<std::string, proto::Leave> mLeaves;  ///< By upstream.
   proto::KnownUpstreams mKnown;
+  proto::QuotaRecord mQuota;
   std::uint64_t mChanged = 0;
 };
 
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -4,6 +4,7 @@
 #include "cuminfield/process/log/PosixDisk.h"
 #include "cuminfield/process/log/ThreadedLogStorage.h"
 #include "cuminfield/process/logging/EventLog.h"
+#include "cuminfield/request/forward/WorkspaceQuota.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,6 +30,13 @@
 constexpr core::Duration kAnnounce = std::chrono::milliseconds(100);
 constexpr core::Duration kResend = std::chrono::milliseconds(250);
 
+/// Between two records of what workspaces used of their quotas: what is taken in this time is
+/// forgotten when all hosts end at once.
+constexpr core::Duration kRecordQuota = std::chrono::milliseconds(1000);
+
+/// Part of the hosts that may have restarted lately for a new record to be made.
+constexpr double kMostForgotten = 0.3;
+
 /// What hosts found out about upstreams is told every so many feeds: it is as long as all the rest,
 /// and changes over seconds.
 constexpr std::uint64_t kObservedEvery = 8;
@@ -315,6 +323,10 @@
     it->set_version(version);
   }
   feed.set_registry_revision(mRegistry.Revision());
+  if (IsQuotaRecordValid()) {
+    feed.set_has_recorded(true);
+    *feed.mutable_recorded() = mState.Quota().uses();
+  }
   proto::ControlHost* self = feed.add_control_hosts();
   self->set_host(mOptions.cluster.id.Text());
   self->set_data_centre(mOptions.cluster.dataCentre.Text());
@@ -374,6 +386,7 @@
     mServiceSeen.clear();
     return;
   }
+  RecordQuota();
   if (mOptions.loop.Now() - mProposed < kOwnProposalPause) {
     return;
   }
@@ -430,6 +443,52 @@
          });
 }
 
+bool ControlHost::IsQuotaRecordValid() const
+{
+  const std::uint64_t now = WallMs();
+  const std::uint64_t at = mState.Quota().at_ms();
+  const auto window = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(mOptions.cluster.quotaWindow).count());
+  return at != 0 && now < at + window && at < now + window;
+}
+
+void ControlHost::RecordQuota()
+{
+  const core::Instant now = mOptions.loop.Now();
+  proto::Feed sums;
+  mFollowers.AddOthers({}, sums, false);
+  if (now - mRecorded < kRecordQuota || sums.demand_size() == 0) {
+    return;
+  }
+  // What hosts have forgotten since the last record still counts. After many of them have restarted
+  // the old record stays: a new one would count what they took since twice.
+  const double forgotten = request::forward::WorkspaceQuota::ForgottenWeight(
+    { .told = sums.hosts(), .forgetful = sums.forgetful() });
+  if (forgotten > kMostForgotten && IsQuotaRecordValid()) {
+    return;
+  }
+  mRecorded = now;
+  std::map<std::string, double> recorded;
+  if (IsQuotaRecordValid()) {
+    for (const proto::Demand& it : mState.Quota().uses()) {
+      recorded[it.workspace()] = it.used() * forgotten;
+    }
+  }
+  for (const proto::Demand& it : sums.demand()) {
+    recorded[it.workspace()] += it.used();
+  }
+  proto::Command command;
+  command.mutable_quota()->set_at_ms(WallMs());
+  for (const auto& [workspace, used] : recorded) {
+    proto::Demand* it = command.mutable_quota()->add_uses();
+    it->set_workspace(workspace);
+    it->set_used(used);
+  }
+  Submit(false, command, mOptions.settings.command, [](const core::Result<proto::QueryAnswer>&) {
+    // The next record follows in a second.
+  });
+}
+
 void ControlHost::TakeKnown()
 {
   if (mKnownTaken || mGroup->Leader().Empty() || mState.Document().number() == 0) {
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -102,6 +102,8 @@
   void DirectMove(const proto::Move& aMove);
   void LearnVersions();
   void KeepRegistry();
+  void RecordQuota();
+  bool IsQuotaRecordValid() const;
   void TakeKnown();
   void ProposeLeave(const std::string& aUpstream, std::uint64_t aIncarnation, Done aDone);
   std::uint64_t WallMs() const;
@@ -129,6 +131,7 @@
   core::HostId mLoggedLeader;
   core::TimerHandle mTick;
   std::uint64_t mTicks = 0;
+  core::Instant mRecorded{};  ///< Last record of quotas.
   bool mTellObserved = false; ///< With this tick's messages.
 };
 
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -195,12 +195,17 @@
   mScheduler.SetOthersWanted(std::move(wanted));
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
-    use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s() };
+    use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s(), .recorded = 0 };
+  }
+  for (const proto::Demand& it : aFeed.recorded()) {
+    use[core::WorkspaceId(it.workspace())].recorded = it.used();
   }
   mQuota.SetOthers(std::move(use),
                    { .told = aFeed.hosts(),
                      .known = aFeed.hosts_known(),
-                     .memory = aFeed.quota_memory() },
+                     .memory = aFeed.quota_memory(),
+                     .forgetful = aFeed.forgetful(),
+                     .recorded = aFeed.has_recorded() },
                    now);
 }
 
@@ -241,7 +246,9 @@
     it->set_rank(key.second);
     it->set_requests(requests);
   }
-  aReport.set_quota_memory(mQuota.Memory(mOptions.loop.Now()));
+  const double memory = mQuota.Memory(now);
+  aReport.set_quota_memory(memory);
+  aReport.set_forgetful(memory < 1 ? 1 : 0);
   mVersions.Describe(aReport);
 }
 
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -96,6 +96,7 @@
   for (const auto& [host, follower] : mFollowers) {
     ++sums.hosts;
     sums.quotaMemory += follower.report.quota_memory();
+    sums.forgetful += follower.report.forgetful();
     if (host == aWithout) {
       continue;
     }
@@ -109,6 +110,7 @@
 {
   aMessage.set_hosts(aSums.hosts);
   aMessage.set_quota_memory(aSums.quotaMemory);
+  aMessage.set_forgetful(aSums.forgetful);
   for (const auto& [upstream, sum] : aSums.inFlight) {
     proto::InFlight* it = aMessage.add_in_flight();
     *it = sum;
@@ -157,6 +159,7 @@
   for (const auto& [host, peer] : mPeers) {
     sums.hosts += peer.exchange.hosts();
     sums.quotaMemory += peer.exchange.quota_memory();
+    sums.forgetful += peer.exchange.forgetful();
     sums.AddAll(peer.exchange);
   }
   Write(sums, aObserved, aFeed);
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -72,6 +72,7 @@
     std::map<std::string, proto::Observed> observed;
     std::uint32_t hosts = 0;
     double quotaMemory = 0; ///< Of them, together.
+    std::uint32_t forgetful = 0;
 
     void Add(const proto::InFlight& aInFlight);
     void Add(const proto::Demand& aDemand);
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -54,7 +54,8 @@
   const double limit = whole * KnownPart(exhausted);
   // What is unknown is the others' part only.
   const double margin = hot ? (1 - mSettings.hotShare) * (1 - share) : 0;
-  const double room = limit * (1 - margin) - others.used - aAccount.used;
+  const double forgotten = others.recorded * ForgottenWeight(mHosts);
+  const double room = limit * (1 - margin) - others.used - aAccount.used - forgotten;
   const double besideAll = room - others.demand * core::Seconds(unheard);
   // or each host keeps to its share, by demand, of what is left, with what it took unheard.
   const double taken = TakenSince(aAccount, aNow - unheard);
@@ -109,10 +110,19 @@
   }
 }
 
+double WorkspaceQuota::ForgottenWeight(const QuotaHosts& aHosts)
+{
+  // It may all have been taken at the end: it counts in full until a whole window is remembered.
+  return std::min(1.0, static_cast<double>(aHosts.forgetful) / std::max(1U, aHosts.told));
+}
+
 double WorkspaceQuota::KnownPart(bool aExhausted) const
 {
   const double told = mHosts.told;
   const double heard = std::min(1.0, told / std::max(1.0, static_cast<double>(mHosts.known)));
+  if (mHosts.recorded) {
+    return heard;
+  }
   const double forgotten = std::clamp(1 - mHosts.memory / told, 0.0, 1.0);
   // One that asks for little now has probably taken little before. One that asks for a multiple of
   // its quota has probably had all of it.
--- a/cuminfield/request/forward/WorkspaceQuota.h
+++ b/cuminfield/request/forward/WorkspaceQuota.h
@@ -49,6 +49,9 @@
 {
   double used = 0;   ///< Units taken in the last window.
   double demand = 0; ///< Units asked for in a second.
+  /// Units that all hosts had taken when that was recorded last, within the window: hosts that
+  /// restart have forgotten them.
+  double recorded = 0;
 };
 
 /// Of how many hosts the figures of all others tell.
@@ -59,6 +62,8 @@
   /// Parts of the window that the told ones remember, added up: a host that has just started has
   /// forgotten what it took before.
   double memory = 0;
+  std::uint32_t forgetful = 0; ///< Those of the told ones that do not remember a whole window.
+  bool recorded = false;       ///< There is a record of what was used before.
 };
 
 /// Holds workspaces to their quotas, which count over all hosts. Each host knows what all have
@@ -92,6 +97,9 @@
   void SetOthers(std::map<core::WorkspaceId, QuotaUse> aOthers, const QuotaHosts& aHosts,
                  core::Instant aNow);
 
+  /// Part of what was recorded that counts, since hosts have forgotten it.
+  static double ForgottenWeight(const QuotaHosts& aHosts);
+
   /// Part of the window that this host remembers, from 0 to 1.
   double Memory(core::Instant aNow) const;
 
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -258,15 +258,16 @@
   if (!IsCrowded(spec, aService)) {
     return mBoard.Choose(spec, version, aPressure, UpstreamBoard::Free::Any, now);
   }
-  // The places are shared out by rank: none is kept back for the more urgent besides.
-  if (BoardEntry* own =
-        mBoard.Choose(spec, version, Pressure::Top, UpstreamBoard::Free::Own, now)) {
+  // The places are shared out by rank: none is kept back for the more urgent besides. Those that
+  // are late get what is spare.
+  const Pressure pressure = aPressure == Pressure::Late ? Pressure::Late : Pressure::Top;
+  if (BoardEntry* own = mBoard.Choose(spec, version, pressure, UpstreamBoard::Free::Own, now)) {
     return own;
   }
   if (aService.taken + 1 > PartOfFree(spec.service, aService) && !spec.resumed) {
     return nullptr;
   }
-  BoardEntry* entry = mBoard.Choose(spec, version, Pressure::Top, UpstreamBoard::Free::Any, now);
+  BoardEntry* entry = mBoard.Choose(spec, version, pressure, UpstreamBoard::Free::Any, now);
   if (entry) {
     aService.taken += 1;
   }
