Figures come every 50 ms only while requests wait; tests of the record of quotas and of opinions

Ruled out: fewer figures in a message (they are those that changed in the last round for nearly all engines). Change: a host that has somebody waiting reports every 50 ms and says so; control hosts answer in the same measure.

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -44,6 +44,7 @@
                                 .timers = timers,
                                 .links = links,
                                 .random = random,
+                                .pressed = [] { return false; },
                                 .describe = [](proto::Report&) {} });
     follower->OnFeed().connect([this](const proto::Feed& aFeed) { feeds.push_back(aFeed); });
     follower->Start();
--- a/UnitTests/process/cluster/ClusterStateTest.cpp
+++ b/UnitTests/process/cluster/ClusterStateTest.cpp
@@ -127,6 +127,21 @@
   CHECK_EQUAL(1, copy.Known().upstreams_size());
 }
 
+/// Hosts and control hosts that all lose power forget what was taken of quotas.
+TEST(ClusterState, TheRecordOfQuotasOutlivesARestart)
+{
+  proto::Command command;
+  command.mutable_quota()->set_at_ms(5'000);
+  proto::Demand* use = command.mutable_quota()->add_uses();
+  use->set_workspace("w");
+  use->set_used(1'234);
+  Apply(command);
+  ClusterState copy;
+  copy.Restore(state.Snapshot());
+  CHECK_EQUAL(5'000, copy.Quota().at_ms());
+  DOUBLES_EQUAL(1'234, copy.Quota().uses(0).used(), 1e-9);
+}
+
 TEST(ClusterState, UnreadableCommandsChangeNothing)
 {
   Put(4, "text");
--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -89,6 +89,34 @@
   CHECK_EQUAL(2, FeedFor("a").hosts_known());
 }
 
+/// What hosts find out about an upstream is told with every few reports; in between the last
+/// counts.
+TEST(FollowerTable, OpinionsAreAddedUpAndLastUntilTheNextAreTold)
+{
+  const auto report = [](float aAnswers, std::uint32_t aDoubting) {
+    proto::Report it = Report(1, 10);
+    it.mutable_in_flight(0)->set_doubting(aDoubting);
+    it.mutable_in_flight(0)->set_trusting(1 - aDoubting);
+    it.set_has_observed(true);
+    it.add_observed()->set_upstream("u");
+    it.mutable_observed(0)->set_answers(aAnswers);
+    it.set_forgetful(aDoubting);
+    return it;
+  };
+  table.OnReport(core::HostId("a"), report(2, 1), now);
+  table.OnReport(core::HostId("b"), report(3, 0), now);
+  table.OnReport(core::HostId("b"), Report(1, 10), now);
+  const proto::Feed feed = FeedFor("c");
+  CHECK_EQUAL(1, feed.in_flight(0).doubting());
+  CHECK_EQUAL(0, feed.in_flight(0).trusting());
+  DOUBLES_EQUAL(5, feed.observed(0).answers(), 1e-6);
+  CHECK_EQUAL(1, feed.forgetful());
+  proto::Feed without;
+  table.AddOthers(core::HostId("c"), without, false);
+  CHECK_EQUAL(0, without.observed_size());
+  CHECK_FALSE(without.has_observed());
+}
+
 TEST(FollowerTable, ARestartedHostGetsEverythingAgain)
 {
   table.OnReport(core::HostId("a"), Report(1, 10), now);
--- a/UnitTests/request/forward/WorkspaceQuotaTest.cpp
+++ b/UnitTests/request/forward/WorkspaceQuotaTest.cpp
@@ -28,7 +28,11 @@
 
   static QuotaHosts All(std::uint32_t aHosts)
   {
-    return { .told = aHosts, .known = aHosts, .memory = static_cast<double>(aHosts), .forgetful = 0, .recorded = false };
+    return { .told = aHosts,
+             .known = aHosts,
+             .memory = static_cast<double>(aHosts),
+             .forgetful = 0,
+             .recorded = false };
   }
 
   /// Hosts that hear of each other 400 ms late, a demand that is a multiple of the quota: the most
@@ -87,7 +91,8 @@
           others.used += other == host ? 0 : told.front()[other].used;
           others.demand += other == host ? 0 : told.front()[other].demand;
         }
-        hosts[host].SetOthers({ { rule.id, others } }, All(static_cast<std::uint32_t>(aHosts)), time);
+        hosts[host].SetOthers({ { rule.id, others } }, All(static_cast<std::uint32_t>(aHosts)),
+                              time);
       }
     }
     load.mean = total / (aRate * kSteps * 0.01);
@@ -188,7 +193,12 @@
         others.demand += other == host ? 0 : 400'000;
       }
       hosts[host].SetOthers({ { rule.id, others } },
-                            { .told = kHosts / 2, .known = kHosts, .memory = kHosts / 2, .forgetful = 0, .recorded = false }, time);
+                            { .told = kHosts / 2,
+                              .known = kHosts,
+                              .memory = kHosts / 2,
+                              .forgetful = 0,
+                              .recorded = false },
+                            time);
     }
   }
   const double all = std::accumulate(used.begin(), used.end(), 0.0);
@@ -208,7 +218,10 @@
   const core::Instant restart = now + 1s;
   WorkspaceQuota after(settings, restart, false);
   for (core::Instant time = restart; time < now + 8s; time += 100ms) {
-    after.SetOthers({}, { .told = 1, .known = 1, .memory = after.Memory(time), .forgetful = 0, .recorded = false }, time);
+    after.SetOthers(
+      {},
+      { .told = 1, .known = 1, .memory = after.Memory(time), .forgetful = 0, .recorded = false },
+      time);
     for (int n = 0; n < 5; ++n) { // 250,000 units a second.
       took += after.Take(rule, 5'000, time) ? 0 : 5'000;
     }
@@ -223,7 +236,10 @@
   WorkspaceQuota quota(settings, restart, false);
   double took = 0;
   for (core::Instant time = restart; time < restart + 8s; time += 100ms) {
-    quota.SetOthers({}, { .told = 1, .known = 1, .memory = quota.Memory(time), .forgetful = 0, .recorded = false }, time);
+    quota.SetOthers(
+      {},
+      { .told = 1, .known = 1, .memory = quota.Memory(time), .forgetful = 0, .recorded = false },
+      time);
     took += quota.Take(rule, 5'000, time) ? 0 : 5'000;
   }
   CHECK(took >= 0.9 * 8 * 50'000);
--- a/UnitTests/request/placement/CrowdTest.cpp
+++ b/UnitTests/request/placement/CrowdTest.cpp
@@ -6,9 +6,7 @@
 using namespace cuminfield::unit_tests;
 using namespace std::chrono_literals;
 
-TEST_GROUP(Crowd)
-{
-};
+TEST_GROUP(Crowd){};
 
 /// Sixty hosts want a quarter more than forty engines serve, for ten seconds. Requests wait in the
 /// hosts, where the urgent overtake, and not in the engines; and no place stands empty.
--- a/UnitTests/request/placement/UpstreamBoardTest.cpp
+++ b/UnitTests/request/placement/UpstreamBoardTest.cpp
@@ -44,7 +44,8 @@
 
   std::string Chosen(const RequestSpec& aSpec)
   {
-    const BoardEntry* entry = board.Choose(aSpec, {}, Pressure::Lower, UpstreamBoard::Free::Any, now);
+    const BoardEntry* entry =
+      board.Choose(aSpec, {}, Pressure::Lower, UpstreamBoard::Free::Any, now);
     return entry ? entry->upstream.id.Text() : "none";
   }
 
@@ -117,7 +118,8 @@
   SetTrust("u", 2, 0);
   int tried = 0;
   for (int n = 0; n < 500; ++n, now += 20ms) {
-    if (BoardEntry* entry = board.Choose(Spec(), {}, Pressure::Lower, UpstreamBoard::Free::Any, now)) {
+    if (BoardEntry* entry =
+          board.Choose(Spec(), {}, Pressure::Lower, UpstreamBoard::Free::Any, now)) {
       ++tried;
       board.Dispatched(*entry, Spec(), now);
       board.Ended(*entry, Spec(), TryOutcome::Cancelled, false, now);
@@ -157,7 +159,8 @@
   STRCMP_EQUAL("u", Chosen(Spec()).c_str());
   int sent = 0;
   for (int n = 0; n < 500; ++n, now += 20ms) {
-    if (BoardEntry* entry = board.Choose(Spec(), {}, Pressure::Lower, UpstreamBoard::Free::Any, now)) {
+    if (BoardEntry* entry =
+          board.Choose(Spec(), {}, Pressure::Lower, UpstreamBoard::Free::Any, now)) {
       ++sent;
       board.Dispatched(*entry, Spec(), now);
     }
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -44,7 +44,9 @@
 void ClusterFollower::Tick()
 {
   ChangeIfSilent();
-  Report();
+  if (mOptions.pressed() || mTicks++ % mOptions.settings.calmReports == 0) {
+    Report();
+  }
 }
 
 void ClusterFollower::Report()
@@ -55,6 +57,7 @@
   report->set_document_number(mDocumentNumber);
   report->set_registry_revision(mRegistryRevision);
   report->set_data_centre(mOptions.cluster.dataCentre.Text());
+  report->set_pressed(mOptions.pressed());
   mOptions.describe(*report);
   const std::string payload = message.SerializeAsString();
   if (mFirstFeed) {
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -18,8 +18,10 @@
 /// Tunables of a follower.
 struct ClusterFollowerSettings
 {
-  /// Between two reports.
+  /// Between two reports while requests wait: then hosts compete for places.
   core::Duration report = std::chrono::milliseconds(50);
+  /// At other times every so many of these.
+  std::uint64_t calmReports = 2;
   /// A control host that sends nothing for this long is left for another one.
   core::Duration silence = std::chrono::milliseconds(900);
   /// One that has no leader is left after this long, if another one has.
@@ -40,6 +42,8 @@
     core::TimerService& timers;
     peer::PeerLinks& links;
     core::Random& random;
+    /// True while requests wait here.
+    std::function<bool()> pressed;
     /// Adds to a report what this host uses and asks for.
     std::function<void(proto::Report&)> describe;
   };
@@ -80,6 +84,7 @@
   std::uint64_t mRegistryRevision = 0;
   std::uint64_t mDocumentNumber = 0;
   std::uint64_t mStateApplied = 0;
+  std::uint64_t mTicks = 0;
   core::TimerHandle mTick;
   sigc::signal<void(const proto::Feed&)> mOnFeed;
 };
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -30,6 +30,9 @@
 constexpr core::Duration kAnnounce = std::chrono::milliseconds(100);
 constexpr core::Duration kResend = std::chrono::milliseconds(250);
 
+/// While no request waits anywhere, hosts and control hosts are told every so many ticks.
+constexpr std::uint64_t kCalmTicks = 2;
+
 /// Between two records of what workspaces used of their quotas: what is taken in this time is
 /// forgotten when all hosts end at once.
 constexpr core::Duration kRecordQuota = std::chrono::milliseconds(1000);
@@ -39,7 +42,7 @@
 
 /// What hosts found out about upstreams is told every so many feeds: it is as long as all the rest,
 /// and changes over seconds.
-constexpr std::uint64_t kObservedEvery = 8;
+constexpr std::uint64_t kObservedEvery = 4;
 
 const char* ToString(proto::MovePhase aPhase)
 {
@@ -260,9 +263,12 @@
   TakeLeaves();
   mRegistry.Expire(now);
   mFollowers.Expire(now);
-  mTellObserved = mTicks++ % kObservedEvery == 0;
-  SendExchange();
-  SendFeeds();
+  ++mTicks;
+  if (mFollowers.IsPressed() || mTicks % kCalmTicks == 0) {
+    mTellObserved = mMessages++ % kObservedEvery == 0;
+    SendExchange();
+    SendFeeds();
+  }
   Direct();
   LogChanges();
 }
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -131,8 +131,9 @@
   core::HostId mLoggedLeader;
   core::TimerHandle mTick;
   std::uint64_t mTicks = 0;
-  core::Instant mRecorded{};  ///< Last record of quotas.
-  bool mTellObserved = false; ///< With this tick's messages.
+  std::uint64_t mMessages = 0; ///< Rounds of messages sent.
+  core::Instant mRecorded{};   ///< Last record of quotas.
+  bool mTellObserved = false;  ///< With this tick's messages.
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -13,7 +13,7 @@
 
 /// What this host found out about upstreams is told with every so many reports: it changes over
 /// seconds.
-constexpr std::uint64_t kObservedEvery = 8;
+constexpr std::uint64_t kObservedEvery = 4;
 
 /// Observations that have faded below this sum are told no more.
 constexpr double kLeastObserved = 0.05;
@@ -69,6 +69,7 @@
                 .timers = mOptions.loop,
                 .links = mOptions.links,
                 .random = mOptions.random,
+                .pressed = [this] { return mScheduler.Waiting() > 0; },
                 .describe = [this](proto::Report& aReport) { Describe(aReport); } })
 {
   mForwards.Attach(mScheduler);
@@ -195,7 +196,9 @@
   mScheduler.SetOthersWanted(std::move(wanted));
   std::map<core::WorkspaceId, request::forward::QuotaUse> use;
   for (const proto::Demand& it : aFeed.demand()) {
-    use[core::WorkspaceId(it.workspace())] = { .used = it.used(), .demand = it.units_per_s(), .recorded = 0 };
+    use[core::WorkspaceId(it.workspace())] = { .used = it.used(),
+                                               .demand = it.units_per_s(),
+                                               .recorded = 0 };
   }
   for (const proto::Demand& it : aFeed.recorded()) {
     use[core::WorkspaceId(it.workspace())].recorded = it.used();
@@ -223,7 +226,8 @@
       it->set_doubting(opinion.doubting);
       it->set_trusting(opinion.trusting);
     }
-    if (aReport.has_observed() && opinion.answers + opinion.firsts + opinion.paces > kLeastObserved) {
+    if (aReport.has_observed() &&
+        opinion.answers + opinion.firsts + opinion.paces > kLeastObserved) {
       proto::Observed* it = aReport.add_observed();
       it->set_upstream(id.Text());
       it->set_answers(static_cast<float>(opinion.answers));
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -45,6 +45,9 @@
   /// Sums over all hosts but aHost, whose own figures are newer than any sum.
   void AddOthers(const core::HostId& aHost, proto::Feed& aFeed, bool aObserved) const;
 
+  /// True while requests wait at some host.
+  bool IsPressed() const;
+
   /// The latest evidence of every host known here, by host and its life.
   using EvidenceMap = std::map<std::pair<std::string, std::uint64_t>, std::vector<proto::Evidence>>;
   EvidenceMap Evidence() const;
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -113,10 +113,10 @@
   }
   const ForwardSettings& settings = mOptions.settings;
   const core::Duration limit =
-    mTryFirst
-      ? std::max(core::Scaled(request.spec.tokenGapTarget, settings.pauseTargets), settings.pauseAtLeast)
-      : std::max(core::Scaled(request.spec.firstTokenTarget, settings.silentTargets),
-                 settings.silentAtLeast);
+    mTryFirst ? std::max(core::Scaled(request.spec.tokenGapTarget, settings.pauseTargets),
+                         settings.pauseAtLeast)
+              : std::max(core::Scaled(request.spec.firstTokenTarget, settings.silentTargets),
+                         settings.silentAtLeast);
   mSilence = mOptions.timers.After(limit, [this] { OnSilence(); });
 }
 
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -121,8 +121,8 @@
   std::uint64_t mEventsBefore = 0; ///< Events of earlier tries.
   core::Instant mSentAt{};
   std::optional<core::Duration> mTryFirst;
-  core::Instant mPacedAt{};        ///< The pace is measured from here,
-  std::uint64_t mPacedEvents = 0;  ///< after so many events.
+  core::Instant mPacedAt{};       ///< The pace is measured from here,
+  std::uint64_t mPacedEvents = 0; ///< after so many events.
   core::Instant mLastAt{};
   core::TimerHandle mTimeout;
   core::TimerHandle mSilence;
--- a/cuminfield/request/forward/WorkspaceQuota.cpp
+++ b/cuminfield/request/forward/WorkspaceQuota.cpp
@@ -28,7 +28,8 @@
   if (aAccount.taken.empty()) {
     aAccount.used = 0; // Sums of fractions do not come out at zero by themselves.
   }
-  const double passed = core::Seconds(aNow - aAccount.demandAt) / core::Seconds(mSettings.demandWindow);
+  const double passed =
+    core::Seconds(aNow - aAccount.demandAt) / core::Seconds(mSettings.demandWindow);
   aAccount.demand *= std::exp(-passed);
   aAccount.demandAt = aNow;
 }
@@ -126,7 +127,8 @@
   const double forgotten = std::clamp(1 - mHosts.memory / told, 0.0, 1.0);
   // One that asks for little now has probably taken little before. One that asks for a multiple of
   // its quota has probably had all of it.
-  return heard * (aExhausted ? std::max(0.0, 1 - forgotten * mSettings.hotForgotten) : 1 - forgotten);
+  return heard *
+         (aExhausted ? std::max(0.0, 1 - forgotten * mSettings.hotForgotten) : 1 - forgotten);
 }
 
 double WorkspaceQuota::Memory(core::Instant aNow) const
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -113,9 +113,9 @@
                               .rank = spec.tier,
                               .top = spec.tier <= ServiceOf(spec.service).ranks.begin()->first,
                               .arrival = spec.arrival,
-                              .onTimeUntil =
-                                spec.arrival + spec.firstTokenTarget -
-                                core::Scaled(mBoard.FirstIdle(spec), ServiceOf(spec.service).loadFactor),
+                              .onTimeUntil = spec.arrival + spec.firstTokenTarget -
+                                             core::Scaled(mBoard.FirstIdle(spec),
+                                                          ServiceOf(spec.service).loadFactor),
                               .waitsUntil = spec.arrival + LongestWait(spec) };
   if (spec.resumed) {
     // Its caller has begun to read: it goes before all that have not.
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -102,8 +102,8 @@
     double loadFactor = 1; ///< Time to the first event, relative to an idle upstream.
     double free = 0;       ///< Places, when the others' figures came last.
     double othersInFlight = 0;
-    double taken = 0;      ///< Of them, by this host since.
-    double partLeft = 1;   ///< Part of a place that this host was allowed before and did not take.
+    double taken = 0;    ///< Of them, by this host since.
+    double partLeft = 1; ///< Part of a place that this host was allowed before and did not take.
   };
 
   Service& ServiceOf(const core::ServiceId& aId);
--- a/cuminfield/request/placement/UpstreamBoard.cpp
+++ b/cuminfield/request/placement/UpstreamBoard.cpp
@@ -108,8 +108,7 @@
 {
   ServiceBoard& service = BoardOf(aSpec.service, aNow);
   const auto serves = [&](const BoardEntry& aEntry) {
-    return aNow >= aEntry.pausedUntil &&
-           (aVersion.Empty() || aEntry.upstream.version == aVersion);
+    return aNow >= aEntry.pausedUntil && (aVersion.Empty() || aEntry.upstream.version == aVersion);
   };
   // An answer that no upstream can give in time, idle or not, goes to whichever is best.
   const bool suitable =
@@ -330,8 +329,8 @@
   if (aSpec.tokenGapTarget.count() == 0) {
     return true;
   }
-  // An engine that takes longer for a token takes longer for a prompt in the same measure. Its times
-  // to the first event do not show that: they include waits in its queue.
+  // An engine that takes longer for a token takes longer for a prompt in the same measure. Its
+  // times to the first event do not show that: they include waits in its queue.
   const double slowness = tokenMs / mSettings.tokenMs;
   // While the engine reads this prompt, the answers beside it pause for a chunk at each token.
   const double chunks =
@@ -378,9 +377,8 @@
     return false;
   }
   const double share = FailShare(aEntry);
-  const double rest = aService.up > 1 ? (aService.failShares - share) /
-                                          static_cast<double>(aService.up - 1)
-                                      : share;
+  const double rest =
+    aService.up > 1 ? (aService.failShares - share) / static_cast<double>(aService.up - 1) : share;
   return share <= rest + mSettings.failShareAbove || aEntry.onTrial;
 }
 
@@ -389,8 +387,8 @@
   if (!aSpec.engine) {
     return mSettings.plainWork;
   }
-  return mSettings.firstBase +
-         core::FromMilliseconds(static_cast<double>(aSpec.prompt.value) / mSettings.promptTokensPerMs);
+  return mSettings.firstBase + core::FromMilliseconds(static_cast<double>(aSpec.prompt.value) /
+                                                      mSettings.promptTokensPerMs);
 }
 
 core::Duration UpstreamBoard::First(const BoardEntry& aEntry, const RequestSpec& aSpec) const
@@ -452,8 +450,7 @@
   Heard(aEntry, aNow);
   aEntry.ownPrompt -= aSpec.prompt.value;
   FadeTo(aEntry, aNow);
-  const double factor =
-    core::Milliseconds(aTook) / std::max(1.0, core::Milliseconds(aPredicted));
+  const double factor = core::Milliseconds(aTook) / std::max(1.0, core::Milliseconds(aPredicted));
   aEntry.seen.firsts += 1;
   aEntry.seen.firstFactor += std::clamp(factor, mSettings.minFactor, mSettings.maxFactor);
 }
@@ -505,7 +502,8 @@
       break;
     case TryOutcome::Unreachable:
       aEntry.unreachable = true;
-      NoteFailure(aEntry, mSettings.pause * (1U << std::min(aEntry.failuresInRow, kMostDoublings)), aNow);
+      NoteFailure(aEntry, mSettings.pause * (1U << std::min(aEntry.failuresInRow, kMostDoublings)),
+                  aNow);
       break;
     case TryOutcome::Failed:
       learnFailure(1);
--- a/cuminfield/request/placement/UpstreamBoard.h
+++ b/cuminfield/request/placement/UpstreamBoard.h
@@ -32,14 +32,14 @@
   std::uint32_t others = 0;   ///< Requests of all other hosts, as last heard.
   std::int64_t othersPrompt = 0;
   core::Instant othersAt{}; ///< When that was heard.
-  std::uint32_t freed = 0;  ///< Places that this host's requests left, of which the others know not.
-  core::Instant freedAt{};  ///< The newest of them.
-  core::Instant toldAt{};   ///< When the upstream itself last told its load.
+  std::uint32_t freed = 0; ///< Places that this host's requests left, of which the others know not.
+  core::Instant freedAt{}; ///< The newest of them.
+  core::Instant toldAt{};  ///< When the upstream itself last told its load.
 
   // Its speed and its health.
-  UpstreamOpinion seen;   ///< By this host.
+  UpstreamOpinion seen; ///< By this host.
   core::Instant fadedAt{};
-  UpstreamOpinion told;   ///< By all other hosts, as last heard.
+  UpstreamOpinion told; ///< By all other hosts, as last heard.
   std::uint32_t failuresInRow = 0;
   core::Instant pausedUntil{};
   bool onTrial = false;     ///< One request at a time until one succeeds.
@@ -124,8 +124,8 @@
   UpstreamOpinion Opinion(BoardEntry& aEntry, core::Instant aNow) const;
 
   /// What all other hosts found out: whether they hear from it,
-  void SetTrust(const core::UpstreamId& aUpstream, std::uint32_t aDoubting,
-                std::uint32_t aTrusting, core::Instant aNow);
+  void SetTrust(const core::UpstreamId& aUpstream, std::uint32_t aDoubting, std::uint32_t aTrusting,
+                core::Instant aNow);
   /// and the sums of the opinion.
   void SetTold(const core::UpstreamId& aUpstream, const UpstreamOpinion& aSums);
 
--- a/cuminfield/request/routing/Router.cpp
+++ b/cuminfield/request/routing/Router.cpp
@@ -129,7 +129,8 @@
   const double age = static_cast<double>(aState.load.Age(aNow).count()) / kMicrosPerSecond;
   const double ageSpread = aState.load.HasReport() ? age * mSettings.agePerSecond : 0;
   const double spread = mSettings.spreadWeight * aState.rates.Spread() + ageSpread;
-  const core::Instant predicted = aNow + core::Scaled(FirstToken(aState, aUncached, aNow), 1 + spread);
+  const core::Instant predicted =
+    aNow + core::Scaled(FirstToken(aState, aUncached, aNow), 1 + spread);
   const core::Instant target = aSpec.arrival + aSpec.firstTokenTarget;
   if (predicted <= target) {
     return true;
