Lint of the new tests

Cause: clang-tidy on a cold cache: an integer division as a double, a reference into a temporary map, a const member without initializer. Change: the three lines. No behaviour changes.

--- a/UnitTests/request/forward/WorkspaceQuotaTest.cpp
+++ b/UnitTests/request/forward/WorkspaceQuotaTest.cpp
@@ -195,7 +195,7 @@
       hosts[host].SetOthers({ { rule.id, others } },
                             { .told = kHosts / 2,
                               .known = kHosts,
-                              .memory = kHosts / 2,
+                              .memory = kHosts / 2.0,
                               .forgetful = 0,
                               .recorded = false },
                             time);
--- a/UnitTests/request/placement/CrowdTest.cpp
+++ b/UnitTests/request/placement/CrowdTest.cpp
@@ -45,7 +45,7 @@
   crowd.Play(7s);
   CHECK(crowd.Seen().busy >= 0.9);
   CHECK(crowd.Seen().overfull <= 0.05);
-  const auto& urgent = crowd.Outcomes().at(0);
+  const auto urgent = crowd.Outcomes().at(0);
   CHECK(static_cast<double>(urgent.inTime) >= 0.9 * static_cast<double>(urgent.asked));
 }
 
--- a/UnitTests/request/placement/UpstreamBoardTest.cpp
+++ b/UnitTests/request/placement/UpstreamBoardTest.cpp
@@ -12,7 +12,7 @@
 TEST_GROUP(UpstreamBoard)
 {
   core::Random random{ 5 };
-  const UpstreamBoardSettings settings;
+  const UpstreamBoardSettings settings{};
   UpstreamBoard board{ settings, core::DataCentreId("here"), random };
   core::Instant now{ 100s };
 
