--- a/UnitTests/request/placement/CrowdOfHosts.cpp
+++ b/UnitTests/request/placement/CrowdOfHosts.cpp
@@ -62,7 +62,7 @@
   struct Figures
   {
     std::map<std::string, std::uint32_t> inFlight;
-    placement::PlacementScheduler::WantedPlaces wanted;
+    placement::PlacementScheduler::RequestsByRank wanted;
   };
 
   Figures Tell()
@@ -190,7 +190,7 @@
     it.host->scheduler.Token(it.request);
   }
   std::map<std::string, std::uint32_t> inFlight;
-  placement::PlacementScheduler::WantedPlaces wanted;
+  placement::PlacementScheduler::RequestsByRank wanted;
   for (auto& host : mHosts) {
     host->told.push_back(host->Tell());
     if (host->told.size() > mOptions.roundsOld + 1) {
@@ -210,7 +210,7 @@
       host->scheduler.Board().SetOthers(
         core::UpstreamId(id), n - (it == own.inFlight.end() ? 0 : it->second), 0, mTimers.Now());
     }
-    placement::PlacementScheduler::WantedPlaces others = wanted;
+    placement::PlacementScheduler::RequestsByRank others = wanted;
     for (const auto& [key, places] : own.wanted) {
       others[key] -= places;
     }
--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -103,7 +103,7 @@
   }
 
   /// Figures of the other hosts come, and come again, while the answers go on.
-  void OthersWant(const PlacementScheduler::WantedPlaces& aWanted, core::Duration aFor = 1s)
+  void OthersWant(const PlacementScheduler::RequestsByRank& aWanted, core::Duration aFor = 1s)
   {
     for (core::Duration passed{ 0 }; passed < aFor; passed += 100ms) {
       scheduler->SetOthersWanted(aWanted);
--- a/cuminfield/process/cluster/ClusterSettingsFile.cpp
+++ b/cuminfield/process/cluster/ClusterSettingsFile.cpp
@@ -1,11 +1,11 @@
 #include "cuminfield/process/cluster/ClusterSettingsFile.h"
 
+#include "cuminfield/core/TextFile.h"
 #include "cuminfield/process/settings/IniReader.h"
+#include "cuminfield/process/settings/LogSection.h"
 #include "cuminfield/process/settings/Values.h"
 
 #include <array>
-#include <fstream>
-#include <sstream>
 
 namespace cuminfield::process::cluster {
 
@@ -172,14 +172,11 @@
 
 core::Result<ClusterSettings> LoadClusterSettings(const std::string& aPath)
 {
-  const std::ifstream file(aPath, std::ios::binary);
-  if (!file) {
-    return core::Fail(core::ErrorKind::Io,
-                      aPath + ": cannot be opened; check that it exists and may be read");
+  const auto text = core::ReadTextFile(aPath);
+  if (!text) {
+    return text.error();
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseClusterSettings(text.str(), aPath);
+  return ParseClusterSettings(text.value(), aPath);
 }
 
 core::Result<ClusterSettings> ParseClusterSettings(const std::string& aText,
@@ -216,14 +213,7 @@
   if (const settings::IniSection* retries = reader.Section("retries")) {
     reader.Read(*retries, "share", result.retryShare);
   }
-  if (const settings::IniSection* log = reader.Section("log")) {
-    std::size_t level = 0;
-    reader.ReadChoice(*log, "level", level);
-    if (const settings::IniEntry* entry = log->Find("level")) {
-      result.logLevel = entry->value;
-    }
-    reader.ReadChoice(*log, "format", result.logFormat);
-  }
+  settings::ReadLogSection(reader, result.logLevel, result.logFormat);
   const core::Result<void> verdict = reader.Verdict();
   if (!verdict) {
     return verdict.error();
--- a/cuminfield/process/cluster/ClusterState.cpp
+++ b/cuminfield/process/cluster/ClusterState.cpp
@@ -1,5 +1,7 @@
 #include "cuminfield/process/cluster/ClusterState.h"
 
+#include "cuminfield/process/cluster/MovePhase.h"
+
 #include <algorithm>
 
 namespace cuminfield::process::cluster {
@@ -13,11 +15,6 @@
 /// order again for a few seconds while its answer is lost.
 constexpr std::uint64_t kRepeatedOrderMs = 8000;
 
-bool IsRunning(const proto::Move& aMove)
-{
-  return aMove.phase() == proto::CANARY || aMove.phase() == proto::SHIFTED;
-}
-
 } // namespace
 
 std::string ClusterState::Apply(core::LogIndex aIndex, std::string_view aCommand)
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/cluster/ControlHost.h"
 
+#include "cuminfield/process/cluster/MovePhase.h"
 #include "cuminfield/process/log/FileLogStorage.h"
 #include "cuminfield/process/log/PosixDisk.h"
 #include "cuminfield/process/log/ThreadedLogStorage.h"
@@ -399,7 +400,7 @@
   LearnVersions();
   KeepRegistry();
   for (const auto& [service, move] : mState.Moves()) {
-    if (move.phase() == proto::CANARY || move.phase() == proto::SHIFTED) {
+    if (IsRunning(move)) {
       DirectMove(move);
     }
   }
@@ -461,9 +462,12 @@
 void ControlHost::RecordQuota()
 {
   const core::Instant now = mOptions.loop.Now();
+  if (now - mRecorded < kRecordQuota) {
+    return;
+  }
   proto::Feed sums;
   mFollowers.AddOthers({}, sums, false);
-  if (now - mRecorded < kRecordQuota || sums.demand_size() == 0) {
+  if (sums.demand_size() == 0) {
     return;
   }
   // What hosts have forgotten since the last record still counts. After many of them have restarted
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -189,7 +189,7 @@
       mScheduler.Board().SetTrust(id, 0, 0, now);
     }
   }
-  request::placement::PlacementScheduler::WantedPlaces wanted;
+  request::placement::PlacementScheduler::RequestsByRank wanted;
   for (const proto::Wanted& it : aFeed.wanted()) {
     wanted[{ core::ServiceId(it.service()), it.rank() }] = it.requests();
   }
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -141,9 +141,7 @@
 void FollowerTable::AddOwn(proto::Exchange& aExchange, bool aObserved) const
 {
   Write(OwnSums({}), aObserved, aExchange);
-  aExchange.set_pressed(std::any_of(mFollowers.begin(), mFollowers.end(), [](const auto& aItem) {
-    return aItem.second.report.pressed();
-  }));
+  aExchange.set_pressed(AnyFollowerPressed());
   for (const auto& [host, follower] : mFollowers) {
     aExchange.add_followers(host.Text());
     if (follower.report.evidence_size() == 0) {
@@ -169,12 +167,17 @@
   aFeed.set_hosts_known(std::max(sums.hosts, static_cast<std::uint32_t>(mHostsSeen.size())));
 }
 
+bool FollowerTable::AnyFollowerPressed() const
+{
+  return std::any_of(mFollowers.begin(), mFollowers.end(),
+                     [](const auto& aItem) { return aItem.second.report.pressed(); });
+}
+
 bool FollowerTable::IsPressed() const
 {
-  const auto follower = [](const auto& aItem) { return aItem.second.report.pressed(); };
-  const auto peer = [](const auto& aItem) { return aItem.second.exchange.pressed(); };
-  return std::any_of(mFollowers.begin(), mFollowers.end(), follower) ||
-         std::any_of(mPeers.begin(), mPeers.end(), peer);
+  return AnyFollowerPressed() || std::any_of(mPeers.begin(), mPeers.end(), [](const auto& aItem) {
+           return aItem.second.exchange.pressed();
+         });
 }
 
 FollowerTable::EvidenceMap FollowerTable::Evidence() const
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -91,6 +91,7 @@
     core::Instant heard{};
   };
 
+  bool AnyFollowerPressed() const;
   /// Leaves one follower out; its name may be empty.
   Sums OwnSums(const core::HostId& aWithout) const;
   template<typename Message>
--- a/cuminfield/process/cluster/VersionShares.cpp
+++ b/cuminfield/process/cluster/VersionShares.cpp
@@ -1,11 +1,8 @@
 #include "cuminfield/process/cluster/VersionShares.h"
 
-namespace cuminfield::process::cluster {
+#include "cuminfield/process/cluster/MovePhase.h"
 
-bool VersionShares::IsRunning(const proto::Move& aMove)
-{
-  return aMove.phase() == proto::CANARY || aMove.phase() == proto::SHIFTED;
-}
+namespace cuminfield::process::cluster {
 
 void VersionShares::Update(const proto::Feed& aFeed)
 {
--- a/cuminfield/process/cluster/VersionShares.h
+++ b/cuminfield/process/cluster/VersionShares.h
@@ -51,8 +51,6 @@
     auto operator<=>(const Key&) const = default;
   };
 
-  static bool IsRunning(const proto::Move& aMove);
-
   VersionSharesSettings mSettings;
   std::map<core::ServiceId, proto::Move> mMoves;
   std::map<core::ServiceId, core::VersionId> mVersions;
--- a/cuminfield/process/command/Commands.cpp
+++ b/cuminfield/process/command/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminfield/connection/Query.h"
 #include "cuminfield/core/EventLoop.h"
+#include "cuminfield/core/TextFile.h"
 #include "cuminfield/process/command/ControlClient.h"
 #include "cuminfield/process/command/ShowTable.h"
 #include "cuminfield/process/host/Host.h"
@@ -13,9 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -69,15 +68,6 @@
   return parsed;
 }
 
-std::optional<std::string> ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath, std::ios::binary);
-  if (!file) {
-    return std::nullopt;
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 ExitCode Serve(const std::vector<std::string>& aArguments)
 {
   po::options_description options;
@@ -117,17 +107,17 @@
   if (parsed.end) {
     return *parsed.end;
   }
-  const auto text = ReadFile(path);
+  const auto text = core::ReadTextFile(path);
   if (!text) {
     return Complain("cannot read " + path + "; check its name and permissions", ExitCode::Failed);
   }
-  const bool isDocument = text->find("[environment]") != std::string::npos;
+  const bool isDocument = text.value().find("[environment]") != std::string::npos;
   std::optional<core::Error> fault;
   if (isDocument) {
-    if (const auto document = version::document::ParseDocument(*text, path); !document) {
+    if (const auto document = version::document::ParseDocument(text.value(), path); !document) {
       fault = document.error();
     }
-  } else if (const auto settings = settings::ParseHostSettings(*text, path); !settings) {
+  } else if (const auto settings = settings::ParseHostSettings(text.value(), path); !settings) {
     fault = settings.error();
   }
   if (fault) {
@@ -266,11 +256,11 @@
   if (parsed.end) {
     return *parsed.end;
   }
-  const auto text = ReadFile(path);
+  const auto text = core::ReadTextFile(path);
   if (!text) {
     return Complain("cannot read " + path + "; check its name and permissions", ExitCode::Failed);
   }
-  if (const auto document = version::document::ParseDocument(*text, path); !document) {
+  if (const auto document = version::document::ParseDocument(text.value(), path); !document) {
     return Complain(core::Describe(document.error()), ExitCode::Failed);
   }
   const auto hosts = ParseEndpoints(change.control);
@@ -284,7 +274,7 @@
   }
   const std::string target =
     "/documents/" + change.environment + change.Query(std::get<std::uint64_t>(base));
-  return SendChange(client, "PUT", target, *text);
+  return SendChange(client, "PUT", target, text.value());
 }
 
 ExitCode Promote(const std::vector<std::string>& aArguments)
--- a/cuminfield/process/settings/HostSettings.cpp
+++ b/cuminfield/process/settings/HostSettings.cpp
@@ -1,13 +1,13 @@
 #include "cuminfield/process/settings/HostSettings.h"
 
+#include "cuminfield/core/TextFile.h"
 #include "cuminfield/process/settings/IniReader.h"
+#include "cuminfield/process/settings/LogSection.h"
 #include "cuminfield/process/settings/SettingsReference.h"
 #include "cuminfield/process/settings/Values.h"
 
 #include <algorithm>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 namespace cuminfield::process::settings {
 
@@ -155,35 +155,15 @@
   aReader.Read(*limits, "upstream-lease", aSettings.upstreamLease);
 }
 
-void ReadLog(IniReader& aReader, HostSettings& aSettings)
-{
-  const IniSection* log = aReader.Section("log");
-  if (!log) {
-    return;
-  }
-  std::size_t level = 0;
-  aReader.ReadChoice(*log, "level", level);
-  if (const IniEntry* entry = log->Find("level")) {
-    aSettings.logLevel = entry->value;
-  }
-  aReader.ReadChoice(*log, "format", aSettings.logFormat);
-}
-
 } // namespace
 
 core::Result<HostSettings> LoadHostSettings(const std::string& aPath)
 {
-  const std::ifstream file(aPath, std::ios::binary);
-  if (!file) {
-    return core::Fail(core::ErrorKind::Io,
-                      aPath + ": cannot be opened; check that it exists and may be read");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (file.bad()) {
-    return core::Fail(core::ErrorKind::Io, aPath + ": cannot be read; check that it is a file");
+  const auto text = core::ReadTextFile(aPath);
+  if (!text) {
+    return text.error();
   }
-  return ParseHostSettings(text.str(), aPath);
+  return ParseHostSettings(text.value(), aPath);
 }
 
 core::Result<HostSettings> ParseHostSettings(const std::string& aText, const std::string& aName)
@@ -195,7 +175,7 @@
   ReadPeers(reader, settings);
   ReadGroups(reader, settings);
   ReadLimits(reader, settings);
-  ReadLog(reader, settings);
+  ReadLogSection(reader, settings.logLevel, settings.logFormat);
   const core::Result<void> verdict = reader.Verdict();
   if (!verdict) {
     return verdict.error();
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -146,15 +146,7 @@
                               .waiting = load->waiting });
   }
   if (mOptions.codec.SaysNotRun(aStatus, aHeaders)) {
-    mCall.reset();
-    mSilence.Cancel();
-    --mTries;
-    mSent = mTries > 0;
-    mState = State::Waiting;
-    mOptions.observer.OnTry(mOptions.request, { .upstream = mUpstream,
-                                                .outcome = TryOutcome::Refused,
-                                                .status = aStatus,
-                                                .first = std::nullopt });
+    TakeBackTry(TryOutcome::Refused, aStatus);
     if (mOptions.codec.SaysOther(aStatus, aHeaders)) {
       mOptions.scheduler.UpstreamGone(mUpstream.id);
     }
@@ -303,22 +295,26 @@
 
 void Forward::OnFailed(const connection::upstream::UpstreamFailure& aFailure)
 {
-  mCall.reset();
-  mSilence.Cancel();
   if (!aFailure.mayHaveRun) {
-    --mTries;
-    mSent = mTries > 0;
-    mState = State::Waiting;
-    mOptions.observer.OnTry(mOptions.request, { .upstream = mUpstream,
-                                                .outcome = TryOutcome::Unreachable,
-                                                .status = 0,
-                                                .first = std::nullopt });
+    TakeBackTry(TryOutcome::Unreachable, 0);
     mOptions.scheduler.Finished(mOptions.request.spec.id, TryOutcome::Unreachable);
     return;
   }
   FailTry(aFailure.error.message);
 }
 
+void Forward::TakeBackTry(TryOutcome aOutcome, int aStatus)
+{
+  mCall.reset();
+  mSilence.Cancel();
+  --mTries;
+  mSent = mTries > 0;
+  mState = State::Waiting;
+  mOptions.observer.OnTry(
+    mOptions.request,
+    { .upstream = mUpstream, .outcome = aOutcome, .status = aStatus, .first = std::nullopt });
+}
+
 void Forward::FailTry(const std::string& aReason)
 {
   mCall.reset();
@@ -337,30 +333,21 @@
     mOptions.scheduler.Submit(std::move(spec));
     return;
   }
-  if (mHeadSent) {
-    BreakOff(aReason);
-    return;
-  }
-  Answer(
-    { .status = connection::kStatusBadGateway, .reason = aReason, .retryAfter = std::nullopt });
+  Fail({ .status = connection::kStatusBadGateway, .reason = aReason, .retryAfter = std::nullopt });
 }
 
 void Forward::Shed(ShedReason aReason, core::Duration aRetryAfter)
 {
-  if (mHeadSent) {
-    BreakOff(Reason(aReason));
-    return;
-  }
   if (mSent) {
     // An earlier try may have run: that must not be denied.
-    Answer({ .status = connection::kStatusBadGateway,
-             .reason = Reason(aReason),
-             .retryAfter = std::nullopt });
+    Fail({ .status = connection::kStatusBadGateway,
+           .reason = Reason(aReason),
+           .retryAfter = std::nullopt });
     return;
   }
-  Answer({ .status = connection::kStatusUnavailable,
-           .reason = Reason(aReason),
-           .retryAfter = aRetryAfter });
+  Fail({ .status = connection::kStatusUnavailable,
+         .reason = Reason(aReason),
+         .retryAfter = aRetryAfter });
 }
 
 void Forward::OnTimeout()
@@ -376,13 +363,9 @@
   mCall.reset();
   mStatus = 0;
   FinishTry(TryOutcome::Failed);
-  if (mHeadSent) {
-    BreakOff("timeout");
-    return;
-  }
-  Answer({ .status = connection::kStatusGatewayTimeout,
-           .reason = "timeout",
-           .retryAfter = std::nullopt });
+  Fail({ .status = connection::kStatusGatewayTimeout,
+         .reason = "timeout",
+         .retryAfter = std::nullopt });
 }
 
 void Forward::OnCallerGone()
@@ -413,11 +396,16 @@
   }
   mCall.reset();
   FinishTry(TryOutcome::Cancelled);
+  Fail({ .status = connection::kStatusBadGateway, .reason = "stopping", .retryAfter = {} });
+}
+
+void Forward::Fail(const ForwardFailure& aFailure)
+{
   if (mHeadSent) {
-    BreakOff("stopping");
+    BreakOff(aFailure.reason);
     return;
   }
-  Answer({ .status = connection::kStatusBadGateway, .reason = "stopping", .retryAfter = {} });
+  Answer(aFailure);
 }
 
 void Forward::Answer(const ForwardFailure& aFailure)
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -97,6 +97,8 @@
   bool MayTryElsewhere() const;
   void FailTry(const std::string& aReason);
   void FinishTry(TryOutcome aOutcome);
+  void TakeBackTry(TryOutcome aOutcome, int aStatus);
+  void Fail(const ForwardFailure& aFailure);
   void NotePace(std::uint64_t aLeast);
   void ArmSilence();
   void OnSilence();
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -42,16 +42,22 @@
 
 void PlacementScheduler::LearnRank(Rank& aRank, const RequestSpec& aSpec) const
 {
-  RequestSpec typical = aSpec;
-  if (aRank.typical.service == aSpec.service) {
-    const auto mean = [this](core::Tokens aMean, core::Tokens aNew) {
-      const double change = mSettings.learnRank * static_cast<double>((aNew - aMean).value);
-      return aMean + core::Tokens{ static_cast<std::int64_t>(change) };
-    };
-    typical.prompt = mean(aRank.typical.prompt, aSpec.prompt);
-    typical.maxAnswer = mean(aRank.typical.maxAnswer, aSpec.maxAnswer);
+  RequestSpec& typical = aRank.typical;
+  if (typical.service != aSpec.service) {
+    typical = aSpec;
+    return;
   }
-  aRank.typical = std::move(typical);
+  const auto learn = [this](core::Tokens& aMean, core::Tokens aNew) {
+    const double change = mSettings.learnRank * static_cast<double>((aNew - aMean).value);
+    aMean += core::Tokens{ static_cast<std::int64_t>(change) };
+  };
+  learn(typical.prompt, aSpec.prompt);
+  learn(typical.maxAnswer, aSpec.maxAnswer);
+  typical.arrival = aSpec.arrival;
+  typical.deadline = aSpec.deadline;
+  typical.tokenGapTarget = aSpec.tokenGapTarget;
+  typical.eventTokens = aSpec.eventTokens;
+  typical.engine = aSpec.engine;
 }
 
 void PlacementScheduler::CountPlaces(Service& aService)
@@ -145,9 +151,9 @@
   return aWaiting.top ? Pressure::Top : Pressure::Lower;
 }
 
-PlacementScheduler::WantedPlaces PlacementScheduler::Wanted() const
+PlacementScheduler::RequestsByRank PlacementScheduler::Wanted() const
 {
-  WantedPlaces wanted;
+  RequestsByRank wanted;
   for (const auto& [id, service] : mServices) {
     for (const auto& [rank, state] : service.ranks) {
       wanted[{ id, rank }] = WantedBy(service, rank, state);
@@ -156,98 +162,76 @@
   return wanted;
 }
 
-bool PlacementScheduler::HasShare(const State& aState, Service& aService)
+bool PlacementScheduler::HasShare(const State& aState, const Rank& aRank, const Crowd& aCrowd) const
 {
-  const RequestSpec& spec = aState.spec;
-  if (!spec.engine || spec.resumed) {
-    return true;
-  }
-  CountPlaces(aService);
-  double before = 0;       // Wanted by more urgent ranks.
-  double placesBefore = 0; // That suit them.
-  double places = 0;       // That suit any rank.
-  double own = 1;          // This one is in no line now.
-  double others = 0;
-  const auto first = mOthersWanted.lower_bound({ spec.service, 0 });
-  for (auto it = first; it != mOthersWanted.end() && it->first.first == spec.service; ++it) {
-    const TierRank rank = it->first.second;
-    if (rank <= spec.tier) {
-      (rank < spec.tier ? before : others) += it->second;
-    }
-  }
-  for (const auto& [rank, state] : aService.ranks) {
-    places = std::max(places, state.places);
-    if (rank < spec.tier) {
-      before += WantedBy(aService, rank, state);
-      placesBefore = std::max(placesBefore, state.places);
-    } else if (rank == spec.tier) {
-      own += WantedBy(aService, rank, state);
-    }
-  }
-  const Rank& rank = aService.ranks.at(spec.tier);
-  if (rank.places == 0) {
+  if (aRank.places == 0) {
     return true; // What is silent or cannot be reached may be probed.
   }
   // Ranks of which this host has seen no request may use any place.
-  placesBefore = placesBefore == 0 ? rank.places : placesBefore;
-  const double left = std::max({ places * mSettings.sharedFill - before, // What they leave,
-                                 rank.places - placesBefore,             // or cannot use.
-                                 rank.places * mSettings.leastShare });
-  if (own + others <= left) {
+  const double placesBefore = aCrowd.placesBefore == 0 ? aRank.places : aCrowd.placesBefore;
+  const double left =
+    std::max({ aCrowd.places * mSettings.sharedFill - aCrowd.before, // What they leave,
+               aRank.places - placesBefore,                          // or cannot use.
+               aRank.places * mSettings.leastShare });
+  // The request itself is in no line now.
+  const double wanted = aCrowd.ofRank + 1;
+  if (wanted <= left) {
     return true;
   }
   // A part of a place is one for that part of the requests.
-  return rank.inFlight + aState.point < left * own / (own + others);
+  return aRank.inFlight + aState.point < left * (aCrowd.ownOfRank + 1) / wanted;
 }
 
-void PlacementScheduler::SetOthersWanted(WantedPlaces aWanted)
+void PlacementScheduler::SetOthersWanted(RequestsByRank aWanted)
 {
   mOthersWanted = std::move(aWanted);
   for (auto& [id, service] : mServices) {
     // Parts of a place add up; a place that was not needed is not kept.
-    service.partLeft = std::clamp(PartOfFree(id, service) - service.taken, 0.0, 1.0);
+    const double part = PartOfFree(service, CrowdOf(id, service, 0));
+    service.partLeft = std::clamp(part - service.taken, 0.0, 1.0);
     service.taken = 0;
     service.free = mBoard.FreeEnginePlaces(id, mTimers.Now());
     service.othersInFlight = mBoard.OthersInFlight(id);
   }
 }
 
-double PlacementScheduler::PartOfFree(const core::ServiceId& aId, const Service& aService) const
+double PlacementScheduler::PartOfFree(const Service& aService, const Crowd& aCrowd) const
 {
   // Shared by what waits. One that asks is in no line now.
   const double own = static_cast<double>(aService.line.Size()) + 1;
-  const Crowd crowd = CrowdOf(aId, aService);
-  const double others = std::max(0.0, crowd.all - crowd.own - aService.othersInFlight);
+  const double others = std::max(0.0, aCrowd.all - aCrowd.own - aService.othersInFlight);
   const double share = own / (own + others);
   return aService.partLeft + aService.free * mSettings.takenEachRound * share;
 }
 
 PlacementScheduler::Crowd PlacementScheduler::CrowdOf(const core::ServiceId& aId,
-                                                      const Service& aService) const
+                                                      const Service& aService, TierRank aRank) const
 {
   Crowd crowd;
+  const auto count = [&](TierRank aOf, double aRequests) {
+    crowd.all += aRequests;
+    crowd.before += aOf < aRank ? aRequests : 0;
+    crowd.ofRank += aOf == aRank ? aRequests : 0;
+  };
   for (const auto& [rank, state] : aService.ranks) {
-    crowd.own += WantedBy(aService, rank, state);
+    const double wanted = WantedBy(aService, rank, state);
+    count(rank, wanted);
+    crowd.own += wanted;
+    crowd.ownOfRank += rank == aRank ? wanted : 0;
+    crowd.places = std::max(crowd.places, state.places);
+    crowd.placesBefore =
+      rank < aRank ? std::max(crowd.placesBefore, state.places) : crowd.placesBefore;
   }
-  crowd.all = crowd.own;
   const auto first = mOthersWanted.lower_bound({ aId, 0 });
   for (auto it = first; it != mOthersWanted.end() && it->first.first == aId; ++it) {
-    crowd.all += it->second;
+    count(it->first.second, it->second);
   }
   return crowd;
 }
 
-bool PlacementScheduler::IsCrowded(const RequestSpec& aSpec, Service& aService)
+bool PlacementScheduler::IsCrowded(const Crowd& aCrowd) const
 {
-  if (!aSpec.engine || mOthersWanted.empty()) {
-    return false;
-  }
-  CountPlaces(aService);
-  double places = 0;
-  for (const auto& [rank, state] : aService.ranks) {
-    places = std::max(places, state.places);
-  }
-  return CrowdOf(aSpec.service, aService).all > places * mSettings.crowdedFrom;
+  return !mOthersWanted.empty() && aCrowd.all > aCrowd.places * mSettings.crowdedFrom;
 }
 
 BoardEntry* PlacementScheduler::Choose(const State& aState, Service& aService, Pressure aPressure)
@@ -255,19 +239,30 @@
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
   const core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.point);
-  if (!IsCrowded(spec, aService)) {
-    return mBoard.Choose(spec, version, aPressure, UpstreamBoard::Free::Any, now);
+  const auto choose = [&](Pressure aHow, UpstreamBoard::Free aFree) {
+    return mBoard.Choose(spec, version, aHow, aFree, now);
+  };
+  if (!spec.engine) {
+    return choose(aPressure, UpstreamBoard::Free::Any);
+  }
+  CountPlaces(aService);
+  const Crowd crowd = CrowdOf(spec.service, aService, spec.tier);
+  if (!spec.resumed && !HasShare(aState, aService.ranks.at(spec.tier), crowd)) {
+    return nullptr;
+  }
+  if (!IsCrowded(crowd)) {
+    return choose(aPressure, UpstreamBoard::Free::Any);
   }
   // The places are shared out by rank: none is kept back for the more urgent besides. Those that
   // are late get what is spare.
   const Pressure pressure = aPressure == Pressure::Late ? Pressure::Late : Pressure::Top;
-  if (BoardEntry* own = mBoard.Choose(spec, version, pressure, UpstreamBoard::Free::Own, now)) {
+  if (BoardEntry* own = choose(pressure, UpstreamBoard::Free::Own)) {
     return own;
   }
-  if (aService.taken + 1 > PartOfFree(spec.service, aService) && !spec.resumed) {
+  if (aService.taken + 1 > PartOfFree(aService, crowd) && !spec.resumed) {
     return nullptr;
   }
-  BoardEntry* entry = mBoard.Choose(spec, version, pressure, UpstreamBoard::Free::Any, now);
+  BoardEntry* entry = choose(pressure, UpstreamBoard::Free::Any);
   if (entry) {
     aService.taken += 1;
   }
@@ -278,9 +273,6 @@
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
-  if (!HasShare(aState, aService)) {
-    return false;
-  }
   BoardEntry* entry = Choose(aState, aService, aPressure);
   if (!entry) {
     return false;
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -57,13 +57,13 @@
   void Paced(const core::UpstreamId& aUpstream, double aTokenMs);
 
   /// Requests in flight and waiting, by service and rank.
-  using WantedPlaces = std::map<std::pair<core::ServiceId, TierRank>, std::uint32_t>;
+  using RequestsByRank = std::map<std::pair<core::ServiceId, TierRank>, std::uint32_t>;
 
   /// By this host; for the other hosts.
-  WantedPlaces Wanted() const;
+  RequestsByRank Wanted() const;
 
   /// By all other hosts together.
-  void SetOthersWanted(WantedPlaces aWanted);
+  void SetOthersWanted(RequestsByRank aWanted);
 
   UpstreamBoard& Board() { return mBoard; }
   std::size_t Waiting() const;
@@ -114,17 +114,22 @@
   void LearnRank(Rank& aRank, const RequestSpec& aSpec) const;
   void CountPlaces(Service& aService);
   static std::uint32_t WantedBy(const Service& aService, TierRank aRank, const Rank& aState);
-  /// What all hosts together want of a service, and this host's part of it.
+  /// What all hosts together want of a service, as one of its ranks sees it.
   struct Crowd
   {
-    double all = 0;
-    double own = 0;
+    double all = 0;          ///< Requests of all ranks,
+    double own = 0;          ///< and those of this host among them.
+    double places = 0;       ///< That suit any rank.
+    double before = 0;       ///< Requests of more urgent ranks.
+    double placesBefore = 0; ///< That suit those.
+    double ofRank = 0;       ///< Requests of the rank itself,
+    double ownOfRank = 0;    ///< and those of this host among them.
   };
-  Crowd CrowdOf(const core::ServiceId& aId, const Service& aService) const;
-  double PartOfFree(const core::ServiceId& aId, const Service& aService) const;
-  bool IsCrowded(const RequestSpec& aSpec, Service& aService);
+  Crowd CrowdOf(const core::ServiceId& aId, const Service& aService, TierRank aRank) const;
+  double PartOfFree(const Service& aService, const Crowd& aCrowd) const;
+  bool IsCrowded(const Crowd& aCrowd) const;
+  bool HasShare(const State& aState, const Rank& aRank, const Crowd& aCrowd) const;
   BoardEntry* Choose(const State& aState, Service& aService, Pressure aPressure);
-  bool HasShare(const State& aState, Service& aService);
   core::Duration LongestWait(const RequestSpec& aSpec) const;
   static core::Duration PredictedWait(const Service& aService, TierRank aRank);
   core::Duration RetryAfter(const RequestSpec& aSpec);
@@ -139,7 +144,7 @@
   UpstreamBoard mBoard;
   std::unordered_map<core::RequestId, State> mRequests;
   std::map<core::ServiceId, Service> mServices;
-  WantedPlaces mOthersWanted;
+  RequestsByRank mOthersWanted;
   core::TimerHandle mTick;
 };
 
