--- /dev/null
+++ b/UnitTests/process/cluster/OrderWatchTest.cpp
@@ -0,0 +1,47 @@
+#include "cuminfield/process/cluster/OrderWatch.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace std::chrono_literals;
+using process::cluster::OrderWatch;
+
+/// What control hosts say of orders that wait.
+TEST_GROUP(OrderWatch)
+{
+  OrderWatch watch{ { .slow = 500ms, .period = 1s } };
+  core::Instant now{ 100s };
+
+  OrderWatch::Order Document(const char* aNumber) const
+  {
+    return { .kind = "document", .name = aNumber, .bytes = 10, .since = now };
+  }
+};
+
+TEST(OrderWatch, AnOrderThatIsAnsweredAtOnceIsNotReported)
+{
+  const auto number = watch.Begin(Document("7"));
+  now += 400ms;
+  CHECK_FALSE(watch.TakeReport(now).has_value());
+  STRCMP_EQUAL("7", watch.End(number).name.c_str());
+  now += 10s;
+  CHECK_FALSE(watch.TakeReport(now).has_value());
+}
+
+TEST(OrderWatch, TheOldestOrderThatWaitsIsReportedOnceAPeriod)
+{
+  const auto first = watch.Begin(Document("7"));
+  now += 300ms;
+  watch.Begin(Document("8"));
+  now += 300ms;
+  const auto report = watch.TakeReport(now);
+  CHECK(report.has_value());
+  STRCMP_EQUAL("7", report->oldest.name.c_str());
+  CHECK_EQUAL(2, report->waiting);
+  CHECK(report->waited == 600ms);
+  now += 900ms;
+  CHECK_FALSE(watch.TakeReport(now).has_value());
+  watch.End(first);
+  now += 200ms;
+  STRCMP_EQUAL("8", watch.TakeReport(now)->oldest.name.c_str());
+}
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -59,6 +59,11 @@
   }
 }
 
+std::int64_t ToMs(core::Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
 log::LogGroupSettings GroupSettings(const ClusterSettings& aCluster)
 {
   log::LogGroupSettings settings;
@@ -87,6 +92,7 @@
   , mRegistry(mOptions.settings.registry)
   , mFollowers(mOptions.settings.followers)
   , mDirector(mOptions.settings.moves)
+  , mOrders(mOptions.settings.orders)
 {
   const ClusterSettings& cluster = mOptions.cluster;
   mDisk = std::make_unique<log::PosixDisk>();
@@ -150,12 +156,62 @@
   }
 }
 
+void ControlHost::SubmitOrder(const char* aKind, const std::string& aName,
+                              const proto::Command& aCommand, core::Duration aTimeout, Done aDone)
+{
+  const std::uint64_t order = mOrders.Begin({ .kind = aKind,
+                                              .name = aName,
+                                              .bytes = aCommand.ByteSizeLong(),
+                                              .since = mOptions.loop.Now() });
+  Submit(false, aCommand, aTimeout,
+         [this, order, aDone = std::move(aDone)](const core::Result<proto::QueryAnswer>& aAnswer) {
+           const OrderWatch::Order ended = mOrders.End(order);
+           logging::Event(aAnswer ? logging::Level::Info : logging::Level::Warning,
+                          "order-answered",
+                          { { "order", ended.kind },
+                            { "name", ended.name },
+                            { "bytes", ended.bytes },
+                            { "waited_ms", ToMs(mOptions.loop.Now() - ended.since) },
+                            { "leader", mGroup->Leader().Text() },
+                            { "outcome", aAnswer ? "committed" : aAnswer.error().message } });
+           aDone(aAnswer);
+         });
+}
+
+void ControlHost::ReportWaitingOrders()
+{
+  const core::Instant now = mOptions.loop.Now();
+  const auto report = mOrders.TakeReport(now);
+  if (!report) {
+    return;
+  }
+  std::string lags;
+  for (const log::MemberLag& it : mGroup->Lags()) {
+    lags += (lags.empty() ? "" : " ") + it.member.host.Text() + (it.voter ? ":" : "(learner):") +
+            std::to_string(it.behind) + "/" + std::to_string(ToMs(it.silent)) + "ms";
+  }
+  logging::Event(logging::Level::Warning, "orders-wait",
+                 { { "waiting", report->waiting },
+                   { "oldest", report->oldest.kind },
+                   { "name", report->oldest.name },
+                   { "waited_ms", ToMs(report->waited) },
+                   { "role", log::ToString(mGroup->CurrentRole()) },
+                   { "leader", mGroup->Leader().Text() },
+                   { "term", mGroup->CurrentTerm().Value() },
+                   { "commit", mGroup->CommitIndex().Value() },
+                   { "last", mGroup->LastIndex().Value() },
+                   { "storing", mGroup->IsStoring() ? 1 : 0 },
+                   { "voters", mGroup->Voters().voters.size() },
+                   { "behind_silent", lags } });
+}
+
 void ControlHost::PutDocument(std::uint64_t aNumber, std::string aText, Done aDone)
 {
   proto::Command command;
   command.mutable_document()->set_number(aNumber);
   command.mutable_document()->set_text(std::move(aText));
-  Submit(false, command, mOptions.settings.command, std::move(aDone));
+  SubmitOrder("document", std::to_string(aNumber), command, mOptions.settings.command,
+              std::move(aDone));
 }
 
 void ControlHost::GetDocument(Done aDone)
@@ -175,7 +231,7 @@
   move->set_duration_ms(static_cast<std::uint64_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count()));
   move->set_ordered_ms(WallMs());
-  Submit(false, command, mOptions.settings.command, std::move(aDone));
+  SubmitOrder("move", aService, command, mOptions.settings.command, std::move(aDone));
 }
 
 void ControlHost::GetMove(const std::string& aService, Done aDone)
@@ -230,7 +286,7 @@
   leave->set_incarnation(aIncarnation);
   leave->set_at_ms(WallMs());
   // Committed before it is acknowledged: the promise holds also when this host dies right after.
-  Submit(false, command, mOptions.settings.read, std::move(aDone));
+  SubmitOrder("leave", aUpstream, command, mOptions.settings.read, std::move(aDone));
 }
 
 void ControlHost::OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage)
@@ -271,6 +327,7 @@
     SendFeeds();
   }
   Direct();
+  ReportWaitingOrders();
   LogChanges();
 }
 
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -7,6 +7,7 @@
 #include "cuminfield/process/cluster/ClusterState.h"
 #include "cuminfield/process/cluster/FollowerTable.h"
 #include "cuminfield/process/cluster/MoveDirector.h"
+#include "cuminfield/process/cluster/OrderWatch.h"
 #include "cuminfield/process/cluster/Registry.h"
 #include "cuminfield/process/log/DiskOperations.h"
 #include "cuminfield/process/log/LogGroup.h"
@@ -35,6 +36,7 @@
   RegistrySettings registry;
   FollowerTableSettings followers;
   MoveDirectorSettings moves;
+  OrderWatchSettings orders;
 };
 
 /// A control host: keeps the cluster's state with the other control hosts, takes the heartbeats of
@@ -89,6 +91,10 @@
 private:
   void Submit(bool aQuery, const google::protobuf::MessageLite& aMessage, core::Duration aTimeout,
               Done aDone);
+  /// Submits an order from outside; how long it waited, and for what, is logged.
+  void SubmitOrder(const char* aKind, const std::string& aName, const proto::Command& aCommand,
+                   core::Duration aTimeout, Done aDone);
+  void ReportWaitingOrders();
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void Tick();
   void TakeLeaves();
@@ -120,6 +126,7 @@
   Registry mRegistry;
   FollowerTable mFollowers;
   MoveDirector mDirector;
+  OrderWatch mOrders;
   std::map<std::string, proto::Upstream> mHeard;     ///< Heard here since the last exchange.
   std::map<std::uint64_t, core::Instant> mMoveSeen;  ///< When this host learned of a move.
   std::map<std::string, core::Instant> mServiceSeen; ///< Services without a known version.
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -98,6 +98,11 @@
   return mLog ? mLog->CommitIndex() : core::LogIndex();
 }
 
+core::LogIndex LogGroup::LastIndex() const
+{
+  return mLog ? mLog->LastIndex() : core::LogIndex();
+}
+
 core::LogIndex LogGroup::AppliedIndex() const
 {
   return mServer ? mServer->Applied() : core::LogIndex();
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -72,6 +72,11 @@
 
   core::Term CurrentTerm() const;
   core::LogIndex CommitIndex() const;
+  core::LogIndex LastIndex() const;
+
+  /// True while a batch is on its way to the disk.
+  bool IsStoring() const { return mLog && mLog->IsStoring(); }
+
   core::LogIndex AppliedIndex() const;
 
   /// This member with the incarnation of its data folder.
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -111,6 +111,9 @@
   /// True when something must be stored and nothing is being stored.
   bool HasBatch() const { return !mStoring && Dirty(); }
 
+  /// True from TakeBatch() until Persisted().
+  bool IsStoring() const { return mStoring; }
+
   /// What to store next. Until Persisted() no other batch is given out.
   PersistBatch TakeBatch();
 
