A version whose tokens are slow is taken back: the pace of streams is evidence

Cause: a move was judged by failures and by the mean time to the first event alone. Engines of a new version are nearly empty, so their first events come early however slow they are: 102 to 222 ms against 140 to 225 ms of the former version in the same seconds, while each event took 57 to 64 ms against 20 to 23 ms. The decision never saw that. Class of the fault: a judgement that leaves out what the caller is promised, here the pauses of a stream.

Change: stretches of running streams count as evidence, the first four of each stream, as sums of logarithms; both versions' geometric means over all routes are compared (1.8 in the canary, 2.2 with all requests). move-decided logs reason and figures of each step.

Tried first: pace by summed tokens, judged on each route from 300 tokens on.

Tests: MoveDirector AVersionWhoseTokensAreSlowIsNotCompleted failed before the decision was changed; the others hold the opposite errors.

--- a/UnitTests/process/cluster/MoveDirectorTest.cpp
+++ b/UnitTests/process/cluster/MoveDirectorTest.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
+
 using namespace cuminfield;
 using namespace cuminfield::process::cluster;
 using namespace std::chrono_literals;
@@ -36,11 +38,19 @@
     evidence[{ "host", 1 }].push_back(it);
   }
 
+  void AddPaces(const std::string& aRoute, bool aTarget, std::uint64_t aPaces, double aTokenMs)
+  {
+    Add(aRoute, aTarget, 20, 0, 150);
+    proto::Evidence& it = evidence[{ "host", 1 }].back();
+    it.set_paces(aPaces);
+    it.set_pace_logs(static_cast<double>(aPaces) * std::log(aTokenMs));
+  }
+
   void ExpectPhase(proto::MovePhase aPhase, core::Duration aElapsed)
   {
     const auto next = director.Decide(move, aElapsed, evidence);
     CHECK(next.has_value());
-    CHECK_EQUAL(aPhase, *next);
+    CHECK_EQUAL(aPhase, next->phase);
   }
 
   void ExpectWait(core::Duration aElapsed)
@@ -83,6 +93,41 @@
   ExpectPhase(proto::ROLLED_BACK, 4s);
 }
 
+/// Its first events come as soon as the former version's: few requests wait there.
+TEST(MoveDirector, AVersionWhoseTokensAreSlowIsNotCompleted)
+{
+  AddPaces("r", false, 900, 4);
+  AddPaces("r", true, 40, 11);
+  ExpectPhase(proto::ROLLED_BACK, 2s);
+  move.set_phase(proto::SHIFTED);
+  ExpectPhase(proto::ROLLED_BACK, 10'600ms);
+}
+
+TEST(MoveDirector, AFewSlowStreamsProveNothing)
+{
+  AddPaces("r", false, 900, 4);
+  AddPaces("r", true, 16, 11);
+  ExpectWait(2s);
+}
+
+/// Of a version as fast as the former one, a few streams that stand beside a long prompt.
+TEST(MoveDirector, AFewSlowStreamsAmongFastOnesAreNoFault)
+{
+  AddPaces("r", false, 900, 4);
+  AddPaces("r", true, 30, 3);
+  AddPaces("q", true, 10, 25);
+  ExpectWait(2s);
+}
+
+/// It carries all requests then, and its tokens slow down with them.
+TEST(MoveDirector, AVersionThatIsSlowerByItsLoadAloneIsCompleted)
+{
+  AddPaces("r", false, 900, 4);
+  AddPaces("r", true, 300, 8);
+  move.set_phase(proto::SHIFTED);
+  ExpectPhase(proto::COMPLETED, 11'400ms);
+}
+
 TEST(MoveDirector, FailuresThatTheFormerVersionHasTooAreNoFault)
 {
   Add("r", false, 80, 20, 100);
@@ -188,3 +233,16 @@
   shares.Describe(later);
   CHECK_EQUAL(0, later.evidence_size());
 }
+
+TEST(VersionShares, ALongStreamIsNoMoreEvidenceThanAShortOne)
+{
+  Feed(proto::CANARY, 3);
+  for (std::uint32_t n = 0; n < 50; ++n) {
+    shares.CountPace(service, route, core::VersionId("v2"), { .stretch = n, .tokenMs = 20 });
+  }
+  proto::Report report;
+  shares.Describe(report);
+  CHECK_EQUAL(VersionSharesSettings().stretches, report.evidence(0).paces());
+  DOUBLES_EQUAL(std::log(20) * VersionSharesSettings().stretches, report.evidence(0).pace_logs(),
+                0.001);
+}
--- a/UnitTests/request/forward/ForwardTest.cpp
+++ b/UnitTests/request/forward/ForwardTest.cpp
@@ -81,6 +81,11 @@
   {
     outcomes.push_back(aTry.outcome);
   }
+  void OnPaced(const ForwardRequest&, const UpstreamAnnouncement&,
+               const ForwardPace& aPace) override
+  {
+    paces.push_back(aPace);
+  }
   void OnEnded(const ForwardRequest&, const ForwardSummary& aSummary) override
   {
     ends.push_back(aSummary);
@@ -88,6 +93,7 @@
 
   std::vector<TryOutcome> outcomes;
   std::vector<ForwardSummary> ends;
+  std::vector<ForwardPace> paces;
 };
 
 class AnyVersion : public VersionChooser
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -481,7 +481,13 @@
   proto::Command command;
   command.mutable_settle()->set_service(aMove.service());
   command.mutable_settle()->set_number(aMove.number());
-  command.mutable_settle()->set_phase(*next);
+  command.mutable_settle()->set_phase(next->phase);
+  logging::Event(logging::Level::Info, "move-decided",
+                 { { "service", aMove.service() },
+                   { "target", aMove.target() },
+                   { "phase", ToString(next->phase) },
+                   { "reason", next->reason },
+                   { "figures", next->figures } });
   mProposed = now;
   Submit(false, command, mOptions.settings.command, [](const core::Result<proto::QueryAnswer>&) {
     // Decided again from the state when it was not applied.
--- a/cuminfield/process/cluster/ForwardWatch.cpp
+++ b/cuminfield/process/cluster/ForwardWatch.cpp
@@ -105,6 +105,13 @@
   }
 }
 
+void ForwardWatch::OnPaced(const request::forward::ForwardRequest& aRequest,
+                           const request::UpstreamAnnouncement& aUpstream,
+                           const request::forward::ForwardPace& aPace)
+{
+  mVersions.CountPace(aRequest.spec.service, aRequest.spec.route, aUpstream.version, aPace);
+}
+
 void ForwardWatch::OnEnded(const request::forward::ForwardRequest& aRequest,
                            const request::forward::ForwardSummary& aSummary)
 {
--- a/cuminfield/process/cluster/ForwardWatch.h
+++ b/cuminfield/process/cluster/ForwardWatch.h
@@ -22,6 +22,9 @@
                 const request::forward::PlacementBasis& aBasis) override;
   void OnTry(const request::forward::ForwardRequest& aRequest,
              const request::forward::ForwardTry& aTry) override;
+  void OnPaced(const request::forward::ForwardRequest& aRequest,
+               const request::UpstreamAnnouncement& aUpstream,
+               const request::forward::ForwardPace& aPace) override;
   void OnEnded(const request::forward::ForwardRequest& aRequest,
                const request::forward::ForwardSummary& aSummary) override;
 
--- a/cuminfield/process/cluster/MoveDirector.h
+++ b/cuminfield/process/cluster/MoveDirector.h
@@ -24,6 +24,14 @@
   double slowFactor = 2.2;
   /// Difference of those means below which it never is.
   core::Duration slowMargin = std::chrono::milliseconds(60);
+  /// Stretches of streams of both versions that a comparison of their pace needs: of ten streams
+  /// or more.
+  std::uint64_t minPaces = 40;
+  /// Time for a token (geometric mean), relative to the former version's, from which the new one is
+  /// bad: while it has a small share its engines are nearly empty and should be the faster ones,
+  double slowPace = 1.8;
+  /// and with all requests, under a load that slows each token down.
+  double slowPaceShifted = 2.2;
   /// Good answers without which all traffic is not given to a new version.
   std::uint64_t minGood = 5;
   /// All new requests go to the new version this long before the move is due,
@@ -47,9 +55,17 @@
   {
   }
 
-  /// The phase that the move should go to now; nothing to leave it. aElapsed is since its order.
-  std::optional<proto::MovePhase> Decide(const proto::Move& aMove, core::Duration aElapsed,
-                                         const FollowerTable::EvidenceMap& aEvidence) const;
+  /// A step and what it was decided by.
+  struct Decision
+  {
+    proto::MovePhase phase = proto::CANARY;
+    const char* reason = "";
+    std::string figures; ///< Of the route that decided, or of all: new version against former.
+  };
+
+  /// The step to take now; nothing to leave the move as it is. aElapsed is since its order.
+  std::optional<Decision> Decide(const proto::Move& aMove, core::Duration aElapsed,
+                                 const FollowerTable::EvidenceMap& aEvidence) const;
 
 private:
   struct Counts
@@ -57,9 +73,12 @@
     std::uint64_t good = 0;
     std::uint64_t bad = 0;
     std::uint64_t latencyMs = 0;
+    std::uint64_t paces = 0;
+    double paceLogs = 0;
 
     double BadShare() const;
     double MeanMs() const;
+    double TokenMs() const;
   };
   struct RouteCounts
   {
@@ -67,7 +86,12 @@
     Counts target;
   };
 
-  bool IsBad(const RouteCounts& aCounts) const;
+  /// What is wrong with the new version on a route; null: nothing.
+  const char* FaultOnRoute(const RouteCounts& aCounts) const;
+  static std::string Describe(const RouteCounts& aCounts);
+  bool Fails(const RouteCounts& aCounts) const;
+  bool StartsLate(const RouteCounts& aCounts) const;
+  bool IsPaceSlow(const RouteCounts& aCounts, proto::MovePhase aPhase) const;
 
   MoveDirectorSettings mSettings;
 };
--- a/cuminfield/process/cluster/VersionShares.cpp
+++ b/cuminfield/process/cluster/VersionShares.cpp
@@ -2,6 +2,8 @@
 
 #include "cuminfield/process/cluster/MovePhase.h"
 
+#include <cmath>
+
 namespace cuminfield::process::cluster {
 
 void VersionShares::Update(const proto::Feed& aFeed)
@@ -46,12 +48,13 @@
   }
 }
 
-void VersionShares::Count(const core::ServiceId& aService, const core::RouteId& aRoute,
-                          const core::VersionId& aVersion, bool aGood, core::Duration aFirst)
+proto::Evidence* VersionShares::EvidenceOf(const core::ServiceId& aService,
+                                           const core::RouteId& aRoute,
+                                           const core::VersionId& aVersion)
 {
   const auto move = mMoves.find(aService);
   if (move == mMoves.end() || !IsRunning(move->second)) {
-    return;
+    return nullptr;
   }
   const bool target = aVersion.Text() == move->second.target();
   const Key key{ .move = move->second.number(), .route = aRoute.Text(), .target = target };
@@ -59,13 +62,39 @@
   evidence.set_move(key.move);
   evidence.set_route(key.route);
   evidence.set_target(target);
+  return &evidence;
+}
+
+void VersionShares::Count(const core::ServiceId& aService, const core::RouteId& aRoute,
+                          const core::VersionId& aVersion, bool aGood, core::Duration aFirst)
+{
+  proto::Evidence* evidence = EvidenceOf(aService, aRoute, aVersion);
+  if (!evidence) {
+    return;
+  }
   if (!aGood) {
-    evidence.set_bad(evidence.bad() + 1);
+    evidence->set_bad(evidence->bad() + 1);
     return;
   }
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aFirst).count();
-  evidence.set_good(evidence.good() + 1);
-  evidence.set_latency_ms(evidence.latency_ms() + static_cast<std::uint64_t>(ms));
+  evidence->set_good(evidence->good() + 1);
+  evidence->set_latency_ms(evidence->latency_ms() + static_cast<std::uint64_t>(ms));
+}
+
+void VersionShares::CountPace(const core::ServiceId& aService, const core::RouteId& aRoute,
+                              const core::VersionId& aVersion,
+                              const request::forward::ForwardPace& aPace)
+{
+  proto::Evidence* evidence = EvidenceOf(aService, aRoute, aVersion);
+  if (!evidence) {
+    return;
+  }
+  // A long stream must not stand for many: its stretches are as fast as its one engine.
+  if (aPace.stretch >= mSettings.stretches || aPace.tokenMs <= 0) {
+    return;
+  }
+  evidence->set_paces(evidence->paces() + 1);
+  evidence->set_pace_logs(evidence->pace_logs() + std::log(aPace.tokenMs));
 }
 
 void VersionShares::Describe(proto::Report& aReport) const
--- a/cuminfield/process/cluster/VersionShares.h
+++ b/cuminfield/process/cluster/VersionShares.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/process/cluster/cluster.pb.h"
 #include "cuminfield/request/Scheduler.h"
+#include "cuminfield/request/forward/ForwardObserver.h"
 
 #include <functional>
 #include <map>
@@ -16,6 +17,8 @@
   /// Share of a service's requests that go to a new version until it is proved. Below the bound on
   /// what a bad version may get, so that the last step has room in that bound.
   double canary = 0.045;
+  /// Stretches of one stream that count as evidence of its version's pace.
+  std::uint32_t stretches = 4;
 };
 
 /// Which version of a service a request goes to, by the moves that the control hosts tell, and the
@@ -38,6 +41,10 @@
   void Count(const core::ServiceId& aService, const core::RouteId& aRoute,
              const core::VersionId& aVersion, bool aGood, core::Duration aFirst);
 
+  /// Counts a stretch of a stream of an upstream of this version.
+  void CountPace(const core::ServiceId& aService, const core::RouteId& aRoute,
+                 const core::VersionId& aVersion, const request::forward::ForwardPace& aPace);
+
   /// Adds the evidence on running moves to a report.
   void Describe(proto::Report& aReport) const;
 
@@ -51,6 +58,10 @@
     auto operator<=>(const Key&) const = default;
   };
 
+  /// Null unless a move of the service runs.
+  proto::Evidence* EvidenceOf(const core::ServiceId& aService, const core::RouteId& aRoute,
+                              const core::VersionId& aVersion);
+
   VersionSharesSettings mSettings;
   std::map<core::ServiceId, proto::Move> mMoves;
   std::map<core::ServiceId, core::VersionId> mVersions;
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -185,6 +185,7 @@
   mTryFirst = now - mSentAt;
   mPacedAt = now;
   mPacedEvents = mEvents.Events();
+  mStretches = 0;
   if (!mSummary.first) {
     mSummary.first = now - mOptions.request.spec.arrival;
     mLastAt = now;
@@ -238,7 +239,10 @@
   }
   const core::Instant now = mOptions.timers.Now();
   const double tokens = static_cast<double>(events) * mOptions.request.spec.eventTokens;
-  mOptions.scheduler.Paced(mUpstream.id, core::Milliseconds(now - mPacedAt) / tokens);
+  const double tokenMs = core::Milliseconds(now - mPacedAt) / tokens;
+  mOptions.scheduler.Paced(mUpstream.id, tokenMs);
+  mOptions.observer.OnPaced(mOptions.request, mUpstream,
+                            { .stretch = mStretches++, .tokenMs = tokenMs });
   mPacedAt = now;
   mPacedEvents = mEvents.Events();
 }
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -125,6 +125,7 @@
   std::optional<core::Duration> mTryFirst;
   core::Instant mPacedAt{};       ///< The pace is measured from here,
   std::uint64_t mPacedEvents = 0; ///< after so many events.
+  std::uint32_t mStretches = 0;   ///< Of the try, whose pace was measured.
   core::Instant mLastAt{};
   core::TimerHandle mTimeout;
   core::TimerHandle mSilence;
--- a/cuminfield/request/forward/ForwardObserver.h
+++ b/cuminfield/request/forward/ForwardObserver.h
@@ -26,6 +26,13 @@
   std::optional<core::Duration> first; ///< From sending to the first event, or the whole answer.
 };
 
+/// A stretch of a stream after its first event.
+struct ForwardPace
+{
+  std::uint32_t stretch = 0; ///< Number of the stretch in its try, from 0.
+  double tokenMs = 0;        ///< Time for one token.
+};
+
 /// How a forwarded request ended for its caller.
 struct ForwardSummary
 {
@@ -49,6 +56,9 @@
   virtual void OnPlaced(const ForwardRequest& aRequest, const UpstreamAnnouncement& aUpstream,
                         const PlacementBasis& aBasis) = 0;
   virtual void OnTry(const ForwardRequest& aRequest, const ForwardTry& aTry) = 0;
+  /// Told while the stream runs, so that one that is slow counts before it ends.
+  virtual void OnPaced(const ForwardRequest& aRequest, const UpstreamAnnouncement& aUpstream,
+                       const ForwardPace& aPace) = 0;
   virtual void OnEnded(const ForwardRequest& aRequest, const ForwardSummary& aSummary) = 0;
 };
 
