A control host goes on while its disk is full

Cause: every failed write ended the process, as what reached the disk is unknown. For a full disk it is known: a write adds a part of its bytes or none and leaves the rest of the file as it was. Class: a passing lack of a resource taken for a lasting fault.

Change: errors tell DiskFull from other errors of a disk. The file keeps its size as last known good and drops a torn tail before the next write; the batch becomes part of the next one, tried again after 250 ms. All promises (votes, acknowledgements, replies) wait for it, as they do for a slow disk, so the host counts for no majority until there is room. A failed sync still ends the process. disk-full and disk-regained are logged.

The harness of LogCluster excused a host that cannot start on a dead disk (Io); the same on a full one now has its own kind, DiskFull, and is excused as before. Random misfortunes of LogCluster include full disks.

Tests: AHostGoesOnWhileItsDiskIsFull and AHostWithAFullDiskStartsAgainAndLosesNothing failed before (the host's storage counts as failed).

--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -125,7 +125,10 @@
                                    .settings = settings });
   host.group->OnFailure().connect([&host](const core::Error&) { host.failed = true; });
   const auto started = host.group->Start();
-  if (started.has_error() && started.error().kind != core::ErrorKind::Io) {
+  // A blank host needs room for its first record; without it its process ends, as on a dead disk.
+  const bool excused = started.has_error() && (started.error().kind == core::ErrorKind::Io ||
+                                               started.error().kind == core::ErrorKind::DiskFull);
+  if (started.has_error() && !excused) {
     Violate("start refused: " + core::Describe(started.error()));
   }
   host.failed = host.failed || started.has_error();
@@ -371,6 +374,7 @@
   mSettings.loss = 0.0;
   for (std::size_t i = 0; i < mHosts.size(); ++i) {
     mHosts[i].disk.FailAfter(std::numeric_limits<std::uint64_t>::max());
+    mHosts[i].disk.SetFull(false);
     if (!Up(i) || mHosts[i].failed) {
       Kill(i);
       StartHost(i);
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -124,6 +124,9 @@
   /// The host that leads and holds the lease, or the number of hosts.
   std::size_t LeaderHost() const;
   bool Up(std::size_t aHost) const { return mHosts[aHost].group != nullptr; }
+
+  /// True when the host's storage failed, so that its process would have ended.
+  bool Failed(std::size_t aHost) const { return mHosts[aHost].failed; }
   process::log::LogGroup& Group(std::size_t aHost) { return *mHosts[aHost].group; }
 
   /// True when a leader counts every host's present life among its voters.
--- a/UnitTests/process/log/LogClusterTest.cpp
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -37,7 +37,7 @@
   if (random.Chance(kAtTheLeader) && aCluster.LeaderHost() < aHosts) {
     host = aCluster.LeaderHost();
   }
-  switch (random.Below(9)) {
+  switch (random.Below(10)) {
     case 0:
       aCluster.Cut(host, other, true); // Perhaps one way only.
       aCluster.Cut(other, host, random.Chance(0.5));
@@ -59,6 +59,9 @@
         aCluster.Kill(host);
       }
       break;
+    case 9:
+      aCluster.Disk(host).SetFull(random.Chance(0.5));
+      break;
     case 6:
     case 7:
       if (aCluster.Up(host)) {
@@ -150,6 +153,55 @@
   }
 }
 
+TEST(LogCluster, AHostGoesOnWhileItsDiskIsFull)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster({ .voters = 3, .seed = seed });
+    Found(cluster, 3);
+    const std::size_t host = seed % 2 == 0 ? cluster.LeaderHost() : (cluster.LeaderHost() + 1) % 3;
+    cluster.Disk(host).SetFull(true);
+    for (int n = 0; n < 40; ++n) {
+      cluster.Propose(host);
+      cluster.Run(100ms);
+    }
+    cluster.Run(1s);
+    LONGS_EQUAL(40, cluster.Acknowledged());
+    CHECK_FALSE(cluster.Failed(host));
+    cluster.Disk(host).SetFull(false);
+    cluster.Run(2s);
+    // It counts again: one of the others may go.
+    cluster.Kill((host + 1) % 3);
+    cluster.Propose(host, 4s);
+    cluster.Run(4s);
+    LONGS_EQUAL(41, cluster.Acknowledged());
+    cluster.CheckRecovery();
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
+
+TEST(LogCluster, AHostWithAFullDiskStartsAgainAndLosesNothing)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster({ .voters = 3, .seed = seed });
+    Found(cluster, 3);
+    for (std::size_t host = 0; host < 3; ++host) {
+      cluster.Propose(host);
+    }
+    cluster.Run(1s);
+    LONGS_EQUAL(3, cluster.Acknowledged());
+    cluster.Disk(0).SetFull(true);
+    cluster.Propose(1);
+    cluster.Run(500ms);
+    cluster.Kill(0);
+    cluster.StartHost(0);
+    cluster.Run(2s);
+    CHECK_FALSE(cluster.Failed(0));
+    cluster.Disk(0).SetFull(false);
+    cluster.CheckRecovery();
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
+
 TEST(LogCluster, IdleGroupSendsFewBytes)
 {
   LogCluster cluster({ .voters = 3 });
--- a/UnitTests/process/log/MemoryDisk.cpp
+++ b/UnitTests/process/log/MemoryDisk.cpp
@@ -83,6 +83,10 @@
   if (!file) {
     file = std::make_shared<File>();
   }
+  if (mFull) {
+    file->now += aBytes.substr(0, aBytes.size() / 2);
+    return core::Fail(core::ErrorKind::DiskFull, "the disk is full; make room");
+  }
   file->now += aBytes;
   return core::Done();
 }
--- a/UnitTests/process/log/MemoryDisk.h
+++ b/UnitTests/process/log/MemoryDisk.h
@@ -19,6 +19,9 @@
   /// After aCount more operations every further one fails, until Crash().
   void FailAfter(std::uint64_t aCount) { mLeft = aCount; }
 
+  /// While full, a write takes a part of its bytes and fails.
+  void SetFull(bool aFull) { mFull = aFull; }
+
   /// What the machine finds after a power loss: synced bytes, and any part of the rest.
   void Crash(core::Random& aRandom);
 
@@ -56,6 +59,7 @@
   Names mSynced;
   std::uint64_t mLeft = std::numeric_limits<std::uint64_t>::max();
   bool mIgnoreSync = false;
+  bool mFull = false;
 };
 
 } // namespace cuminfield::unit_tests::log
--- a/cuminfield/core/Error.cpp
+++ b/cuminfield/core/Error.cpp
@@ -21,6 +21,8 @@
       return "timeout";
     case ErrorKind::Corrupt:
       return "corrupt";
+    case ErrorKind::DiskFull:
+      return "disk-full";
     case ErrorKind::Io:
       return "io";
     case ErrorKind::Internal:
--- a/cuminfield/core/Error.h
+++ b/cuminfield/core/Error.h
@@ -17,6 +17,7 @@
   Unavailable,     ///< No majority, no upstream or no capacity now; nothing took effect.
   Timeout,         ///< No answer in time; it may or may not have taken effect.
   Corrupt,         ///< Stored bytes fail their checksum where they had been acknowledged.
+  DiskFull,        ///< No room for a write; try again when there is.
   Io,              ///< The operating system refused a file or socket operation.
   Internal,        ///< A fault of the program.
 };
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -121,6 +121,10 @@
   if (auto started = mGroup->Start(); !started) {
     return started.error();
   }
+  mGroup->OnDiskFull().connect([](bool aFull) {
+    logging::Event(aFull ? logging::Level::Error : logging::Level::Info,
+                   aFull ? "disk-full" : "disk-regained", {});
+  });
   mOptions.links.OnMessage().connect(sigc::mem_fun(*this, &ControlHost::OnMessage));
   mTick = mOptions.loop.Every(mOptions.settings.feed, [this] { Tick(); });
   return core::Done();
--- a/cuminfield/process/log/FileLogStorage.cpp
+++ b/cuminfield/process/log/FileLogStorage.cpp
@@ -180,7 +180,12 @@
   if (SealedBeyond(aBytes, aGood)) {
     return core::Fail(core::ErrorKind::Corrupt, Damaged(aGood));
   }
-  return mDisk.Truncate(mFile, aGood);
+  mTorn = true;
+  auto dropped = DropTornTail();
+  if (!dropped && dropped.error().kind == core::ErrorKind::DiskFull) {
+    return core::Done(); // Dropped before the next write.
+  }
+  return dropped;
 }
 
 bool FileLogStorage::SealedBeyond(std::string_view aBytes, std::uint64_t aOffset) const
@@ -230,48 +235,68 @@
   return Replace(first);
 }
 
+core::Result<void> FileLogStorage::DropTornTail()
+{
+  if (!mTorn) {
+    return core::Done();
+  }
+  BOOST_OUTCOME_TRYV(mDisk.Truncate(mFile, mSize));
+  mTorn = false;
+  return core::Done();
+}
+
 core::Result<void> FileLogStorage::AppendBatch(const PersistBatch& aBatch)
 {
+  BOOST_OUTCOME_TRYV(DropTornTail());
   proto::Record record;
   *record.mutable_hard_state() = aBatch.hardState;
   for (const proto::Entry& it : aBatch.entries) {
     *record.add_entries() = it;
   }
   const std::string frame = Frame(record.SerializeAsString());
+  mTorn = true; // A write that fails may leave a part of the frame.
   BOOST_OUTCOME_TRYV(mDisk.Append(mFile, frame));
   BOOST_OUTCOME_TRYV(mDisk.Sync(mFile));
+  mTorn = false;
   mSize += frame.size();
   return AppendSeal();
 }
 
-std::string FileLogStorage::Seal() const
+std::string FileLogStorage::Seal(std::uint64_t aSize) const
 {
   std::string payload(kSealMark);
   Put(payload, mIncarnation.Value());
-  Put(payload, mSize);
+  Put(payload, aSize);
   return Frame(payload);
 }
 
 core::Result<void> FileLogStorage::AppendSeal()
 {
   // Not synced: it becomes durable with the next batch, or when the system writes it back.
-  const std::string seal = Seal();
-  BOOST_OUTCOME_TRYV(mDisk.Append(mFile, seal));
-  mSize += seal.size();
-  return core::Done();
+  const std::string seal = Seal(mSize);
+  auto appended = mDisk.Append(mFile, seal);
+  if (appended) {
+    mSize += seal.size();
+    return core::Done();
+  }
+  mTorn = true;
+  if (appended.error().kind == core::ErrorKind::DiskFull) {
+    return core::Done(); // What it seals is stored; a file may end without a seal.
+  }
+  return appended.error();
 }
 
 core::Result<void> FileLogStorage::Replace(const proto::Record& aFirst)
 {
   std::string bytes = Frame(aFirst.SerializeAsString());
-  mSize = bytes.size();
-  bytes += Seal();
+  bytes += Seal(bytes.size());
   BOOST_OUTCOME_TRYV(mDisk.Remove(mNewFile));
   BOOST_OUTCOME_TRYV(mDisk.Append(mNewFile, bytes));
   BOOST_OUTCOME_TRYV(mDisk.Sync(mNewFile));
   BOOST_OUTCOME_TRYV(mDisk.Rename(mNewFile, mFile));
   BOOST_OUTCOME_TRYV(mDisk.SyncFolder(mFolder));
   mSize = bytes.size();
+  mTorn = false;
   return core::Done();
 }
 
--- a/cuminfield/process/log/FileLogStorage.h
+++ b/cuminfield/process/log/FileLogStorage.h
@@ -40,6 +40,7 @@
   /// Makes a batch durable.
   core::Result<void> Store(const PersistBatch& aBatch);
   core::Result<void> AppendBatch(const PersistBatch& aBatch);
+  core::Result<void> DropTornTail();
   core::Result<void> AppendSeal();
 
   /// Writes the whole file anew, from this first record, and puts it in place of the old one.
@@ -51,7 +52,7 @@
   core::Result<void> CutTail(const std::string& aBytes, std::uint64_t aGood);
   bool SealedBeyond(std::string_view aBytes, std::uint64_t aOffset) const;
   std::string Damaged(std::uint64_t aOffset) const;
-  std::string Seal() const;
+  std::string Seal(std::uint64_t aSize) const;
 
   const std::string mRoot;
   const std::string mParent; ///< Of the root, whose name must last too.
@@ -61,6 +62,7 @@
   DiskOperations& mDisk;
   core::Incarnation mIncarnation;
   std::uint64_t mSize = 0; ///< Of the file.
+  bool mTorn = false;      ///< The file may go on behind mSize, with what must not be read.
 };
 
 } // namespace cuminfield::process::log
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -264,7 +264,7 @@
 
 void LogGroup::Persist()
 {
-  if (!mLog->HasBatch()) {
+  if (!mLog->HasBatch() || mOptions.timers.Now() < mPersistDue) {
     return;
   }
   mOptions.storage.Persist(mLog->TakeBatch(),
@@ -275,14 +275,28 @@
                            });
 }
 
+void LogGroup::SetDiskFull(bool aFull)
+{
+  if (std::exchange(mDiskFull, aFull) != aFull) {
+    mOnDiskFull.emit(aFull);
+  }
+}
+
 void LogGroup::OnPersisted(const core::Result<void>& aResult)
 {
+  if (aResult.has_error() && aResult.error().kind == core::ErrorKind::DiskFull) {
+    mLog->NotPersisted();
+    mPersistDue = mOptions.timers.Now() + mOptions.settings.diskFullRetry;
+    SetDiskFull(true);
+    return;
+  }
   if (aResult.has_error()) {
     mFailed = true;
     mTick.Cancel();
     mOnFailure.emit(aResult.error());
     return;
   }
+  SetDiskFull(false);
   mLog->Persisted(mOptions.timers.Now());
   Pump();
 }
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -26,6 +26,9 @@
   ReplicatedLogSettings log;
   GroupClientSettings client;
 
+  /// A full disk is tried again after this long.
+  core::Duration diskFullRetry = std::chrono::milliseconds(250);
+
   /// How often the log looks at the time.
   core::Duration tick = std::chrono::milliseconds(25);
 
@@ -108,6 +111,12 @@
   using FailureSignal = sigc::signal<void(const core::Error&)>;
   FailureSignal& OnFailure() { return mOnFailure; }
 
+  /// Emitted with true when the disk is full, and with false when it takes bytes again. In between
+  /// the member goes on without promising anything: it does not vote, and what it holds counts for
+  /// no majority.
+  using DiskFullSignal = sigc::signal<void(bool)>;
+  DiskFullSignal& OnDiskFull() { return mOnDiskFull; }
+
 private:
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void OnLogMessage(const core::HostId& aFrom, const std::string& aPayload);
@@ -124,6 +133,7 @@
   void DeliverOwnMessages();
   void SendMessages();
   void Persist();
+  void SetDiskFull(bool aFull);
   void OnPersisted(const core::Result<void>& aResult);
   void Apply();
   void MaybeSnapshot();
@@ -138,6 +148,8 @@
   std::uint64_t mEntriesSinceSnapshot = 0;
   std::uint64_t mBytesSinceSnapshot = 0;
   bool mFailed = false;
+  bool mDiskFull = false;
+  core::Instant mPersistDue{}; ///< While the disk is full, when it is tried again.
   bool mPumping = false;
   bool mPumpAgain = false;
   core::HostId mKnownLeader;
@@ -145,6 +157,7 @@
   core::TimerHandle mSoon;
   LeaderSignal mOnLeaderChanged;
   FailureSignal mOnFailure;
+  DiskFullSignal mOnDiskFull;
 };
 
 } // namespace cuminfield::process::log
--- a/cuminfield/process/log/LogStorage.h
+++ b/cuminfield/process/log/LogStorage.h
@@ -41,8 +41,9 @@
   virtual core::Result<LogContents> Load(core::Incarnation aNewIncarnation) = 0;
 
   /// Makes a batch durable and then calls aDone on the loop's thread, perhaps before returning.
-  /// One batch at a time. After an error nothing more may be persisted: what reached the disk is
-  /// unknown until the next Load().
+  /// One batch at a time. After DiskFull nothing of the batch counts as stored, and a later one
+  /// that holds all of it may be persisted. After any other error nothing more may be: what reached
+  /// the disk is unknown until the next Load().
   virtual void Persist(PersistBatch aBatch, Completion aDone) = 0;
 };
 
--- a/cuminfield/process/log/PosixDisk.cpp
+++ b/cuminfield/process/log/PosixDisk.cpp
@@ -24,6 +24,16 @@
                       "; check the disk and the folder's permissions, then start again");
 }
 
+/// Of an operation that leaves earlier bytes as they are, so that it may be tried again.
+auto WriteError(const char* aWhat, const std::string& aPath, int aCode)
+{
+  if (aCode != ENOSPC && aCode != EDQUOT) {
+    return IoError(aWhat, aPath, aCode);
+  }
+  return core::Fail(core::ErrorKind::DiskFull, std::string("cannot ") + aWhat + " " + aPath + ": " +
+                                                 std::strerror(aCode) + "; make room on the disk");
+}
+
 } // namespace
 
 PosixDisk::~PosixDisk()
@@ -57,7 +67,7 @@
   Close();
   mFile = ::open(aPath.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, kFileMode);
   if (mFile < 0) {
-    return IoError("open", aPath, errno);
+    return WriteError("open", aPath, errno);
   }
   mPath = aPath;
   return core::Done();
@@ -122,7 +132,7 @@
       continue;
     }
     if (n < 0) {
-      return IoError("write", aPath, errno);
+      return WriteError("write", aPath, errno);
     }
     aBytes.remove_prefix(static_cast<std::size_t>(n));
   }
@@ -132,7 +142,7 @@
 core::Result<void> PosixDisk::Truncate(const std::string& aPath, std::uint64_t aSize)
 {
   if (::truncate(aPath.c_str(), static_cast<off_t>(aSize)) != 0) {
-    return IoError("truncate", aPath, errno);
+    return WriteError("truncate", aPath, errno);
   }
   return core::Done();
 }
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -197,6 +197,8 @@
   for (std::uint64_t i = first; i <= mLog.Last(); ++i) {
     batch.entries.push_back(mLog.At(i));
   }
+  mStoringRewrite = mRewrite;
+  mStoringFirst = mFirstUnsaved;
   mHardStateDirty = false;
   mRewrite = false;
   mFirstUnsaved = mLog.Last() + 1;
@@ -218,6 +220,15 @@
   }
 }
 
+void ReplicatedLog::NotPersisted()
+{
+  CUMINFIELD_INVARIANT("log.one-batch", mStoring);
+  mStoring = false;
+  mHardStateDirty = true;
+  mRewrite = mRewrite || mStoringRewrite;
+  mFirstUnsaved = std::min(mFirstUnsaved, mStoringFirst);
+}
+
 std::uint64_t ReplicatedLog::PendingBatch() const
 {
   if (Dirty()) {
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -120,6 +120,9 @@
   /// The batch taken last is durable.
   void Persisted(core::Instant aNow);
 
+  /// The batch taken last could not be stored: its contents are part of the next one.
+  void NotPersisted();
+
   /// What to send now.
   std::vector<OutgoingMessage> TakeMessages();
 
@@ -278,6 +281,8 @@
   std::uint64_t mFirstUnsaved = 1;   ///< First entry that was not given out in a batch.
   std::uint64_t mDurable = 0;        ///< Last entry that is durable here.
   bool mStoring = false;             ///< A batch was given out and is not durable yet.
+  bool mStoringRewrite = false;      ///< It replaces what is stored.
+  std::uint64_t mStoringFirst = 0;   ///< First entry that was unsaved before it.
   std::uint64_t mStoringLast = 0;    ///< Last entry of it that still stands.
   std::uint64_t mLastBatch = 0;      ///< Number of the batch given out last.
   std::vector<Held> mHeld;           ///< Messages that wait for a batch, oldest first.
