Bytes that an upstream sends without end are cut off

What callers would see: an upstream that sends without end in a head, or one chunk or one event without end, fills the host's memory (160 to 260 MB) until the request's timeout, up to 15 s; the process is killed and takes all its other requests along.

Cause: evhttp's limits of heads and bodies were set for callers and not for upstreams, a chunk is kept until it is whole, and so is an event. Class: input from outside that is kept without a bound.

Change: heads end at 64 KiB, answers at 16 MiB, 1 MiB waits unread on a connection, an event ends at 256 KiB. The try fails as one that may have run.

Tests, each failed before: EndlessAnswer (a head, no answer at all, a body, a chunk: not cut off in 3 to 5 s, 15 MB of a chunk kept) against a socket that sends until it is closed; Forward AnEventWithoutEndIsBrokenOff.

--- /dev/null
+++ b/UnitTests/connection/EndlessAnswerTest.cpp
@@ -0,0 +1,202 @@
+#include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <netinet/in.h>
+#include <string>
+#include <utility>
+
+using namespace cuminfield;
+using namespace cuminfield::connection;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An upstream that answers with a beginning and then sends the same bytes until it is cut off.
+class EndlessUpstream
+{
+public:
+  EndlessUpstream(core::EventLoop& aLoop, std::string aBegin)
+    : mLoop(aLoop)
+    , mBegin(std::move(aBegin))
+    , mPiece(16 * 1024, 'x')
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    mListener = evconnlistener_new_bind(
+      aLoop.Base(), OnAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+      reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
+
+  ~EndlessUpstream()
+  {
+    if (mChannel) {
+      bufferevent_free(mChannel);
+    }
+    evconnlistener_free(mListener);
+  }
+
+  std::uint16_t Port() const
+  {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    ::getsockname(evconnlistener_get_fd(mListener), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+  }
+
+  bool IsCutOff() const { return mCutOff; }
+  std::size_t Sent() const { return mSent; }
+
+private:
+  void Send(const std::string& aBytes)
+  {
+    mSent += aBytes.size();
+    bufferevent_write(mChannel, aBytes.data(), aBytes.size());
+  }
+
+  static void OnAccept(evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf)
+  {
+    auto* self = static_cast<EndlessUpstream*>(aSelf);
+    self->mChannel = bufferevent_socket_new(self->mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(self->mChannel, OnRead, OnWrite, OnEvent, self);
+    bufferevent_enable(self->mChannel, EV_READ | EV_WRITE);
+  }
+
+  static void OnRead(bufferevent* aChannel, void* aSelf)
+  {
+    evbuffer_drain(bufferevent_get_input(aChannel),
+                   evbuffer_get_length(bufferevent_get_input(aChannel)));
+    auto* self = static_cast<EndlessUpstream*>(aSelf);
+    if (self->mSent == 0) {
+      self->Send(self->mBegin);
+    }
+  }
+
+  static void OnWrite(bufferevent*, void* aSelf)
+  {
+    auto* self = static_cast<EndlessUpstream*>(aSelf);
+    if (self->mSent > 0) {
+      self->Send(self->mPiece);
+    }
+  }
+
+  static void OnEvent(bufferevent*, short aWhat, void* aSelf)
+  {
+    if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      static_cast<EndlessUpstream*>(aSelf)->mCutOff = true;
+    }
+  }
+
+  core::EventLoop& mLoop;
+  std::string mBegin;
+  std::string mPiece;
+  evconnlistener* mListener = nullptr;
+  bufferevent* mChannel = nullptr;
+  std::size_t mSent = 0;
+  bool mCutOff = false;
+};
+
+class Listener : public upstream::UpstreamCallListener
+{
+public:
+  void OnHead(int, const HttpHeaders&) override { head = true; }
+  void OnBody(std::string_view aBytes) override { body += aBytes.size(); }
+  void OnEnd() override { ended = true; }
+  void OnFailed(const upstream::UpstreamFailure& aFailure) override
+  {
+    failed = true;
+    mayHaveRun = aFailure.mayHaveRun;
+  }
+
+  bool head = false;
+  bool ended = false;
+  bool failed = false;
+  bool mayHaveRun = false;
+  std::size_t body = 0;
+};
+
+/// What the sockets of one connection may hold beside what the transport keeps.
+constexpr std::size_t kSocketBuffers = std::size_t{ 12 } * 1024 * 1024;
+
+} // namespace
+
+TEST_GROUP(EndlessAnswer)
+{
+  core::EventLoop loop;
+  Listener listener;
+  upstream::HttpUpstreamTransportSettings settings{ .idHeader = "Id" };
+
+  // As in the programs: writing to a closed connection is an error, not a signal.
+  void setup() override
+  {
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+  void teardown() override
+  {
+    std::signal(SIGPIPE, SIG_DFL);
+  }
+
+  void RunUntilFailed(EndlessUpstream & aUpstream, core::Duration aLimit)
+  {
+    upstream::HttpUpstreamTransport transport({ .settings = settings, .loop = loop });
+    const auto call = transport.Start("127.0.0.1", aUpstream.Port(),
+                                      { .id = core::RequestId("r"),
+                                        .method = "GET",
+                                        .target = "/",
+                                        .headers = {},
+                                        .body = "",
+                                        .freshConnection = true },
+                                      listener);
+    const auto look = loop.Every(5ms, [&] {
+      if (listener.failed) {
+        loop.Stop();
+      }
+    });
+    const auto end = loop.After(aLimit, [&] { loop.Stop(); });
+    loop.Run();
+  }
+};
+
+TEST(EndlessAnswer, AHeadWithoutEndIsCutOff)
+{
+  EndlessUpstream upstream(loop, "HTTP/1.1 200 OK\r\nId: r\r\nName: ");
+  RunUntilFailed(upstream, 3s);
+  CHECK(listener.failed);
+  CHECK(listener.mayHaveRun);
+  CHECK_FALSE(listener.head);
+  CHECK(upstream.Sent() < kSocketBuffers);
+}
+
+TEST(EndlessAnswer, BytesThatAreNoAnswerAreCutOff)
+{
+  EndlessUpstream upstream(loop, "x");
+  RunUntilFailed(upstream, 3s);
+  CHECK(listener.failed);
+  CHECK(upstream.Sent() < kSocketBuffers);
+}
+
+TEST(EndlessAnswer, ABodyWithoutEndIsCutOff)
+{
+  EndlessUpstream upstream(loop, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n");
+  RunUntilFailed(upstream, 5s);
+  CHECK(listener.failed);
+  CHECK_FALSE(listener.ended);
+  CHECK(listener.body < kSocketBuffers * 2);
+}
+
+/// Only whole chunks are passed on, so what waits for the rest must not grow.
+TEST(EndlessAnswer, AChunkWithoutEndIsNotKept)
+{
+  EndlessUpstream upstream(
+    loop, "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\nf00000\r\n");
+  RunUntilFailed(upstream, 1s);
+  CHECK_EQUAL(0, listener.body);
+  CHECK(upstream.Sent() < kSocketBuffers);
+}
--- a/UnitTests/request/forward/ForwardTest.cpp
+++ b/UnitTests/request/forward/ForwardTest.cpp
@@ -191,6 +191,22 @@
   }
 };
 
+TEST(Forward, AnEventWithoutEndIsBrokenOff)
+{
+  Once();
+  Send();
+  transport.listener->OnHead(200, kEvents);
+  transport.listener->OnBody("id: 1\ndata: a\n\n");
+  const std::string piece(16 * 1024, 'x');
+  for (int n = 0; n < 1000 && transport.live > 0; ++n) {
+    transport.listener->OnBody(piece);
+  }
+  CHECK_EQUAL(0, transport.live);
+  CHECK(caller->aborted);
+  CHECK_FALSE(caller->ended);
+  STRCMP_EQUAL("id: 1\ndata: a\n\n", caller->body.c_str());
+}
+
 TEST(Forward, AnAnswerIsPassedOnAsItIs)
 {
   Once();
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -409,6 +409,11 @@
   const timeval stall = core::ToTimeval(mOptions.settings.stall);
   evhttp_connection_set_timeout_tv(connection, &stall);
   evhttp_connection_set_retries(connection, 0);
+  const HttpUpstreamTransportSettings& settings = mOptions.settings;
+  evhttp_connection_set_max_headers_size(connection, settings.maxHead.value);
+  evhttp_connection_set_max_body_size(connection, settings.maxAnswer.value);
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection), EV_READ, 0,
+                           static_cast<std::size_t>(settings.maxUnread.value));
   return connection;
 }
 
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.h
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.h
@@ -21,6 +21,13 @@
   std::size_t idlePerUpstream = 64;                 ///< Idle connections kept for one upstream.
   /// A connection idle for longer is not used again: the upstream may be about to close it.
   core::Duration reuseWithin = std::chrono::hours(1);
+  /// Bounds of what an upstream may send: one that sends without end is cut off. A head of 64 KiB
+  /// is four times what callers may send; an answer, four times the largest request body.
+  core::Bytes maxHead{ 64 * 1024 };
+  core::Bytes maxAnswer{ 16 * 1024 * 1024 };
+  /// Bytes of one call that wait here to be read. A chunk must be whole to be passed on, so none is
+  /// larger.
+  core::Bytes maxUnread{ 1024 * 1024 };
   /// Header that names the request, echoed by the upstream.
   std::string idHeader{ kRequestIdHeader };
 };
--- a/cuminfield/request/exchange/EventStream.h
+++ b/cuminfield/request/exchange/EventStream.h
@@ -24,6 +24,9 @@
   /// True while a part of an event is kept.
   bool Partial() const { return !mKept.empty(); }
 
+  /// Bytes of that part.
+  std::size_t PartialBytes() const { return mKept.size(); }
+
   /// Drops the part of an event that is kept: the stream goes on elsewhere.
   void DropPartial() { mKept.clear(); }
 
--- a/cuminfield/request/forward/Forward.cpp
+++ b/cuminfield/request/forward/Forward.cpp
@@ -215,6 +215,10 @@
 {
   const std::uint64_t before = mEvents.Events();
   const std::string_view whole = mEvents.Take(aBytes);
+  if (static_cast<std::int64_t>(mEvents.PartialBytes()) > mOptions.settings.maxEvent.value) {
+    FailTry("event-without-end");
+    return;
+  }
   if (whole.empty()) {
     return;
   }
--- a/cuminfield/request/forward/Forward.h
+++ b/cuminfield/request/forward/Forward.h
@@ -21,6 +21,8 @@
   /// A plain answer up to this size is held until it is whole, so that one that breaks off can be
   /// had elsewhere.
   core::Bytes heldAnswer{ 256 * 1024 };
+  /// A stream whose event goes on for longer than this is broken off: events are passed on whole.
+  core::Bytes maxEvent{ 256 * 1024 };
   /// An idempotent request without any answer after this multiple of its target is tried elsewhere,
   double silentTargets = 2.0;
   /// but not before this.
