Large configurations do not fill the memory of control hosts

Class: a bound in pieces where the resource is bytes.

Test: ReplicatedLog LargeCommandsDoNotFillTheMemory (600 documents of 400 KB) failed before.

--- a/UnitTests/process/log/ReplicatedLogTest.cpp
+++ b/UnitTests/process/log/ReplicatedLogTest.cpp
@@ -53,17 +53,17 @@
   return message;
 }
 
-/// An append of one command at index 2.
+/// An append of one command at aIndex, behind entries of the same term but for the first.
 proto::LogMessage MakeAppend(std::uint64_t aTerm, const std::string& aCommand,
-                             std::uint64_t aCommit)
+                             std::uint64_t aCommit, std::uint64_t aIndex = 2)
 {
   proto::LogMessage message = MakeMessage(aTerm);
   proto::AppendRequest* request = message.mutable_append_request();
-  request->set_previous_index(1);
-  request->set_previous_term(1);
+  request->set_previous_index(aIndex - 1);
+  request->set_previous_term(aIndex == 2 ? 1 : aTerm);
   request->set_commit(aCommit);
   proto::Entry* entry = request->add_entries();
-  entry->set_index(2);
+  entry->set_index(aIndex);
   entry->set_term(aTerm);
   entry->set_command(aCommand);
   return message;
@@ -292,3 +292,28 @@
   const std::string name = BrokenBy([&] { log.Persisted(now); });
   STRCMP_EQUAL("log.one-batch", name.c_str());
 }
+
+/// Hundreds of large documents: entries that a snapshot covers are kept up to a number of bytes.
+TEST(ReplicatedLog, LargeCommandsDoNotFillTheMemory)
+{
+  now = core::Instant(10s);
+  ReplicatedLog voter = MakeVoter(now);
+  const std::string document(400 * 1024, 'd');
+  constexpr std::uint64_t kSnapshotEvery = 20;
+  for (std::uint64_t index = 2; index < 600; ++index) {
+    now += 10ms;
+    voter.Receive(kOther, MakeAppend(2, document, index, index), now);
+    voter.TakeMessages();
+    if (voter.HasBatch()) {
+      voter.TakeBatch();
+      voter.Persisted(now);
+    }
+    while (voter.NextCommitted()) {
+    }
+    if (index % kSnapshotEvery == 0) {
+      voter.Compact(core::LogIndex(index), document);
+    }
+    const std::uint64_t sinceSnapshot = kSnapshotEvery * document.size();
+    CHECK(voter.HeldBytes() <= ReplicatedLogSettings().trailingBytes + sinceSnapshot);
+  }
+}
--- a/cuminfield/process/log/EntryLog.cpp
+++ b/cuminfield/process/log/EntryLog.cpp
@@ -40,12 +40,14 @@
     mConfigurations.push_back(
       { .index = aEntry.index(), .configuration = FromProto(aEntry.configuration()) });
   }
+  mBytes += aEntry.command().size();
   mEntries.push_back(std::move(aEntry));
 }
 
 void EntryLog::TruncateFrom(std::uint64_t aIndex)
 {
   while (Last() >= aIndex && !mEntries.empty()) {
+    mBytes -= mEntries.back().command().size();
     mEntries.pop_back();
   }
   while (mConfigurations.size() > 1 && mConfigurations.back().index >= aIndex) {
@@ -57,6 +59,7 @@
 {
   while (mBase < aIndex && !mEntries.empty()) {
     mBaseTerm = mEntries.front().term();
+    mBytes -= mEntries.front().command().size();
     mEntries.pop_front();
     ++mBase;
   }
@@ -70,6 +73,7 @@
   mBase = aSnapshot.index();
   mBaseTerm = aSnapshot.term();
   mEntries.clear();
+  mBytes = 0;
   mConfigurations = { Place{ .index = aSnapshot.index(),
                              .configuration = FromProto(aSnapshot.configuration()) } };
 }
--- a/cuminfield/process/log/EntryLog.h
+++ b/cuminfield/process/log/EntryLog.h
@@ -55,6 +55,9 @@
   /// The configuration in force at a position.
   const Configuration& ConfigurationAt(std::uint64_t aIndex) const;
 
+  /// Bytes of the commands of all entries.
+  std::uint64_t Bytes() const { return mBytes; }
+
 private:
   struct Place
   {
@@ -65,6 +68,7 @@
   std::uint64_t mBase = 0;
   std::uint64_t mBaseTerm = 0;
   std::deque<proto::Entry> mEntries;
+  std::uint64_t mBytes = 0;
   std::vector<Place> mConfigurations{ Place{} }; ///< By index; never empty.
 };
 
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -171,6 +171,9 @@
   if (index > mSettings.trailing) {
     mLog.CompactTo(index - mSettings.trailing);
   }
+  while (mLog.Base() < index && mLog.Bytes() > mSettings.trailingBytes) {
+    mLog.CompactTo(mLog.Base() + 1);
+  }
   mRewrite = true;
 }
 
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -144,6 +144,9 @@
   core::LogIndex CommitIndex() const { return core::LogIndex(mCommit); }
   core::LogIndex LastIndex() const { return core::LogIndex(mLog.Last()); }
 
+  /// Bytes of commands in the entries that are kept.
+  std::uint64_t HeldBytes() const { return mLog.Bytes(); }
+
   /// The leader of the current term; empty when unknown.
   const core::HostId& Leader() const { return mLeader; }
 
