The soak holds acknowledgements to the users' bound

Cause: the soak checked that what was acknowledged stays, and never that a valid document is acknowledged in time, so it could not see the incident.

Change: a document that has no acknowledgement after 4 s of one stretch without a fault of a control host, counted from 4 s after the last one, is a violation.

--- a/Build/soak.py
+++ b/Build/soak.py
@@ -5,7 +5,7 @@
 
 Checks what callers and runners see: a request that may not repeat runs at most once; `not run` is
 true; every whole answer is the caller's own; streams have no gap; what an operator was acknowledged
-is read back, and never an older document; an acknowledged leave is heeded; service is back after the
+is read back, and never an older document; a document is acknowledged within ACKNOWLEDGED of calm; an acknowledged leave is heeded; service is back after the
 last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
 """
 import argparse
@@ -24,6 +24,7 @@
 LEAVE_HEEDED = 2.5   # After an acknowledged leave no new request comes.
 CONFIG_APPLIED = 2.5  # After an acknowledged document no older one is read.
 CALM = 4.0           # Undisturbed time after which bounds on time hold.
+ACKNOWLEDGED = 4.0   # In one undisturbed stretch of this length a valid document is acknowledged.
 RECOVERED = 12.0     # After the last fault, service is back.
 NOT_RUN = {408, 421, 429, 503}
 
@@ -36,6 +37,7 @@
         self.violations, self.events = [], []
         self.processes, self.stopping = {}, False
         self.disturbed = time.monotonic()
+        self.unstable = []                     # [begin, end or None] of faults of control hosts.
         self.runs = collections.Counter()      # Request id to runs begun.
         self.refused, self.sent = {}, {}       # Unsafe ids told not-run; all ids with their kind.
         self.outcomes = []                     # (time, good) of every request.
@@ -156,16 +158,27 @@
             route("stream", "stream", gap_goal_ms=300),
             route("resumable", "stream", resumable=True, max_attempts=3, gap_goal_ms=300)]}
 
+    def longest_calm(self, begin, end):
+        """The longest stretch of a time in which no control host had a fault, nor just before."""
+        longest = 0
+        for fault, over in sorted(self.unstable, key=lambda it: it[0]):
+            longest = max(longest, min(fault, end) - begin)
+            begin = max(begin, (end if over is None else over) + CALM)
+        return max(longest, end - begin)
+
     async def operate(self):
         while not self.stopping:
             self.number += self.rng.randrange(1, 4)
-            number = self.number
+            number, sent = self.number, time.monotonic()
             status, _ = await self.order("PUT", "/v1/configuration", self.document(number))
             if status == 200:
                 open(f"{self.folder}/founded", "a", encoding="utf-8").close()
                 self.acknowledged.append((number, time.monotonic()))
             elif status:
                 self.violate(f"document {number} was refused with {status}")
+            calm = self.longest_calm(sent, time.monotonic())
+            if calm > ACKNOWLEDGED and not self.stopping:
+                self.violate(f"document {number} had no acknowledgement after {calm:.1f} s of calm")
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
             asked = time.monotonic()
             status, body = await self.order("GET", "/v1/configuration", tries=3)
@@ -320,6 +333,9 @@
                 return
             self.busy.add(name)
             self.log(f"{what} {name}")
+            unstable = [time.monotonic(), None]
+            if name.startswith("control") and what != "hup":
+                self.unstable.append(unstable)
             if what == "hup":
                 self.send_signal(name, signal.SIGHUP)
             elif what == "freeze":
@@ -333,13 +349,18 @@
                 await asyncio.sleep(self.rng.uniform(0.05, 1.5))
                 await self.launch(name)
                 # A disk that was lost counts as lost until its host has caught up.
+                unstable[1] = time.monotonic()
                 await asyncio.sleep(4 if what == "wipe" else 0.5)
+            unstable[1] = unstable[1] or time.monotonic()
             self.busy.discard(name)
         elif what == "herd" and not self.busy:
             self.busy.update(hosts[:CONTROLS])
             self.log("kill all control hosts")
+            unstable = [time.monotonic(), None]
+            self.unstable.append(unstable)
             await asyncio.gather(*(self.end(n, gently=False) for n in hosts[:CONTROLS]))
             await asyncio.gather(*(self.launch(n) for n in hosts[:CONTROLS]))
+            unstable[1] = time.monotonic()
             await asyncio.sleep(1)
             self.busy.difference_update(hosts[:CONTROLS])
         elif what in ("proxy", "reset", "crash", "leave"):
