--- a/cuminfield/process/log/ReplicatedLogSettings.h
+++ b/cuminfield/process/log/ReplicatedLogSettings.h
@@ -39,8 +39,8 @@
   /// Entries kept before a snapshot for followers that lag a little.
   std::uint64_t trailing = 1000;
 
-  /// Bytes of commands in those entries above which the oldest go, too: a follower that lags by more
-  /// gets the snapshot.
+  /// Bytes of commands in those entries above which the oldest go, too: a follower that lags by
+  /// more gets the snapshot.
   std::uint64_t trailingBytes = std::uint64_t{ 4 } * 1024 * 1024;
 
   /// A learner with fewer entries missing than this may become a voter.
