--- a/Build/soak.py
+++ b/Build/soak.py
@@ -19,7 +19,7 @@
 import tempfile
 import time
 
-CONTROLS, ENTRIES, RUNNERS = 3, 2, 4
+CONTROLS, RUNNERS = 3, 4
 GRACE = 8.0          # Seconds from SIGTERM to SIGKILL.
 LEAVE_HEEDED = 2.5   # After an acknowledged leave no new request comes.
 CONFIG_APPLIED = 2.5  # After an acknowledged document no older one is read.
@@ -51,15 +51,23 @@
         self.violations.append(text)
 
     # Hosts.
+    @staticmethod
+    def index(name):
+        return int(name.lstrip("abcdefghijklmnopqrstuvwxyz"))
+
+    def hosts(self):
+        return ([f"control{n}" for n in range(CONTROLS)] +
+                [f"entry{n}" for n in range(self.args.entries)])
+
     def address(self, name):
-        kind, index = name[:-1], int(name[-1])
+        kind, index = name.rstrip("0123456789"), self.index(name)
         return f"127.{60 if kind == 'control' else 70}.{self.args.seed % 250}.{index + 1}"
 
     def settings(self, name):
         ip = self.address(name)
         seeds = ",".join(f"{self.address(f'control{n}')}:{self.base + 1}" for n in range(CONTROLS))
         first = not os.path.exists(f"{self.folder}/founded")
-        lines = ["[host]", f"id = {ip}", f"name = {name}", f"data-centre = dc{int(name[-1]) % 3}",
+        lines = ["[host]", f"id = {ip}", f"name = {name}", f"data-centre = dc{self.index(name) % 3}",
                  "region = r"]
         lines += [f"data-folder = {self.folder}/{name}/state"] if name.startswith("control") else []
         lines += ["[listen]", f"peer-port = {self.base}"]
@@ -289,7 +297,7 @@
             good = False
             try:
                 if connection is None:
-                    host = self.address(f"entry{rng.randrange(ENTRIES)}")
+                    host = self.address(f"entry{rng.randrange(self.args.entries)}")
                     connection = await asyncio.wait_for(
                         asyncio.open_connection(host, self.base + 2), 1)
                 reader, writer = connection
@@ -324,7 +332,7 @@
 
     # Faults: in series, and overlapping.
     async def fault(self):
-        hosts = [f"control{n}" for n in range(CONTROLS)] + [f"entry{n}" for n in range(ENTRIES)]
+        hosts = self.hosts()
         what = self.rng.choice(["kill", "freeze", "term", "hup", "wipe", "herd", "proxy", "crash",
                                 "leave", "reset"])
         if what in ("kill", "freeze", "term", "hup", "wipe"):
@@ -392,7 +400,7 @@
 
     async def main(self):
         self.start, self.busy, self.runner_states = time.monotonic(), set(), []
-        names = [f"control{n}" for n in range(CONTROLS)] + [f"entry{n}" for n in range(ENTRIES)]
+        names = self.hosts()
         await asyncio.gather(*(self.launch(n) for n in names))
         tasks = [asyncio.create_task(self.runner(n)) for n in range(RUNNERS)]
         tasks.append(asyncio.create_task(self.operate()))
@@ -437,6 +445,7 @@
     parser = argparse.ArgumentParser(description=__doc__.split("\n", 1)[0])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--entries", type=int, default=2, help="entry hosts, 200 at most")
     parser.add_argument("--program", default="build/cuminfield")
     parser.add_argument("--offset", type=int, default=0, help="moves the ports")
     parser.add_argument("--plant", action="store_true",
