Nothing is written behind a torn tail of the log

What would happen: a host starts beside a full disk, the torn tail of its log cannot be cut off, and there is room again when the seal is written a moment later. The seal then stands behind the tail, the size counts it, and the next batch is written where the next start does not read it: acknowledged entries of this host are gone.

Cause: the seal did not look at whether a tail still has to be dropped.

Change: without a clean end no seal is written; the next batch drops the tail first.

Test: FileLogStorage NothingIsWrittenBehindATornTail failed before (the log cannot be read at the next start) and passes now.

--- a/UnitTests/process/log/FileLogStorageTest.cpp
+++ b/UnitTests/process/log/FileLogStorageTest.cpp
@@ -161,6 +161,29 @@
   CHECK(kSecond == third.Load(kSecond).value().incarnation);
 }
 
+/// At a start beside a full disk the torn tail stays, and there is room again a moment later.
+TEST(FileLogStorage, NothingIsWrittenBehindATornTail)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MemoryDisk disk;
+    Model model;
+    core::Random random(seed);
+    FileLogStorage first(MakeOptions(disk));
+    CHECK(first.Load(kFirst).has_value());
+    CHECK(Store(first, DrawBatch(model, random)));
+    disk.Bytes(kPath) += "torn";
+    disk.RefuseTruncate(true);
+    FileLogStorage second(MakeOptions(disk));
+    CHECK(Same(second.Load(kSecond).value(), model));
+    disk.RefuseTruncate(false);
+    CHECK(Store(second, DrawBatch(model, random)));
+    FileLogStorage third(MakeOptions(disk));
+    const auto contents = third.Load(kSecond);
+    CHECK(contents.has_value());
+    CHECK(Same(contents.value(), model));
+  }
+}
+
 TEST(FileLogStorage, RefusesDamageToAcknowledgedBytesWherever)
 {
   MemoryDisk disk;
--- a/UnitTests/process/log/MemoryDisk.cpp
+++ b/UnitTests/process/log/MemoryDisk.cpp
@@ -94,6 +94,9 @@
 core::Result<void> MemoryDisk::Truncate(const std::string& aPath, std::uint64_t aSize)
 {
   BOOST_OUTCOME_TRYV(Step());
+  if (mFull || mRefuseTruncate) {
+    return core::Fail(core::ErrorKind::DiskFull, "the disk is full; make room");
+  }
   mNow.at(aPath)->now.resize(aSize);
   return core::Done();
 }
--- a/UnitTests/process/log/MemoryDisk.h
+++ b/UnitTests/process/log/MemoryDisk.h
@@ -22,6 +22,9 @@
   /// While full, a write takes a part of its bytes and fails.
   void SetFull(bool aFull) { mFull = aFull; }
 
+  /// Truncate() finds no room, though there may be some for the next write.
+  void RefuseTruncate(bool aRefuse) { mRefuseTruncate = aRefuse; }
+
   /// What the machine finds after a power loss: synced bytes, and any part of the rest.
   void Crash(core::Random& aRandom);
 
@@ -60,6 +63,7 @@
   std::uint64_t mLeft = std::numeric_limits<std::uint64_t>::max();
   bool mIgnoreSync = false;
   bool mFull = false;
+  bool mRefuseTruncate = false;
 };
 
 } // namespace cuminfield::unit_tests::log
--- a/cuminfield/process/log/FileLogStorage.cpp
+++ b/cuminfield/process/log/FileLogStorage.cpp
@@ -272,6 +272,9 @@
 
 core::Result<void> FileLogStorage::AppendSeal()
 {
+  if (mTorn) {
+    return core::Done(); // Behind a torn tail nothing could be read; the next batch drops it.
+  }
   // Not synced: it becomes durable with the next batch, or when the system writes it back.
   const std::string seal = Seal(mSize);
   auto appended = mDisk.Append(mFile, seal);
