Control plane: kept sums, urgent messages first, own stalls excused

Cause: on the large site a control host summed up all followers anew for each of its 33 followers, 20 times a second (followers squared times upstreams). Heartbeats of the log queued behind figures on the same loop; a voter that had not run for longer than the election timeout requested votes before it read the heartbeats that waited, a leader stepped down before it read the replies, and hosts left control hosts that they themselves had been too busy to hear.

Change: - UsageSums and KeyedSums hold running sums in fixed point; a report changes them by its difference, a feed is the total less its receiver's part. - The log's messages have a batch and a queue of their own, before figures; a queue of posted tasks no longer delays timers until its end. - StallDetector: time in which a process did not run counts neither as the leader's nor as a peer's nor as a control host's silence. - RoundPacer: rounds take a fifth of the time at most, feeds announce the interval, reports follow it. The part of a feed that is the same for all is serialized once. - A request at a silent upstream is no longer given up with 502 when the retry budget is empty; it waits on.

Tests: UsageSums equals plain summation over 300 random runs; a stalled host keeps its leader (failed before), random runs of the log with stalls, timers run while tasks keep coming, rounds that take long, own stall of a follower, silent upstream without retry budget. 394 ran.

--- a/TestFramework/time/ManualTimerService.h
+++ b/TestFramework/time/ManualTimerService.h
@@ -20,6 +20,10 @@
   /// Advances to the next due time and runs its timers. Returns false if none is due by aLimit.
   bool RunNextTimer(core::Instant aLimit);
 
+  /// Advances both clocks without running timers, like a process that does not run for a while. Due
+  /// timers run late, with the next Advance().
+  void Stall(core::Duration aDuration) { SetNow(mNow + aDuration); }
+
   /// Changes only the wall clock, like an operator who sets the system time.
   void StepWallClock(core::Duration aDuration) { mWallNow += aDuration; }
 
--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -17,9 +17,14 @@
 class FakeLinks : public peer::PeerLinks
 {
 public:
-  void Send(const core::HostId& aTo, peer::PeerMessage) override { sent.insert(aTo.Text()); }
+  void Send(const core::HostId& aTo, peer::PeerMessage) override
+  {
+    sent.insert(aTo.Text());
+    ++sentCount;
+  }
 
   std::set<std::string> sent;
+  int sentCount = 0;
 };
 
 } // namespace
@@ -124,3 +129,28 @@
   timers.Advance(1100ms);
   CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.3" });
 }
+
+/// A host that did not run itself must not hold its control host for silent. Before, a busy host
+/// left it and fetched a snapshot from another one, which made both busier.
+TEST(ClusterFollower, OwnStallIsNotTheControlHostsSilence)
+{
+  Receive("10.0.0.1", MakeFeed(5));
+  timers.Stall(3s);
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.1" });
+  timers.Advance(500ms);
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.1" });
+  timers.Advance(1s);
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.2" });
+}
+
+/// A control host that is busy gets fewer reports.
+TEST(ClusterFollower, ReportsAsOftenAsTheControlHostSendsFeeds)
+{
+  proto::Feed feed = MakeFeed(5);
+  feed.set_interval_ms(250);
+  for (int n = 0; n < 10; ++n) {
+    Receive("10.0.0.1", feed);
+    timers.Advance(200ms);
+  }
+  CHECK_EQUAL(8, links.sentCount);
+}
--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -24,7 +24,7 @@
     return report;
   }
 
-  proto::Feed MakeFeedFor(const std::string& aHost) const
+  proto::Feed MakeFeedFor(const std::string& aHost)
   {
     proto::Feed feed;
     table.AddRemoteSums(core::HostId(aHost), feed, true);
--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -139,6 +139,8 @@
 
 void LogCluster::Kill(std::size_t aHost)
 {
+  mHosts[aHost].unread.clear();
+  mHosts[aHost].stalledUntil = {};
   Host& host = mHosts[aHost];
   host.group.reset();
   host.stateMachine.reset();
@@ -225,12 +227,31 @@
   mRemoteTimers.Advance(kStep);
   for (Host& it : mHosts) {
     if (it.group && !it.failed) {
-      it.timers->Advance(std::chrono::duration_cast<core::Duration>(kStep * it.clockRate));
+      RunHost(it, std::chrono::duration_cast<core::Duration>(kStep * it.clockRate));
     }
   }
   CheckLeaders();
 }
 
+void LogCluster::RunHost(Host& aHost, core::Duration aStep)
+{
+  if (mNow < aHost.stalledUntil) {
+    aHost.timers->Stall(aStep);
+    return;
+  }
+  // Late timers run before the messages that waited: the order that is most likely to take a
+  // stall of this host for the silence of others.
+  aHost.timers->Advance(aStep);
+  for (const auto& [from, message] : std::exchange(aHost.unread, {})) {
+    aHost.links->OnMessage().emit(from, message);
+  }
+}
+
+void LogCluster::StallHost(std::size_t aHost, core::Duration aDuration)
+{
+  mHosts[aHost].stalledUntil = mNow + aDuration;
+}
+
 void LogCluster::DeliverPackets()
 {
   while (!mPacketsInFlight.empty() && mPacketsInFlight.begin()->first <= mNow) {
@@ -242,7 +263,9 @@
       continue;
     }
     Host& host = mHosts[it.to];
-    if (host.group && !host.failed) {
+    if (host.group && !host.failed && mNow < host.stalledUntil) {
+      host.unread.emplace_back(from, it.message);
+    } else if (host.group && !host.failed) {
       host.links->OnMessage().emit(from, it.message);
     }
   }
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -86,6 +86,7 @@
   double duplicateProbability = 0.0;
   double delayProbability = 0.0; ///< For a delay of up to 300 ms, so that later ones overtake.
   double maxClockDrift = 0.0;    ///< Largest error of a host's clock, as a fraction.
+  double stallProbability = 0.0; ///< Of a stall of up to 1.5 s, in each of the runs' steps.
 };
 
 /// A simulated group in virtual time with failing disks and links. Checks the hosts against each
@@ -142,6 +143,9 @@
   const std::string& Violation() const { return mViolation; }
   void ReportViolation(const std::string& aDescription);
 
+  /// Keeps a host from running for aDuration: its timers are late and its messages wait until then.
+  void StallHost(std::size_t aHost, core::Duration aDuration);
+
   /// Sets the speed of a host's clock relative to true time.
   void SetClockRate(std::size_t aHost, double aRate) { mHosts[aHost].clockRate = aRate; }
 
@@ -170,6 +174,8 @@
     core::Incarnation forcedIncarnation;
     double clockRate = 1.0;
     bool failed = false;
+    core::Instant stalledUntil{};
+    std::vector<std::pair<core::HostId, process::peer::PeerMessage>> unread; ///< While stalled.
   };
   struct Packet
   {
@@ -180,6 +186,7 @@
 
   void Step();
   void DeliverPackets();
+  void RunHost(Host& aHost, core::Duration aStep);
   void CheckLeaders();
   std::string DescribeHosts() const;
   process::log::Group& GroupOf(std::size_t aHost);
--- a/UnitTests/process/log/LogClusterTest.cpp
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -94,6 +94,10 @@
       cluster.Propose(host, core::Duration(cluster.Randomness().UniformBelow(2'000'000)));
       cluster.Query(host);
     }
+    if (aSettings.stallProbability > 0 && cluster.Randomness().Chance(aSettings.stallProbability)) {
+      cluster.StallHost(cluster.Randomness().UniformBelow(aSettings.hosts),
+                        core::Duration(cluster.Randomness().UniformBelow(1'500'000)));
+    }
     constexpr double kFaultProbability = 0.12;
     if (cluster.Randomness().Chance(kFaultProbability)) {
       InjectRandomFault(cluster, aSettings.hosts);
@@ -106,7 +110,8 @@
   return cluster.Violation();
 }
 
-void CheckRandomRuns(std::size_t aHosts, std::uint64_t aFirstSeed, std::uint64_t aCount)
+void CheckRandomRuns(std::size_t aHosts, std::uint64_t aFirstSeed, std::uint64_t aCount,
+                     double aStallProbability = 0.0)
 {
   std::size_t acknowledged = 0;
   for (std::uint64_t seed = aFirstSeed; seed < aFirstSeed + aCount; ++seed) {
@@ -115,7 +120,8 @@
                                                         .lossProbability = 0.03,
                                                         .duplicateProbability = 0.05,
                                                         .delayProbability = 0.03,
-                                                        .maxClockDrift = 0.02 },
+                                                        .maxClockDrift = 0.02,
+                                                        .stallProbability = aStallProbability },
                                                       20s, acknowledged);
     const std::string text = "seed " + std::to_string(seed) + ": " + violation;
     CHECK_TEXT(violation.empty(), text.c_str());
@@ -139,6 +145,38 @@
   LONGS_EQUAL(1, cluster.CompletedReads());
 }
 
+/// A machine that is busy or throttled must not cost the group its leader. Before, a voter that had
+/// not run for longer than the election timeout requested votes before it read the heartbeats that
+/// waited, and a leader stepped down before it read the replies.
+TEST(LogCluster, StalledHostKeepsTheLeader)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster({ .hosts = 5, .seed = seed });
+    FoundAndElect(cluster, 5);
+    const std::size_t leader = cluster.LeaderHost();
+    const std::uint64_t term = cluster.Group(leader).CurrentTerm().Value();
+    for (int i = 0; i < 10; ++i) {
+      cluster.StallHost((leader + 1 + i % 4) % 5, 1500ms);
+      cluster.Run(1600ms);
+    }
+    // The others elect a new leader after 600 ms without a heartbeat, so a shorter stall is the
+    // leader's own risk only.
+    for (int i = 0; i < 10; ++i) {
+      cluster.StallHost(leader, 400ms);
+      cluster.Run(500ms);
+    }
+    CHECK_EQUAL(leader, cluster.LeaderHost());
+    CHECK_EQUAL(term, cluster.Group(leader).CurrentTerm().Value());
+    CHECK_TEXT(cluster.Violation().empty(), cluster.Violation().c_str());
+  }
+}
+
+TEST(LogCluster, RandomRunsWithStalls)
+{
+  constexpr double kStallProbability = 0.05;
+  CheckRandomRuns(5, 7'100, 12, kStallProbability);
+}
+
 TEST(LogCluster, NewLeaderWithinThreeSecondsAfterAKill)
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -320,6 +320,25 @@
   CHECK_EQUAL(1, transport.liveCalls);
 }
 
+/// A slow upstream must not cost the caller its answer. Before, a silent attempt was given up with
+/// 502 when the retry budget was empty.
+TEST(RequestForwarder, RequestAtSilentUpstreamIsKeptWithoutRetryBudget)
+{
+  MakeRetryable(2);
+  for (int n = 0; n < 100 && scheduler->TryTakeRetry(core::ServiceId("s"), 1); ++n) {
+  }
+  Send();
+  timers.Advance(700ms);
+  CHECK_EQUAL(1, transport.startedCalls);
+  CHECK_EQUAL(1, transport.liveCalls);
+  CHECK_EQUAL(0, caller->status);
+  transport.listener->OnHead(200, {});
+  transport.listener->OnBody("late");
+  transport.listener->OnEnd();
+  CHECK_EQUAL(200, caller->status);
+  STRCMP_EQUAL("late", caller->body.c_str());
+}
+
 TEST(RequestForwarder, StreamResumesAtAnotherUpstreamAfterItsLastCompleteEvent)
 {
   MakeRetryable(2);
--- a/cuminfield/core/EventLoop.cpp
+++ b/cuminfield/core/EventLoop.cpp
@@ -10,6 +10,14 @@
 
 namespace cuminfield::core {
 
+namespace {
+
+/// Posted tasks that run before timers and sockets get a turn: a control host that falls behind
+/// must still send the heartbeats of its log.
+constexpr std::size_t kMaxTasksPerTurn = 32;
+
+} // namespace
+
 EventLoop::EventLoop()
 {
   evthread_use_pthreads();
@@ -55,11 +63,11 @@
   event_base_loopbreak(mEventBase);
 }
 
-void EventLoop::Post(std::function<void()> aTask)
+void EventLoop::Post(std::function<void()> aTask, TaskPriority aPriority)
 {
   {
     const std::lock_guard lock(mPostMutex);
-    mPostedTasks.push_back(std::move(aTask));
+    (aPriority == TaskPriority::High ? mPostedHighTasks : mPostedTasks).push_back(std::move(aTask));
   }
   event_active(mPostedEvent, EV_READ, 0);
 }
@@ -85,16 +93,29 @@
   event_add(mTimerEvent, &wait);
 }
 
-void EventLoop::RunPostedTasks()
+std::function<void()> EventLoop::TakePostedTask()
 {
-  std::vector<std::function<void()>> tasks;
-  {
-    const std::lock_guard lock(mPostMutex);
-    tasks.swap(mPostedTasks);
+  const std::lock_guard lock(mPostMutex);
+  std::deque<std::function<void()>>& queue =
+    mPostedHighTasks.empty() ? mPostedTasks : mPostedHighTasks;
+  if (queue.empty()) {
+    return nullptr;
   }
-  for (const auto& it : tasks) {
-    it();
+  std::function<void()> task = std::move(queue.front());
+  queue.pop_front();
+  return task;
+}
+
+void EventLoop::RunPostedTasks()
+{
+  for (std::size_t i = 0; i < kMaxTasksPerTurn; ++i) {
+    const std::function<void()> task = TakePostedTask();
+    if (!task) {
+      return;
+    }
+    task();
   }
+  event_active(mPostedEvent, EV_READ, 0);
 }
 
 void EventLoop::OnTimer(int, short, void* aSelf)
--- a/cuminfield/core/EventLoop.h
+++ b/cuminfield/core/EventLoop.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/TimerService.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -12,6 +13,13 @@
 
 namespace cuminfield::core {
 
+/// Order in which posted tasks run.
+enum class TaskPriority
+{
+  Normal,
+  High, ///< Runs before all tasks of normal priority.
+};
+
 /// The event loop of the process, based on libevent, with its timer service. Other threads (gRPC,
 /// disk) reach the loop only through Post(); all other methods must run on the loop's thread.
 class EventLoop : public TimerService
@@ -34,9 +42,10 @@
   /// Makes Run() return after the current event callback.
   void Stop();
 
-  /// Queues a task for the loop. Thread-safe; tasks run in the order of the calls. mPostMutex
-  /// guards mPostedTasks.
-  void Post(std::function<void()> aTask);
+  /// Queues a task for the loop. Thread-safe; tasks of one priority run in the order of the calls.
+  /// A long queue of tasks does not delay timers and sockets until its end. mPostMutex guards the
+  /// queues.
+  void Post(std::function<void()> aTask, TaskPriority aPriority = TaskPriority::Normal);
 
   /// Calls aSlot on the loop whenever the process receives this signal.
   void AddSignalHandler(int aSignal, std::function<void()> aSlot);
@@ -52,6 +61,7 @@
   };
 
   void RunPostedTasks();
+  std::function<void()> TakePostedTask();
   static void OnTimer(int aSocket, short aWhat, void* aSelf);
   static void OnPosted(int aSocket, short aWhat, void* aSelf);
   static void OnSignalEvent(int aSignal, short aWhat, void* aWatch);
@@ -60,7 +70,8 @@
   event* mTimerEvent = nullptr;
   event* mPostedEvent = nullptr;
   std::mutex mPostMutex;
-  std::vector<std::function<void()>> mPostedTasks;
+  std::deque<std::function<void()>> mPostedTasks;
+  std::deque<std::function<void()>> mPostedHighTasks;
   std::vector<std::unique_ptr<SignalHandler>> mSignalHandlers;
 };
 
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -17,10 +17,14 @@
 /// of its own data centre.
 constexpr core::Duration kReturnToLocalDelay = std::chrono::seconds(6);
 
+/// Ticks that may be missed before this process counts as stalled.
+constexpr int kTicksUntilStall = 3;
+
 } // namespace
 
 ClusterFollower::ClusterFollower(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mStalls(mOptions.settings.reportInterval * kTicksUntilStall)
 {
   for (const core::HostId& it : mOptions.cluster.seeds) {
     mControlHosts[it];
@@ -31,6 +35,7 @@
 void ClusterFollower::Start()
 {
   Follow(SelectControlHost(), "start");
+  mStalls.Update(mOptions.timers.Now());
   mTickTimer = mOptions.timers.ScheduleEvery(mOptions.settings.reportInterval, [this] { Tick(); });
 }
 
@@ -44,12 +49,29 @@
 
 void ClusterFollower::Tick()
 {
+  ExcuseStall();
   ReconsiderControlHost();
-  if (mOptions.hasBacklog() || mTickCount++ % mOptions.settings.idleTicksPerReport == 0) {
+  if (IsReportDue()) {
     SendReport();
   }
 }
 
+void ClusterFollower::ExcuseStall()
+{
+  const core::Duration stall = mStalls.Update(mOptions.timers.Now());
+  mLastReceivedAt += stall;
+  mLeaderLastKnownAt += stall;
+}
+
+bool ClusterFollower::IsReportDue() const
+{
+  // A control host that is busy announces longer intervals; reports then come less often, too.
+  const core::Duration wanted = mOptions.hasBacklog() ? mOptions.settings.reportInterval
+                                                      : mOptions.settings.idleReportInterval;
+  const core::Duration tolerance = mOptions.settings.reportInterval / 2;
+  return mOptions.timers.Now() - mLastReportAt + tolerance >= std::max(wanted, mFeedInterval);
+}
+
 void ClusterFollower::SendReport()
 {
   proto::Message message;
@@ -60,6 +82,7 @@
   report->set_data_centre(mOptions.cluster.dataCentre.Text());
   report->set_pressed(mOptions.hasBacklog());
   mOptions.fillReport(*report);
+  mLastReportAt = mOptions.timers.Now();
   const std::string payload = message.SerializeAsString();
   if (mFirstFeedAt) {
     mOptions.links.Send(mFollowed, { .channel = peer::Channel::Cluster, .payload = payload });
@@ -76,7 +99,7 @@
 {
   const core::Instant now = mOptions.timers.Now();
   const core::Instant lastReceived = std::max(mLastReceivedAt, mFollowedSince);
-  if (now - lastReceived > mOptions.settings.silenceTimeout) {
+  if (now - lastReceived > mSilenceTimeout) {
     mAbandonedAt[mFollowed] = now;
     Follow(SelectControlHost(), "silent");
     return;
@@ -121,6 +144,10 @@
   }
   mFollowed = aHost;
   mFollowedSince = mOptions.timers.Now();
+  mSilenceTimeout =
+    core::Scaled(mOptions.settings.silenceTimeout,
+                 1 + mOptions.settings.silenceTimeoutSpread * mOptions.random.Uniform());
+  mFeedInterval = core::Duration::zero();
   mRegistryRevision = 0;
   mFeedIncarnation = 0;
 }
@@ -158,6 +185,7 @@
                      { "registry", aFeed.registry_revision() } });
   }
   mLastReceivedAt = now;
+  mFeedInterval = std::chrono::milliseconds(aFeed.interval_ms());
   if (!mFirstFeedAt) {
     mFirstFeedAt = now;
   }
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminfield/core/Random.h"
+#include "cuminfield/core/StallDetector.h"
 #include "cuminfield/core/TimerService.h"
 #include "cuminfield/process/cluster/ClusterSettings.h"
 #include "cuminfield/process/cluster/cluster.pb.h"
@@ -20,10 +21,14 @@
 {
   /// Time between two reports while requests wait, when hosts compete for free slots.
   core::Duration reportInterval = std::chrono::milliseconds(50);
-  /// Report intervals between two reports while no request waits.
-  std::uint64_t idleTicksPerReport = 2;
-  /// A control host that sends nothing for this long is replaced by another one.
+  /// Time between two reports while no request waits.
+  core::Duration idleReportInterval = std::chrono::milliseconds(100);
+  /// A control host that sends nothing for this long is replaced by another one. Time in which this
+  /// process itself did not run doesn't count.
   core::Duration silenceTimeout = std::chrono::milliseconds(900);
+  /// The silence timeout is extended by a random part of itself up to this one, so that the
+  /// followers of a control host that fails don't all reach the next one at the same time.
+  double silenceTimeoutSpread = 0.2;
   /// A control host that has known no leader for this long is replaced by another one.
   core::Duration leaderlessTimeout = std::chrono::milliseconds(1500);
 };
@@ -65,6 +70,8 @@
 
 private:
   void Tick();
+  void ExcuseStall();
+  bool IsReportDue() const;
   void SendReport();
   void ReconsiderControlHost();
   void Follow(const core::HostId& aHost, const char* aReason);
@@ -84,7 +91,10 @@
   std::uint64_t mRegistryRevision = 0;
   std::uint64_t mDocumentNumber = 0;
   std::uint64_t mStateApplied = 0;
-  std::uint64_t mTickCount = 0;
+  core::Duration mSilenceTimeout{ 0 };    ///< Drawn for the followed control host.
+  core::Duration mFeedInterval{ 0 };      ///< As announced by the control host.
+  core::Instant mLastReportAt{};
+  core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
   sigc::signal<void(const proto::Feed&)> mOnFeed;
 };
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -32,8 +32,8 @@
 constexpr core::Duration kAnnounceInterval = std::chrono::milliseconds(100);
 constexpr core::Duration kResendInterval = std::chrono::milliseconds(250);
 
-/// While no request waits on any host, feeds and exchanges are sent once in this many ticks.
-constexpr std::uint64_t kIdleTicksPerRound = 2;
+/// Ticks that may be missed before this process counts as stalled.
+constexpr int kTicksUntilStall = 3;
 
 /// Time between two records of the workspaces' quota usage. If all hosts stop at once, the usage
 /// since the last record is lost.
@@ -94,6 +94,8 @@
   , mFollowers(mOptions.settings.followers)
   , mMoveCoordinator(mOptions.settings.moves)
   , mControlRequests(mOptions.settings.controlRequests)
+  , mPacer(mOptions.settings.rounds)
+  , mStalls(mOptions.settings.tickInterval * kTicksUntilStall)
 {
   const ClusterSettings& cluster = mOptions.cluster;
   mDisk = std::make_unique<log::PosixDisk>();
@@ -102,7 +104,7 @@
   // A separate thread keeps a slow disk from delaying heartbeats.
   mStorage = std::make_unique<log::ThreadedLogStorage>(log::ThreadedLogStorageOptions{
     .inner = *mFileStorage, .post = [&loop = mOptions.loop](std::function<void()> aWork) {
-      loop.Post(std::move(aWork));
+      loop.Post(std::move(aWork), core::TaskPriority::High);
     } });
   mGroup = std::make_unique<log::LogGroup>(
     log::LogGroupOptions{ .group = kGroupId,
@@ -127,7 +129,7 @@
                    aFull ? "disk-full" : "disk-regained", {});
   });
   mOptions.links.OnMessage().connect(sigc::mem_fun(*this, &ControlHost::OnMessage));
-  mTickTimer = mOptions.loop.ScheduleEvery(mOptions.settings.feedInterval, [this] { Tick(); });
+  mTickTimer = mOptions.loop.ScheduleEvery(mOptions.settings.tickInterval, [this] { Tick(); });
   return core::Success();
 }
 
@@ -329,18 +331,25 @@
   RestoreKnownUpstreams();
   ApplyLeaves();
   mRegistry.Expire(now);
+  mFollowers.OnStall(mStalls.Update(now));
   mFollowers.Expire(now);
-  ++mTickCount;
-  if (mFollowers.HasBacklog() || mTickCount % kIdleTicksPerRound == 0) {
-    mIncludeObserved = mMessageRounds++ % kRoundsPerObserved == 0;
-    SendExchange();
-    SendFeeds();
+  if (mPacer.IsDue(now, mFollowers.HasBacklog())) {
+    SendRound();
   }
   RunLeaderTasks();
   LogPendingRequests();
   LogChanges();
 }
 
+void ControlHost::SendRound()
+{
+  const core::Instant start = mOptions.loop.Now();
+  mIncludeObserved = mMessageRounds++ % kRoundsPerObserved == 0;
+  SendExchange();
+  SendFeeds();
+  mPacer.OnRoundSent(start, mOptions.loop.Now());
+}
+
 void ControlHost::ApplyLeaves()
 {
   for (const auto& [id, leave] : mState.Leaves()) {
@@ -397,6 +406,8 @@
     it->set_version(version);
   }
   feed.set_registry_revision(mRegistry.Revision());
+  feed.set_interval_ms(
+    static_cast<std::uint32_t>(ToMilliseconds(mPacer.Interval(mFollowers.HasBacklog()))));
   if (IsQuotaRecordValid()) {
     feed.set_has_recorded(true);
     *feed.mutable_recorded() = mState.QuotaRecord().uses();
@@ -414,35 +425,38 @@
 
 void ControlHost::SendFeeds()
 {
-  const proto::Feed common = BuildCommonFeed();
+  // Concatenated messages are merged when they are parsed, so the part that is the same for all
+  // followers is serialized only once.
+  proto::Message common;
+  *common.mutable_feed() = BuildCommonFeed();
+  const std::string commonBytes = common.SerializeAsString();
   for (auto& [host, follower] : mFollowers.Followers()) {
-    SendFeed(host, follower, common);
+    mOptions.links.Send(host, { .channel = peer::Channel::Cluster,
+                                .payload = commonBytes + BuildOwnPart(host, follower) });
   }
 }
 
-void ControlHost::SendFeed(const core::HostId& aHost, FollowerTable::Follower& aFollower,
-                           const proto::Feed& aCommon)
+std::string ControlHost::BuildOwnPart(const core::HostId& aHost, FollowerTable::Follower& aFollower)
 {
   const core::Instant now = mOptions.loop.Now();
   const core::Duration resendInterval = mOptions.settings.resendInterval;
   proto::Message message;
   proto::Feed* feed = message.mutable_feed();
-  *feed = aCommon;
   mFollowers.AddRemoteSums(aHost, *feed, mIncludeObserved);
-  const bool isRegistryConfirmed =
-    aFollower.report.registry_revision() == aCommon.registry_revision() &&
-    aFollower.sentRegistryRevision == aCommon.registry_revision();
-  const bool isRegistrySent = aFollower.sentRegistryRevision == aCommon.registry_revision() &&
+  const std::uint64_t revision = mRegistry.Revision();
+  const bool isRegistryConfirmed = aFollower.report.registry_revision() == revision &&
+                                   aFollower.sentRegistryRevision == revision;
+  const bool isRegistrySent = aFollower.sentRegistryRevision == revision &&
                               now - aFollower.registrySentAt < resendInterval;
   if (!isRegistryConfirmed && !isRegistrySent) {
     feed->set_registry(true);
     for (const proto::Upstream& it : mRegistry.List()) {
       *feed->add_upstreams() = it;
     }
-    aFollower.sentRegistryRevision = aCommon.registry_revision();
+    aFollower.sentRegistryRevision = revision;
     aFollower.registrySentAt = now;
   }
-  const std::uint64_t number = aCommon.document_number();
+  const std::uint64_t number = mState.Document().number();
   const bool isDocumentSent =
     aFollower.sentDocumentNumber == number && now - aFollower.documentSentAt < resendInterval;
   if (aFollower.report.document_number() < number && !isDocumentSent) {
@@ -450,8 +464,7 @@
     aFollower.sentDocumentNumber = number;
     aFollower.documentSentAt = now;
   }
-  mOptions.links.Send(
-    aHost, { .channel = peer::Channel::Cluster, .payload = message.SerializeAsString() });
+  return message.SerializeAsString();
 }
 
 void ControlHost::RunLeaderTasks()
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -3,11 +3,13 @@
 #include "cuminfield/core/Error.h"
 #include "cuminfield/core/EventLoop.h"
 #include "cuminfield/core/Random.h"
+#include "cuminfield/core/StallDetector.h"
 #include "cuminfield/process/cluster/ClusterSettings.h"
 #include "cuminfield/process/cluster/ClusterState.h"
 #include "cuminfield/process/cluster/ControlRequestTracker.h"
 #include "cuminfield/process/cluster/FollowerTable.h"
 #include "cuminfield/process/cluster/MoveCoordinator.h"
+#include "cuminfield/process/cluster/RoundPacer.h"
 #include "cuminfield/process/cluster/UpstreamRegistry.h"
 #include "cuminfield/process/log/DiskOperations.h"
 #include "cuminfield/process/log/LogGroup.h"
@@ -23,8 +25,9 @@
 /// Settings of ControlHost.
 struct ControlHostSettings
 {
-  /// Time between two feeds to the followers.
-  core::Duration feedInterval = std::chrono::milliseconds(50);
+  /// Time between two checks of what is due; the least time between two feeds.
+  core::Duration tickInterval = std::chrono::milliseconds(50);
+  RoundPacerSettings rounds;
   /// A registry or document that a host has not confirmed is resent after this long.
   core::Duration resendInterval = std::chrono::milliseconds(900);
   /// The registry counts as incomplete for this long after a start; by then every upstream has sent
@@ -101,11 +104,11 @@
   void LogPendingRequests();
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void Tick();
+  void SendRound();
   void ApplyLeaves();
   void SendFeeds();
   proto::Feed BuildCommonFeed() const;
-  void SendFeed(const core::HostId& aHost, FollowerTable::Follower& aFollower,
-                const proto::Feed& aCommon);
+  std::string BuildOwnPart(const core::HostId& aHost, FollowerTable::Follower& aFollower);
   void SendExchange();
   std::vector<core::HostId> ListOtherControlHosts() const;
   void RunLeaderTasks();
@@ -140,8 +143,9 @@
   std::uint64_t mLoggedDocumentNumber = 0;
   std::uint64_t mLoggedChangeIndex = 0;
   core::HostId mLoggedLeader;
+  RoundPacer mPacer;
+  core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
-  std::uint64_t mTickCount = 0;
   std::uint64_t mMessageRounds = 0;   ///< Rounds of exchanges and feeds sent.
   core::Instant mLastQuotaRecordAt{}; ///< Last quota record proposed.
   bool mIncludeObserved = false;      ///< This round includes observations of upstreams.
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -5,6 +5,35 @@
 
 namespace cuminfield::process::cluster {
 
+namespace {
+
+/// Drops what the running sums hold, too.
+template<typename Message>
+void ClearAmounts(Message& aMessage)
+{
+  aMessage.clear_in_flight();
+  aMessage.clear_demand();
+  aMessage.clear_wanted();
+  aMessage.clear_observed();
+}
+
+/// Erases the senders that were last heard before aSince, after aRemove has taken them out of the
+/// sums.
+template<typename Map, typename Remover>
+void EraseSilent(Map& aSenders, core::Instant aSince, const Remover& aRemove)
+{
+  for (auto it = aSenders.begin(); it != aSenders.end();) {
+    if (it->second.lastReceivedAt >= aSince) {
+      ++it;
+      continue;
+    }
+    aRemove(it->second);
+    it = aSenders.erase(it);
+  }
+}
+
+} // namespace
+
 void FollowerTable::OnReport(const core::HostId& aHost, proto::Report aReport, core::Instant aNow)
 {
   Follower& follower = mFollowers[aHost];
@@ -12,9 +41,9 @@
     follower.sentRegistryRevision = 0;
     follower.sentDocumentNumber = 0;
   }
-  if (!aReport.has_observed()) {
-    aReport.mutable_observed()->Swap(follower.report.mutable_observed());
-  }
+  mSums.Replace(follower.part, aReport);
+  mLocalSums.Replace(follower.localPart, aReport);
+  ClearAmounts(aReport);
   follower.report = std::move(aReport);
   follower.lastReceivedAt = aNow;
   mHostLastSeenAt[aHost] = aNow;
@@ -24,125 +53,41 @@
                                core::Instant aNow)
 {
   Peer& peer = mPeers[aControlHost];
-  if (!aExchange.has_observed()) {
-    aExchange.mutable_observed()->Swap(peer.exchange.mutable_observed());
-  }
+  mSums.Replace(peer.part, aExchange);
+  ClearAmounts(aExchange);
+  aExchange.clear_upstreams();
   peer.exchange = std::move(aExchange);
-  peer.exchange.clear_upstreams();
   peer.lastReceivedAt = aNow;
   for (const std::string& it : peer.exchange.followers()) {
     mHostLastSeenAt[core::HostId(it)] = aNow;
   }
 }
 
-void FollowerTable::Expire(core::Instant aNow)
+void FollowerTable::OnStall(core::Duration aDuration)
 {
-  std::erase_if(mFollowers, [&](const auto& aItem) {
-    return aNow - aItem.second.lastReceivedAt > mSettings.silenceTimeout;
-  });
-  std::erase_if(mPeers, [&](const auto& aItem) {
-    return aNow - aItem.second.lastReceivedAt > mSettings.silenceTimeout;
-  });
-  std::erase_if(mHostLastSeenAt,
-                [&](const auto& aItem) { return aNow - aItem.second > mSettings.hostRetention; });
-}
-
-void FollowerTable::Sums::Add(const proto::InFlight& aInFlight)
-{
-  proto::InFlight& sum = inFlight[aInFlight.upstream()];
-  sum.set_requests(sum.requests() + aInFlight.requests());
-  sum.set_prompt_tokens(sum.prompt_tokens() + aInFlight.prompt_tokens());
-  sum.set_held_tokens(sum.held_tokens() + aInFlight.held_tokens());
-  sum.set_doubting(sum.doubting() + aInFlight.doubting());
-  sum.set_trusting(sum.trusting() + aInFlight.trusting());
-}
-
-void FollowerTable::Sums::Add(const proto::Observed& aObserved)
-{
-  proto::Observed& sum = observed[aObserved.upstream()];
-  sum.set_answers(sum.answers() + aObserved.answers());
-  sum.set_failures(sum.failures() + aObserved.failures());
-  sum.set_paces(sum.paces() + aObserved.paces());
-  sum.set_token_ms(sum.token_ms() + aObserved.token_ms());
-  sum.set_firsts(sum.firsts() + aObserved.firsts());
-  sum.set_first_factor(sum.first_factor() + aObserved.first_factor());
-}
-
-template<typename Message>
-void FollowerTable::Sums::AddAll(const Message& aMessage)
-{
-  for (const proto::InFlight& it : aMessage.in_flight()) {
-    Add(it);
-  }
-  for (const proto::Demand& it : aMessage.demand()) {
-    Add(it);
-  }
-  for (const proto::Wanted& it : aMessage.wanted()) {
-    wanted[{ it.service(), it.rank() }] += it.requests();
+  for (auto& [host, follower] : mFollowers) {
+    follower.lastReceivedAt += aDuration;
   }
-  for (const proto::Observed& it : aMessage.observed()) {
-    Add(it);
-  }
-}
-
-void FollowerTable::Sums::Add(const proto::Demand& aDemand)
-{
-  proto::Demand& sum = demand[aDemand.workspace()];
-  sum.set_units_per_s(sum.units_per_s() + aDemand.units_per_s());
-  sum.set_used(sum.used() + aDemand.used());
-}
-
-FollowerTable::Sums FollowerTable::SumFollowers(const core::HostId& aExcludedHost) const
-{
-  Sums sums;
-  for (const auto& [host, follower] : mFollowers) {
-    ++sums.hostCount;
-    sums.quotaHistorySum += follower.report.quota_memory();
-    sums.partialHistoryHosts += follower.report.forgetful();
-    if (host == aExcludedHost) {
-      continue;
-    }
-    sums.AddAll(follower.report);
+  for (auto& [host, peer] : mPeers) {
+    peer.lastReceivedAt += aDuration;
   }
-  return sums;
 }
 
-template<typename Message>
-void FollowerTable::WriteSums(const Sums& aSums, bool aObserved, Message& aMessage)
+void FollowerTable::Expire(core::Instant aNow)
 {
-  aMessage.set_hosts(aSums.hostCount);
-  aMessage.set_quota_memory(aSums.quotaHistorySum);
-  aMessage.set_forgetful(aSums.partialHistoryHosts);
-  for (const auto& [upstream, sum] : aSums.inFlight) {
-    proto::InFlight* it = aMessage.add_in_flight();
-    *it = sum;
-    it->set_upstream(upstream);
-  }
-  for (const auto& [key, requests] : aSums.wanted) {
-    proto::Wanted* it = aMessage.add_wanted();
-    it->set_service(key.first);
-    it->set_rank(key.second);
-    it->set_requests(requests);
-  }
-  for (const auto& [workspace, sum] : aSums.demand) {
-    proto::Demand* it = aMessage.add_demand();
-    *it = sum;
-    it->set_workspace(workspace);
-  }
-  aMessage.set_has_observed(aObserved);
-  if (!aObserved) {
-    return;
-  }
-  for (const auto& [upstream, sum] : aSums.observed) {
-    proto::Observed* it = aMessage.add_observed();
-    *it = sum;
-    it->set_upstream(upstream);
-  }
+  EraseSilent(mFollowers, aNow - mSettings.silenceTimeout, [this](Follower& aFollower) {
+    mSums.Remove(aFollower.part);
+    mLocalSums.Remove(aFollower.localPart);
+  });
+  EraseSilent(mPeers, aNow - mSettings.silenceTimeout,
+              [this](Peer& aPeer) { mSums.Remove(aPeer.part); });
+  std::erase_if(mHostLastSeenAt,
+                [&](const auto& aItem) { return aNow - aItem.second > mSettings.hostRetention; });
 }
 
-void FollowerTable::AddLocalSums(proto::Exchange& aExchange, bool aObserved) const
+void FollowerTable::AddLocalSums(proto::Exchange& aExchange, bool aObserved)
 {
-  WriteSums(SumFollowers({}), aObserved, aExchange);
+  mLocalSums.Write(nullptr, aObserved, aExchange);
   aExchange.set_pressed(HasFollowerBacklog());
   for (const auto& [host, follower] : mFollowers) {
     aExchange.add_followers(host.Text());
@@ -156,19 +101,12 @@
   }
 }
 
-void FollowerTable::AddRemoteSums(const core::HostId& aHost, proto::Feed& aFeed,
-                                  bool aObserved) const
+void FollowerTable::AddRemoteSums(const core::HostId& aHost, proto::Feed& aFeed, bool aObserved)
 {
-  Sums sums = SumFollowers(aHost);
-  for (const auto& [host, peer] : mPeers) {
-    sums.hostCount += peer.exchange.hosts();
-    sums.quotaHistorySum += peer.exchange.quota_memory();
-    sums.partialHistoryHosts += peer.exchange.forgetful();
-    sums.AddAll(peer.exchange);
-  }
-  WriteSums(sums, aObserved, aFeed);
+  const auto follower = mFollowers.find(aHost);
+  mSums.Write(follower == mFollowers.end() ? nullptr : &follower->second.part, aObserved, aFeed);
   aFeed.set_hosts_known(
-    std::max(sums.hostCount, static_cast<std::uint32_t>(mHostLastSeenAt.size())));
+    std::max(mSums.HostCount(), static_cast<std::uint32_t>(mHostLastSeenAt.size())));
 }
 
 bool FollowerTable::HasFollowerBacklog() const
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Ids.h"
 #include "cuminfield/core/Units.h"
+#include "cuminfield/process/cluster/UsageSums.h"
 #include "cuminfield/process/cluster/cluster.pb.h"
 
 #include <cstdint>
@@ -24,6 +25,9 @@
 
 /// Sums up the usage and demand of all hosts at a control host, from the reports of its own
 /// followers and the sums of the other control hosts. Performs no I/O.
+///
+/// The sums are updated with each message, not recomputed for each feed: with hundreds of hosts,
+/// each with its own feed, the cost of a round would grow with the square of their number.
 class FollowerTable
 {
 public:
@@ -31,19 +35,25 @@
     : mSettings(aSettings)
   {
   }
+  FollowerTable(const FollowerTable&) = delete;
+  FollowerTable& operator=(const FollowerTable&) = delete;
 
   void OnReport(const core::HostId& aHost, proto::Report aReport, core::Instant aNow);
   void OnExchange(const core::HostId& aControlHost, proto::Exchange aExchange, core::Instant aNow);
 
+  /// This process did not run for aDuration and could not receive: that time doesn't count as the
+  /// silence of others.
+  void OnStall(core::Duration aDuration);
+
   /// Drops hosts and control hosts that are silent.
   void Expire(core::Instant aNow);
 
   /// Adds the sums over the followers of this control host; aObserved includes their observations
   /// of upstreams.
-  void AddLocalSums(proto::Exchange& aExchange, bool aObserved) const;
+  void AddLocalSums(proto::Exchange& aExchange, bool aObserved);
 
   /// Adds the sums over all hosts except aHost, whose own values are newer than any sum.
-  void AddRemoteSums(const core::HostId& aHost, proto::Feed& aFeed, bool aObserved) const;
+  void AddRemoteSums(const core::HostId& aHost, proto::Feed& aFeed, bool aObserved);
 
   /// True while requests wait on any host.
   bool HasBacklog() const;
@@ -54,7 +64,9 @@
 
   struct Follower
   {
-    proto::Report report;
+    proto::Report report; ///< The latest one, without the usage and demand that `part` holds.
+    UsageSums::Part part;
+    UsageSums::Part localPart; ///< The same in the sums over the followers.
     core::Instant lastReceivedAt{};
     std::uint64_t sentRegistryRevision = 0;
     core::Instant registrySentAt{};
@@ -67,37 +79,18 @@
   std::map<core::HostId, std::string> ControlHosts() const;
 
 private:
-  struct Sums
-  {
-    std::map<std::string, proto::InFlight> inFlight;
-    std::map<std::string, proto::Demand> demand;
-    std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> wanted; ///< By service and rank.
-    std::map<std::string, proto::Observed> observed;
-    std::uint32_t hostCount = 0;
-    double quotaHistorySum = 0; ///< Fractions of the quota window that the hosts cover, summed.
-    std::uint32_t partialHistoryHosts = 0;
-
-    void Add(const proto::InFlight& aInFlight);
-    void Add(const proto::Demand& aDemand);
-    void Add(const proto::Observed& aObserved);
-
-    /// Adds the contents of a report or an exchange.
-    template<typename Message>
-    void AddAll(const Message& aMessage);
-  };
   struct Peer
   {
-    proto::Exchange exchange;
+    proto::Exchange exchange; ///< The latest one, without the usage and demand that `part` holds.
+    UsageSums::Part part;
     core::Instant lastReceivedAt{};
   };
 
   bool HasFollowerBacklog() const;
-  /// Sums over the followers, without the usage and demand of aExcludedHost, which may be empty.
-  Sums SumFollowers(const core::HostId& aExcludedHost) const;
-  template<typename Message>
-  static void WriteSums(const Sums& aSums, bool aObserved, Message& aMessage);
 
   FollowerTableSettings mSettings;
+  UsageSums mSums;      ///< Over all hosts.
+  UsageSums mLocalSums; ///< Over the followers of this control host.
   std::map<core::HostId, Follower> mFollowers;
   std::map<core::HostId, Peer> mPeers;
   std::map<core::HostId, core::Instant> mHostLastSeenAt; ///< Hosts that follow any control host.
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -32,6 +32,7 @@
         .send = [this](const core::HostId& aTo,
                        const proto::GroupMessage& aMessage) { SendGroupMessage(aTo, aMessage); },
         .settings = mOptions.settings.client })
+  , mStalls(mOptions.settings.stallTolerance)
 {
 }
 
@@ -165,6 +166,7 @@
   if (!message.ParseFromString(aPayload) || message.group() != mOptions.group.Text()) {
     return;
   }
+  ExcuseStall();
   mLog->Receive(aFrom, message, mOptions.timers.Now());
   SchedulePump();
 }
@@ -201,10 +203,19 @@
   if (mFailed) {
     return;
   }
+  ExcuseStall();
   mLog->Tick(mOptions.timers.Now());
   Pump();
 }
 
+void LogGroup::ExcuseStall()
+{
+  const core::Duration stall = mStalls.Update(mOptions.timers.Now());
+  if (stall > core::Duration::zero()) {
+    mLog->OnStall(stall);
+  }
+}
+
 void LogGroup::SchedulePump()
 {
   if (mPumping) {
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Error.h"
 #include "cuminfield/core/Random.h"
+#include "cuminfield/core/StallDetector.h"
 #include "cuminfield/core/TimerService.h"
 #include "cuminfield/process/log/Group.h"
 #include "cuminfield/process/log/GroupClient.h"
@@ -32,6 +33,10 @@
   /// Interval of ReplicatedLog::Tick().
   core::Duration tickInterval = std::chrono::milliseconds(25);
 
+  /// Longest time without a tick or message that is normal. What exceeds it, this process did not
+  /// run.
+  core::Duration stallTolerance = std::chrono::milliseconds(75);
+
   /// A snapshot is taken after this many applied entries, or
   std::uint64_t snapshotAfterEntries = 10'000;
   /// after this many bytes of applied commands, whichever comes first.
@@ -124,6 +129,7 @@
   void OnGroupMessage(const core::HostId& aFrom, const std::string& aPayload);
   void SendGroupMessage(const core::HostId& aTo, const proto::GroupMessage& aMessage);
   void HandleGroupMessage(const core::HostId& aFrom, const proto::GroupMessage& aMessage);
+  void ExcuseStall();
   void Tick();
 
   /// Processes the log's outputs at the end of this turn of the event loop, so that everything that
@@ -154,6 +160,7 @@
   bool mPumping = false;
   bool mPumpAgain = false;
   core::HostId mKnownLeader;
+  core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
   core::TimerHandle mPumpTimer;
   LeaderSignal mOnLeaderChanged;
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -93,6 +93,10 @@
   /// Advances the time; call every few tens of milliseconds.
   void Tick(core::Instant aNow);
 
+  /// This process did not run for aDuration, so it could not receive: that time counts neither as
+  /// the leader's silence nor as the followers'.
+  void OnStall(core::Duration aDuration);
+
   /// Handles a message from another host.
   void Receive(const core::HostId& aFrom, const proto::LogMessage& aMessage, core::Instant aNow);
 
--- a/cuminfield/process/log/ReplicatedLogElection.cpp
+++ b/cuminfield/process/log/ReplicatedLogElection.cpp
@@ -16,6 +16,15 @@
   mElectionDue = mNow + mSettings.electionTimeoutMin + core::Duration(extra);
 }
 
+// Leases don't depend on this: votes are rejected by mLeaderLastReceivedAt, which stays as it is.
+void ReplicatedLog::OnStall(core::Duration aDuration)
+{
+  mElectionDue += aDuration;
+  for (auto& [member, progress] : mProgress) {
+    progress.lastReceivedAt += aDuration;
+  }
+}
+
 bool ReplicatedLog::HasRecentLeaderContact() const
 {
   return mRole == Role::Leader || mNow - mLeaderLastReceivedAt < mSettings.electionTimeoutMin;
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -122,12 +122,17 @@
       Finish(grpc::Status::OK);
       return;
     }
+    // A batch holds either urgent frames only or none, see FlushQueue.
+    const bool isUrgent =
+      mBatch.frames_size() > 0 && IsUrgent(static_cast<Channel>(mBatch.frames(0).channel()));
     // The batch is passed to the loop's thread as bytes, so no message object is shared by threads.
-    mLoop.Post([&links = mLinks, alive = mAlive, bytes = mBatch.SerializeAsString()] {
-      if (*alive) {
-        links.OnBatch(bytes);
-      }
-    });
+    mLoop.Post(
+      [&links = mLinks, alive = mAlive, bytes = mBatch.SerializeAsString()] {
+        if (*alive) {
+          links.OnBatch(bytes);
+        }
+      },
+      isUrgent ? core::TaskPriority::High : core::TaskPriority::Normal);
     StartRead(&mBatch);
   }
 
@@ -159,6 +164,7 @@
 
 GrpcPeerLinks::GrpcPeerLinks(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mStalls(kSilenceCheckPeriod * 2)
   , mAlive(std::make_shared<bool>(true))
 {
   for (const settings::PeerSettings& it : mOptions.peers) {
@@ -253,8 +259,10 @@
 void GrpcPeerLinks::CheckSilentPeers()
 {
   const core::Instant now = mOptions.loop.Now();
+  const core::Duration stall = mStalls.Update(now);
   for (auto it = mPeers.begin(); it != mPeers.end();) {
     Peer& peer = it->second;
+    peer.lastReceivedAt += stall;
     const core::Duration idle = now - std::max(peer.lastQueuedAt, peer.lastReceivedAt);
     if (peer.isDynamic && idle > mOptions.settings.dynamicPeerIdleTimeout) {
       if (peer.stream) {
@@ -289,14 +297,19 @@
   if (!aPeer.stream || aPeer.stream->IsBusy() || aPeer.queue.empty()) {
     return;
   }
+  // Urgent frames go first, in a batch of their own.
+  const auto rest =
+    std::stable_partition(aPeer.queue.begin(), aPeer.queue.end(),
+                          [](const PeerMessage& aMessage) { return IsUrgent(aMessage.channel); });
+  const auto end = rest == aPeer.queue.begin() ? aPeer.queue.end() : rest;
   proto::Batch batch;
   batch.set_from(mOptions.self.Text());
-  for (PeerMessage& it : aPeer.queue) {
+  for (auto it = aPeer.queue.begin(); it != end; ++it) {
     proto::Frame* frame = batch.add_frames();
-    frame->set_channel(static_cast<std::uint32_t>(it.channel));
-    frame->set_payload(std::move(it.payload));
+    frame->set_channel(static_cast<std::uint32_t>(it->channel));
+    frame->set_payload(std::move(it->payload));
   }
-  aPeer.queue.clear();
+  aPeer.queue.erase(aPeer.queue.begin(), end);
   mBytesSent.value += static_cast<std::int64_t>(batch.ByteSizeLong());
   aPeer.stream->Write(std::move(batch));
 }
--- a/cuminfield/process/peer/GrpcPeerLinks.h
+++ b/cuminfield/process/peer/GrpcPeerLinks.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/core/Error.h"
 #include "cuminfield/core/EventLoop.h"
+#include "cuminfield/core/StallDetector.h"
 #include "cuminfield/process/peer/PeerLinks.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
@@ -93,6 +94,7 @@
 
   Options mOptions;
   std::map<core::HostId, Peer> mPeers;
+  core::StallDetector mStalls;
   std::unique_ptr<Service> mService;
   std::unique_ptr<grpc::Server> mServer;
   std::shared_ptr<bool> mAlive; ///< False once stopped, so that late completions are ignored.
--- a/cuminfield/process/peer/PeerLinks.h
+++ b/cuminfield/process/peer/PeerLinks.h
@@ -21,6 +21,13 @@
   Cluster = 7,    ///< Reports and feeds between hosts that discover each other through seeds.
 };
 
+/// True for messages that agreement and operators' requests depend on. They are sent and handled
+/// before figures, whose volume grows with the number of hosts.
+constexpr bool IsUrgent(Channel aChannel)
+{
+  return aChannel == Channel::Log || aChannel == Channel::Group;
+}
+
 /// One message between two hosts, delivered at best effort: it may be lost, duplicated, delayed or
 /// reordered, so each component resends what matters and discards outdated messages.
 struct PeerMessage
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -127,7 +127,12 @@
   if (mState != State::Calling || !CanRetry()) {
     return;
   }
-  FailAttempt("silent");
+  if (!mOptions.scheduler.TryTakeRetry(mOptions.request.spec.service, mAttempts)) {
+    // Silence is no failure: with no retry left, the upstream may still respond.
+    ArmSilenceTimer();
+    return;
+  }
+  RetryElsewhere();
 }
 
 bool RequestForwarder::CanRetry() const
@@ -333,25 +338,32 @@
 
 void RequestForwarder::FailAttempt(const std::string& aReason)
 {
+  if (CanRetry() && mOptions.scheduler.TryTakeRetry(mOptions.request.spec.service, mAttempts)) {
+    RetryElsewhere();
+    return;
+  }
   mCall.reset();
   mSilenceTimer.Cancel();
-  const bool shouldRetry =
-    CanRetry() && mOptions.scheduler.TryTakeRetry(mOptions.request.spec.service, mAttempts);
-  RequestSpec spec = mOptions.request.spec;
   mStatus = 0;
   FinishAttempt(AttemptOutcome::Failed);
-  if (shouldRetry) {
-    mState = State::Waiting;
-    mEventStream.DiscardPartialEvent();
-    mEarlierEvents = mEventStream.EventCount();
-    spec.avoidUpstream = mUpstream.id;
-    spec.resumed = mHeadSent;
-    mOptions.scheduler.Submit(std::move(spec));
-    return;
-  }
   Fail({ .status = connection::kStatusBadGateway, .reason = aReason, .retryAfter = std::nullopt });
 }
 
+void RequestForwarder::RetryElsewhere()
+{
+  mCall.reset();
+  mSilenceTimer.Cancel();
+  RequestSpec spec = mOptions.request.spec;
+  mStatus = 0;
+  FinishAttempt(AttemptOutcome::Failed);
+  mState = State::Waiting;
+  mEventStream.DiscardPartialEvent();
+  mEarlierEvents = mEventStream.EventCount();
+  spec.avoidUpstream = mUpstream.id;
+  spec.resumed = mHeadSent;
+  mOptions.scheduler.Submit(std::move(spec));
+}
+
 void RequestForwarder::Shed(ShedReason aReason, core::Duration aRetryAfter)
 {
   if (mMayHaveRun) {
--- a/cuminfield/request/forward/RequestForwarder.h
+++ b/cuminfield/request/forward/RequestForwarder.h
@@ -101,6 +101,8 @@
   void ForwardEvents(std::string_view aBytes);
   void ForwardHead();
   bool CanRetry() const;
+  /// Ends the attempt and queues the request for another upstream; the retry has been taken.
+  void RetryElsewhere();
   void FailAttempt(const std::string& aReason);
   void FinishAttempt(AttemptOutcome aOutcome);
   void RevertAttempt(AttemptOutcome aOutcome, int aStatus);
