A host that turns to another control host counts once

Cause: after the control hosts' outage all hosts returned to the control host of their own data centre within one second (always 6 s after they had left it), and the former control host counted each of them for 1.5 s more. Load, demand and quota usage counted twice: no slot seemed free and quotas seemed used up. Change: reports carry a follow epoch, exchanges the epochs of the followers, so a control host drops a follower that another one has by a newer epoch; a host tells its former control host that it left; reports that were overtaken are ignored. The time until hosts return is drawn between 4 and 10 s. The sums of a silent control host are dropped when its followers turn to others (1 s).

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -17,14 +18,18 @@
 class FakeLinks : public peer::PeerLinks
 {
 public:
-  void Send(const core::HostId& aTo, peer::PeerMessage) override
+  void Send(const core::HostId& aTo, peer::PeerMessage aMessage) override
   {
     sent.insert(aTo.Text());
     ++sentCount;
+    proto::Message message;
+    CHECK(message.ParseFromString(aMessage.payload));
+    lastReports[aTo.Text()] = message.report();
   }
 
   std::set<std::string> sent;
   int sentCount = 0;
+  std::map<std::string, proto::Report> lastReports;
 };
 
 } // namespace
@@ -154,3 +159,15 @@
   }
   CHECK_EQUAL(8, links.sentCount);
 }
+
+TEST(ClusterFollower, UnfollowsTheFormerControlHost)
+{
+  Receive("10.0.0.1", MakeFeed(5));
+  timers.Advance(500ms);
+  timers.Advance(1s);
+  const proto::Report& former = links.lastReports["10.0.0.1"];
+  const proto::Report& current = links.lastReports["10.0.0.2"];
+  CHECK(former.unfollows());
+  CHECK_FALSE(current.unfollows());
+  CHECK(current.follow_epoch() > former.follow_epoch());
+}
--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -126,3 +126,48 @@
   table.OnReport(core::HostId("a"), report, now);
   CHECK_EQUAL(0, table.Followers().at(core::HostId("a")).sentRegistryRevision);
 }
+
+/// Load pattern: all hosts of a data centre return to its control host at the same moment. Before,
+/// the former control host counted them for 1.5 s more, so that their load and quota usage counted
+/// twice: no slot seemed free, and requests within their quota were refused.
+TEST(FollowerTable, HostThatTurnsToAnotherControlHostCountsOnce)
+{
+  FollowerTable former{ {} };
+  proto::Report report = MakeReport(3, 30);
+  report.set_follow_epoch(1);
+  former.OnReport(core::HostId("a"), report, now);
+  const auto exchange = [](FollowerTable& aFrom, FollowerTable& aTo, core::Instant aNow) {
+    proto::Exchange message;
+    aFrom.AddLocalSums(message, true);
+    aTo.OnExchange(core::HostId("control-2"), message, aNow);
+  };
+  report.set_follow_epoch(2);
+  table.OnReport(core::HostId("a"), report, now);
+  exchange(table, former, now);
+  exchange(former, table, now);
+  CHECK_EQUAL(0, former.Followers().size());
+  proto::Feed feed = MakeFeedFor("a");
+  CHECK_EQUAL(0, feed.in_flight_size());
+  CHECK_EQUAL(0, feed.demand_size());
+  CHECK_EQUAL(1, feed.hosts());
+  // An old report that was overtaken changes nothing.
+  report.set_follow_epoch(1);
+  former.OnReport(core::HostId("a"), report, now + 10ms);
+  CHECK_EQUAL(0, former.Followers().size());
+  // A restarted host is known by its incarnation.
+  report.set_life(2);
+  former.OnReport(core::HostId("a"), report, now + 20ms);
+  CHECK_EQUAL(1, former.Followers().size());
+}
+
+TEST(FollowerTable, HostThatUnfollowsIsDroppedAtOnce)
+{
+  table.OnReport(core::HostId("a"), MakeReport(3, 30), now);
+  proto::Report report;
+  report.set_life(1);
+  report.set_unfollows(true);
+  table.OnReport(core::HostId("a"), report, now);
+  CHECK_EQUAL(0, table.Followers().size());
+  CHECK_EQUAL(0, MakeFeedFor("b").in_flight_size());
+  CHECK_EQUAL(1, MakeFeedFor("b").hosts_known()); // Its quota usage still counts elsewhere.
+}
--- a/UnitTests/process/log/LogClusterTest.cpp
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -145,16 +145,22 @@
   LONGS_EQUAL(1, cluster.CompletedReads());
 }
 
-/// A machine that is busy or throttled must not cost the group its leader. Before, a voter that had
-/// not run for longer than the election timeout requested votes before it read the heartbeats that
-/// waited, and a leader stepped down before it read the replies.
-TEST(LogCluster, StalledHostKeepsTheLeader)
+/// Hosts that are all busy at the same time must not cost the group its leader. Before, voters that
+/// had not run for longer than the election timeout requested votes before they read the heartbeats
+/// that waited, and a leader stepped down before it read the replies.
+TEST(LogCluster, StalledHostsKeepTheLeader)
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     LogCluster cluster({ .hosts = 5, .seed = seed });
     FoundAndElect(cluster, 5);
     const std::size_t leader = cluster.LeaderHost();
     const std::uint64_t term = cluster.Group(leader).CurrentTerm().Value();
+    for (int i = 0; i < 10; ++i) {
+      for (std::size_t host = 0; host < 5; ++host) {
+        cluster.StallHost(host, 1500ms);
+      }
+      cluster.Run(2500ms);
+    }
     for (int i = 0; i < 10; ++i) {
       cluster.StallHost((leader + 1 + i % 4) % 5, 1500ms);
       cluster.Run(1600ms);
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -13,9 +13,11 @@
 /// A control host that was abandoned is selected last for this long.
 constexpr core::Duration kAvoidDuration = std::chrono::seconds(5);
 
-/// After following a control host of another data centre for this long, the follower returns to one
-/// of its own data centre.
-constexpr core::Duration kReturnToLocalDelay = std::chrono::seconds(6);
+/// After following a control host of another data centre for a random time between these, the
+/// follower returns to one of its own data centre. All hosts of a data centre lose their control
+/// host at the same moment and must not return to it at the same moment.
+constexpr core::Duration kMinReturnToLocalDelay = std::chrono::seconds(4);
+constexpr core::Duration kMaxReturnToLocalDelay = std::chrono::seconds(10);
 
 /// Ticks that may be missed before this process counts as stalled.
 constexpr int kTicksUntilStall = 3;
@@ -76,7 +78,7 @@
 {
   proto::Message message;
   proto::Report* report = message.mutable_report();
-  report->set_life(mOptions.incarnation);
+  *report = MakeReportHeader();
   report->set_document_number(mDocumentNumber);
   report->set_registry_revision(mRegistryRevision);
   report->set_data_centre(mOptions.cluster.dataCentre.Text());
@@ -95,6 +97,23 @@
   }
 }
 
+proto::Report ClusterFollower::MakeReportHeader() const
+{
+  proto::Report report;
+  report.set_life(mOptions.incarnation);
+  report.set_follow_epoch(mFollowEpoch);
+  return report;
+}
+
+void ClusterFollower::SendUnfollow()
+{
+  proto::Message message;
+  *message.mutable_report() = MakeReportHeader();
+  message.mutable_report()->set_unfollows(true);
+  mOptions.links.Send(
+    mFollowed, { .channel = peer::Channel::Cluster, .payload = message.SerializeAsString() });
+}
+
 void ClusterFollower::ReconsiderControlHost()
 {
   const core::Instant now = mOptions.timers.Now();
@@ -110,7 +129,7 @@
     return;
   }
   const bool isRemote = mControlHosts[mFollowed] != mOptions.cluster.dataCentre.Text();
-  if (isRemote && now - mFollowedSince > kReturnToLocalDelay) {
+  if (isRemote && now - mFollowedSince > mReturnDelay) {
     const core::HostId candidate = SelectControlHost();
     if (mControlHosts[candidate] == mOptions.cluster.dataCentre.Text()) {
       Follow(candidate, "nearer");
@@ -142,11 +161,18 @@
     logging::Event(logging::Level::Info, "control-host-left",
                    { { "control_host", mFollowed.Text() }, { "reason", aReason } });
   }
+  if (mFirstFeedAt) {
+    SendUnfollow();
+  }
+  ++mFollowEpoch;
   mFollowed = aHost;
   mFollowedSince = mOptions.timers.Now();
   mSilenceTimeout =
     core::Scaled(mOptions.settings.silenceTimeout,
                  1 + mOptions.settings.silenceTimeoutSpread * mOptions.random.Uniform());
+  mReturnDelay =
+    kMinReturnToLocalDelay + core::Scaled(kMaxReturnToLocalDelay - kMinReturnToLocalDelay,
+                                          mOptions.random.Uniform());
   mFeedInterval = core::Duration::zero();
   mRegistryRevision = 0;
   mFeedIncarnation = 0;
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -75,6 +75,8 @@
   void SendReport();
   void ReconsiderControlHost();
   void Follow(const core::HostId& aHost, const char* aReason);
+  proto::Report MakeReportHeader() const;
+  void SendUnfollow();
   core::HostId SelectControlHost() const;
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void HandleFeed(proto::Feed& aFeed);
@@ -91,6 +93,8 @@
   std::uint64_t mRegistryRevision = 0;
   std::uint64_t mDocumentNumber = 0;
   std::uint64_t mStateApplied = 0;
+  std::uint64_t mFollowEpoch = 0;         ///< Number of control hosts followed so far.
+  core::Duration mReturnDelay{ 0 };       ///< Drawn for the followed control host.
   core::Duration mSilenceTimeout{ 0 };    ///< Drawn for the followed control host.
   core::Duration mFeedInterval{ 0 };      ///< As announced by the control host.
   core::Instant mLastReportAt{};
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -313,7 +313,7 @@
   }
   const core::Instant now = mOptions.loop.Now();
   if (message.has_report()) {
-    if (!mFollowers.Followers().contains(aFrom)) {
+    if (!message.report().unfollows() && !mFollowers.Followers().contains(aFrom)) {
       logging::Event(logging::Level::Info, "host-follows", { { "host", aFrom.Text() } });
     }
     mFollowers.OnReport(aFrom, std::move(*message.mutable_report()), now);
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -36,6 +36,17 @@
 
 void FollowerTable::OnReport(const core::HostId& aHost, proto::Report aReport, core::Instant aNow)
 {
+  KnownHost& known = mKnownHosts[aHost];
+  const FollowVersion version{ .life = aReport.life(), .epoch = aReport.follow_epoch() };
+  if (version < known.version) {
+    return; // Overtaken by the host's turn to another control host.
+  }
+  known.version = version;
+  if (aReport.unfollows()) {
+    RemoveFollower(aHost);
+    return;
+  }
+  known.lastSeenAt = aNow;
   Follower& follower = mFollowers[aHost];
   if (follower.report.life() != aReport.life()) {
     follower.sentRegistryRevision = 0;
@@ -46,7 +57,17 @@
   ClearAmounts(aReport);
   follower.report = std::move(aReport);
   follower.lastReceivedAt = aNow;
-  mHostLastSeenAt[aHost] = aNow;
+}
+
+void FollowerTable::RemoveFollower(const core::HostId& aHost)
+{
+  const auto it = mFollowers.find(aHost);
+  if (it == mFollowers.end()) {
+    return;
+  }
+  mSums.Remove(it->second.part);
+  mLocalSums.Remove(it->second.localPart);
+  mFollowers.erase(it);
 }
 
 void FollowerTable::OnExchange(const core::HostId& aControlHost, proto::Exchange aExchange,
@@ -58,8 +79,20 @@
   aExchange.clear_upstreams();
   peer.exchange = std::move(aExchange);
   peer.lastReceivedAt = aNow;
-  for (const std::string& it : peer.exchange.followers()) {
-    mHostLastSeenAt[core::HostId(it)] = aNow;
+  const proto::Exchange& exchange = peer.exchange;
+  for (int i = 0; i < exchange.followers_size(); ++i) {
+    const core::HostId host(exchange.followers(i));
+    KnownHost& known = mKnownHosts[host];
+    known.lastSeenAt = aNow;
+    if (i >= exchange.follower_lives_size() || i >= exchange.follower_epochs_size()) {
+      continue;
+    }
+    const FollowVersion version{ .life = exchange.follower_lives(i),
+                                 .epoch = exchange.follower_epochs(i) };
+    if (version > known.version) {
+      known.version = version;
+      RemoveFollower(host);
+    }
   }
 }
 
@@ -79,10 +112,11 @@
     mSums.Remove(aFollower.part);
     mLocalSums.Remove(aFollower.localPart);
   });
-  EraseSilent(mPeers, aNow - mSettings.silenceTimeout,
+  EraseSilent(mPeers, aNow - mSettings.controlHostSilenceTimeout,
               [this](Peer& aPeer) { mSums.Remove(aPeer.part); });
-  std::erase_if(mHostLastSeenAt,
-                [&](const auto& aItem) { return aNow - aItem.second > mSettings.hostRetention; });
+  std::erase_if(mKnownHosts, [&](const auto& aItem) {
+    return aNow - aItem.second.lastSeenAt > mSettings.hostRetention;
+  });
 }
 
 void FollowerTable::AddLocalSums(proto::Exchange& aExchange, bool aObserved)
@@ -91,6 +125,8 @@
   aExchange.set_pressed(HasFollowerBacklog());
   for (const auto& [host, follower] : mFollowers) {
     aExchange.add_followers(host.Text());
+    aExchange.add_follower_lives(follower.report.life());
+    aExchange.add_follower_epochs(follower.report.follow_epoch());
     if (follower.report.evidence_size() == 0) {
       continue;
     }
@@ -106,7 +142,7 @@
   const auto follower = mFollowers.find(aHost);
   mSums.Write(follower == mFollowers.end() ? nullptr : &follower->second.part, aObserved, aFeed);
   aFeed.set_hosts_known(
-    std::max(mSums.HostCount(), static_cast<std::uint32_t>(mHostLastSeenAt.size())));
+    std::max(mSums.HostCount(), static_cast<std::uint32_t>(mKnownHosts.size())));
 }
 
 bool FollowerTable::HasFollowerBacklog() const
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -16,8 +16,11 @@
 /// Settings of FollowerTable.
 struct FollowerTableSettings
 {
-  /// A host or control host that has sent nothing for this long is dropped.
+  /// A host that has sent nothing for this long is dropped.
   core::Duration silenceTimeout = std::chrono::milliseconds(1500);
+  /// The same for a control host: about when its followers turn to other ones, since until then
+  /// they are counted by it, and afterwards by the others.
+  core::Duration controlHostSilenceTimeout = std::chrono::milliseconds(1000);
   /// A silent host stays known for this long, because its quota usage still counts: the quota
   /// window of 8 s plus 2 s for reports in transit.
   core::Duration hostRetention = std::chrono::seconds(10);
@@ -26,6 +29,10 @@
 /// Sums up the usage and demand of all hosts at a control host, from the reports of its own
 /// followers and the sums of the other control hosts. Performs no I/O.
 ///
+/// A host that turns to another control host is counted by one of them only, or its load, demand
+/// and quota usage would count twice until the former one drops it: the follow epoch tells which of
+/// two reports is newer.
+///
 /// The sums are updated with each message, not recomputed for each feed: with hundreds of hosts,
 /// each with its own feed, the cost of a round would grow with the square of their number.
 class FollowerTable
@@ -79,6 +86,19 @@
   std::map<core::HostId, std::string> ControlHosts() const;
 
 private:
+  /// Orders the reports of a host over its incarnations and over the control hosts it followed.
+  struct FollowVersion
+  {
+    std::uint64_t life = 0;
+    std::uint64_t epoch = 0;
+
+    auto operator<=>(const FollowVersion&) const = default;
+  };
+  struct KnownHost
+  {
+    core::Instant lastSeenAt{};
+    FollowVersion version;
+  };
   struct Peer
   {
     proto::Exchange exchange; ///< The latest one, without the usage and demand that `part` holds.
@@ -87,13 +107,14 @@
   };
 
   bool HasFollowerBacklog() const;
+  void RemoveFollower(const core::HostId& aHost);
 
   FollowerTableSettings mSettings;
   UsageSums mSums;      ///< Over all hosts.
   UsageSums mLocalSums; ///< Over the followers of this control host.
   std::map<core::HostId, Follower> mFollowers;
   std::map<core::HostId, Peer> mPeers;
-  std::map<core::HostId, core::Instant> mHostLastSeenAt; ///< Hosts that follow any control host.
+  std::map<core::HostId, KnownHost> mKnownHosts; ///< Hosts that follow any control host.
 };
 
 } // namespace cuminfield::process::cluster
