Idle connections are closed in time; control traffic to other data centres is compressed

Cause: each of 194 hosts kept up to three connections to each upstream and reused them within 1.5 s only, but closed them when the upstream did. Up to 582 idle connections counted towards the 1,200 that one upstream of kassa accepts. Change: a connection is closed when it may no longer be reused.

--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -11,6 +11,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -18,6 +19,9 @@
 
 namespace {
 
+/// Least time between two checks of the idle connections.
+constexpr core::Duration kMinIdleCheckInterval = std::chrono::milliseconds(100);
+
 std::optional<evhttp_cmd_type> ToCommand(const std::string& aMethod)
 {
   if (aMethod == "POST") {
@@ -435,6 +439,32 @@
   }
   evhttp_connection_set_closecb(aConnection, OnIdleClosed, this);
   idle.push_back({ .connection = aConnection, .idleSince = mOptions.loop.Now() });
+  if (!mIdleTimer.IsActive()) {
+    mIdleTimer = mOptions.loop.ScheduleAfter(mOptions.settings.maxIdleTime,
+                                             [this] { CloseExpiredConnections(); });
+  }
+}
+
+void HttpUpstreamTransport::CloseExpiredConnections()
+{
+  const core::Instant now = mOptions.loop.Now();
+  std::optional<core::Instant> oldest;
+  for (auto it = mIdleConnections.begin(); it != mIdleConnections.end();) {
+    std::erase_if(it->second, [&](const IdleConnection& aIdle) {
+      if (now - aIdle.idleSince >= mOptions.settings.maxIdleTime) {
+        DeferClose(aIdle.connection, nullptr);
+        return true;
+      }
+      oldest = std::min(oldest.value_or(aIdle.idleSince), aIdle.idleSince);
+      return false;
+    });
+    it = it->second.empty() ? mIdleConnections.erase(it) : std::next(it);
+  }
+  if (oldest) {
+    const core::Duration due = *oldest + mOptions.settings.maxIdleTime - now;
+    mIdleTimer = mOptions.loop.ScheduleAfter(std::max(due, kMinIdleCheckInterval),
+                                             [this] { CloseExpiredConnections(); });
+  }
 }
 
 void HttpUpstreamTransport::DeferClose(evhttp_connection* aConnection,
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.h
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.h
@@ -19,7 +19,8 @@
   core::Duration connectTimeout = std::chrono::seconds(1); ///< Timeout of connecting.
   core::Duration stallTimeout = std::chrono::seconds(30);  ///< Timeout without received bytes.
   std::size_t maxIdlePerUpstream = 64;                     ///< Limit of pooled connections.
-  /// A connection idle for longer is not reused, since the upstream may be about to close it.
+  /// A connection idle for longer is closed: the upstream may be about to close it, too, and until
+  /// then it counts towards the connections that the upstream accepts from all hosts together.
   core::Duration maxIdleTime = std::chrono::hours(1);
   /// Limits of the response size, so that an upstream that never stops sending is disconnected.
   /// Each is four times the corresponding limit of caller requests.
@@ -64,6 +65,7 @@
     core::Instant idleSince{};
   };
 
+  void CloseExpiredConnections();
   evhttp_connection* AcquireConnection(const Endpoint& aKey);
   evhttp_connection* CreateConnection(const Endpoint& aKey);
   void ReleaseConnection(const Endpoint& aKey, evhttp_connection* aConnection);
@@ -72,6 +74,7 @@
 
   Options mOptions;
   std::map<Endpoint, std::vector<IdleConnection>> mIdleConnections;
+  core::TimerHandle mIdleTimer; ///< Active while there are idle connections.
   std::map<const Notification*, std::unique_ptr<Notification>> mNotifications;
 };
 
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -385,7 +385,8 @@
   mFollowers.AddLocalSums(*exchange, mIncludeObserved);
   const std::string payload = message.SerializeAsString();
   for (const core::HostId& it : ListOtherControlHosts()) {
-    mOptions.links.Send(it, { .channel = peer::Channel::Cluster, .payload = payload });
+    mOptions.links.Send(
+      it, { .channel = peer::Channel::Cluster, .payload = payload, .compress = true });
   }
 }
 
@@ -431,8 +432,10 @@
   *common.mutable_feed() = BuildCommonFeed();
   const std::string commonBytes = common.SerializeAsString();
   for (auto& [host, follower] : mFollowers.Followers()) {
+    const bool isRemote = follower.report.data_centre() != mOptions.cluster.dataCentre.Text();
     mOptions.links.Send(host, { .channel = peer::Channel::Cluster,
-                                .payload = commonBytes + BuildOwnPart(host, follower) });
+                                .payload = commonBytes + BuildOwnPart(host, follower),
+                                .compress = isRemote });
   }
 }
 
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -46,17 +46,22 @@
   {
     mSelf = shared_from_this();
     mContext.set_wait_for_ready(true);
+    mContext.set_compression_algorithm(GRPC_COMPRESS_GZIP);
     mStub->async()->Deliver(&mContext, &mResponse, this);
     AddHold();
     StartCall();
   }
 
   /// Sends one batch. The next one may be sent only after OnBatchWritten.
-  void Write(proto::Batch aBatch)
+  void Write(proto::Batch aBatch, bool aCompress)
   {
     mWriteInProgress = true;
     mBatch = std::move(aBatch);
-    StartWrite(&mBatch);
+    grpc::WriteOptions options;
+    if (!aCompress) {
+      options.set_no_compression();
+    }
+    StartWrite(&mBatch, options);
   }
 
   /// Cancels the stream.
@@ -304,14 +309,16 @@
   const auto end = rest == aPeer.queue.begin() ? aPeer.queue.end() : rest;
   proto::Batch batch;
   batch.set_from(mOptions.self.Text());
+  bool compress = false;
   for (auto it = aPeer.queue.begin(); it != end; ++it) {
     proto::Frame* frame = batch.add_frames();
     frame->set_channel(static_cast<std::uint32_t>(it->channel));
     frame->set_payload(std::move(it->payload));
+    compress = compress || it->compress;
   }
   aPeer.queue.erase(aPeer.queue.begin(), end);
   mBytesSent.value += static_cast<std::int64_t>(batch.ByteSizeLong());
-  aPeer.stream->Write(std::move(batch));
+  aPeer.stream->Write(std::move(batch), compress);
 }
 
 void GrpcPeerLinks::OnBatchWritten(const core::HostId& aPeer, const OutgoingStream* aStream,
--- a/cuminfield/process/peer/PeerLinks.h
+++ b/cuminfield/process/peer/PeerLinks.h
@@ -34,6 +34,7 @@
 {
   Channel channel = Channel::Log;
   std::string payload; ///< A serialised protobuf message; the channel determines its type.
+  bool compress = false; ///< For large messages to other data centres, whose links cost money.
 };
 
 /// Sends and receives messages between hosts. Used only on the loop's thread.
