--- a/UnitTests/connection/UpstreamConnectionTest.cpp
+++ b/UnitTests/connection/UpstreamConnectionTest.cpp
@@ -196,7 +196,8 @@
   /// Calls an upstream that breaks its response off, and returns what the listener got.
   Listener CallWithBrokenResponse(const std::string& aResponse, ScriptedUpstream::After aAfter)
   {
-    ScriptedUpstream upstream(loop, [&](int) { return aResponse; }, aAfter);
+    ScriptedUpstream upstream(
+      loop, [&](int) { return aResponse; }, aAfter);
     upstream::HttpUpstreamTransport transport({ .settings = settings, .loop = loop });
     return Call(transport, upstream, "a");
   }
--- a/UnitTests/process/cluster/RoundPacerTest.cpp
+++ b/UnitTests/process/cluster/RoundPacerTest.cpp
@@ -11,7 +11,8 @@
   RoundPacer pacer{ {} };
   core::Instant now{ 1000s };
 
-  /// Runs rounds of the given duration on ticks of 50 ms and returns the part of the time they take.
+  /// Runs rounds of the given duration on ticks of 50 ms and returns the part of the time they
+  /// take.
   double Load(core::Duration aRound, core::Duration aTotal)
   {
     const core::Instant end = now + aTotal;
@@ -45,7 +46,9 @@
   // Followers must not hold the host for silent.
   Load(200ms, 4s);
   CHECK(pacer.Interval(true) == 250ms);
+  CHECK(pacer.IsSlowed());
   // Fast rounds bring the interval back.
   Load(1ms, 4s);
   CHECK(pacer.Interval(true) == 50ms);
+  CHECK_FALSE(pacer.IsSlowed());
 }
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -61,6 +61,12 @@
 void ClusterFollower::ExcuseStall()
 {
   const core::Duration stall = mStalls.Update(mOptions.timers.Now());
+  if (stall == core::Duration::zero()) {
+    return;
+  }
+  logging::Event(
+    logging::Level::Warning, "host-stalled",
+    { { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(stall).count() } });
   mLastReceivedAt += stall;
   mLeaderLastKnownAt += stall;
 }
@@ -68,8 +74,8 @@
 bool ClusterFollower::IsReportDue() const
 {
   // A control host that is busy announces longer intervals; reports then come less often, too.
-  const core::Duration wanted = mOptions.hasBacklog() ? mOptions.settings.reportInterval
-                                                      : mOptions.settings.idleReportInterval;
+  const core::Duration wanted =
+    mOptions.hasBacklog() ? mOptions.settings.reportInterval : mOptions.settings.idleReportInterval;
   const core::Duration tolerance = mOptions.settings.reportInterval / 2;
   return mOptions.timers.Now() - mLastReportAt + tolerance >= std::max(wanted, mFeedInterval);
 }
@@ -171,8 +177,8 @@
     core::Scaled(mOptions.settings.silenceTimeout,
                  1 + mOptions.settings.silenceTimeoutSpread * mOptions.random.Uniform());
   mReturnDelay =
-    kMinReturnToLocalDelay + core::Scaled(kMaxReturnToLocalDelay - kMinReturnToLocalDelay,
-                                          mOptions.random.Uniform());
+    kMinReturnToLocalDelay +
+    core::Scaled(kMaxReturnToLocalDelay - kMinReturnToLocalDelay, mOptions.random.Uniform());
   mFeedInterval = core::Duration::zero();
   mRegistryRevision = 0;
   mFeedIncarnation = 0;
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -93,10 +93,10 @@
   std::uint64_t mRegistryRevision = 0;
   std::uint64_t mDocumentNumber = 0;
   std::uint64_t mStateApplied = 0;
-  std::uint64_t mFollowEpoch = 0;         ///< Number of control hosts followed so far.
-  core::Duration mReturnDelay{ 0 };       ///< Drawn for the followed control host.
-  core::Duration mSilenceTimeout{ 0 };    ///< Drawn for the followed control host.
-  core::Duration mFeedInterval{ 0 };      ///< As announced by the control host.
+  std::uint64_t mFollowEpoch = 0;      ///< Number of control hosts followed so far.
+  core::Duration mReturnDelay{ 0 };    ///< Drawn for the followed control host.
+  core::Duration mSilenceTimeout{ 0 }; ///< Drawn for the followed control host.
+  core::Duration mFeedInterval{ 0 };   ///< As announced by the control host.
   core::Instant mLastReportAt{};
   core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -331,11 +331,16 @@
   RestoreKnownUpstreams();
   ApplyLeaves();
   mRegistry.Expire(now);
-  mFollowers.OnStall(mStalls.Update(now));
+  const core::Duration stall = mStalls.Update(now);
+  if (stall > core::Duration::zero()) {
+    logging::Event(logging::Level::Warning, "host-stalled", { { "ms", ToMilliseconds(stall) } });
+    mFollowers.OnStall(stall);
+  }
   mFollowers.Expire(now);
   if (mPacer.IsDue(now, mFollowers.HasBacklog())) {
     SendRound();
   }
+  LogPacing();
   RunLeaderTasks();
   LogPendingRequests();
   LogChanges();
@@ -350,6 +355,19 @@
   mPacer.OnRoundSent(start, mOptions.loop.Now());
 }
 
+void ControlHost::LogPacing()
+{
+  const bool isSlowed = mPacer.IsSlowed();
+  if (std::exchange(mLoggedSlowed, isSlowed) == isSlowed) {
+    return;
+  }
+  logging::Event(isSlowed ? logging::Level::Warning : logging::Level::Info,
+                 isSlowed ? "rounds-slowed" : "rounds-regular",
+                 { { "interval_ms", ToMilliseconds(mPacer.Interval(mFollowers.HasBacklog())) },
+                   { "round_ms", ToMilliseconds(mPacer.MeanDuration()) },
+                   { "followers", mFollowers.Followers().size() } });
+}
+
 void ControlHost::ApplyLeaves()
 {
   for (const auto& [id, leave] : mState.Leaves()) {
@@ -447,10 +465,10 @@
   proto::Feed* feed = message.mutable_feed();
   mFollowers.AddRemoteSums(aHost, *feed, mIncludeObserved);
   const std::uint64_t revision = mRegistry.Revision();
-  const bool isRegistryConfirmed = aFollower.report.registry_revision() == revision &&
-                                   aFollower.sentRegistryRevision == revision;
-  const bool isRegistrySent = aFollower.sentRegistryRevision == revision &&
-                              now - aFollower.registrySentAt < resendInterval;
+  const bool isRegistryConfirmed =
+    aFollower.report.registry_revision() == revision && aFollower.sentRegistryRevision == revision;
+  const bool isRegistrySent =
+    aFollower.sentRegistryRevision == revision && now - aFollower.registrySentAt < resendInterval;
   if (!isRegistryConfirmed && !isRegistrySent) {
     feed->set_registry(true);
     for (const proto::Upstream& it : mRegistry.List()) {
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -105,6 +105,7 @@
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void Tick();
   void SendRound();
+  void LogPacing();
   void ApplyLeaves();
   void SendFeeds();
   proto::Feed BuildCommonFeed() const;
@@ -144,6 +145,7 @@
   std::uint64_t mLoggedChangeIndex = 0;
   core::HostId mLoggedLeader;
   RoundPacer mPacer;
+  bool mLoggedSlowed = false;
   core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
   std::uint64_t mMessageRounds = 0;   ///< Rounds of exchanges and feeds sent.
--- a/cuminfield/process/cluster/RoundPacer.h
+++ b/cuminfield/process/cluster/RoundPacer.h
@@ -40,6 +40,12 @@
   /// Current time between two rounds.
   core::Duration Interval(bool aHasBacklog) const;
 
+  /// True if rounds take so long that they are sent less often than a backlog needs.
+  bool IsSlowed() const { return Interval(true) > mSettings.backlogInterval; }
+
+  /// Mean duration of the last rounds.
+  core::Duration MeanDuration() const { return mMeanDuration; }
+
 private:
   RoundPacerSettings mSettings;
   core::Instant mLastStart{};
--- a/cuminfield/process/cluster/UsageSums.cpp
+++ b/cuminfield/process/cluster/UsageSums.cpp
@@ -38,9 +38,9 @@
 {
   decltype(mInFlight)::Entries inFlight;
   for (const proto::InFlight& it : aMessage.in_flight()) {
-    inFlight.push_back(
-      { it.upstream(),
-        { { it.requests(), it.prompt_tokens(), it.held_tokens(), it.doubting(), it.trusting() } } });
+    inFlight.push_back({ it.upstream(),
+                         { { it.requests(), it.prompt_tokens(), it.held_tokens(), it.doubting(),
+                             it.trusting() } } });
   }
   mInFlight.Replace(aPart.inFlight, inFlight);
   decltype(mDemand)::Entries demand;
@@ -58,10 +58,10 @@
   }
   decltype(mObserved)::Entries observed;
   for (const proto::Observed& it : aMessage.observed()) {
-    observed.push_back({ it.upstream(),
-                         { { ToFixed(it.answers()), ToFixed(it.failures()), ToFixed(it.paces()),
-                             ToFixed(it.token_ms()), ToFixed(it.firsts()),
-                             ToFixed(it.first_factor()) } } });
+    observed.push_back(
+      { it.upstream(),
+        { { ToFixed(it.answers()), ToFixed(it.failures()), ToFixed(it.paces()),
+            ToFixed(it.token_ms()), ToFixed(it.firsts()), ToFixed(it.first_factor()) } } });
   }
   mObserved.Replace(aPart.observed, observed);
 }
--- a/cuminfield/process/peer/PeerLinks.h
+++ b/cuminfield/process/peer/PeerLinks.h
@@ -33,7 +33,7 @@
 struct PeerMessage
 {
   Channel channel = Channel::Log;
-  std::string payload; ///< A serialised protobuf message; the channel determines its type.
+  std::string payload;   ///< A serialised protobuf message; the channel determines its type.
   bool compress = false; ///< For large messages to other data centres, whose links cost money.
 };
 
