--- a/UnitTests/platform/ControlApiTest.cpp
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -15,10 +15,21 @@
 
 namespace {
 
-class NullPeerLinks : public peer::PeerLinks
+class CheckingPeerLinks : public peer::PeerLinks
 {
 public:
-  void Send(const core::HostId&, peer::PeerMessage) override {}
+  void Send(const core::HostId&, peer::PeerMessage aMessage) override
+  {
+    cluster::proto::Message message;
+    if (aMessage.channel == peer::Channel::Cluster && !message.ParseFromString(aMessage.payload)) {
+      ++unreadable;
+    } else if (message.has_feed() && message.feed().registry()) {
+      upstreams = message.feed().upstreams_size();
+    }
+  }
+
+  int unreadable = 0; ///< Messages that no host can read.
+  int upstreams = 0;  ///< In the last registry sent.
 };
 
 } // namespace
@@ -27,7 +38,7 @@
 TEST_GROUP(ControlApi)
 {
   core::EventLoop loop;
-  NullPeerLinks links;
+  CheckingPeerLinks links;
   core::Random random{ 5 };
   std::string folder;
   std::unique_ptr<cluster::ControlHost> control;
@@ -131,6 +142,41 @@
   CHECK_EQUAL(200, Call("DELETE", "/v1/instances/nobody")->status);
 }
 
+/// One heartbeat with an id that is no text must not cost all hosts their feeds. Before, it was
+/// registered, and no host could read a registry that contained it.
+TEST(ControlApi, HeartbeatWithUnreadableIdLeavesFeedsReadable)
+{
+  cluster::proto::Message follower;
+  follower.mutable_report()->set_life(1);
+  const auto report = [&] {
+    links.OnMessage().emit(core::HostId("10.0.0.9"), { .channel = peer::Channel::Cluster,
+                                                       .payload = follower.SerializeAsString() });
+    RunFor(300ms);
+  };
+  CHECK_EQUAL(200, Call("PUT", "/v1/instances/i-1", Heartbeat("ready"))->status);
+  CHECK_EQUAL(400, Call("PUT", "/v1/instances/i-\xff\xfe", Heartbeat("ready"))->status);
+  CHECK_EQUAL(400, Call("DELETE", "/v1/instances/i-\xff\xfe")->status);
+  report();
+  CHECK_EQUAL(1, links.upstreams);
+  CHECK_EQUAL(0, links.unreadable);
+}
+
+TEST(ControlApi, RejectsHeartbeatWithImpossibleFields)
+{
+  const auto replaced = [](std::string aFrom, const std::string& aTo) {
+    std::string body = Heartbeat("ready");
+    return body.replace(body.find(aFrom), aFrom.size(), aTo);
+  };
+  for (const std::string& body :
+       { replaced("10.9.0.1:80", "host.example:80"), replaced("10.9.0.1:80", "10.9.0.1:0"),
+         replaced("\"slots\":4", "\"slots\":4294967296"),
+         replaced("\"slots\":4", "\"slots\":1e300"), replaced("\"sequence\":1", "\"sequence\":-1"),
+         replaced("\"sequence\":1", "\"sequence\":1.5") }) {
+    CHECK_EQUAL(400, Call("PUT", "/v1/instances/i-1", body)->status);
+  }
+  CHECK_EQUAL(0, control->UpstreamCount());
+}
+
 TEST(ControlApi, RejectsInvalidHeartbeat)
 {
   CHECK_EQUAL(400, Call("PUT", "/v1/instances/i-1", "\xff\xfe")->status);
--- a/UnitTests/request/placement/SimulatedCluster.cpp
+++ b/UnitTests/request/placement/SimulatedCluster.cpp
@@ -98,7 +98,7 @@
       upstream.service = kService;
       upstream.dataCentre = core::DataCentreId("here");
       upstream.slots = mOptions.slots;
-      upstream.isEngine = true;
+      upstream.isEngine = mOptions.areEngines;
       mHosts.back()->scheduler.AddOrUpdateUpstream(upstream);
     }
   }
@@ -114,8 +114,17 @@
   mTimers.Advance(aDuration);
 }
 
+bool SimulatedCluster::IsFull(const Engine& aEngine) const
+{
+  return !mOptions.areEngines && aEngine.running >= mOptions.slots &&
+         aEngine.queue.size() >= mOptions.plainQueueLimit;
+}
+
 void SimulatedCluster::AdvanceStep()
 {
+  for (const auto& [host, request] : std::exchange(mRefusals, {})) {
+    host->scheduler.OnAttemptEnded(request, AttemptOutcome::Refused);
+  }
   FinishDueRequests();
   SubmitArrivals();
 }
@@ -135,7 +144,7 @@
       spec.firstTokenTarget = kTarget;
       spec.promptTokens.value = 600;
       spec.maxOutputTokens.value = 250;
-      spec.needsEngine = true;
+      spec.needsEngine = mOptions.areEngines;
       Host& host = *mHosts[mRandom.UniformBelow(mHosts.size())];
       ++mOutcomes[rank].submitted;
       host.specs[spec.id] = spec;
@@ -148,6 +157,12 @@
                                        const core::RequestId& aRequest)
 {
   Engine& engine = mEngines.at(aEngine);
+  if (IsFull(engine)) {
+    ++mOutcomes[aHost.specs.at(aRequest).tier].refusals;
+    // Reported later, since the scheduler is in the middle of dispatching.
+    mRefusals.emplace_back(&aHost, aRequest);
+    return;
+  }
   if (engine.running >= mOptions.slots) {
     engine.queue.emplace_back(&aHost, aRequest);
     return;
--- a/UnitTests/request/placement/SimulatedCluster.h
+++ b/UnitTests/request/placement/SimulatedCluster.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cuminfield::unit_tests {
@@ -27,6 +28,9 @@
     /// Age of the figures in rounds, for report, exchange and feed.
     std::size_t reportDelayRounds = 2;
     request::placement::PlacementSettings placement{};
+    /// False: upstreams of a plain service, which refuse requests beyond their queue.
+    bool areEngines = true;
+    std::size_t plainQueueLimit = 24;
   };
 
   /// Counts of the requests of one rank by outcome.
@@ -36,6 +40,7 @@
     std::size_t inTime = 0; ///< Started within the target.
     std::size_t late = 0;
     std::size_t shed = 0;
+    std::size_t refusals = 0; ///< Attempts refused by a full upstream.
   };
 
   /// Statistics of the engines, sampled every 20 ms.
@@ -78,6 +83,7 @@
   void AdvanceStep();
   void SubmitArrivals();
   void FinishDueRequests();
+  bool IsFull(const Engine& aEngine) const;
   void DeliverToEngine(Host& aHost, const std::string& aEngine, const core::RequestId& aRequest);
   void StartRequest(const std::string& aEngine, Host& aHost, const core::RequestId& aRequest);
   void ExchangeReports();
@@ -93,7 +99,8 @@
   std::uint64_t mRequests = 0;
   std::size_t mSampleCount = 0;
   EngineStatistics mStatisticsSum;
-  std::multimap<core::Instant, RunningRequest> mRunning; ///< Ordered by end time.
+  std::multimap<core::Instant, RunningRequest> mRunning;    ///< Ordered by end time.
+  std::vector<std::pair<Host*, core::RequestId>> mRefusals; ///< Not reported yet.
   core::TimerHandle mStepTimer;
   core::TimerHandle mReportTimer;
   core::TimerHandle mSampleTimer;
--- a/UnitTests/request/placement/SimulatedClusterTest.cpp
+++ b/UnitTests/request/placement/SimulatedClusterTest.cpp
@@ -65,3 +65,20 @@
     CHECK(static_cast<double>(it.inTime) >= 0.97 * static_cast<double>(it.submitted));
   }
 }
+
+/// Load pattern: 194 hosts send 0.9 of what six upstreams of a plain service can do, by figures
+/// that are 100 to 200 ms old. Before, a fifth of the attempts was refused by full upstreams while
+/// others had room, and 5% of the requests were shed.
+TEST(SimulatedCluster, ManyHostsDoNotOverflowFewPlainUpstreams)
+{
+  SimulatedCluster cluster(
+    { .hosts = 194, .engines = 6, .slots = 6, .meanServiceTime = 60ms, .areEngines = false });
+  cluster.SetLoad(2, 540); // 36 slots serve 600 per second.
+  cluster.RunFor(2s);
+  cluster.ResetStatistics();
+  cluster.RunFor(5s);
+  const auto outcome = cluster.Outcomes().at(2);
+  CHECK_EQUAL(0, outcome.shed);
+  CHECK(static_cast<double>(outcome.refusals) <= 0.01 * static_cast<double>(outcome.submitted));
+  CHECK(static_cast<double>(outcome.inTime) >= 0.97 * static_cast<double>(outcome.submitted));
+}
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -33,9 +33,12 @@
   /// Weight in the score of a stream's duration after its first event: a slot that becomes free
   /// sooner serves the next request.
   double streamDurationWeight = 0.2;
-  /// Upstreams compared for one request. Three nearly always include a good one, and keep the
-  /// choice random where many hosts have the same information.
+  /// Engines compared for one request. Three nearly always include a good one, and keep the choice
+  /// random where many hosts have the same information.
   std::size_t sampleSize = 3;
+  /// The same for the upstreams of a plain service, which are few and alike: comparing more of them
+  /// lets all hosts choose the one that was free a moment ago.
+  std::size_t plainSampleSize = 2;
   /// Sampling weight of upstreams in this data centre: links to others cost money, and an upstream
   /// used by fewer hosts is better known to them.
   double sameDataCentreWeight = 6;
@@ -74,8 +77,9 @@
   /// partition may separate them from it.
   core::Duration suspectProbeInterval = std::chrono::milliseconds(2000);
   /// Requests queued at an upstream of a plain service beyond its slots, as a multiple of the
-  /// slots.
-  double plainQueueFactor = 1.0;
+  /// slots. With a short queue, all hosts stop at the same figure and start again at the same one,
+  /// and what they send meanwhile overflows the upstream.
+  double plainQueueFactor = 3.0;
   /// Requests at an engine, as a multiple of its slots, up to which it gets Urgency::Top requests.
   double topFillFactor = 1.0;
   /// The same for Urgency::Normal: slots must remain for other hosts' urgent requests.
--- a/cuminfield/request/placement/UpstreamTable.cpp
+++ b/cuminfield/request/placement/UpstreamTable.cpp
@@ -175,7 +175,8 @@
   }
   UpstreamEntry* best = nullptr;
   double bestScore = 0;
-  const std::size_t compared = std::min(mSettings.sampleSize, mCandidates.size());
+  const std::size_t compared = std::min(
+    aSpec.needsEngine ? mSettings.sampleSize : mSettings.plainSampleSize, mCandidates.size());
   for (std::size_t n = 0; n < compared; ++n) {
     double point = total * mRandom.Uniform();
     auto candidate = mCandidates.begin();
