--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -389,6 +389,41 @@
   CHECK_EQUAL(0, transport.liveCalls);
 }
 
+/// A sound stream may pause for long; only its timeout ends it.
+TEST(RequestForwarder, SlowStreamIsNotCut)
+{
+  MakeNonRetryable();
+  codec.nextRequest.stream = true;
+  Send();
+  transport.listener->OnHead(200, kEventStreamHeaders);
+  transport.listener->OnBody("id: 1\ndata: a\n\n");
+  timers.Advance(950ms);
+  CHECK_EQUAL(1, transport.liveCalls);
+  transport.listener->OnBody("id: 2\ndata: b\n\n");
+  transport.listener->OnEnd();
+  STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", caller->body.c_str());
+  CHECK(caller->ended);
+  CHECK_FALSE(caller->aborted);
+}
+
+/// An upstream that sends a byte now and then, but no event, must not hold its caller for ever.
+TEST(RequestForwarder, DrippingStreamEndsByTheTimeout)
+{
+  MakeNonRetryable();
+  codec.nextRequest.stream = true;
+  Send();
+  transport.listener->OnHead(200, kEventStreamHeaders);
+  transport.listener->OnBody("id: 1\ndata: a\n\n");
+  for (int n = 0; n < 30 && transport.liveCalls > 0; ++n) {
+    transport.listener->OnBody("x");
+    timers.Advance(50ms);
+  }
+  CHECK_EQUAL(0, transport.liveCalls);
+  CHECK(caller->aborted);
+  CHECK_FALSE(caller->ended);
+  CHECK(observer.summaries.front().totalTime <= 1s);
+}
+
 TEST(RequestForwarder, UpstreamReceivesTheRemainingTime)
 {
   MakeNonRetryable();
