--- a/UnitTests/platform/ControlApiTest.cpp
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -163,7 +163,7 @@
 
 TEST(ControlApi, RejectsHeartbeatWithImpossibleFields)
 {
-  const auto replaced = [](std::string aFrom, const std::string& aTo) {
+  const auto replaced = [](const std::string& aFrom, const std::string& aTo) {
     std::string body = Heartbeat("ready");
     return body.replace(body.find(aFrom), aFrom.size(), aTo);
   };
--- a/UnitTests/platform/EntryHostShutdownTest.cpp
+++ b/UnitTests/platform/EntryHostShutdownTest.cpp
@@ -37,7 +37,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  ::bind(fd, reinterpret_cast<const sockaddr*>(&address), size);
+  CHECK_EQUAL(0, ::bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(fd);
   return ntohs(address.sin_port);
