A host that restarts with its clock set back is no old report

Cause: found by reading: incarnations are wall clock times. A host that restarted after its clock had jumped back was taken for an overtaken report of its former incarnation and ignored by all control hosts for up to 10 s: it got no feeds. Change: only the epoch within one incarnation orders the reports of a host. Test: RestartWithTheClockSetBackIsNoOldReport (failed before).

--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -171,3 +171,18 @@
   CHECK_EQUAL(0, MakeFeedFor("b").in_flight_size());
   CHECK_EQUAL(1, MakeFeedFor("b").hosts_known()); // Its quota usage still counts elsewhere.
 }
+
+/// A host that restarts after its clock was set back must get feeds at once.
+TEST(FollowerTable, RestartWithTheClockSetBackIsNoOldReport)
+{
+  proto::Report report = MakeReport(1, 10);
+  report.set_life(2'000);
+  report.set_follow_epoch(4);
+  table.OnReport(core::HostId("a"), report, now);
+  report = MakeReport(2, 20);
+  report.set_life(1'000);
+  report.set_follow_epoch(1);
+  table.OnReport(core::HostId("a"), report, now + 1s);
+  CHECK_EQUAL(1'000, table.Followers().at(core::HostId("a")).report.life());
+  CHECK_EQUAL(2, MakeFeedFor("b").in_flight(0).requests());
+}
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -38,7 +38,9 @@
 {
   KnownHost& known = mKnownHosts[aHost];
   const FollowVersion version{ .life = aReport.life(), .epoch = aReport.follow_epoch() };
-  if (version < known.version) {
+  // A new incarnation counts even if its number is lower: incarnations are wall clock times, which
+  // may jump back, and a host that is ignored gets no feeds.
+  if (version.life == known.version.life && version.epoch < known.version.epoch) {
     return; // Overtaken by the host's turn to another control host.
   }
   known.version = version;
