Reports, not clocks, tell which incarnation of a host lives

Change: within an incarnation the epoch decides; between incarnations a follower is dropped only if it has sent nothing for 400 ms. Test: RestartWithTheClockSetBackIsNoOldReport, second half (failed before by reading: the higher incarnation won).

--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -184,5 +184,12 @@
   report.set_follow_epoch(1);
   table.OnReport(core::HostId("a"), report, now + 1s);
   CHECK_EQUAL(1'000, table.Followers().at(core::HostId("a")).report.life());
+  // Another control host still counts the former incarnation.
+  proto::Exchange exchange;
+  exchange.add_followers("a");
+  exchange.add_follower_lives(2'000);
+  exchange.add_follower_epochs(4);
+  table.OnExchange(core::HostId("control-2"), exchange, now + 1100ms);
+  CHECK_EQUAL(1, table.Followers().size());
   CHECK_EQUAL(2, MakeFeedFor("b").in_flight(0).requests());
 }
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -61,6 +61,19 @@
   follower.lastReceivedAt = aNow;
 }
 
+bool FollowerTable::IsOvertakenBy(const core::HostId& aHost, const FollowVersion& aVersion,
+                                  core::Instant aNow) const
+{
+  const FollowVersion& known = mKnownHosts.at(aHost).version;
+  if (aVersion.life == known.life) {
+    return aVersion.epoch > known.epoch;
+  }
+  // The clock times of incarnations don't tell which one lives; reports do.
+  const auto own = mFollowers.find(aHost);
+  return own == mFollowers.end() ||
+         aNow - own->second.lastReceivedAt > mSettings.otherIncarnationDelay;
+}
+
 void FollowerTable::RemoveFollower(const core::HostId& aHost)
 {
   const auto it = mFollowers.find(aHost);
@@ -91,7 +104,7 @@
     }
     const FollowVersion version{ .life = exchange.follower_lives(i),
                                  .epoch = exchange.follower_epochs(i) };
-    if (version > known.version) {
+    if (IsOvertakenBy(host, version, aNow)) {
       known.version = version;
       RemoveFollower(host);
     }
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -21,6 +21,9 @@
   /// The same for a control host: about when its followers turn to other ones, since until then
   /// they are counted by it, and afterwards by the others.
   core::Duration controlHostSilenceTimeout = std::chrono::milliseconds(1000);
+  /// A follower that has sent nothing for this long is dropped when another control host reports
+  /// another incarnation of it.
+  core::Duration otherIncarnationDelay = std::chrono::milliseconds(400);
   /// A silent host stays known for this long, because its quota usage still counts: the quota
   /// window of 8 s plus 2 s for reports in transit.
   core::Duration hostRetention = std::chrono::seconds(10);
@@ -86,13 +89,11 @@
   std::map<core::HostId, std::string> ControlHosts() const;
 
 private:
-  /// Orders the reports of a host over its incarnations and over the control hosts it followed.
+  /// Incarnation of a host, and how many control hosts it has followed.
   struct FollowVersion
   {
     std::uint64_t life = 0;
     std::uint64_t epoch = 0;
-
-    auto operator<=>(const FollowVersion&) const = default;
   };
   struct KnownHost
   {
@@ -108,6 +109,9 @@
 
   bool HasFollowerBacklog() const;
   void RemoveFollower(const core::HostId& aHost);
+  /// True if another control host has newer reports of the host than this one.
+  bool IsOvertakenBy(const core::HostId& aHost, const FollowVersion& aVersion,
+                     core::Instant aNow) const;
 
   FollowerTableSettings mSettings;
   UsageSums mSums;      ///< Over all hosts.
