--- a/review/harness.py
+++ b/review/harness.py
@@ -31,6 +31,7 @@
     def __init__(self):
         self.cut = False
         self.open = set()
+        self.silent = set()
 
     async def start(self, listen, target):
         self.target = target
@@ -44,8 +45,8 @@
                 await asyncio.sleep(0.05)
             inner_reader, inner = await asyncio.open_connection(*self.target)
             self.open.add(inner)
-            tasks = [asyncio.create_task(self.pump(reader, inner)),
-                     asyncio.create_task(self.pump(inner_reader, writer))]
+            tasks = [asyncio.create_task(self.pump(reader, inner, writer)),
+                     asyncio.create_task(self.pump(inner_reader, writer, writer))]
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         except OSError:
             pass
@@ -55,18 +56,23 @@
             for it in (writer, inner):
                 if it:
                     self.open.discard(it)
+                    self.silent.discard(it)
                     it.transport.abort()
 
-    async def pump(self, reader, writer):
+    async def pump(self, reader, writer, connection):
         try:
             while data := await reader.read(65536):
-                while self.cut:
+                while self.cut or connection in self.silent:
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
         except OSError:
             pass
 
+    def silence(self):
+        """The connections that are open now go silent for good, without a reset; new ones work."""
+        self.silent.update(self.open)
+
     def heal(self):
         """What was held up is lost with its connections."""
         self.cut = False
