--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from harness import BROKEN, HELD, TROUBLE, Client, Deployment, Runner, now
+from harness import BROKEN, HELD, TROUBLE, Client, Deployment, Runner, now, run
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
 RUNNERS, SLOTS, EVENTS, GAP = 4, 6, 5, 0.008
@@ -116,4 +116,4 @@
     d.end(BROKEN if later[1] >= 20 and later[0] < first[0] / 4 else HELD)
 
 
-asyncio.run(main())
+run(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,7 +4,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from harness import BROKEN, HELD, TROUBLE, Client, Deployment, Runner, now
+from harness import BROKEN, HELD, TROUBLE, Client, Deployment, Runner, now, run
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
 APPLY = 2.5     # config_apply_ms
@@ -86,4 +86,4 @@
     d.end(BROKEN if stale else HELD)
 
 
-asyncio.run(main())
+run(main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,7 +4,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from harness import BROKEN, HELD, TROUBLE, Client, Deployment, Runner, now
+from harness import BROKEN, HELD, TROUBLE, Client, Deployment, Runner, now, run
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
 WINDOW, OVERSHOOT, SLACK = 8.0, 0.1, 140000  # quota_window_s, quota_overshoot, quota_slack
@@ -92,4 +92,4 @@
     d.end(BROKEN if most > limit else HELD)
 
 
-asyncio.run(main())
+run(main)
--- a/review/entries/silent_connections.py
+++ b/review/entries/silent_connections.py
@@ -4,7 +4,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from harness import BROKEN, HELD, TROUBLE, Deployment, Runner, now
+from harness import BROKEN, HELD, TROUBLE, Deployment, Runner, now, run
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
 CONTACT, ACK = 3.0, 4.0  # contact_window_ms, ack_ms
@@ -50,4 +50,4 @@
     d.end(BROKEN if late else HELD)
 
 
-asyncio.run(main())
+run(main)
--- a/review/harness.py
+++ b/review/harness.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "cuminfield")
@@ -25,6 +26,18 @@
     return time.monotonic()
 
 
+def run(main):
+    """Runs a case. Whatever goes wrong, its processes are ended, and the case counts as not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit())
+    try:
+        asyncio.run(main())
+    except BaseException:
+        traceback.print_exc()
+    if Deployment.current:
+        Deployment.current.end(NOT_RUN)
+    os._exit(NOT_RUN)
+
+
 class Link:
     """One direction of dialling between two groups of hosts: a proxy that can be cut silently."""
 
@@ -89,7 +102,10 @@
 class Deployment:
     """`controls` and `entries` are lists of zones; runs the programs of the deploy file."""
 
+    current = None
+
     def __init__(self, folder, controls, entries, bounds=None, later=()):
+        Deployment.current = self
         self.folder = folder
         self.random = random.Random()
         self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
@@ -199,7 +215,10 @@
     def end(self, code):
         for it in self.controls + self.entries + self.later:
             if it.process and it.process.returncode is None:
-                it.process.kill()
+                try:
+                    os.kill(it.process.pid, signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
         self.record.close()
         if os.environ.get("KEEP"):
             print(f"logs: {self.work}")
