Feeds tell how old the sender's state is; entry hosts log and measure it

A feed said only that its sender knows a leader. Neither logs nor metrics could tell an entry host that gets no feed from one that gets feeds of a control host whose state no longer changes.

ReplicatedLog::CurrentAsOf is the latest time for which a member's log is known to hold all that was committed: for the leader the last round that a quorum confirmed, for the others the last message of the leader after which they had everything up to its commit index. Feeds carry the age (state_age_ms), entry hosts log state-outdated and state-current, and have cuminfield_state_age_ms and cuminfield_feed_age_ms. No decision changes.

--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -19,6 +19,9 @@
 constexpr core::Duration kMinReturnToLocalDelay = std::chrono::seconds(4);
 constexpr core::Duration kMaxReturnToLocalDelay = std::chrono::seconds(10);
 
+/// Age of the received state from which on it is logged as outdated.
+constexpr core::Duration kOutdatedAge = std::chrono::milliseconds(1000);
+
 /// Time for a nearer control host to send a feed: two of its slowest rounds and a new connection.
 constexpr core::Duration kTrialTimeout = std::chrono::milliseconds(600);
 
@@ -59,9 +62,18 @@
   return mOptions.timers.Now() - mLastReceivedAt;
 }
 
+std::optional<core::Duration> ClusterFollower::StateAge() const
+{
+  if (!mFirstFeedAt) {
+    return std::nullopt;
+  }
+  return mOptions.timers.Now() - mStateCurrentAt;
+}
+
 void ClusterFollower::Tick()
 {
   ExcuseStall();
+  LogStateAge();
   ReconsiderControlHost();
   if (IsReportDue()) {
     SendReport();
@@ -79,6 +91,21 @@
     { { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(stall).count() } });
   mLastReceivedAt += stall;
   mLeaderLastKnownAt += stall;
+  mStateCurrentAt += stall;
+}
+
+void ClusterFollower::LogStateAge()
+{
+  const core::Duration age = StateAge().value_or(core::Duration::zero());
+  const bool isOutdated = age > kOutdatedAge;
+  if (isOutdated == std::exchange(mLoggedOutdated, isOutdated)) {
+    return;
+  }
+  logging::Event(isOutdated ? logging::Level::Warning : logging::Level::Info,
+                 isOutdated ? "state-outdated" : "state-current",
+                 { { "control_host", mFollowed.Text() },
+                   { "document", mDocumentNumber },
+                   { "age_ms", static_cast<std::int64_t>(core::Milliseconds(age)) } });
 }
 
 bool ClusterFollower::IsReportDue() const
@@ -313,9 +340,12 @@
   mFeedInterval = std::chrono::milliseconds(aFeed.interval_ms());
   if (!mFirstFeedAt) {
     mFirstFeedAt = now;
+    mStateCurrentAt = now;
   }
   if (aFeed.led()) {
     mLeaderLastKnownAt = now;
+    mStateCurrentAt =
+      std::max(mStateCurrentAt, now - std::chrono::milliseconds(aFeed.state_age_ms()));
   }
   if (aFeed.life() != mFeedIncarnation) {
     mFeedIncarnation = aFeed.life();
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -80,6 +80,10 @@
   /// Time since the last feed; empty before the first one.
   std::optional<core::Duration> FeedAge() const;
 
+  /// Time since the state of any followed control host was known to be current; empty before the
+  /// first feed. Feeds may go on while it grows.
+  std::optional<core::Duration> StateAge() const;
+
 private:
   struct KnownControlHost
   {
@@ -96,6 +100,7 @@
   void SendReport();
   void SendTo(const core::HostId& aHost, std::uint64_t aEpoch, proto::Report aReport);
   void ReconsiderControlHost();
+  void LogStateAge();
   void ReturnToLocal();
   void Abandon(const core::HostId& aHost);
   void Follow(const core::HostId& aHost, const char* aReason);
@@ -117,6 +122,8 @@
   core::Instant mLastReceivedAt{};
   core::Instant mLeaderLastKnownAt{};
   std::optional<core::Instant> mFirstFeedAt;
+  core::Instant mStateCurrentAt{}; ///< When the received state was last known to be current.
+  bool mLoggedOutdated = false;
   std::uint64_t mFeedIncarnation = 0;
   std::uint64_t mRegistryRevision = 0;
   std::uint64_t mDocumentNumber = 0;
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -426,10 +426,13 @@
 
 proto::Feed ControlHost::BuildCommonFeed() const
 {
+  const core::Instant now = mOptions.loop.Now();
   proto::Feed feed;
   feed.set_life(mIncarnation);
   feed.set_led(!mGroup->Leader().IsEmpty());
-  feed.set_complete(mOptions.loop.Now() - mStartedAt > mOptions.settings.warmUpDuration);
+  feed.set_state_age_ms(
+    static_cast<std::uint64_t>(ToMilliseconds(mGroup->StateAge().value_or(now - mStartedAt))));
+  feed.set_complete(now - mStartedAt > mOptions.settings.warmUpDuration);
   feed.set_document_number(mState.Document().number());
   feed.set_state_applied(mState.LastChangeIndex());
   for (const auto& [service, move] : mState.Moves()) {
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -24,6 +24,11 @@
   return static_cast<std::uint64_t>(aLoop.WallNow().time_since_epoch().count());
 }
 
+std::string FormatAge(std::optional<core::Duration> aAge)
+{
+  return aAge ? std::to_string(static_cast<std::int64_t>(core::Milliseconds(*aAge))) : "-1";
+}
+
 request::UpstreamAnnouncement ToAnnouncement(const proto::Upstream& aUpstream)
 {
   return { .id = core::UpstreamId(aUpstream.id()),
@@ -364,6 +369,9 @@
   std::string text = mMonitor.FormatMetrics();
   text += "cuminfield_requests_in_flight " + std::to_string(mForwards.Size()) + "\n";
   text += "cuminfield_requests_waiting " + std::to_string(mScheduler.QueueSize()) + "\n";
+  // Negative before the first feed.
+  text += "cuminfield_feed_age_ms " + FormatAge(mFollower.FeedAge()) + "\n";
+  text += "cuminfield_state_age_ms " + FormatAge(mFollower.StateAge()) + "\n";
   text += "cuminfield_upstreams_known " + std::to_string(mKnownUpstreams.size()) + "\n";
   text += "cuminfield_prompt_parts_quarantined " +
           std::to_string(mScheduler.Quarantine().QuarantinedCount()) + "\n";
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -110,6 +110,12 @@
   return mServer ? mServer->AppliedIndex() : core::LogIndex();
 }
 
+std::optional<core::Duration> LogGroup::StateAge() const
+{
+  const auto current = mLog ? mLog->CurrentAsOf() : std::nullopt;
+  return current ? std::optional(mOptions.timers.Now() - *current) : std::nullopt;
+}
+
 Member LogGroup::Self() const
 {
   return mLog ? mLog->Self() : Member{ .host = mOptions.self, .incarnation = {} };
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -87,6 +87,10 @@
 
   core::LogIndex AppliedIndex() const;
 
+  /// Time since this member's state was last known to hold all that was committed; nothing before
+  /// the first time.
+  std::optional<core::Duration> StateAge() const;
+
   /// This member with the incarnation of its data folder.
   Member Self() const;
 
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -331,6 +331,12 @@
   return std::nullopt;
 }
 
+std::optional<core::Instant> ReplicatedLog::CurrentAsOf() const
+{
+  const auto confirmed = HasCommittedInTerm() ? QuorumConfirmedAt() : std::nullopt;
+  return std::max(mFollowedAsOf, confirmed);
+}
+
 std::optional<core::Instant> ReplicatedLog::LeaderSince() const
 {
   if (mRole != Role::Leader) {
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -170,6 +170,10 @@
   /// When this member became leader; nothing unless leading.
   std::optional<core::Instant> LeaderSince() const;
 
+  /// The latest time for which this member's log is known to hold all that was committed; nothing
+  /// before the first. A role or a known leader says nothing about that time.
+  std::optional<core::Instant> CurrentAsOf() const;
+
   /// The state of the other members; empty unless leading.
   std::vector<MemberLag> MemberLags(core::Instant aNow) const;
 
@@ -236,6 +240,7 @@
   bool IsLogUpToDate(const proto::VoteRequest& aRequest) const;
   void AppendEntries(const proto::AppendRequest& aRequest);
   void TruncateFrom(std::uint64_t aIndex);
+  void RecordLeaderCommit(std::uint64_t aCommit);
   std::uint64_t MismatchHint(std::uint64_t aPrevious) const;
   void SendAppendReply(const Member& aTo, bool aSuccess, std::uint64_t aIndex,
                        std::uint64_t aRejected, std::uint64_t aRound);
@@ -302,6 +307,7 @@
   std::shared_ptr<const proto::Snapshot> mSnapshotToRestore;
   std::optional<IncomingSnapshot> mIncomingSnapshot;
   core::Instant mLeaderLastReceivedAt;
+  std::optional<core::Instant> mFollowedAsOf; ///< CurrentAsOf() as a follower or learner.
   core::Instant mElectionDue;
   core::Instant mAnnounceDue;
 
--- a/cuminfield/process/log/ReplicatedLogElection.cpp
+++ b/cuminfield/process/log/ReplicatedLogElection.cpp
@@ -46,6 +46,7 @@
     mHardStateDirty = true;
   }
   if (mRole == Role::Leader) {
+    mFollowedAsOf = CurrentAsOf();
     FailReads();
     mProgress.clear();
     RestartElectionTimer();
--- a/cuminfield/process/log/ReplicatedLogReplication.cpp
+++ b/cuminfield/process/log/ReplicatedLogReplication.cpp
@@ -171,6 +171,7 @@
   }
   if (previous < mLog.BaseIndex()) {
     // Up to the commit index all logs are equal.
+    RecordLeaderCommit(aRequest.commit());
     SendAppendReply(aFrom, true, mCommitIndex, 0, aRequest.round());
     return;
   }
@@ -181,9 +182,17 @@
   AppendEntries(aRequest);
   const std::uint64_t last = previous + static_cast<std::uint64_t>(aRequest.entries_size());
   AdvanceCommitTo(std::min(aRequest.commit(), last));
+  RecordLeaderCommit(aRequest.commit());
   SendAppendReply(aFrom, true, last, 0, aRequest.round());
 }
 
+void ReplicatedLog::RecordLeaderCommit(std::uint64_t aCommit)
+{
+  if (mCommitIndex >= aCommit) {
+    mFollowedAsOf = mNow;
+  }
+}
+
 // The leader skips all entries of a mismatching term at once (Raft paper 5.3).
 std::uint64_t ReplicatedLog::MismatchHint(std::uint64_t aPrevious) const
 {
