--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -286,6 +286,57 @@
   CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.1" });
 }
 
+/// Guards against a host that follows a control host whose own state no longer changes.
+TEST(ClusterFollower, ControlHostWithAnOutdatedStateIsLeft)
+{
+  const auto listing = MakeListingFeed({ "10.0.0.1", "10.1.0.1", "10.1.0.2" });
+  Receive("10.0.0.1", listing);
+  proto::Feed outdated = listing;
+  core::Duration elapsed{ 0 };
+  for (; elapsed < 5s && follower->StateAge() >= elapsed; elapsed += 50ms) {
+    links.sent.clear();
+    timers.Advance(50ms);
+    // It knows a leader as before, but its state has not been confirmed since.
+    outdated.set_state_age_ms(static_cast<std::uint64_t>(core::Milliseconds(elapsed + 50ms)));
+    Receive("10.0.0.1", outdated);
+    if (links.sent.contains("10.1.0.1")) {
+      Receive("10.1.0.1", outdated); // Cut off with it.
+    }
+    if (links.sent.contains("10.1.0.2")) {
+      Receive("10.1.0.2", listing);
+    }
+  }
+  CHECK(elapsed < 2500ms);
+  links.sent.clear();
+  timers.Advance(200ms);
+  CHECK(links.sent == std::set<std::string>{ "10.1.0.2" });
+}
+
+/// Guards against a host that takes the word of a cut-off control host for who is gone, and then
+/// asks control hosts that were replaced.
+TEST(ClusterFollower, CutOffControlHostDoesNotTellWhoIsGone)
+{
+  RunWithControlHosts({ "10.0.0.1", "10.1.0.1" }, 2s);
+  for (const char* it : { "10.0.0.2", "10.0.0.3", "10.0.0.4" }) {
+    RunWithControlHosts({ it, "10.1.0.1", "10.2.0.1" }, 15s);
+  }
+  proto::Feed cutOff = MakeListingFeed({ "10.0.0.4" });
+  cutOff.set_led(false);
+  links.lastReports.clear();
+  core::Duration elapsed{ 0 };
+  bool isFound = false;
+  for (; elapsed < 10s && !isFound; elapsed += 50ms) {
+    links.sent.clear();
+    timers.Advance(50ms);
+    Receive("10.0.0.4", cutOff);
+    isFound = links.sent.contains("10.1.0.1") || links.sent.contains("10.2.0.1");
+  }
+  CHECK(elapsed < 2500ms);
+  for (const auto& [host, report] : links.lastReports) {
+    CHECK(host == "10.0.0.4" || host == "10.1.0.1" || host == "10.2.0.1");
+  }
+}
+
 /// Guards against a host that takes an older state from a control host that is cut off.
 TEST(ClusterFollower, NearerControlHostWithAnOlderStateIsNotFollowed)
 {
--- a/UnitTests/process/log/OpenGroupTest.cpp
+++ b/UnitTests/process/log/OpenGroupTest.cpp
@@ -61,6 +61,34 @@
   STRCMP_EQUAL("", cluster.Violation().c_str());
 }
 
+/// Guards against a learner that says for as long as it is cut off that it knows a leader.
+TEST(OpenGroup, CutOffLearnerKnowsNoLeader)
+{
+  LogCluster cluster({ .hosts = 4, .seedHosts = 3, .openGroupVoters = 3, .seed = 15 });
+  for (std::size_t n = 0; n < 4; ++n) {
+    cluster.StartHost(n);
+  }
+  CHECK(cluster.RunUntil(20s, [&] { return CountVoters(cluster) == 3; }));
+  std::size_t learner = 0;
+  while (learner < 3 && IsVoter(cluster, learner)) {
+    ++learner;
+  }
+  cluster.Run(2s);
+  CHECK_FALSE(cluster.Group(learner).Leader().IsEmpty());
+  CHECK(*cluster.Group(learner).StateAge() < 500ms);
+  cluster.SetIsolated(learner, true);
+  cluster.Propose(cluster.LeaderHost());
+  cluster.Run(3s);
+  CHECK(cluster.Group(learner).Leader().IsEmpty());
+  CHECK(*cluster.Group(learner).StateAge() > 2500ms);
+  CHECK(*cluster.Group(cluster.LeaderHost()).StateAge() < 500ms);
+  cluster.Heal();
+  cluster.Run(3s);
+  CHECK_FALSE(cluster.Group(learner).Leader().IsEmpty());
+  CHECK(*cluster.Group(learner).StateAge() < 500ms);
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
 TEST(OpenGroup, BlankHostNeverFoundsItsOwnGroup)
 {
   LogCluster cluster({ .hosts = 4, .seedHosts = 3, .openGroupVoters = 3, .seed = 13 });
