A learner forgets a leader that is silent

Cause: a voter that hears nothing starts a pre-vote and knows no leader then. A learner starts none, so what it knew stayed for ever. Class: what was heard once counts as knowledge, without an age.

A learner forgets the leader when its election timer runs out. The timer is set again by each message of the leader and excuses the time in which the process did not run, as for voters.

--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -73,6 +73,10 @@
   // been lost with the leader that proposed it.
   Announce();
   if (!IsVoter()) {
+    // It starts no election, but a leader that is silent for as long is not known to lead.
+    if (mNow >= mElectionDue) {
+      mLeader = core::HostId();
+    }
     return;
   }
   const bool singleVoter = Voters().voters.size() == 1;
