Entry hosts leave a control host whose state is outdated, and do not believe it about who is gone

Seen: entry hosts followed a control host that was cut off from the leader for as long as it sent feeds, and missed configurations.

Cause: a feed's claim to know a leader, and its list of who else is there, were taken at face value. A control host that is cut off hears from none of the others and lists itself only, so all others, dead or not, were asked in random order.

- Feeds count by the age of the sender's state.
While the received state is older than 1.2 s, other control hosts are tried, one at a time, and followed with their first current feed; meanwhile the former one's feeds go on.
This replaces the change to a random one after 1.5 s without a leader.
- Lists count only from senders whose state is at most 500 ms old; one that is cut off drops the others after 750 ms.
- A sender that never held all that was committed says that it knows no leader.

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -320,14 +320,17 @@
   for (const char* it : { "10.0.0.2", "10.0.0.3", "10.0.0.4" }) {
     RunWithControlHosts({ it, "10.1.0.1", "10.2.0.1" }, 15s);
   }
-  proto::Feed cutOff = MakeListingFeed({ "10.0.0.4" });
-  cutOff.set_led(false);
   links.lastReports.clear();
   core::Duration elapsed{ 0 };
   bool isFound = false;
   for (; elapsed < 10s && !isFound; elapsed += 50ms) {
     links.sent.clear();
     timers.Advance(50ms);
+    // It hears from none of the others, and drops them after 750 ms.
+    proto::Feed cutOff = elapsed < 750ms ? MakeListingFeed({ "10.0.0.4", "10.1.0.1", "10.2.0.1" })
+                                         : MakeListingFeed({ "10.0.0.4" });
+    cutOff.set_led(elapsed < 600ms);
+    cutOff.set_state_age_ms(static_cast<std::uint64_t>(core::Milliseconds(elapsed)));
     Receive("10.0.0.4", cutOff);
     isFound = links.sent.contains("10.1.0.1") || links.sent.contains("10.2.0.1");
   }
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -19,12 +19,16 @@
 constexpr core::Duration kMinReturnToLocalDelay = std::chrono::seconds(4);
 constexpr core::Duration kMaxReturnToLocalDelay = std::chrono::seconds(10);
 
-/// Age of the received state from which on it is logged as outdated.
-constexpr core::Duration kOutdatedAge = std::chrono::milliseconds(1000);
-
-/// Time for a nearer control host to send a feed: two of its slowest rounds and a new connection.
+/// Time for a tried control host to send a feed: two of its slowest rounds and a new connection.
 constexpr core::Duration kTrialTimeout = std::chrono::milliseconds(600);
 
+/// While the state is outdated, a control host is not tried again within this time.
+constexpr core::Duration kTrialInterval = std::chrono::seconds(2);
+
+/// A control host that is cut off drops the others from its list after about 0.75 s. Lists of
+/// senders whose state is older than this don't count.
+constexpr core::Duration kMaxListAge = std::chrono::milliseconds(500);
+
 /// A control host that no feed has listed for this long has been removed. Data centres may lose
 /// each other for minutes.
 constexpr core::Duration kControlHostRetention = std::chrono::hours(1);
@@ -49,7 +53,7 @@
 
 void ClusterFollower::Start()
 {
-  Follow(SelectControlHost(), "start");
+  Follow(SelectControlHost(Candidates::All), "start");
   mStalls.Update(mOptions.timers.Now());
   mTickTimer = mOptions.timers.ScheduleEvery(mOptions.settings.reportInterval, [this] { Tick(); });
 }
@@ -86,18 +90,15 @@
   if (stall == core::Duration::zero()) {
     return;
   }
-  logging::Event(
-    logging::Level::Warning, "host-stalled",
-    { { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(stall).count() } });
+  logging::Event(logging::Level::Warning, "host-stalled",
+                 { { "ms", static_cast<std::int64_t>(core::Milliseconds(stall)) } });
   mLastReceivedAt += stall;
-  mLeaderLastKnownAt += stall;
   mStateCurrentAt += stall;
 }
 
 void ClusterFollower::LogStateAge()
 {
-  const core::Duration age = StateAge().value_or(core::Duration::zero());
-  const bool isOutdated = age > kOutdatedAge;
+  const bool isOutdated = IsOutdated();
   if (isOutdated == std::exchange(mLoggedOutdated, isOutdated)) {
     return;
   }
@@ -105,7 +106,12 @@
                  isOutdated ? "state-outdated" : "state-current",
                  { { "control_host", mFollowed.Text() },
                    { "document", mDocumentNumber },
-                   { "age_ms", static_cast<std::int64_t>(core::Milliseconds(age)) } });
+                   { "age_ms", static_cast<std::int64_t>(core::Milliseconds(*StateAge())) } });
+}
+
+bool ClusterFollower::IsOutdated() const
+{
+  return StateAge() > mOptions.settings.outdatedAge;
 }
 
 bool ClusterFollower::IsReportDue() const
@@ -170,44 +176,50 @@
   const core::Instant lastReceived = std::max(mLastReceivedAt, mFollowedSince);
   if (now - lastReceived > mSilenceTimeout) {
     Abandon(mFollowed);
-    Follow(SelectControlHost(), "silent");
-    return;
-  }
-  if (now - std::max(mLeaderLastKnownAt, mFollowedSince) > mOptions.settings.leaderlessTimeout) {
-    Abandon(mFollowed);
-    Follow(SelectControlHost(), "no-leader");
+    Follow(SelectControlHost(Candidates::All), "silent");
     return;
   }
-  ReturnToLocal();
+  UpdateTrial();
 }
 
-void ClusterFollower::ReturnToLocal()
+void ClusterFollower::UpdateTrial()
 {
   const core::Instant now = mOptions.timers.Now();
   if (!mTried.IsEmpty()) {
     if (now - mTriedSince > kTrialTimeout) {
-      logging::Event(logging::Level::Info, "control-host-not-followed",
-                     { { "control_host", mTried.Text() }, { "reason", "no-newer-feed" } });
-      Abandon(mTried);
-      EndTrial();
+      RejectTried("no-newer-feed");
     }
     return;
   }
-  if (!mFirstFeedAt || IsLocal(mFollowed) || now < mReturnDueAt) {
-    return;
-  }
-  const core::HostId candidate = SelectControlHost();
-  const KnownControlHost& known = mControlHosts[candidate];
-  const bool isAvoided = known.abandonedAt && now - *known.abandonedAt < kAvoidDuration;
-  if (IsLocal(candidate) && known.isListed && !isAvoided) {
-    mTried = candidate;
+  mTried = SelectTrial();
+  if (!mTried.IsEmpty()) {
     mTriedSince = now;
     mTriedEpoch = ++mLastEpoch;
+    HastenReport();
   }
 }
 
-void ClusterFollower::EndTrial()
+core::HostId ClusterFollower::SelectTrial() const
+{
+  const bool isOutdated = IsOutdated();
+  const bool isReturnDue =
+    mFirstFeedAt && !IsLocal(mFollowed) && mOptions.timers.Now() >= mReturnDueAt;
+  if (!isOutdated && !isReturnDue) {
+    return {};
+  }
+  const core::HostId candidate = SelectControlHost(Candidates::Others);
+  const auto it = mControlHosts.find(candidate);
+  const bool isEligible =
+    it != mControlHosts.end() && (isOutdated || (IsLocal(candidate) && it->second.isListed));
+  const core::Duration pause = isOutdated ? kTrialInterval : kAvoidDuration;
+  return isEligible && !WasAbandonedWithin(it->second, pause) ? candidate : core::HostId();
+}
+
+void ClusterFollower::RejectTried(const char* aReason)
 {
+  logging::Event(logging::Level::Info, "control-host-not-followed",
+                 { { "control_host", mTried.Text() }, { "reason", aReason } });
+  Abandon(mTried);
   mTried = core::HostId();
   // The tried control host may have counted this host, with a newer epoch than the followed one.
   mFollowEpoch = ++mLastEpoch;
@@ -224,17 +236,26 @@
   return it != mControlHosts.end() && it->second.dataCentre == mOptions.cluster.dataCentre.Text();
 }
 
-core::HostId ClusterFollower::SelectControlHost() const
+bool ClusterFollower::WasAbandonedWithin(const KnownControlHost& aKnown,
+                                         core::Duration aMaxAge) const
+{
+  return aKnown.abandonedAt && mOptions.timers.Now() - *aKnown.abandonedAt < aMaxAge;
+}
+
+core::HostId ClusterFollower::SelectControlHost(Candidates aCandidates) const
 {
   // Random ranks distribute the hosts over the control hosts. Listed ones go first, then those of
   // this data centre.
   const core::Instant now = mOptions.timers.Now();
   std::vector<std::pair<double, core::HostId>> candidates;
   for (const auto& [host, known] : mControlHosts) {
+    if (aCandidates == Candidates::Others && host == mFollowed) {
+      continue;
+    }
     double rank = mOptions.random.Uniform();
     rank += IsLocal(host) ? 0 : 1;
     rank += known.isListed ? 0 : 2;
-    if (known.abandonedAt && now - *known.abandonedAt < kAvoidDuration) {
+    if (WasAbandonedWithin(known, kAvoidDuration)) {
       rank += 4 + core::Seconds(kAvoidDuration - (now - *known.abandonedAt));
     }
     candidates.emplace_back(rank, host);
@@ -287,24 +308,48 @@
     mOnQuarantine.emit(aMessage.quarantine());
     return;
   }
-  if (!aMessage.has_feed() || !MayFollow(aFrom, aMessage.feed())) {
+  if (!aMessage.has_feed()) {
+    return;
+  }
+  if (!MayFollow(aFrom, aMessage.feed())) {
+    if (aFrom == mTried && !IsCurrent(aMessage.feed())) {
+      RejectTried("outdated");
+    }
     return;
   }
   if (aFrom != mFollowed) {
-    Follow(aFrom, mFirstFeedAt ? "nearer" : "first-answer");
+    FollowSender(aFrom);
   }
   HandleFeed(*aMessage.mutable_feed());
 }
 
+void ClusterFollower::FollowSender(const core::HostId& aFrom)
+{
+  if (!mFirstFeedAt) {
+    Follow(aFrom, "first-answer");
+  } else if (IsOutdated()) {
+    Abandon(mFollowed);
+    Follow(aFrom, "outdated");
+  } else {
+    Follow(aFrom, "nearer");
+  }
+}
+
+bool ClusterFollower::IsCurrent(const proto::Feed& aFeed) const
+{
+  return aFeed.led() &&
+         std::chrono::milliseconds(aFeed.state_age_ms()) <= mOptions.settings.outdatedAge;
+}
+
 bool ClusterFollower::MayFollow(const core::HostId& aFrom, const proto::Feed& aFeed) const
 {
   if (!mFirstFeedAt) {
-    // Without a leader or document, it cannot tell what is in force; another control host may.
-    return aFeed.led() && aFeed.document_number() > 0;
+    // Without a current state or document, it cannot tell what is in force; another one may.
+    return IsCurrent(aFeed) && aFeed.document_number() > 0;
   }
-  const bool isCurrent = aFeed.led() && aFeed.document_number() >= mDocumentNumber &&
-                         aFeed.state_applied() >= mStateApplied;
-  return aFrom == mFollowed || isCurrent;
+  const bool isUpToDate = IsCurrent(aFeed) && aFeed.document_number() >= mDocumentNumber &&
+                          aFeed.state_applied() >= mStateApplied;
+  return aFrom == mFollowed || isUpToDate;
 }
 
 void ClusterFollower::UpdateControlHosts(const proto::Feed& aFeed)
@@ -340,10 +385,8 @@
   mFeedInterval = std::chrono::milliseconds(aFeed.interval_ms());
   if (!mFirstFeedAt) {
     mFirstFeedAt = now;
-    mStateCurrentAt = now;
   }
   if (aFeed.led()) {
-    mLeaderLastKnownAt = now;
     mStateCurrentAt =
       std::max(mStateCurrentAt, now - std::chrono::milliseconds(aFeed.state_age_ms()));
   }
@@ -351,7 +394,9 @@
     mFeedIncarnation = aFeed.life();
     mRegistryRevision = 0;
   }
-  UpdateControlHosts(aFeed);
+  if (aFeed.led() && std::chrono::milliseconds(aFeed.state_age_ms()) <= kMaxListAge) {
+    UpdateControlHosts(aFeed);
+  }
   if (aFeed.registry()) {
     mRegistryRevision = aFeed.registry_revision();
   }
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -30,8 +30,9 @@
   /// The silence timeout is extended by a random part of itself up to this one, so that the
   /// followers of a control host that fails don't all reach the next one at the same time.
   double silenceTimeoutSpread = 0.2;
-  /// A control host that has known no leader for this long is replaced by another one.
-  core::Duration leaderlessTimeout = std::chrono::milliseconds(1500);
+  /// Other control hosts are tried when the received state has not been current for this long. The
+  /// election of a leader takes less.
+  core::Duration outdatedAge = std::chrono::milliseconds(1200);
 };
 
 /// Connects a host to the control hosts: follows one of them, sends it reports, and switches to
@@ -39,9 +40,13 @@
 /// ordered by number, moves by log index. Performs I/O only through PeerLinks.
 ///
 /// Control hosts are replaced at other addresses. Each feed lists those that its sender hears from,
-/// and one that is not listed is followed only if no other is left. A control host of another data
-/// centre is followed until a nearer one has sent a feed that is no older, so that the way back
-/// leaves no time without feeds.
+/// and one that is not listed is followed only if no other is left. A sender that is cut off from
+/// the leader hears from none, so only lists of senders with a current state count.
+///
+/// Each feed tells how old the sender's state is. While feeds come, the followed control host is
+/// left only for one that has sent a current feed, so that the change leaves no time without feeds:
+/// another one is tried when the state is outdated, and a nearer one when a control host of another
+/// data centre has been followed for some time.
 class ClusterFollower : public sigc::trackable
 {
 public:
@@ -84,6 +89,9 @@
   /// first feed. Feeds may go on while it grows.
   std::optional<core::Duration> StateAge() const;
 
+  /// True while a newer state may be in force than the received one.
+  bool IsOutdated() const;
+
 private:
   struct KnownControlHost
   {
@@ -94,6 +102,12 @@
     std::optional<core::Instant> abandonedAt;
   };
 
+  enum class Candidates
+  {
+    All,
+    Others, ///< All except the followed one.
+  };
+
   void Tick();
   void ExcuseStall();
   bool IsReportDue() const;
@@ -101,15 +115,19 @@
   void SendTo(const core::HostId& aHost, std::uint64_t aEpoch, proto::Report aReport);
   void ReconsiderControlHost();
   void LogStateAge();
-  void ReturnToLocal();
+  void UpdateTrial();
+  core::HostId SelectTrial() const;
   void Abandon(const core::HostId& aHost);
   void Follow(const core::HostId& aHost, const char* aReason);
-  void EndTrial();
+  void RejectTried(const char* aReason);
   void SendUnfollow();
-  core::HostId SelectControlHost() const;
+  core::HostId SelectControlHost(Candidates aCandidates) const;
+  bool WasAbandonedWithin(const KnownControlHost& aKnown, core::Duration aMaxAge) const;
   bool IsLocal(const core::HostId& aHost) const;
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void HandleMessage(const core::HostId& aFrom, proto::Message& aMessage);
+  void FollowSender(const core::HostId& aFrom);
+  bool IsCurrent(const proto::Feed& aFeed) const;
   bool MayFollow(const core::HostId& aFrom, const proto::Feed& aFeed) const;
   void HandleFeed(proto::Feed& aFeed);
   void UpdateControlHosts(const proto::Feed& aFeed);
@@ -117,10 +135,9 @@
   Options mOptions;
   std::map<core::HostId, KnownControlHost> mControlHosts;
   core::HostId mFollowed;
-  core::HostId mTried; ///< Nearer control host that is asked for a feed, if any.
+  core::HostId mTried; ///< Control host that is asked for a current feed, if any.
   core::Instant mFollowedSince{};
   core::Instant mLastReceivedAt{};
-  core::Instant mLeaderLastKnownAt{};
   std::optional<core::Instant> mFirstFeedAt;
   core::Instant mStateCurrentAt{}; ///< When the received state was last known to be current.
   bool mLoggedOutdated = false;
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -429,9 +429,10 @@
   const core::Instant now = mOptions.loop.Now();
   proto::Feed feed;
   feed.set_life(mIncarnation);
-  feed.set_led(!mGroup->Leader().IsEmpty());
+  const auto stateAge = mGroup->StateAge();
+  feed.set_led(!mGroup->Leader().IsEmpty() && stateAge);
   feed.set_state_age_ms(
-    static_cast<std::uint64_t>(ToMilliseconds(mGroup->StateAge().value_or(now - mStartedAt))));
+    static_cast<std::uint64_t>(ToMilliseconds(stateAge.value_or(now - mStartedAt))));
   feed.set_complete(now - mStartedAt > mOptions.settings.warmUpDuration);
   feed.set_document_number(mState.Document().number());
   feed.set_state_applied(mState.LastChangeIndex());
