An outdated catalogue is no reason for a final refusal

Seen: an entry host without a newer configuration answers 404 (or 401) for a route (or key) that is in force elsewhere. Callers don't retry after these, though another host could have served them.

Cause: the refusal claims that nothing of the name exists; the host knows only that its own catalogue has none.

While the received state is outdated (ClusterFollower::IsOutdated), such requests are answered 503 with Retry-After, which says that they have not run and may be tried at another host.

Test: RequestForwarder OutdatedCatalogueIsNoReasonForAFinalRefusal; before, a host had no such case.

--- a/UnitTests/platform/UpstreamNoticesTest.cpp
+++ b/UnitTests/platform/UpstreamNoticesTest.cpp
@@ -115,7 +115,8 @@
                              .codec = codec,
                              .observer = observer,
                              .quota = quota,
-                             .catalogue = [this] { return catalogue; } });
+                             .catalogue = [this] { return catalogue; },
+                             .isCatalogueCurrent = [] { return true; } });
     scheduler = std::make_unique<placement::PlacementScheduler>(
       placement::PlacementSchedulerOptions{ .settings = {},
                                             .timers = timers,
--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -30,6 +30,9 @@
     connection::caller::CallerRequest aRequest, const version::catalogue::CatalogueIndex&,
     core::Instant aNow) const override
   {
+    if (parseFailure) {
+      return *parseFailure;
+    }
     ForwardRequest request = nextRequest;
     request.spec.id = core::RequestId(aRequest.target);
     request.spec.service = core::ServiceId("s");
@@ -75,6 +78,7 @@
   }
 
   ForwardRequest nextRequest;
+  std::optional<ForwardFailure> parseFailure;
   mutable core::Duration remaining{ 0 };
   mutable std::string lastEventId;
   mutable ForwardFailure failure;
@@ -123,6 +127,7 @@
   AnyVersionChooser versions;
   WorkspaceQuota quota{ {}, {}, true };
   std::shared_ptr<const version::catalogue::CatalogueIndex> catalogue;
+  bool isCatalogueCurrent = true;
   std::unique_ptr<ForwardTable> table;
   std::unique_ptr<placement::PlacementScheduler> scheduler;
   std::shared_ptr<FakeCaller> caller;
@@ -143,7 +148,8 @@
                              .codec = codec,
                              .observer = observer,
                              .quota = quota,
-                             .catalogue = [this] { return catalogue; } });
+                             .catalogue = [this] { return catalogue; },
+                             .isCatalogueCurrent = [this] { return isCatalogueCurrent; } });
     scheduler = std::make_unique<placement::PlacementScheduler>(
       placement::PlacementSchedulerOptions{ .settings = aSettings,
                                             .timers = timers,
@@ -509,6 +515,24 @@
   CHECK(codec.remaining == 200ms); // Measured from the arrival.
 }
 
+/// Guards against callers that are told for good what only an outdated catalogue says.
+TEST(RequestForwarder, OutdatedCatalogueIsNoReasonForAFinalRefusal)
+{
+  for (const int status : { 401, 403, 404 }) {
+    codec.parseFailure = ForwardFailure{ .status = status, .reason = "no", .retryAfter = {} };
+    isCatalogueCurrent = true;
+    Send();
+    CHECK_EQUAL(status, caller->status);
+    isCatalogueCurrent = false;
+    Send();
+    CHECK_EQUAL(503, caller->status);
+    CHECK(codec.failure.retryAfter.has_value());
+  }
+  codec.parseFailure = ForwardFailure{ .status = 400, .reason = "no", .retryAfter = {} };
+  Send();
+  CHECK_EQUAL(400, caller->status);
+}
+
 TEST(RequestForwarder, HeldRequestIsRejectedWithRetryAfterWithoutCatalogue)
 {
   catalogue.reset();
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -59,7 +59,8 @@
                 .codec = mOptions.codec,
                 .observer = mMonitor,
                 .quota = mQuota,
-                .catalogue = [this] { return mCatalogue; } })
+                .catalogue = [this] { return mCatalogue; },
+                .isCatalogueCurrent = [this] { return !mFollower.IsOutdated(); } })
   , mScheduler({ .settings = mOptions.settings.placement,
                  .timers = mOptions.loop,
                  .random = mOptions.random,
--- a/cuminfield/request/forward/ForwardTable.cpp
+++ b/cuminfield/request/forward/ForwardTable.cpp
@@ -12,6 +12,17 @@
 /// Retry-After for callers of a stopping host: another host can serve them at once.
 constexpr core::Duration kStoppingRetryAfter = std::chrono::milliseconds(10);
 
+/// Retry-After for callers that were refused by an outdated catalogue: another host can tell.
+constexpr core::Duration kOutdatedRetryAfter = std::chrono::milliseconds(100);
+
+/// True for the answers that a newer catalogue may turn into another one. Callers don't retry after
+/// them.
+bool DependsOnCatalogue(int aStatus)
+{
+  return aStatus == connection::kStatusUnauthorized || aStatus == connection::kStatusForbidden ||
+         aStatus == connection::kStatusNotFound;
+}
+
 } // namespace
 
 ForwardTable::ForwardTable(Options aOptions)
@@ -78,7 +89,13 @@
   const core::Instant now = mOptions.timers.Now();
   auto parsed = mOptions.codec.ParseRequest(std::move(aRequest), *catalogue, aArrival);
   if (const auto* failure = std::get_if<ForwardFailure>(&parsed)) {
-    Reject(*aChannel, {}, {}, *failure);
+    const bool mayBeOutdated =
+      DependsOnCatalogue(failure->status) && !mOptions.isCatalogueCurrent();
+    Reject(*aChannel, {}, {},
+           mayBeOutdated ? ForwardFailure{ .status = connection::kStatusUnavailable,
+                                           .reason = "outdated-catalogue",
+                                           .retryAfter = kOutdatedRetryAfter }
+                         : *failure);
     return;
   }
   auto& request = std::get<ForwardRequest>(parsed);
--- a/cuminfield/request/forward/ForwardTable.h
+++ b/cuminfield/request/forward/ForwardTable.h
@@ -27,6 +27,8 @@
     WorkspaceQuota& quota;
     /// Returns the current catalogue, or null before the first.
     std::function<std::shared_ptr<const version::catalogue::CatalogueIndex>()> catalogue;
+    /// False while a newer catalogue may be in force than the one that this host has.
+    std::function<bool()> isCatalogueCurrent;
   };
 
   explicit ForwardTable(Options aOptions);
