Known upstreams are restored from a current state only

A control host that starts with an old disk knew a leader before it had caught up, and took the upstreams of its old state for running. It now waits until its state has been current once.

--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -689,7 +689,9 @@
 
 void ControlHost::RestoreKnownUpstreams()
 {
-  if (mKnownUpstreamsRestored || mGroup->Leader().IsEmpty() || mState.Document().number() == 0) {
+  // A state that was never current, as after a start with an old disk, may list upstreams that are
+  // gone.
+  if (mKnownUpstreamsRestored || !mGroup->StateAge() || mState.Document().number() == 0) {
     return;
   }
   mKnownUpstreamsRestored = true;
