Links: a stream is replaced when the peer is heard, but does not acknowledge

Cause: a host took a stream for working without evidence that what it sends arrives. It replaced its stream only if the peer was silent; but the peer is heard on a connection of its own, so only gRPC's keepalive (5 s and 2 s) found that ours was dead.

Change: each batch says how many batches of which stream arrived from the addressee. A gap between two batches of the peer counts for half the timeout at most, since either process may have stood still in it. A batch counts as arrived before the loop handles it. Time runs once a batch is written completely, so large ones are not mistaken. A peer of a version that does not acknowledge is judged by its silence, as before. A restarted host numbers its streams anew from a random number, so former acknowledgements don't count.

Two faults of the rule for silence went with it: the stream to a peer that had nothing to send was replaced after every timeout (such a peer now sends a batch without messages, at most one in half a timeout, and only if something arrived), and the first message after an idle time counted the idle time as silence.

--- a/TestFramework/relay/Relay.cpp
+++ b/TestFramework/relay/Relay.cpp
@@ -48,7 +48,14 @@
   mForwardBlocked = aForward;
   mBackwardBlocked = aBackward;
   for (const auto& it : mLinks) {
-    it->SetBlocked(aForward, aBackward);
+    it->SetBlocked(aForward || it->IsSilenced(), aBackward || it->IsSilenced());
+  }
+}
+
+void Relay::SilenceOpenLinks()
+{
+  for (const auto& it : mLinks) {
+    it->Silence();
   }
 }
 
--- a/TestFramework/relay/Relay.h
+++ b/TestFramework/relay/Relay.h
@@ -28,6 +28,10 @@
   /// Blocks or unblocks each direction. Forward is from the connecting side to the target.
   void SetBlocked(bool aForward, bool aBackward);
 
+  /// Holds back all bytes of the connections that are open now, in both directions and for good;
+  /// new connections work.
+  void SilenceOpenLinks();
+
   /// Number of open connections.
   std::size_t LinkCount() const { return mLinks.size(); }
 
--- a/TestFramework/relay/RelayLink.cpp
+++ b/TestFramework/relay/RelayLink.cpp
@@ -46,6 +46,12 @@
   setBlocked(mTarget, aBackward);
 }
 
+void RelayLink::Silence()
+{
+  mIsSilenced = true;
+  SetBlocked(true, true);
+}
+
 void RelayLink::OnDataReceived(bufferevent* aFrom, void* aSelf)
 {
   const auto* self = static_cast<RelayLink*>(aSelf);
--- a/TestFramework/relay/RelayLink.h
+++ b/TestFramework/relay/RelayLink.h
@@ -24,12 +24,17 @@
   /// Blocks or unblocks each direction.
   void SetBlocked(bool aForward, bool aBackward);
 
+  /// Blocks both directions for good.
+  void Silence();
+  bool IsSilenced() const { return mIsSilenced; }
+
 private:
   static void OnDataReceived(bufferevent* aFrom, void* aSelf);
   static void OnConnectionEvent(bufferevent* aSide, short aEvents, void* aSelf);
 
   bufferevent* mCaller;
   bufferevent* mTarget;
+  bool mIsSilenced = false;
   std::function<void()> mCloseCallback;
 };
 
--- a/UnitTests/test_framework/RelayTest.cpp
+++ b/UnitTests/test_framework/RelayTest.cpp
@@ -75,3 +75,13 @@
   SendRequest(kTimeout);
   STRCMP_EQUAL("hello", response.body.c_str());
 }
+
+TEST(Relay, SilencedConnectionsStaySilentAndNewOnesWork)
+{
+  relay.SetBlocked(true, true);
+  SendRequest(kBlockedTimeout);
+  relay.SilenceOpenLinks();
+  relay.SetBlocked(false, false);
+  SendRequest(kTimeout);
+  STRCMP_EQUAL("hello", response.body.c_str());
+}
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -1,18 +1,29 @@
 #include "cuminfield/process/peer/GrpcPeerLinks.h"
 
+#include "cuminfield/process/logging/EventLog.h"
 #include "cuminfield/process/peer/peer.grpc.pb.h"
 
 #include <grpcpp/grpcpp.h>
 
 #include <algorithm>
-#include <mutex>
+#include <random>
 #include <utility>
 
 namespace cuminfield::process::peer {
 
 namespace {
-/// Interval at which streams are checked for silent peers.
-constexpr core::Duration kSilenceCheckPeriod = std::chrono::milliseconds(250);
+/// Interval at which streams are checked.
+constexpr core::Duration kCheckPeriod = std::chrono::milliseconds(250);
+
+/// Numbers of streams are below this, so that each takes at most three bytes in a batch. They begin
+/// at random, so that a restarted host does not take the acknowledgements of its former streams for
+/// those of new ones.
+constexpr std::uint32_t kStreamNumbers = 1U << 21U;
+
+std::string_view ToText(StreamFault aFault)
+{
+  return aFault == StreamFault::Silent ? "silent" : "undelivered";
+}
 } // namespace
 
 /// Sending end of a stream. Lives until gRPC reports it done. The loop and gRPC's threads share it;
@@ -22,11 +33,13 @@
   , public std::enable_shared_from_this<OutgoingStream>
 {
 public:
-  OutgoingStream(GrpcPeerLinks& aLinks, core::HostId aPeer, const settings::Endpoint& aEndpoint)
+  OutgoingStream(GrpcPeerLinks& aLinks, core::HostId aPeer, const settings::Endpoint& aEndpoint,
+                 std::uint32_t aNumber)
     : mLinks(aLinks)
     , mLoop(aLinks.mOptions.loop)
     , mAlive(aLinks.mAlive)
     , mPeer(std::move(aPeer))
+    , mNumber(aNumber)
   {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 200);
@@ -57,6 +70,9 @@
   {
     mWriteInProgress = true;
     mBatch = std::move(aBatch);
+    if (mNumber != 0) {
+      mBatch.set_stream(std::exchange(mNumber, 0));
+    }
     grpc::WriteOptions options;
     if (!aCompress) {
       options.set_no_compression();
@@ -105,6 +121,7 @@
   proto::Bye mResponse;
   proto::Batch mBatch;
   std::shared_ptr<OutgoingStream> mSelf;
+  std::uint32_t mNumber;         ///< 0 once it was sent.
   bool mWriteInProgress = false; ///< A write is in progress.
   bool mHoldsCall = true;        ///< A hold of gRPC keeps the call open between writes.
 };
@@ -127,6 +144,7 @@
       Finish(grpc::Status::OK);
       return;
     }
+    PostArrival();
     // A batch holds either urgent frames only or none, see FlushQueue.
     const bool isUrgent =
       mBatch.frames_size() > 0 && IsUrgent(static_cast<Channel>(mBatch.frames(0).channel()));
@@ -144,10 +162,35 @@
   void OnDone() override { delete this; }
 
 private:
+  /// Reports that a batch arrived, ahead of the batches that wait to be handled: those count as
+  /// delivered, however long this host takes for them.
+  void PostArrival()
+  {
+    if (mBatch.stream() != 0) {
+      mPosition.stream = mBatch.stream();
+    }
+    ++mPosition.batches;
+    ReceivedBatch batch{ .position = mPosition,
+                         .hasFrames = mBatch.frames_size() > 0,
+                         .acknowledged = {} };
+    if (mBatch.has_received_stream()) {
+      batch.acknowledged = { .stream = mBatch.received_stream(),
+                             .batches = mBatch.received_batches() };
+    }
+    mLoop.Post(
+      [&links = mLinks, alive = mAlive, from = core::HostId(mBatch.from()), batch] {
+        if (*alive) {
+          links.OnBatchArrived(from, batch);
+        }
+      },
+      core::TaskPriority::High);
+  }
+
   GrpcPeerLinks& mLinks;
   core::EventLoop& mLoop;
   std::shared_ptr<bool> mAlive;
   proto::Batch mBatch;
+  StreamPosition mPosition;
 };
 
 class GrpcPeerLinks::Service : public proto::Peer::CallbackService
@@ -169,11 +212,12 @@
 
 GrpcPeerLinks::GrpcPeerLinks(Options aOptions)
   : mOptions(std::move(aOptions))
-  , mStalls(kSilenceCheckPeriod * 2)
+  , mStalls(kCheckPeriod * 2)
   , mAlive(std::make_shared<bool>(true))
+  , mLastStream(std::random_device()() % kStreamNumbers)
 {
   for (const settings::PeerSettings& it : mOptions.peers) {
-    mPeers[it.id].settings = it;
+    AddPeer(it);
   }
 }
 
@@ -203,8 +247,7 @@
     OpenStream(peer);
   }
   if (mOptions.settings.silenceTimeout.count() > 0) {
-    mSilenceTimer =
-      mOptions.loop.ScheduleEvery(kSilenceCheckPeriod, [this] { CheckSilentPeers(); });
+    mCheckTimer = mOptions.loop.ScheduleEvery(kCheckPeriod, [this] { CheckPeers(); });
   }
   return core::Success();
 }
@@ -233,7 +276,7 @@
     return;
   }
   Peer& peer = *known;
-  peer.lastQueuedAt = mOptions.loop.Now();
+  peer.delivery.OnQueued(mOptions.loop.Now());
   if (peer.queue.size() >= mOptions.settings.maxQueuedFrames) {
     return;
   }
@@ -241,6 +284,14 @@
   FlushQueue(peer);
 }
 
+GrpcPeerLinks::Peer& GrpcPeerLinks::AddPeer(const settings::PeerSettings& aSettings)
+{
+  Peer& peer = mPeers[aSettings.id];
+  peer.settings = aSettings;
+  peer.delivery = DeliveryMonitor({ .timeout = mOptions.settings.silenceTimeout });
+  return peer;
+}
+
 GrpcPeerLinks::Peer* GrpcPeerLinks::FindOrAddPeer(const core::HostId& aHost)
 {
   const auto it = mPeers.find(aHost);
@@ -250,25 +301,24 @@
   if (mOptions.settings.dynamicPeerPort == 0 || aHost == mOptions.self || aHost.IsEmpty()) {
     return nullptr;
   }
-  Peer& peer = mPeers[aHost];
-  peer.settings = { .id = aHost,
-                    .endpoint = { .address = aHost.Text(),
-                                  .port = mOptions.settings.dynamicPeerPort },
-                    .dataCentre = {} };
+  Peer& peer =
+    AddPeer({ .id = aHost,
+              .endpoint = { .address = aHost.Text(), .port = mOptions.settings.dynamicPeerPort },
+              .dataCentre = {} });
   peer.isDynamic = true;
-  peer.lastQueuedAt = mOptions.loop.Now();
+  peer.delivery.OnQueued(mOptions.loop.Now());
   OpenStream(peer);
   return &peer;
 }
 
-void GrpcPeerLinks::CheckSilentPeers()
+void GrpcPeerLinks::CheckPeers()
 {
   const core::Instant now = mOptions.loop.Now();
   const core::Duration stall = mStalls.Update(now);
   for (auto it = mPeers.begin(); it != mPeers.end();) {
     Peer& peer = it->second;
-    peer.lastReceivedAt += stall;
-    const core::Duration idle = now - std::max(peer.lastQueuedAt, peer.lastReceivedAt);
+    peer.delivery.ExcuseStall(stall, now);
+    const core::Duration idle = now - peer.delivery.LastUsedAt();
     if (peer.isDynamic && idle > mOptions.settings.dynamicPeerIdleTimeout) {
       if (peer.stream) {
         peer.stream->Close();
@@ -277,26 +327,41 @@
       continue;
     }
     ++it;
-    const core::Duration silent = now - std::max(peer.lastReceivedAt, peer.streamOpenedAt);
-    const bool inUse = now - peer.lastQueuedAt < mOptions.settings.silenceTimeout;
-    if (peer.stream && inUse && silent > mOptions.settings.silenceTimeout) {
-      peer.stream->Close();
-      peer.stream.reset();
-      peer.queue.clear();
-      OpenStream(peer);
+    if (!peer.stream) {
+      continue;
+    }
+    if (const auto fault = peer.delivery.Judge(now)) {
+      ReplaceStream(peer, *fault);
+    } else if (!peer.stream->IsBusy() && peer.delivery.IsAcknowledgementDue(now)) {
+      SendBatch(peer, {}, false);
     }
   }
 }
 
 void GrpcPeerLinks::OpenStream(Peer& aPeer)
 {
-  aPeer.streamOpenedAt = mOptions.loop.Now();
-  aPeer.stream =
-    std::make_shared<OutgoingStream>(*this, aPeer.settings.id, aPeer.settings.endpoint);
+  mLastStream = mLastStream % (kStreamNumbers - 1) + 1;
+  aPeer.delivery.OnStreamOpened(mLastStream, mOptions.loop.Now());
+  aPeer.stream = std::make_shared<OutgoingStream>(*this, aPeer.settings.id, aPeer.settings.endpoint,
+                                                  mLastStream);
   aPeer.stream->Start();
   FlushQueue(aPeer);
 }
 
+void GrpcPeerLinks::ReplaceStream(Peer& aPeer, StreamFault aFault)
+{
+  // A peer that is gone is reported once, not with each try to reach it.
+  if (aPeer.delivery.WasHeardOnStream()) {
+    logging::Event(logging::Level::Info, "peer-stream-replaced",
+                   { { "peer", aPeer.settings.id.Text() }, { "reason", ToText(aFault) } });
+  }
+  aPeer.stream->Close();
+  aPeer.stream.reset();
+  // Queued messages are outdated.
+  aPeer.queue.clear();
+  OpenStream(aPeer);
+}
+
 void GrpcPeerLinks::FlushQueue(Peer& aPeer)
 {
   if (!aPeer.stream || aPeer.stream->IsBusy() || aPeer.queue.empty()) {
@@ -308,7 +373,6 @@
                           [](const PeerMessage& aMessage) { return IsUrgent(aMessage.channel); });
   const auto end = rest == aPeer.queue.begin() ? aPeer.queue.end() : rest;
   proto::Batch batch;
-  batch.set_from(mOptions.self.Text());
   bool compress = false;
   for (auto it = aPeer.queue.begin(); it != end; ++it) {
     proto::Frame* frame = batch.add_frames();
@@ -317,8 +381,20 @@
     compress = compress || it->compress;
   }
   aPeer.queue.erase(aPeer.queue.begin(), end);
-  mBytesSent.value += static_cast<std::int64_t>(batch.ByteSizeLong());
-  aPeer.stream->Write(std::move(batch), compress);
+  SendBatch(aPeer, std::move(batch), compress);
+}
+
+void GrpcPeerLinks::SendBatch(Peer& aPeer, proto::Batch aBatch, bool aCompress)
+{
+  aBatch.set_from(mOptions.self.Text());
+  if (mOptions.settings.silenceTimeout.count() > 0) {
+    const StreamPosition received = aPeer.delivery.Received();
+    aBatch.set_received_stream(received.stream);
+    aBatch.set_received_batches(received.batches);
+  }
+  aPeer.delivery.OnSent(mOptions.loop.Now());
+  mBytesSent.value += static_cast<std::int64_t>(aBatch.ByteSizeLong());
+  aPeer.stream->Write(std::move(aBatch), aCompress);
 }
 
 void GrpcPeerLinks::OnBatchWritten(const core::HostId& aPeer, const OutgoingStream* aStream,
@@ -333,6 +409,7 @@
     peer.stream->Close();
     return;
   }
+  peer.delivery.OnWritten(mOptions.loop.Now());
   peer.stream->SetIdle();
   FlushQueue(peer);
 }
@@ -352,6 +429,13 @@
                                                     [this, &peer] { OpenStream(peer); });
 }
 
+void GrpcPeerLinks::OnBatchArrived(const core::HostId& aFrom, const ReceivedBatch& aBatch)
+{
+  if (Peer* peer = FindOrAddPeer(aFrom)) {
+    peer->delivery.OnReceived(aBatch, mOptions.loop.Now());
+  }
+}
+
 void GrpcPeerLinks::OnBatch(const std::string& aBytes)
 {
   proto::Batch batch;
@@ -360,11 +444,9 @@
   }
   mBytesReceived.value += static_cast<std::int64_t>(aBytes.size());
   const core::HostId from(batch.from());
-  Peer* known = FindOrAddPeer(from);
-  if (!known) {
+  if (!FindOrAddPeer(from)) {
     return;
   }
-  known->lastReceivedAt = mOptions.loop.Now();
   for (proto::Frame& it : *batch.mutable_frames()) {
     mOnMessage.emit(from, PeerMessage{ .channel = static_cast<Channel>(it.channel()),
                                        .payload = std::move(*it.mutable_payload()) });
--- a/cuminfield/process/peer/GrpcPeerLinks.h
+++ b/cuminfield/process/peer/GrpcPeerLinks.h
@@ -3,6 +3,7 @@
 #include "cuminfield/core/Error.h"
 #include "cuminfield/core/EventLoop.h"
 #include "cuminfield/core/StallDetector.h"
+#include "cuminfield/process/peer/DeliveryMonitor.h"
 #include "cuminfield/process/peer/PeerLinks.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
@@ -17,6 +18,10 @@
 
 namespace cuminfield::process::peer {
 
+namespace proto {
+class Batch;
+}
+
 /// Limits and timeouts of the links between hosts.
 struct GrpcPeerLinksSettings
 {
@@ -29,8 +34,9 @@
   /// Port of dynamic peers: hosts that the settings don't list, whose id is their IP address and
   /// which listen on the same port as this host. 0: only the configured peers are allowed.
   std::uint16_t dynamicPeerPort = 0;
-  /// The stream to a peer that this host sends to, but that sends nothing for this long, is
-  /// replaced, because a connection may stop delivering without an error. Zero: never.
+  /// DeliveryMonitorSettings::timeout: the stream to a peer is replaced if for this long the peer
+  /// sends nothing, or does not acknowledge what it was sent, because a connection may stop
+  /// delivering without an error. Zero: never.
   core::Duration silenceTimeout{ 0 };
   /// A dynamic peer without traffic in either direction for this long is removed.
   core::Duration dynamicPeerIdleTimeout = std::chrono::seconds(10);
@@ -78,18 +84,20 @@
     std::vector<PeerMessage> queue;
     std::shared_ptr<OutgoingStream> stream;
     core::TimerHandle reconnectTimer;
-    core::Instant lastReceivedAt{}; ///< When the last batch was received from it.
-    core::Instant lastQueuedAt{};   ///< When a message was last sent to it, queued or dropped.
-    core::Instant streamOpenedAt{}; ///< When the current stream was opened.
-    bool isDynamic = false;         ///< Not listed in the settings.
+    DeliveryMonitor delivery;
+    bool isDynamic = false; ///< Not listed in the settings.
   };
 
+  Peer& AddPeer(const settings::PeerSettings& aSettings);
   Peer* FindOrAddPeer(const core::HostId& aHost);
-  void CheckSilentPeers();
+  void CheckPeers();
   void OpenStream(Peer& aPeer);
+  void ReplaceStream(Peer& aPeer, StreamFault aFault);
   void FlushQueue(Peer& aPeer);
+  void SendBatch(Peer& aPeer, proto::Batch aBatch, bool aCompress);
   void OnBatchWritten(const core::HostId& aPeer, const OutgoingStream* aStream, bool aOk);
   void OnStreamClosed(const core::HostId& aPeer, const OutgoingStream* aStream);
+  void OnBatchArrived(const core::HostId& aFrom, const ReceivedBatch& aBatch);
   void OnBatch(const std::string& aBytes);
 
   Options mOptions;
@@ -98,7 +106,8 @@
   std::unique_ptr<Service> mService;
   std::unique_ptr<grpc::Server> mServer;
   std::shared_ptr<bool> mAlive; ///< False once stopped, so that late completions are ignored.
-  core::TimerHandle mSilenceTimer;
+  core::TimerHandle mCheckTimer;
+  std::uint32_t mLastStream; ///< Number of the stream that was opened last.
   core::Bytes mBytesSent;
   core::Bytes mBytesReceived;
 };
