Tests: responses cut after every byte

EntryHostCutResponse cuts heads after every byte, closed and reset in turn, before an entry host: its caller gets 502, or the next attempt's response if the request may run twice.

--- /dev/null
+++ b/UnitTests/platform/EntryHostCutResponseTest.cpp
@@ -0,0 +1,183 @@
+#include "UnitTests/connection/ReplyingUpstream.h"
+#include "UnitTests/platform/LoopbackEntryHost.h"
+#include "platform/Wire.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace cuminfield;
+using namespace std::chrono_literals;
+using unit_tests::connection::Ending;
+using unit_tests::connection::Reply;
+using unit_tests::connection::ReplyingUpstream;
+using unit_tests::platform::LoopbackEntryHost;
+namespace wire = platform::wire;
+
+namespace {
+
+/// Caller that sends one request and records all bytes until the connection ends.
+class RawCaller
+{
+public:
+  RawCaller(core::EventLoop& aLoop, std::uint16_t aPort, const std::string& aVersion)
+    : mLoop(aLoop)
+  {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(aPort);
+    CHECK_EQUAL(0, ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+    evutil_make_socket_nonblocking(fd);
+    mChannel = bufferevent_socket_new(aLoop.EventBase(), fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(mChannel, OnRead, nullptr, OnEvent, this);
+    bufferevent_enable(mChannel, EV_READ | EV_WRITE);
+    const std::string request =
+      "GET /a/b HTTP/" + aVersion + "\r\nHost: h\r\n" + std::string(wire::kRequestId) + ": r1\r\n" +
+      std::string(wire::kDeadlineMs) + ": 9000\r\nConnection: close\r\n\r\n";
+    bufferevent_write(mChannel, request.data(), request.size());
+  }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  ~RawCaller() { bufferevent_free(mChannel); }
+
+  int Status() const
+  {
+    return mReceived.starts_with("HTTP/1.") ? std::atoi(mReceived.c_str() + 9) : 0;
+  }
+
+  bool IsClosed() const { return mClosed; }
+
+  /// True if the response is complete by its own framing.
+  bool LooksComplete() const
+  {
+    const std::size_t headEnd = mReceived.find("\r\n\r\n");
+    if (headEnd == std::string::npos) {
+      return false;
+    }
+    const std::string head = mReceived.substr(0, headEnd + 2);
+    const std::string body = mReceived.substr(headEnd + 4);
+    const std::string lengthName = "\r\nContent-Length: ";
+    if (head.find("\r\nTransfer-Encoding: chunked\r\n") != std::string::npos) {
+      return body == "0\r\n\r\n" || body.ends_with("\r\n0\r\n\r\n");
+    }
+    if (const std::size_t at = head.find(lengthName); at != std::string::npos) {
+      return body.size() == std::stoul(head.substr(at + lengthName.size()));
+    }
+    return !mReset;
+  }
+
+  const std::string& Received() const { return mReceived; }
+
+private:
+  static void OnRead(bufferevent* aChannel, void* aSelf)
+  {
+    evbuffer* input = bufferevent_get_input(aChannel);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    static_cast<RawCaller*>(aSelf)->mReceived += bytes;
+  }
+
+  static void OnEvent(bufferevent*, short aWhat, void* aSelf)
+  {
+    auto* self = static_cast<RawCaller*>(aSelf);
+    if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      self->mClosed = true;
+      self->mReset = (aWhat & BEV_EVENT_ERROR) != 0;
+      self->mLoop.Stop();
+    }
+  }
+
+  core::EventLoop& mLoop;
+  bufferevent* mChannel = nullptr;
+  std::string mReceived;
+  bool mClosed = false;
+  bool mReset = false;
+};
+
+std::string MakeHead(const std::string& aHeaders)
+{
+  return "HTTP/1.1 200 OK\r\n" + std::string(wire::kRequestId) + ": r1\r\n" + aHeaders + "\r\n";
+}
+
+constexpr const char* kPlainRoute = R"("kind":"unsafe","timeout_ms":9000)";
+constexpr const char* kStreamRoute = R"("kind":"stream","timeout_ms":9000)";
+
+} // namespace
+
+TEST_GROUP(EntryHostCutResponse)
+{
+  core::EventLoop loop;
+  ReplyingUpstream upstream{ loop };
+
+  void setup() override
+  {
+    std::signal(SIGPIPE, SIG_IGN);
+    spdlog::set_level(spdlog::level::off); // Hundreds of hosts start.
+  }
+  void teardown() override
+  {
+    spdlog::set_level(spdlog::level::info);
+    std::signal(SIGPIPE, SIG_DFL);
+  }
+
+  struct Result
+  {
+    int status = 0;
+    bool looksComplete = false;
+    std::string text;
+  };
+
+  /// Sends a request through an entry host whose upstream sends these replies.
+  Result Call(const char* aRoute, std::vector<Reply> aReplies, const std::string& aVersion = "1.1")
+  {
+    upstream.Prepare(std::move(aReplies));
+    LoopbackEntryHost host(loop, upstream.Port(), aRoute);
+    const RawCaller caller(loop, host.CallerPort(), aVersion);
+    const auto limit = loop.ScheduleAfter(10s, [&] { loop.Stop(); });
+    loop.Run();
+    CHECK_TEXT(caller.IsClosed(), caller.Received().c_str());
+    return { .status = caller.Status(),
+             .looksComplete = caller.LooksComplete(),
+             .text = caller.Received() };
+  }
+};
+
+/// Guards against a response that passes for complete though its upstream closed in its head.
+TEST(EntryHostCutResponse, HeadCutAtAnyByteIsABadGateway)
+{
+  for (const char* framing :
+       { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n" }) {
+    const std::string head = MakeHead(framing);
+    for (std::size_t n = 0; n < head.size(); ++n) {
+      const Ending ending = n % 2 == 0 ? Ending::Close : Ending::Reset;
+      const Result result = Call(n % 4 < 2 ? kPlainRoute : kStreamRoute,
+                                 { { .parts = { head.substr(0, n) }, .ending = ending } });
+      CHECK_EQUAL_TEXT(502, result.status, result.text.c_str());
+    }
+  }
+}
+
+/// A request that may run twice gets the response of its next attempt.
+TEST(EntryHostCutResponse, CutHeadIsTriedAgain)
+{
+  const std::string head = MakeHead("Content-Length: 5\r\n");
+  const Result result =
+    Call(R"("kind":"safe","max_attempts":2,"timeout_ms":9000)",
+         { { .parts = { head.substr(0, head.size() - 1) }, .ending = Ending::Close },
+           { .parts = { head + "whole" } } });
+  CHECK_TEXT(result.text.ends_with("\r\n\r\nwhole"), result.text.c_str());
+}
