Responses of ambiguous length are rejected

Callers got a 200 with two Content-Length headers, 5 and 9, and a body of 5 bytes, when an upstream had sent both: evhttp takes the first, and the entry host forwarded both. In the same way the transport reported these as complete: a length named "Content-Length :" (not found, so a body cut by a close was whole), "+5", and "Transfer-Encoding: gzip, chunked", "identity" or "xchunked". Where a length remained, the connection was used again behind a body whose end was a guess.

DetermineBodyFraming says how a body's end is marked (RFC 9112, 6.3) or that the headers are ambiguous; the call then fails as one that may have run, without a head, and its connection is closed. It replaces EndsWithItsConnection.

--- a/UnitTests/connection/CutResponseTest.cpp
+++ b/UnitTests/connection/CutResponseTest.cpp
@@ -250,3 +250,50 @@
 {
   CheckCuts(Ending::Reset, true);
 }
+
+/// Guards against a response whose length is not certain, which would be cut or joined to the next.
+TEST(CutResponse, AmbiguousLengthIsRejected)
+{
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string chunks = kChunks + "\r\n";
+  const std::vector<std::pair<std::string, std::string>> responses{
+    { "Content-Length: x\r\n", "whole" },
+    { "Content-Length:\r\n", "whole" },
+    { "Content-Length: 5x\r\n", "whole" },
+    { "Content-Length: 0x5\r\n", "whole" },
+    { "Content-Length: +5\r\n", "whole" },
+    { "Content-Length: -5\r\n", "whole" },
+    { "Content-Length: -1\r\n", "whole" },
+    { "Content-Length: 5 5\r\n", "whole" },
+    { "Content-Length: 5, 9\r\n", "whole" },
+    { "Content-Length: 18446744073709551621\r\n", "whole" },
+    { "Content-Length: 5\r\nContent-Length: 9\r\n", "whole" },
+    { "Content-Length: 5\r\nContent-length: 9\r\n", "whole" },
+    { "Content-Length : 9\r\nConnection: close\r\n", "whole" },
+    { "Content-Length\t: 9\r\n", "whole" },
+    { "Content-Length: 5\r\n" + chunked, chunks },
+    { chunked + "Content-Length: 5\r\n", chunks },
+    { chunked + chunked, chunks },
+    { "Transfer-Encoding : chunked\r\n", chunks },
+    { "Transfer-Encoding: gzip, chunked\r\n", chunks },
+    { "Transfer-Encoding: chunked, identity\r\n", chunks },
+    { "Transfer-Encoding: identity\r\n", "whole" },
+    { "Transfer-Encoding: xchunked\r\n", chunks },
+    { "Transfer-Encoding:\r\n", "whole" },
+    { ": x\r\n", "whole" },
+    { "Some name: x\r\n", "whole" },
+  };
+  for (const Ending ending : { Ending::KeepOpen, Ending::Close }) {
+    for (const auto& [headers, body] : responses) {
+      Prepare({ { .parts = { Join("200 OK", headers) + body }, .ending = ending },
+                { .parts = { Join("200 OK", "Content-Length: 4\r\n") + "next" } } });
+      const RecordingListener listener = Call();
+      CHECK_EQUAL_TEXT(0, listener.heads, headers.c_str());
+      CHECK_EQUAL_TEXT(0, listener.ends, headers.c_str());
+      CHECK_EQUAL_TEXT(1, listener.failures, headers.c_str());
+      CHECK_TEXT(listener.mayHaveRun, headers.c_str());
+      STRCMP_EQUAL_TEXT("next", Call().body.c_str(), headers.c_str());
+      CHECK_EQUAL_TEXT(2U, upstream.ConnectionCount(), headers.c_str());
+    }
+  }
+}
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
 
+#include "cuminfield/connection/upstream/BodyFraming.h"
 #include "cuminfield/core/Socket.h"
 #include "cuminfield/core/Timeval.h"
 
@@ -48,20 +49,6 @@
   return headers;
 }
 
-bool EqualsIgnoringCase(std::string_view aText, const char* aOther)
-{
-  return evutil_ascii_strcasecmp(std::string(aText).c_str(), aOther) == 0;
-}
-
-/// True for a response that has neither a length nor chunks, and doesn't announce its end by
-/// `Connection: close`.
-bool EndsWithItsConnection(const HttpHeaders& aHeaders)
-{
-  return FindHeader(aHeaders, "Content-Length").empty() &&
-         !EqualsIgnoringCase(FindHeader(aHeaders, "Transfer-Encoding"), "chunked") &&
-         !EqualsIgnoringCase(FindHeader(aHeaders, "Connection"), "close");
-}
-
 } // namespace
 
 /// Outlives the call while evhttp owns its request; `call` is null for callbacks after the call.
@@ -222,8 +209,8 @@
     mConnectTimer.Cancel();
     evhttp_connection* connection = std::exchange(mConnection, nullptr);
     const int status = aRequest ? evhttp_request_get_response_code(aRequest) : 0;
-    if (mRequestIdMismatch) {
-      mErrorText = "the answer belongs to another request";
+    if (mRejection) {
+      mErrorText = mRejection;
     }
     if (status == 0 || !mHeadReceived || !mErrorText.empty()) {
       mTransport.DeferClose(connection, nullptr);
@@ -237,19 +224,25 @@
   int HandleHeaders(evhttp_request* aRequest)
   {
     evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-    const char* id = evhttp_find_header(headers, RequestIdHeader().c_str());
-    if (!id || mRequest.id.Text() != id) {
-      mRequestIdMismatch = true;
+    const int status = evhttp_request_get_response_code(aRequest);
+    const HttpHeaders copy = CopyHeaders(headers);
+    const auto framing = DetermineBodyFraming(status, copy);
+    if (mRequest.id.Text() != FindHeader(copy, RequestIdHeader())) {
+      mRejection = "the answer belongs to another request";
+    } else if (!framing) {
+      mRejection = "the length of the answer is ambiguous";
+    }
+    if (mRejection) {
       return -1;
     }
     mHeadReceived = true;
+    mFraming = *framing;
     core::SetTcpQuickAck(Socket());
-    const HttpHeaders copy = CopyHeaders(headers);
-    if (EndsWithItsConnection(copy)) {
+    if (mFraming == BodyFraming::ConnectionClose) {
       // With `keep-alive`, evhttp would take the response for empty.
       evhttp_remove_header(headers, "Connection");
     }
-    mListener.OnHead(evhttp_request_get_response_code(aRequest), copy);
+    mListener.OnHead(status, copy);
     return 0;
   }
 
@@ -341,7 +334,8 @@
   evbuffer_cb_entry* mOutputCallback = nullptr;
   bool mAnyByteSent = false; ///< Whether the upstream may have received a byte.
   bool mHeadReceived = false;
-  bool mRequestIdMismatch = false;
+  const char* mRejection = nullptr; ///< Why the head was rejected.
+  BodyFraming mFraming = BodyFraming::NoBody;
   std::string mErrorText;
 };
 
