A connection that ended with its response is not used again

A call right after a response without a length failed with "connection closed before the answer was whole", as one that may have run: to evhttp the response was done, so the connection went into the pool, and its end was noticed again only in the next turn of the loop. Connections of such responses are closed now.

ConnectionThatEndedIsNotUsedAgain starts the second call inside the end of the first. Before: "until close, expected <1> but was <0>" ends of the second call. After: it is answered on a second connection.

--- a/UnitTests/connection/CutResponseTest.cpp
+++ b/UnitTests/connection/CutResponseTest.cpp
@@ -251,6 +251,30 @@
   CheckCuts(Ending::Reset, true);
 }
 
+/// Guards against a request that is lost because its connection has ended with a response before.
+TEST(CutResponse, ConnectionThatEndedIsNotUsedAgain)
+{
+  for (const WholeResponse& response : MakeWholeResponses()) {
+    if (!response.endsWithConnection) {
+      continue;
+    }
+    Prepare({ { .parts = { response.head + response.body }, .ending = Ending::Close },
+              { .parts = { Join("200 OK", "Content-Length: 4\r\n") + "next" } } });
+    RecordingListener first;
+    RecordingListener second;
+    std::unique_ptr<upstream::UpstreamCall> secondCall;
+    first.onDone = [&] { secondCall = Start(second); };
+    second.onDone = [&] { loop.Stop(); };
+    const auto firstCall = Start(first);
+    const auto limit = loop.ScheduleAfter(10s, [&] { loop.Stop(); });
+    loop.Run();
+    CHECK_EQUAL_TEXT(1, first.ends, response.name);
+    CHECK_EQUAL_TEXT(1, second.ends, response.name);
+    STRCMP_EQUAL_TEXT("next", second.body.c_str(), response.name);
+    CHECK_EQUAL_TEXT(2U, upstream.ConnectionCount(), response.name);
+  }
+}
+
 /// Guards against a response whose length is not certain, which would be cut or joined to the next.
 TEST(CutResponse, AmbiguousLengthIsRejected)
 {
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -217,7 +217,11 @@
       Fail(mErrorText.empty() ? "no answer" : mErrorText);
       return;
     }
-    mTransport.ReleaseConnection(mEndpoint, connection);
+    if (mFraming == BodyFraming::ConnectionClose) {
+      mTransport.DeferClose(connection, nullptr);
+    } else {
+      mTransport.ReleaseConnection(mEndpoint, connection);
+    }
     mListener.OnEnd();
   }
 
