An informational response is not the response

With the request's id, "103 Early Hints" or "102 Processing" was reported as a complete response without a body, with its status; X-Cuminfield-Not-Executed in it would have counted as a refusal. Of "100 Continue" the head was reported, and the call failed later. Without the id all three failed at once, as responses to another request. A whole response sent with the 100 and a close was not reported either.

No request asks for informational responses, so each fails its call, as one that may have run.

InformationalResponseIsNotTheResponse failed before: "100 Continue, Id: a: expected <0> but was <1>" heads.

--- a/UnitTests/connection/CutResponseTest.cpp
+++ b/UnitTests/connection/CutResponseTest.cpp
@@ -321,3 +321,23 @@
     }
   }
 }
+
+/// Guards against an informational response that passes for the response itself.
+TEST(CutResponse, InformationalResponseIsNotTheResponse)
+{
+  for (const char* status : { "100 Continue", "102 Processing", "103 Early Hints" }) {
+    for (const char* header : { "", "Id: a\r\n", "Id: a\r\nX-Cuminfield-Not-Executed: 1\r\n" }) {
+      const std::string interim = "HTTP/1.1 " + std::string(status) + "\r\n" + header + "\r\n";
+      const std::string whole = Join("200 OK", "Content-Length: 5\r\n") + "whole";
+      for (std::size_t n = 0; n <= whole.size(); ++n) {
+        Prepare({ { .parts = { interim + whole.substr(0, n) }, .ending = Ending::Close } });
+        const RecordingListener listener = Call();
+        const std::string text = interim + std::to_string(n);
+        CHECK_EQUAL_TEXT(0, listener.heads, text.c_str());
+        CHECK_EQUAL_TEXT(0, listener.ends, text.c_str());
+        CHECK_EQUAL_TEXT(1, listener.failures, text.c_str());
+        CHECK_TEXT(listener.mayHaveRun, text.c_str());
+      }
+    }
+  }
+}
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -231,7 +231,10 @@
     const int status = evhttp_request_get_response_code(aRequest);
     const HttpHeaders copy = CopyHeaders(headers);
     const auto framing = DetermineBodyFraming(status, copy);
-    if (mRequest.id.Text() != FindHeader(copy, RequestIdHeader())) {
+    if (status < kStatusOk) {
+      // Callers don't ask for informational responses, and evhttp would take them for the answer.
+      mRejection = "the answer is only informational";
+    } else if (mRequest.id.Text() != FindHeader(copy, RequestIdHeader())) {
       mRejection = "the answer belongs to another request";
     } else if (!framing) {
       mRejection = "the length of the answer is ambiguous";
