Malformed response heads are rejected

"HTTP/1.1 200 OK, Id, three null characters, line feed" and a close was a complete 200 with an empty body: evhttp reads lines as C strings, so a null character ends a line, and at its start the head. A head that stops in a block of zeros could become a 200 framed as whole in this way. As a status evhttp took any number ("2", "-200", "1000") and ignored what followed it ("200HTTP/1.1 500 Error"), so that a status line cut or run into another passed, too.

ResponseHeadChecker sees the bytes as they arrive, up to the end of the head, and wants a status line with a code of three digits and no null character. It does no I/O. Bodies may contain null characters as before.

--- a/UnitTests/connection/CutResponseTest.cpp
+++ b/UnitTests/connection/CutResponseTest.cpp
@@ -322,6 +322,48 @@
   }
 }
 
+/// Guards against a status line that was cut or joined to another and passes for a response.
+TEST(CutResponse, OddStatusLineIsRejected)
+{
+  for (const std::string line :
+       { "", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1  200 OK", "HTTP/1.1 OK", "HTTP/1.1 2 OK",
+         "HTTP/1.1 20", "HTTP/1.1 20 OK", "HTTP/1.1 -200 OK", "HTTP/1.1 1000 OK",
+         "HTTP/1.1 4294967496 OK", "HTTP/1.1 200x OK", "HTTP/1.1 200HTTP/1.1 500 Error",
+         "HTTP/1.1 +200 OK", "HTTP/1.1200 OK", "HTTP/ 200 OK", "HTTP/2.0 200 OK", "HTP/1.1 200 OK",
+         "HTTP/1.1 099 OK" }) {
+    Prepare({ { .parts = { std::string(line) + "\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole" } },
+              { .parts = { Join("200 OK", "Content-Length: 4\r\n") + "next" } } });
+    const RecordingListener listener = Call();
+    CHECK_EQUAL_TEXT(0, listener.heads, line.c_str());
+    CHECK_EQUAL_TEXT(0, listener.ends, line.c_str());
+    CHECK_EQUAL_TEXT(1, listener.failures, line.c_str());
+    const RecordingListener next = Call();
+    STRCMP_EQUAL_TEXT("next", next.body.c_str(), (line + next.reason).c_str());
+    CHECK_EQUAL_TEXT(2U, upstream.ConnectionCount(), line.c_str());
+  }
+}
+
+/// Guards against a head that ends at a null character, as in a block of zeros behind a cut, and
+/// passes for a complete response without a body.
+TEST(CutResponse, NullCharacterDoesNotEndTheHead)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole";
+  for (std::size_t n = 0; n < head.find("whole"); ++n) {
+    for (const std::string& rest : { std::string("\n"), std::string("\r\n\r\n"), head.substr(n) }) {
+      for (const std::size_t nulls : { 1U, 5'000U }) {
+        const std::string cut = head.substr(0, n);
+        Prepare({ { .parts = { cut, std::string(nulls, '\0') + rest }, .ending = Ending::Close } });
+        const RecordingListener listener = Call();
+        std::string text = cut;
+        text.append("(null)").append(rest);
+        CHECK_EQUAL_TEXT(0, listener.heads, text.c_str());
+        CHECK_EQUAL_TEXT(0, listener.ends, text.c_str());
+        CHECK_EQUAL_TEXT(1, listener.failures, text.c_str());
+      }
+    }
+  }
+}
+
 /// Guards against an informational response that passes for the response itself.
 TEST(CutResponse, InformationalResponseIsNotTheResponse)
 {
--- a/UnitTests/platform/EntryHostCutResponseTest.cpp
+++ b/UnitTests/platform/EntryHostCutResponseTest.cpp
@@ -171,6 +171,24 @@
   }
 }
 
+/// Guards against a response that passes for complete, or gets two lengths, on the way to a caller.
+TEST(EntryHostCutResponse, MalformedHeadIsABadGateway)
+{
+  using namespace std::string_literals;
+  const std::string id = std::string(wire::kRequestId) + ": r1\r\n";
+  for (const std::string& response :
+       { MakeHead("Content-Length: 5\r\nContent-Length: 9\r\n") + "whole",
+         MakeHead("Content-Length : 9\r\n") + "whole",
+         MakeHead("Transfer-Encoding: gzip, chunked\r\n") + "5\r\nwhole\r\n0\r\n\r\n",
+         "HTTP/1.1 200 OK\r\n" + id + "Content-Len\r\n\r\n",
+         "HTTP/1.1 200 OK\r\n" + id + "\0\0\0\n"s,
+         "HTTP/1.1 20\r\n" + id + "Content-Length: 5\r\n\r\nwhole",
+         "HTTP/1.1 103 Early Hints\r\n" + id + "\r\n" }) {
+    const Result result = Call(kPlainRoute, { { .parts = { response }, .ending = Ending::Close } });
+    CHECK_EQUAL_TEXT(502, result.status, (response + "\n" + result.text).c_str());
+  }
+}
+
 /// A request that may run twice gets the response of its next attempt.
 TEST(EntryHostCutResponse, CutHeadIsTriedAgain)
 {
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -1,6 +1,7 @@
 #include "cuminfield/connection/upstream/HttpUpstreamTransport.h"
 
 #include "cuminfield/connection/upstream/BodyFraming.h"
+#include "cuminfield/connection/upstream/ResponseHeadChecker.h"
 #include "cuminfield/core/Socket.h"
 #include "cuminfield/core/Timeval.h"
 
@@ -12,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -74,7 +76,7 @@
   {
     mState->call = nullptr;
     if (mConnection) {
-      StopWatchingOutput();
+      StopWatching();
       mTransport.DeferClose(mConnection, mRequestState);
     }
   }
@@ -90,7 +92,7 @@
       return;
     }
     evhttp_connection_set_closecb(mConnection, nullptr, nullptr);
-    WatchOutput();
+    WatchBuffers();
     SendRequest(*command);
   }
 
@@ -117,9 +119,11 @@
 
   int Socket() const { return bufferevent_getfd(evhttp_connection_get_bufferevent(mConnection)); }
 
-  void WatchOutput()
+  void WatchBuffers()
   {
     bufferevent* channel = evhttp_connection_get_bufferevent(mConnection);
+    mInput = bufferevent_get_input(channel);
+    mInputCallback = evbuffer_add_cb(mInput, OnInput, this);
     mOutput = bufferevent_get_output(channel);
     mOutputCallback = evbuffer_add_cb(mOutput, OnOutput, this);
   }
@@ -151,7 +155,7 @@
     const std::string target = mRequest.target;
     if (evhttp_make_request(mConnection, request, aCommand, target.c_str()) != 0) {
       // evhttp has freed the request without a callback.
-      StopWatchingOutput();
+      StopWatching();
       mTransport.DeferClose(std::exchange(mConnection, nullptr),
                             std::exchange(mRequestState, nullptr));
       PostFailure("cannot start a connection");
@@ -168,7 +172,7 @@
       return;
     }
     // Freed at once: otherwise it could still connect and send after the failure is reported.
-    StopWatchingOutput();
+    StopWatching();
     evhttp_connection_free(std::exchange(mConnection, nullptr));
     delete std::exchange(mRequestState, nullptr);
     Fail("no connection in time");
@@ -194,18 +198,18 @@
                          .error = { .kind = core::ErrorKind::Unavailable, .message = message } });
   }
 
-  /// Removes the output callback before the connection is released or closed.
-  void StopWatchingOutput()
+  /// Removes the callbacks of the buffers before the connection is released or closed.
+  void StopWatching()
   {
     if (mOutputCallback) {
-      evbuffer_remove_cb_entry(mOutput, mOutputCallback);
-      mOutputCallback = nullptr;
+      evbuffer_remove_cb_entry(mOutput, std::exchange(mOutputCallback, nullptr));
+      evbuffer_remove_cb_entry(mInput, std::exchange(mInputCallback, nullptr));
     }
   }
 
   void HandleComplete(evhttp_request* aRequest)
   {
-    StopWatchingOutput();
+    StopWatching();
     mConnectTimer.Cancel();
     evhttp_connection* connection = std::exchange(mConnection, nullptr);
     const int status = aRequest ? evhttp_request_get_response_code(aRequest) : 0;
@@ -231,7 +235,9 @@
     const int status = evhttp_request_get_response_code(aRequest);
     const HttpHeaders copy = CopyHeaders(headers);
     const auto framing = DetermineBodyFraming(status, copy);
-    if (status < kStatusOk) {
+    if (mHeadChecker.IsMalformed()) {
+      mRejection = "the head of the answer is malformed";
+    } else if (status < kStatusOk) {
       // Callers don't ask for informational responses, and evhttp would take them for the answer.
       mRejection = "the answer is only informational";
     } else if (mRequest.id.Text() != FindHeader(copy, RequestIdHeader())) {
@@ -329,6 +335,21 @@
     core::SetTcpNoDelay(self->Socket());
   }
 
+  static void OnInput(evbuffer* aInput, const evbuffer_cb_info* aInfo, void* aSelf)
+  {
+    auto* self = static_cast<Call*>(aSelf);
+    std::size_t unread = std::min(aInfo->n_added, evbuffer_get_length(aInput));
+    std::array<char, 1024> bytes{};
+    while (unread > 0 && !self->mHeadChecker.IsDone()) {
+      evbuffer_ptr position;
+      evbuffer_ptr_set(aInput, &position, evbuffer_get_length(aInput) - unread, EVBUFFER_PTR_SET);
+      const std::size_t size = std::min(unread, bytes.size());
+      evbuffer_copyout_from(aInput, &position, bytes.data(), size);
+      self->mHeadChecker.Consume({ bytes.data(), size });
+      unread -= size;
+    }
+  }
+
   HttpUpstreamTransport& mTransport;
   Endpoint mEndpoint;
   UpstreamRequest mRequest;
@@ -337,9 +358,12 @@
   evhttp_connection* mConnection = nullptr;
   std::shared_ptr<State>* mRequestState = nullptr; ///< Callback argument of the request in evhttp.
   core::TimerHandle mConnectTimer;
+  evbuffer* mInput = nullptr;
+  evbuffer_cb_entry* mInputCallback = nullptr;
   evbuffer* mOutput = nullptr;
   evbuffer_cb_entry* mOutputCallback = nullptr;
   bool mAnyByteSent = false; ///< Whether the upstream may have received a byte.
+  ResponseHeadChecker mHeadChecker;
   bool mHeadReceived = false;
   const char* mRejection = nullptr; ///< Why the head was rejected.
   BodyFraming mFraming = BodyFraming::NoBody;
