A broken response to an HTTP/1.0 caller resets the connection

An HTTP/1.0 caller got "200 OK", the first event of a stream that its upstream broke off, and an orderly close, which marks the end of a response that has neither length nor chunks: the stream looked whole.

If such a response has begun, Abort() now resets the connection. SO_LINGER was tried and does not help: libevent shuts the socket down before it closes it, so the FIN comes first; connect(2) with AF_UNSPEC resets it. Responses with a length or chunks are closed as before.

EntryHostCutResponse: BodyCutAtAnyByteDoesNotLookComplete failed before on the HTTP/1.0 caller ("id: 1, data: x", closed), not on the HTTP/1.1 caller.

--- a/UnitTests/platform/EntryHostCutResponseTest.cpp
+++ b/UnitTests/platform/EntryHostCutResponseTest.cpp
@@ -171,6 +171,37 @@
   }
 }
 
+/// Guards against a response that has begun and passes for complete though its upstream broke it
+/// off. An HTTP/1.0 caller knows no chunks.
+TEST(EntryHostCutResponse, BodyCutAtAnyByteDoesNotLookComplete)
+{
+  const std::string events = "id: 1\ndata: x\n\nid: 2\ndata: [DONE]\n\n";
+  const std::string eventStream = "Content-Type: text/event-stream\r\n";
+  const std::vector<std::pair<std::string, std::string>> responses{
+    { MakeHead("Content-Length: 5\r\n"), "whole" },
+    { MakeHead("Transfer-Encoding: chunked\r\n"), "5\r\nwhole\r\n0\r\n\r\n" },
+    { MakeHead(eventStream + "Content-Length: " + std::to_string(events.size()) + "\r\n"), events },
+  };
+  int begun = 0;
+  for (const char* version : { "1.1", "1.0" }) {
+    for (const auto& [head, body] : responses) {
+      for (std::size_t n = 0; n < body.size(); ++n) {
+        // The turns after the bytes let the host forward them before the end.
+        const Result result = Call(kStreamRoute,
+                                   { { .parts = { head + body.substr(0, n), "", "", "", "" },
+                                       .ending = n % 2 == 0 ? Ending::Close : Ending::Reset } },
+                                   version);
+        CHECK_TEXT(result.status == 502 || !result.looksComplete, result.text.c_str());
+        begun += result.status == 200 ? 1 : 0;
+      }
+      const Result whole = Call(kStreamRoute, { { .parts = { head + body } } }, version);
+      CHECK_EQUAL_TEXT(200, whole.status, whole.text.c_str());
+      CHECK_TEXT(whole.looksComplete, whole.text.c_str());
+    }
+  }
+  CHECK(begun > 0);
+}
+
 /// Guards against a response that passes for complete, or gets two lengths, on the way to a caller.
 TEST(EntryHostCutResponse, MalformedHeadIsABadGateway)
 {
--- a/cuminfield/connection/caller/HttpServer.cpp
+++ b/cuminfield/connection/caller/HttpServer.cpp
@@ -124,6 +124,7 @@
       return;
     }
     AddHeaders(aHeaders);
+    mHeadSent = true;
     evhttp_send_reply_start(mRequest, aStatus, nullptr);
   }
 
@@ -154,10 +155,15 @@
       return;
     }
     evhttp_connection* connection = evhttp_request_get_connection(mRequest);
+    const bool endsWithConnection = EndsWithConnection();
     DetachRequest();
     if (connection) {
       mServer.mIdleConnections.erase(connection);
-      bufferevent_disable(evhttp_connection_get_bufferevent(connection), EV_READ | EV_WRITE);
+      bufferevent* channel = evhttp_connection_get_bufferevent(connection);
+      bufferevent_disable(channel, EV_READ | EV_WRITE);
+      if (endsWithConnection) {
+        core::ResetConnection(bufferevent_getfd(channel));
+      }
       mServer.DeferClose(connection);
     }
   }
@@ -184,6 +190,14 @@
     }
   }
 
+  /// True for a response that has begun without length or chunks (to an HTTP/1.0 caller): an
+  /// orderly close would mark its end.
+  bool EndsWithConnection() const
+  {
+    const evkeyvalq* headers = evhttp_request_get_output_headers(mRequest);
+    return mHeadSent && mRequest->chunked == 0 && !evhttp_find_header(headers, "Content-Length");
+  }
+
   /// Detaches the channel before the last bytes are sent, so that its callbacks are not called for
   /// the connection's next request.
   evhttp_request* DetachRequest()
@@ -249,6 +263,7 @@
 
   HttpServer& mServer;
   evhttp_request* mRequest;
+  bool mHeadSent = false;
   bool mHasBacklog = false;
 };
 
--- a/cuminfield/core/Socket.cpp
+++ b/cuminfield/core/Socket.cpp
@@ -19,4 +19,12 @@
   static_cast<void>(setsockopt(aSocket, IPPROTO_TCP, TCP_QUICKACK, &kEnabled, sizeof kEnabled));
 }
 
+void ResetConnection(int aSocket)
+{
+  // SO_LINGER would not do: libevent shuts the socket down, which sends a FIN, before it closes it.
+  sockaddr address{};
+  address.sa_family = AF_UNSPEC;
+  static_cast<void>(::connect(aSocket, &address, sizeof address));
+}
+
 } // namespace cuminfield::core
--- a/cuminfield/core/Socket.h
+++ b/cuminfield/core/Socket.h
@@ -11,4 +11,8 @@
 /// does not wait. The option is not permanent: call this with each read (tcp(7)).
 void SetTcpQuickAck(int aSocket);
 
+/// Resets a TCP connection, so that the peer does not take its end for the end of a message. Bytes
+/// that the peer has not read may be lost. The socket remains to be closed.
+void ResetConnection(int aSocket);
+
 } // namespace cuminfield::core
