A member is current only by what its leader has confirmed

Cause: a member took the commit index of any leader for all that was committed. A new leader's commit index does not cover what former leaders committed until it has committed an entry of its own term, and one that was replaced without knowing it confirms nothing any more.

The leader sends the time since a quorum last confirmed it, and nothing until it has committed in its term; members count their state's age from there.

Test: ReplicatedLog CommitIndexOfANewLeaderIsNotAllThatWasCommitted; before, CHECK_FALSE(CurrentAsOf()) failed.

--- a/UnitTests/process/log/ReplicatedLogTest.cpp
+++ b/UnitTests/process/log/ReplicatedLogTest.cpp
@@ -119,6 +119,23 @@
   ReplicatedLog log = MakeVoter(now);
 };
 
+/// Guards against a member that takes itself for current on the word of a leader whose commit index
+/// does not yet cover what former leaders committed.
+TEST(ReplicatedLog, CommitIndexOfANewLeaderIsNotAllThatWasCommitted)
+{
+  log.Receive(kOther, MakeAppend(1, "x", 0), now);
+  proto::LogMessage heartbeat = MakeMessage(2);
+  heartbeat.mutable_append_request()->set_previous_index(2);
+  heartbeat.mutable_append_request()->set_previous_term(1);
+  log.Receive(kOther, heartbeat, now);
+  CHECK(log.Leader() == kOther);
+  CHECK_FALSE(log.CurrentAsOf().has_value());
+  heartbeat.mutable_append_request()->set_commit(2);
+  heartbeat.mutable_append_request()->set_confirmed_ms_ago(40);
+  log.Receive(kOther, heartbeat, now);
+  CHECK(log.CurrentAsOf() == now - 40ms);
+}
+
 TEST(ReplicatedLog, SendsNoAcknowledgementBeforeItIsDurable)
 {
   log.Receive(kOther, MakeAppend(2, "x", 0), now);
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -240,7 +240,8 @@
   bool IsLogUpToDate(const proto::VoteRequest& aRequest) const;
   void AppendEntries(const proto::AppendRequest& aRequest);
   void TruncateFrom(std::uint64_t aIndex);
-  void RecordLeaderCommit(std::uint64_t aCommit);
+  void RecordCurrent(const proto::AppendRequest& aRequest);
+  void FillLeaderState(proto::AppendRequest& aRequest) const;
   std::uint64_t MismatchHint(std::uint64_t aPrevious) const;
   void SendAppendReply(const Member& aTo, bool aSuccess, std::uint64_t aIndex,
                        std::uint64_t aRejected, std::uint64_t aRound);
--- a/cuminfield/process/log/ReplicatedLogReplication.cpp
+++ b/cuminfield/process/log/ReplicatedLogReplication.cpp
@@ -85,8 +85,7 @@
   proto::AppendRequest* request = message.mutable_append_request();
   request->set_previous_index(aProgress.nextIndex - 1);
   request->set_previous_term(*mLog.TermAt(aProgress.nextIndex - 1));
-  request->set_commit(mCommitIndex);
-  request->set_round(mRound);
+  FillLeaderState(*request);
   std::uint64_t bytes = 0;
   std::uint64_t index = aProgress.nextIndex;
   while (index <= mLog.LastIndex() && bytes < mSettings.maxAppendBytes) {
@@ -110,8 +109,7 @@
   proto::AppendRequest* request = message.mutable_append_request();
   request->set_previous_index(previous);
   request->set_previous_term(*mLog.TermAt(previous));
-  request->set_commit(mCommitIndex);
-  request->set_round(mRound);
+  FillLeaderState(*request);
   SendNow(aTo, std::move(message));
 }
 
@@ -171,7 +169,7 @@
   }
   if (previous < mLog.BaseIndex()) {
     // Up to the commit index all logs are equal.
-    RecordLeaderCommit(aRequest.commit());
+    RecordCurrent(aRequest);
     SendAppendReply(aFrom, true, mCommitIndex, 0, aRequest.round());
     return;
   }
@@ -182,14 +180,28 @@
   AppendEntries(aRequest);
   const std::uint64_t last = previous + static_cast<std::uint64_t>(aRequest.entries_size());
   AdvanceCommitTo(std::min(aRequest.commit(), last));
-  RecordLeaderCommit(aRequest.commit());
+  RecordCurrent(aRequest);
   SendAppendReply(aFrom, true, last, 0, aRequest.round());
 }
 
-void ReplicatedLog::RecordLeaderCommit(std::uint64_t aCommit)
+// A leader that has not committed in its term, or that was replaced and does not know it yet, has a
+// commit index that others may have passed.
+void ReplicatedLog::RecordCurrent(const proto::AppendRequest& aRequest)
 {
-  if (mCommitIndex >= aCommit) {
-    mFollowedAsOf = mNow;
+  if (aRequest.has_confirmed_ms_ago() && mCommitIndex >= aRequest.commit()) {
+    const core::Instant asOf = mNow - std::chrono::milliseconds(aRequest.confirmed_ms_ago());
+    mFollowedAsOf = std::max(mFollowedAsOf, std::optional(asOf));
+  }
+}
+
+void ReplicatedLog::FillLeaderState(proto::AppendRequest& aRequest) const
+{
+  aRequest.set_commit(mCommitIndex);
+  aRequest.set_round(mRound);
+  const auto confirmed = HasCommittedInTerm() ? QuorumConfirmedAt() : std::nullopt;
+  if (confirmed) {
+    aRequest.set_confirmed_ms_ago(
+      static_cast<std::uint64_t>(core::Milliseconds(mNow - *confirmed)));
   }
 }
 
