Tests: a second copy of a refusal does not end the next attempt

Report of operators: a faulty runner wrote an earlier refusal once more on a kept connection. Callers were told "not run" of requests that ran, or the requests ran at a second runner. Suspected: a request that was refused and is sent again to the same runner on the same kept connection has the id of the refusal, so a second copy would be taken for the answer to the second attempt. It cannot happen here. A refusal is seen in the head of the answer, where the call is given up, and a call that is given up closes its connection. Further copies, in the same read or later, have no reader. What comes on an idle connection ends it. A refusal with another request's id, or without one, fails the call as one that may have run: a request that may not repeat gets 502, any other goes on. Remains: a copy on the new connection of the next attempt at the same runner cannot be told from a refusal of that attempt.

--- a/UnitTests/connection/UpstreamConnectionTest.cpp
+++ b/UnitTests/connection/UpstreamConnectionTest.cpp
@@ -28,6 +28,20 @@
   bool failed = false;
 };
 
+/// Gives its call up when the head arrives, as for a refusal.
+class RefusedListener : public Listener
+{
+public:
+  void OnHead(int aStatus, const HttpHeaders&) override
+  {
+    status = aStatus;
+    call.reset();
+  }
+
+  std::unique_ptr<upstream::UpstreamCall> call;
+  int status = 0;
+};
+
 std::string MakeResponse(const std::string& aId, const std::string& aBody)
 {
   return "HTTP/1.1 200 OK\r\nId: " + aId + "\r\nContent-Length: " + std::to_string(aBody.size()) +
@@ -109,6 +123,49 @@
   STRCMP_EQUAL("", second.body.c_str());
 }
 
+/// Guards against a second copy of a refusal that is taken for the answer to the next call with the
+/// same id: a call that is given up never leaves its connection to another.
+TEST(UpstreamConnection, CallGivenUpAtItsHeadClosesItsConnection)
+{
+  const std::string refusal = "HTTP/1.1 503 Full\r\nId: b\r\nContent-Length: 0\r\n\r\n";
+  int refusedOn = 0;
+  const ScriptedUpstream* self = nullptr;
+  ScriptedUpstream upstream(
+    loop,
+    [&](int aRequest, const std::string&) {
+      if (aRequest == 1) {
+        return MakeResponse("a", "first");
+      }
+      const bool isFirstOfB = refusedOn == 0;
+      refusedOn = isFirstOfB ? self->ConnectionCount() : refusedOn;
+      const bool isSameConnection = refusedOn == self->ConnectionCount();
+      return (isSameConnection ? refusal : "") + (isFirstOfB ? "" : MakeResponse("b", "second"));
+    },
+    ScriptedUpstream::After::KeepOpen);
+  self = &upstream;
+  upstream::HttpUpstreamTransport transport({ .settings = settings, .loop = loop });
+  STRCMP_EQUAL("first", Call(transport, upstream, "a").body.c_str());
+  RefusedListener refused;
+  refused.call = transport.Start("127.0.0.1", upstream.Port(),
+                                 { .id = core::RequestId("b"),
+                                   .method = "GET",
+                                   .target = "/",
+                                   .headers = {},
+                                   .body = "",
+                                   .freshConnection = false },
+                                 refused);
+  const auto poll = loop.ScheduleEvery(2ms, [&] {
+    if (refused.status != 0) {
+      loop.Stop();
+    }
+  });
+  RunFor(3s);
+  CHECK_EQUAL(503, refused.status);
+  CHECK_EQUAL(1, upstream.ConnectionCount()); // It was a kept connection.
+  STRCMP_EQUAL("second", Call(transport, upstream, "b").body.c_str());
+  CHECK_EQUAL(2, upstream.ConnectionCount());
+}
+
 /// An answer that breaks off must not look complete, however its end is marked.
 TEST(UpstreamConnection, BrokenAnswerIsNotComplete)
 {
