An informational response is no refusal

What callers saw: 503, "not run", for requests that a runner was running; a request that may not repeat was sent four times. An informational response (1xx) with the request's id and the runner's mark of a refusal is enough. Cause: evhttp reports the head of an informational response as that of the answer. Hosts ask for none (they send no Expect header). Evidence: InformationalResponseIsNoRefusal, over real sockets, failed before (100 Continue: expected <502> but was <503>, tries=4). It checks 100, 102 and 103, with the mark and without it.

--- a/UnitTests/platform/EntryHostRefusalTest.cpp
+++ b/UnitTests/platform/EntryHostRefusalTest.cpp
@@ -216,3 +216,19 @@
     CHECK_EQUAL(1, ArrivalsOf("b"));
   }
 }
+
+/// Guards against an informational response that is taken for a refusal of a running request, or
+/// for its answer.
+TEST(EntryHostRefusal, InformationalResponseIsNoRefusal)
+{
+  for (const std::string& mark :
+       { std::string(wire::kNotExecuted) + ": full\r\n", std::string() }) {
+    for (const char* status : { "100 Continue", "102 Processing", "103 Early Hints" }) {
+      const CallerAnswer answer = Send({ "a" }, kUnsafe, [&](const Arrival& aArrival) {
+        return MakeHead(status, aArrival.id) + mark + "\r\n" + MakeAnswer("200 OK", aArrival.id);
+      });
+      CHECK_EQUAL_TEXT(502, answer.status, status);
+      CHECK_EQUAL_TEXT(1, ArrivalsOf("a"), status);
+    }
+  }
+}
