A second copy of a cut stream is not its continuation

What callers saw: events twice, in a stream that was cut and resumed at the same upstream. Cause: a stream that ends inside an event, with the framing of a whole answer, leaves its connection to the pool. The next attempt may use it again, has the same id, and takes a second copy of the first answer for its own. Change: after such an end, further attempts of the request use a new connection. So do reads of a stored stream (serve), which have the id of the call that began it. First attempts, and those after a refusal, use kept connections as before (AttemptAfterARefusalMayUseAKeptConnection). Evidence: SecondCopyOfACutStreamIsNotItsContinuation, over real sockets, failed before (events 1, 1, 2 where 1, 2 are expected), and so did AttemptAfterACutStreamUsesAFreshConnection and StreamIsResumedOnAFreshConnection.

--- a/UnitTests/platform/EntryHostRefusalTest.cpp
+++ b/UnitTests/platform/EntryHostRefusalTest.cpp
@@ -245,3 +245,24 @@
     CHECK_EQUAL(1, ArrivalsOf("a"));
   }
 }
+
+/// Guards against events that a caller gets twice: a second copy of the answer to an attempt whose
+/// stream was cut is not the answer to the next attempt.
+TEST(EntryHostRefusal, SecondCopyOfACutStreamIsNotItsContinuation)
+{
+  const auto makeStream = [](const std::string& aEvents) {
+    return MakeHead("200 OK", "a") +
+           "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(aEvents.size()) +
+           "\r\n\r\n" + aEvents;
+  };
+  const std::string cut = makeStream("id: 1\ndata: x\n\nid: 2\nda");
+  const std::string rest = makeStream("id: 2\ndata: y\n\n");
+  int cutOn = 0;
+  const CallerAnswer answer = Send({ "a" }, kResumable, [&](const Arrival& aArrival) {
+    const bool isFirst = cutOn == 0;
+    cutOn = isFirst ? aArrival.connection : cutOn;
+    return (aArrival.connection == cutOn ? cut : "") + (isFirst ? "" : rest);
+  });
+  CHECK(answer.ended);
+  STRCMP_EQUAL("id: 1\ndata: x\n\nid: 2\ndata: y\n\n", answer.body.c_str());
+}
--- a/UnitTests/request/exchange/ExchangeTest.cpp
+++ b/UnitTests/request/exchange/ExchangeTest.cpp
@@ -341,6 +341,19 @@
   LONGS_EQUAL(1, scheduler.firstTokens);
 }
 
+/// Guards against a second copy of a cut stream that is taken for its continuation: both answers
+/// have the same id, and the first one's connection may be in use again.
+TEST(Exchange, StreamIsResumedOnAFreshConnection)
+{
+  StartCallWithKey(true);
+  transport.listener->OnHead(200, EventStreamHeaders());
+  transport.listener->OnBody("id: 0\ndata: a\n\nid: 1\nda");
+  transport.listener->OnEnd();
+  timers.Advance(std::chrono::seconds(1));
+  LONGS_EQUAL(2, transport.startedCalls);
+  CHECK(transport.lastRequest.freshConnection);
+}
+
 TEST(Exchange, DisconnectOfTheCallerCancelsACallWithoutAKey)
 {
   StartRequest(false, true);
--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -683,6 +683,33 @@
   STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", caller->body.c_str());
 }
 
+/// Guards against a second copy of a cut stream that is taken for its continuation: the first
+/// answer was read to its end, so its connection may be in use again, and both attempts have the
+/// same id.
+TEST(RequestForwarder, AttemptAfterACutStreamUsesAFreshConnection)
+{
+  MakeRetryable(2);
+  codec.nextRequest.resumable = true;
+  Send();
+  CHECK_FALSE(transport.lastRequest.freshConnection);
+  transport.listener->OnHead(200, kEventStreamHeaders);
+  transport.listener->OnBody("id: 1\ndata: a\n\nid: 2\nda");
+  transport.listener->OnEnd();
+  CHECK_EQUAL(2, transport.startedCalls);
+  CHECK(transport.lastRequest.freshConnection);
+}
+
+/// New connections are priced: a call that was given up has closed its connection.
+TEST(RequestForwarder, AttemptAfterARefusalMayUseAKeptConnection)
+{
+  MakeRetryable(3);
+  Send();
+  transport.listener->OnHead(503, kRefusedHeaders);
+  CHECK_EQUAL(1, transport.liveCalls); // The refused call was given up.
+  CHECK_EQUAL(2, transport.startedCalls);
+  CHECK_FALSE(transport.lastRequest.freshConnection);
+}
+
 TEST(RequestForwarder, StreamWithoutLengthThatEndsAfterAnEventIsComplete)
 {
   MakeNonRetryable();
--- a/cuminfield/request/exchange/ExchangeFollow.cpp
+++ b/cuminfield/request/exchange/ExchangeFollow.cpp
@@ -36,6 +36,8 @@
     .target = "/v1/requests/" + mStreamId.Text() + "/stream?offset=" + std::to_string(aOffset),
     .headers = {},
     .body = {},
+    // A kept connection may bring a second copy of an earlier response with this id.
+    .freshConnection = true,
   };
   mCall = mOptions.transport.Start(aAddress, aPort, std::move(call), *this);
 }
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -105,13 +105,14 @@
   const core::Duration remaining = std::min(request.callerDeadline, request.timeout) - now;
   const std::string lastEventId =
     mEarlierEvents + mEventStream.EventCount() > 0 ? mEventStream.LastEventId() : std::string();
+  const bool freshConnection = !request.spec.retryable || mEarlierResponseEnded;
   connection::upstream::UpstreamRequest call{ .id = request.spec.id,
                                               .method = request.callerRequest.method,
                                               .target = request.callerRequest.target,
                                               .headers = mOptions.codec.MakeUpstreamHeaders(
                                                 request, mUpstream, remaining, lastEventId),
                                               .body = request.callerRequest.body,
-                                              .freshConnection = !request.spec.retryable };
+                                              .freshConnection = freshConnection };
   mMayHaveRun = true;
   mCall = mOptions.transport.Start(mUpstream.address, mUpstream.port, std::move(call), *this);
   ArmSilenceTimer();
@@ -312,6 +313,7 @@
   mCall.reset();
   mSilenceTimer.Cancel();
   if (mIsEventStream && (mEventStream.HasPartialEvent() || mEventStream.EventCount() == 0)) {
+    mEarlierResponseEnded = true;
     FailAttempt("stream-cut");
     return;
   }
--- a/cuminfield/request/forward/RequestForwarder.h
+++ b/cuminfield/request/forward/RequestForwarder.h
@@ -137,6 +137,9 @@
   std::string mBufferedBody;        ///< Of a plain response until it is complete.
   exchange::EventStreamParser mEventStream;
   std::uint64_t mEarlierEvents = 0; ///< Events of earlier attempts.
+  /// The connection of an earlier attempt may be in use again. A second copy of that response on it
+  /// would bear the id of this request.
+  bool mEarlierResponseEnded = false;
   core::Instant mAttemptStartedAt{};
   std::optional<core::Duration> mAttemptFirstEventLatency;
   core::Instant mIntervalStartedAt{};     ///< Start of the current sample.
