A control host that is only tried does not count the host

Cause: a trial was a whole report under a newer epoch, so the tried control host counted the host and the followed one dropped it and stopped its feeds, though the trial was then rejected; and every rejected trial was followed by the next one.

Reports for a trial say so, and hold no amounts: the tried control host sends feeds, but neither sums nor lists the host. The end of a trial is told. A control host is tried once in 5 s at the most.

Tests: FollowerTable HostThatTriesAnotherControlHostCountsOnce, ClusterFollower ControlHostsAreTriedRarelyWithoutALeader. FeedsGoOnWhileANearerControlHostIsTried keeps its check of the epochs and now also demands that the tried control host does not count the host.

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -270,7 +270,9 @@
     timers.Advance(50ms);
   }
   CHECK(isTried);
-  // It may have counted this host with a newer epoch.
+  // It must not count this host, which the other one counts.
+  CHECK(links.lastReports["10.0.0.1"].trial());
+  CHECK_FALSE(links.lastReports["10.1.0.1"].trial());
   CHECK(links.lastReports["10.1.0.1"].follow_epoch() >
         links.lastReports["10.0.0.1"].follow_epoch());
 }
@@ -312,6 +314,31 @@
   CHECK(links.sent == std::set<std::string>{ "10.1.0.2" });
 }
 
+/// Guards against hosts that go round all control hosts while none of them knows a leader.
+TEST(ClusterFollower, ControlHostsAreTriedRarelyWithoutALeader)
+{
+  const auto listing = MakeListingFeed({ "10.0.0.1", "10.1.0.1", "10.1.0.2" });
+  Receive("10.0.0.1", listing);
+  proto::Feed leaderless = listing;
+  leaderless.set_led(false);
+  int trials = 0;
+  for (int n = 0; n < 1200; ++n) {
+    links.sent.clear();
+    timers.Advance(50ms);
+    Receive("10.0.0.1", leaderless);
+    for (const char* it : { "10.1.0.1", "10.1.0.2" }) {
+      if (links.sent.contains(it) && !links.lastReports[it].unfollows()) {
+        ++trials;
+        CHECK(links.lastReports[it].trial());
+        Receive(it, leaderless);
+        CHECK(links.lastReports[it].unfollows());
+      }
+    }
+  }
+  CHECK(trials >= 2);
+  CHECK(trials <= 2 * 60 / 5);
+}
+
 /// Guards against a host that takes the word of a cut-off control host for who is gone, and then
 /// asks control hosts that were replaced.
 TEST(ClusterFollower, CutOffControlHostDoesNotTellWhoIsGone)
--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -176,6 +176,37 @@
   CHECK_EQUAL(1, former.Followers().size());
 }
 
+/// Guards against a host that counts twice, or not at all, while it tries another control host.
+TEST(FollowerTable, HostThatTriesAnotherControlHostCountsOnce)
+{
+  FollowerTable followed{ {} };
+  followed.OnReport(core::HostId("a"), MakeReport(3, 30), now);
+  proto::Report trial;
+  trial.set_life(1);
+  trial.set_trial(true);
+  table.OnReport(core::HostId("a"), trial, now);
+  CHECK_EQUAL(1, table.Followers().size()); // It gets feeds.
+  CHECK_EQUAL(0, MakeFeedFor("b").hosts());
+  CHECK_EQUAL(0, MakeExchange(table).followers_size());
+  followed.OnExchange(core::HostId("control-2"), MakeExchange(table), now);
+  table.OnExchange(core::HostId("control-1"), MakeExchange(followed), now);
+  CHECK_EQUAL(1, followed.Followers().size());
+  CHECK_EQUAL(1, table.Followers().size());
+  CHECK_EQUAL(3, MakeFeedFor("b").in_flight(0).requests());
+  CHECK_EQUAL(1, MakeFeedFor("b").hosts());
+  // The trial ends, or the host follows.
+  trial.set_unfollows(true);
+  table.OnReport(core::HostId("a"), trial, now);
+  CHECK_EQUAL(0, table.Followers().size());
+  trial.set_unfollows(false);
+  table.OnReport(core::HostId("a"), trial, now);
+  proto::Report report = MakeReport(4, 40);
+  report.set_follow_epoch(2);
+  table.OnReport(core::HostId("a"), report, now);
+  CHECK_EQUAL(1, MakeExchange(table).followers_size());
+  CHECK_EQUAL(0, Departed(table));
+}
+
 TEST(FollowerTable, HostThatUnfollowsIsDroppedAtOnce)
 {
   table.OnReport(core::HostId("a"), MakeReport(3, 30), now);
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// A control host that was abandoned is selected last for this long.
+/// A control host that was abandoned is selected last, and not tried, for this long.
 constexpr core::Duration kAvoidDuration = std::chrono::seconds(5);
 
 /// After following a control host of another data centre for a random time between these, the
@@ -22,11 +22,8 @@
 /// Time for a tried control host to send a feed: two of its slowest rounds and a new connection.
 constexpr core::Duration kTrialTimeout = std::chrono::milliseconds(600);
 
-/// While the state is outdated, a control host is not tried again within this time.
-constexpr core::Duration kTrialInterval = std::chrono::seconds(2);
-
-/// A control host that is cut off drops the others from its list after about 0.75 s. Lists of
-/// senders whose state is older than this don't count.
+/// A control host that is cut off drops the others from its list after the silence of a second.
+/// Lists of senders whose state is older than this don't count.
 constexpr core::Duration kMaxListAge = std::chrono::milliseconds(500);
 
 /// A control host that no feed has listed for this long has been removed. Data centres may lose
@@ -140,9 +137,9 @@
   mOptions.fillReport(report);
   mLastReportAt = mOptions.timers.Now();
   if (mFirstFeedAt) {
-    SendTo(mFollowed, mFollowEpoch, report);
+    SendTo(mFollowed, mFollowEpoch, std::move(report));
     if (!mTried.IsEmpty()) {
-      SendTo(mTried, mTriedEpoch, std::move(report));
+      SendTrial(false);
     }
     return;
   }
@@ -163,6 +160,16 @@
     aHost, { .channel = peer::Channel::Cluster, .payload = message.SerializeAsString() });
 }
 
+void ClusterFollower::SendTrial(bool aIsOver)
+{
+  proto::Report report;
+  report.set_trial(true);
+  report.set_unfollows(aIsOver);
+  report.set_document_number(mDocumentNumber);
+  report.set_data_centre(mOptions.cluster.dataCentre.Text());
+  SendTo(mTried, 0, std::move(report));
+}
+
 void ClusterFollower::SendUnfollow()
 {
   proto::Report report;
@@ -194,8 +201,7 @@
   mTried = SelectTrial();
   if (!mTried.IsEmpty()) {
     mTriedSince = now;
-    mTriedEpoch = ++mLastEpoch;
-    HastenReport();
+    SendTrial(false);
   }
 }
 
@@ -204,25 +210,23 @@
   const bool isOutdated = IsOutdated();
   const bool isReturnDue =
     mFirstFeedAt && !IsLocal(mFollowed) && mOptions.timers.Now() >= mReturnDueAt;
-  if (!isOutdated && !isReturnDue) {
+  if (isOutdated ? mOptions.timers.Now() < mNextTrialAt : !isReturnDue) {
     return {};
   }
   const core::HostId candidate = SelectControlHost(Candidates::Others);
   const auto it = mControlHosts.find(candidate);
   const bool isEligible =
     it != mControlHosts.end() && (isOutdated || (IsLocal(candidate) && it->second.isListed));
-  const core::Duration pause = isOutdated ? kTrialInterval : kAvoidDuration;
-  return isEligible && !WasAbandonedWithin(it->second, pause) ? candidate : core::HostId();
+  return isEligible && !WasAbandonedWithin(it->second, kAvoidDuration) ? candidate : core::HostId();
 }
 
 void ClusterFollower::RejectTried(const char* aReason)
 {
   logging::Event(logging::Level::Info, "control-host-not-followed",
                  { { "control_host", mTried.Text() }, { "reason", aReason } });
+  SendTrial(true);
   Abandon(mTried);
   mTried = core::HostId();
-  // The tried control host may have counted this host, with a newer epoch than the followed one.
-  mFollowEpoch = ++mLastEpoch;
 }
 
 void ClusterFollower::Abandon(const core::HostId& aHost)
@@ -273,10 +277,11 @@
   if (mFirstFeedAt) {
     SendUnfollow();
   }
-  mFollowEpoch = aHost == mTried ? mTriedEpoch : ++mLastEpoch;
+  ++mFollowEpoch;
   mTried = core::HostId();
   mFollowed = aHost;
   mFollowedSince = mOptions.timers.Now();
+  mNextTrialAt = mFollowedSince + kTrialTimeout;
   mSilenceTimeout =
     core::Scaled(mOptions.settings.silenceTimeout,
                  1 + mOptions.settings.silenceTimeoutSpread * mOptions.random.Uniform());
@@ -317,6 +322,12 @@
     }
     return;
   }
+  if (aFrom == mTried) {
+    // Its sums still hold this host's own amounts; the next feed is made for a follower.
+    FollowSender(aFrom);
+    HastenReport();
+    return;
+  }
   if (aFrom != mFollowed) {
     FollowSender(aFrom);
   }
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -120,6 +120,8 @@
   void Abandon(const core::HostId& aHost);
   void Follow(const core::HostId& aHost, const char* aReason);
   void RejectTried(const char* aReason);
+  /// Asks the tried control host for feeds, or tells it that the trial is over.
+  void SendTrial(bool aIsOver);
   void SendUnfollow();
   core::HostId SelectControlHost(Candidates aCandidates) const;
   bool WasAbandonedWithin(const KnownControlHost& aKnown, core::Duration aMaxAge) const;
@@ -145,10 +147,9 @@
   std::uint64_t mRegistryRevision = 0;
   std::uint64_t mDocumentNumber = 0;
   std::uint64_t mStateApplied = 0;
-  std::uint64_t mFollowEpoch = 0; ///< Epoch of the reports to the followed control host.
-  std::uint64_t mTriedEpoch = 0;  ///< Epoch of the reports to the tried one.
-  std::uint64_t mLastEpoch = 0;   ///< Highest epoch used so far.
+  std::uint64_t mFollowEpoch = 0; ///< Increases with each control host that is followed.
   core::Instant mTriedSince{};
+  core::Instant mNextTrialAt{};        ///< No trial for an outdated state before.
   core::Instant mReturnDueAt{};        ///< When a nearer control host is tried.
   core::Duration mSilenceTimeout{ 0 }; ///< Drawn for the followed control host.
   core::Duration mFeedInterval{ 0 };   ///< As announced by the control host.
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -322,7 +322,9 @@
   }
   const core::Instant now = mOptions.loop.Now();
   if (message.has_report()) {
-    if (!message.report().unfollows() && !mFollowers.Followers().contains(aFrom)) {
+    const auto known = mFollowers.Followers().find(aFrom);
+    const bool isFollower = known != mFollowers.Followers().end() && !known->second.isTrial;
+    if (!message.report().unfollows() && !message.report().trial() && !isFollower) {
       logging::Event(logging::Level::Info, "host-follows", { { "host", aFrom.Text() } });
     }
     mFollowers.OnReport(aFrom, std::move(*message.mutable_report()), now);
@@ -480,6 +482,9 @@
 
 std::string ControlHost::BuildOwnPart(const core::HostId& aHost, FollowerTable::Follower& aFollower)
 {
+  if (aFollower.isTrial) {
+    return {}; // Of use only to a host that follows.
+  }
   const core::Instant now = mOptions.loop.Now();
   const core::Duration resendInterval = mOptions.settings.resendInterval;
   proto::Message message;
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -54,8 +54,28 @@
 
 } // namespace
 
+void FollowerTable::OnTrialReport(const core::HostId& aHost, proto::Report aReport,
+                                  core::Instant aNow)
+{
+  const auto it = mFollowers.find(aHost);
+  const bool isCounted = it != mFollowers.end() && !it->second.isTrial;
+  if (isCounted || aReport.unfollows()) {
+    RemoveFollower(aHost, isCounted);
+  }
+  if (!aReport.unfollows()) {
+    Follower& follower = mFollowers[aHost];
+    follower.isTrial = true;
+    follower.report = std::move(aReport);
+    follower.lastReceivedAt = aNow;
+  }
+}
+
 void FollowerTable::OnReport(const core::HostId& aHost, proto::Report aReport, core::Instant aNow)
 {
+  if (aReport.trial()) {
+    OnTrialReport(aHost, std::move(aReport), aNow);
+    return;
+  }
   KnownHost& known = mKnownHosts[aHost];
   const FollowVersion version = VersionOf(aReport);
   // A new incarnation counts even if its number is lower: incarnations are wall clock times, which
@@ -71,6 +91,10 @@
   }
   known.lastSeenAt = aNow;
   Follower& follower = mFollowers[aHost];
+  if (std::exchange(follower.isTrial, false)) {
+    follower = Follower{};
+    follower.report.set_life(aReport.life());
+  }
   if (follower.report.life() != aReport.life()) {
     KeepUsage(aHost, follower);
     follower.sentRegistryRevision = 0;
@@ -151,6 +175,9 @@
   mKnownHosts[aHost].version = aVersion;
   // The other control host counts this incarnation, but no former one.
   const auto own = mFollowers.find(aHost);
+  if (own != mFollowers.end() && own->second.isTrial) {
+    return;
+  }
   RemoveFollower(aHost, own != mFollowers.end() && own->second.report.life() != aVersion.life);
 }
 
@@ -168,6 +195,9 @@
 {
   EraseSilent(mFollowers, aNow - mSettings.silenceTimeout,
               [this](const core::HostId& aHost, Follower& aFollower) {
+                if (aFollower.isTrial) {
+                  return;
+                }
                 KeepUsage(aHost, aFollower);
                 mSums.Remove(aFollower.part);
                 mLocalSums.Remove(aFollower.localPart);
@@ -193,6 +223,9 @@
   WriteDeparted(departed, aExchange);
   aExchange.set_pressed(HasFollowerBacklog());
   for (const auto& [host, follower] : mFollowers) {
+    if (follower.isTrial) {
+      continue;
+    }
     aExchange.add_followers(host.Text());
     aExchange.add_follower_lives(follower.report.life());
     aExchange.add_follower_epochs(follower.report.follow_epoch());
@@ -244,6 +277,9 @@
 {
   EvidenceMap evidence;
   for (const auto& [host, follower] : mFollowers) {
+    if (follower.isTrial) {
+      continue;
+    }
     evidence[{ host.Text(), follower.report.life() }] = { follower.report.evidence().begin(),
                                                           follower.report.evidence().end() };
   }
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -39,6 +39,8 @@
 /// and quota usage would count twice until the former one drops it: the follow epoch tells which of
 /// two reports is newer.
 ///
+/// A host that tries this control host gets feeds, but stays with the one that counts it.
+///
 /// The quota usage of a host that is lost or starts again stays until it has left the quota window,
 /// or the next host would grant it once more.
 ///
@@ -97,6 +99,7 @@
     std::uint64_t sentQuarantineRevision = 0;
     core::Instant quarantineSentAt{};
     std::uint64_t crashesReceived = 0; ///< Sequence of the latest crash report.
+    bool isTrial = false;              ///< Gets feeds, but is counted by another control host.
   };
   std::map<core::HostId, Follower>& Followers() { return mFollowers; }
 
@@ -116,6 +119,7 @@
     core::Instant lastReceivedAt{};
   };
 
+  void OnTrialReport(const core::HostId& aHost, proto::Report aReport, core::Instant aNow);
   bool HasFollowerBacklog() const;
   /// Takes the follower out of the sums; its quota usage goes to the departed if aKeepUsage is set.
   void RemoveFollower(const core::HostId& aHost, bool aKeepUsage);
