A host's own stall makes the state that it knows no younger

Cause: the time of a stall was taken out of the state's age as it is out of the control host's silence. It excuses the silence, but the state aged.

The age goes on. The followed control host still gets the time of a silence to send a feed before others are tried.

Test: ClusterFollower StateAgesWhileTheHostIsStalled.

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -339,6 +339,17 @@
   CHECK(trials <= 2 * 60 / 5);
 }
 
+/// Guards against a host that was frozen and takes what it knew before for current.
+TEST(ClusterFollower, StateAgesWhileTheHostIsStalled)
+{
+  Receive("10.0.0.1", MakeListingFeed({ "10.0.0.1", "10.1.0.1" }));
+  timers.Stall(4s);
+  CHECK(follower->IsOutdated());
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.1" });
+  Receive("10.0.0.1", MakeListingFeed({ "10.0.0.1", "10.1.0.1" }));
+  CHECK_FALSE(follower->IsOutdated());
+}
+
 /// Guards against a host that takes the word of a cut-off control host for who is gone, and then
 /// asks control hosts that were replaced.
 TEST(ClusterFollower, CutOffControlHostDoesNotTellWhoIsGone)
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -90,7 +90,8 @@
   logging::Event(logging::Level::Warning, "host-stalled",
                  { { "ms", static_cast<std::int64_t>(core::Milliseconds(stall)) } });
   mLastReceivedAt += stall;
-  mStateCurrentAt += stall;
+  // The state did age, but the followed control host may be about to send a newer one.
+  mNextTrialAt = mOptions.timers.Now() + mOptions.settings.silenceTimeout;
 }
 
 void ClusterFollower::LogStateAge()
