A control host that was cut off does not say that it knows all upstreams

A feed's registry counts as complete from 4 s after the start of its sender, whatever happened since. A control host that is cut off from the others drops the upstreams that send their heartbeats elsewhere, and hosts that follow it gave up upstreams that run.

The registry counts as complete once the state has been current for the same time without a break.

--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -42,6 +42,10 @@
 /// No new record is made while a larger share of the hosts has restarted recently.
 constexpr double kMaxMissingHistoryWeight = 0.3;
 
+/// A control host whose state is older than this may have missed heartbeats of upstreams, too. The
+/// election of a leader takes less.
+constexpr core::Duration kMaxStateAgeOfComplete = std::chrono::seconds(2);
+
 /// Observations of upstreams are sent once in this many rounds: they are as large as the rest of a
 /// feed and change over seconds.
 constexpr std::uint64_t kRoundsPerObserved = 4;
@@ -97,6 +101,7 @@
   : mOptions(std::move(aOptions))
   , mIncarnation(static_cast<std::uint64_t>(mOptions.loop.WallNow().time_since_epoch().count()))
   , mStartedAt(mOptions.loop.Now())
+  , mCurrentSince(mStartedAt)
   , mRegistry(mOptions.settings.registry)
   , mFollowers(MakeFollowerTableSettings(mOptions))
   , mMoveCoordinator(mOptions.settings.moves)
@@ -343,6 +348,9 @@
 void ControlHost::Tick()
 {
   const core::Instant now = mOptions.loop.Now();
+  if (mGroup->StateAge().value_or(now - mStartedAt) > kMaxStateAgeOfComplete) {
+    mCurrentSince = now;
+  }
   RestoreKnownUpstreams();
   ApplyLeaves();
   mRegistry.Expire(now);
@@ -435,7 +443,7 @@
   feed.set_led(!mGroup->Leader().IsEmpty() && stateAge);
   feed.set_state_age_ms(
     static_cast<std::uint64_t>(ToMilliseconds(stateAge.value_or(now - mStartedAt))));
-  feed.set_complete(now - mStartedAt > mOptions.settings.warmUpDuration);
+  feed.set_complete(now - mCurrentSince > mOptions.settings.warmUpDuration);
   feed.set_document_number(mState.Document().number());
   feed.set_state_applied(mState.LastChangeIndex());
   for (const auto& [service, move] : mState.Moves()) {
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -31,8 +31,8 @@
   RoundPacerSettings rounds;
   /// A registry or document that a host has not confirmed is resent after this long.
   core::Duration resendInterval = std::chrono::milliseconds(900);
-  /// The registry counts as incomplete for this long after a start; by then every upstream has sent
-  /// a heartbeat.
+  /// The registry counts as incomplete for this long after a start, or after this host was cut off;
+  /// by then every upstream has sent a heartbeat.
   core::Duration warmUpDuration = std::chrono::milliseconds(4000);
   /// Timeout of a command to the group.
   core::Duration commandTimeout = std::chrono::milliseconds(2500);
@@ -132,6 +132,7 @@
   Options mOptions;
   std::uint64_t mIncarnation;
   core::Instant mStartedAt;
+  core::Instant mCurrentSince; ///< Since when the state has been current without a break.
   ClusterState mState;
   std::unique_ptr<log::DiskOperations> mDisk;
   std::unique_ptr<log::LogStorage> mFileStorage;
