A resumed stream stays one after its next upstream failed

Callers would see: a stream broke off, the upstream that was to resume it answered 5xx, and the third attempt was scheduled like a new request. It could be refused for overload although its caller was reading, and an upstream that broke off then was reported as crashed by a request that had begun elsewhere.

Cause: the retry after a 5xx head queued the request by itself, without RequestSpec::resumed. It now takes RetryElsewhere(), as all other retries do.

Test failed before: RequestForwarder StreamIsStillAResumedOneAfterAFailure ("CHECK(scheduler->Quarantine() .PendingReports().empty()) failed").

--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -118,7 +118,10 @@
 const connection::HttpHeaders kEventStreamHeaders{ { .name = "Content-Type",
                                                      .value = "text/event-stream" } };
 const connection::HttpHeaders kRefusedHeaders{ { .name = "Refused", .value = "yes" } };
-
+const connection::HttpHeaders kSealedStreamHeaders{ { .name = "Content-Type",
+                                                      .value = "text/event-stream" },
+                                                    { .name = "Seal", .value = "x" } };
+constexpr const char* kTwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 } // namespace
 
 TEST_GROUP(RequestForwarder)
@@ -236,6 +239,40 @@
     transport.listener->OnHead(aStatus, {});
   }
 
+  /// Never short of retries.
+  void CreateTableWithRetries()
+  {
+    placement::PlacementSettings settings;
+    settings.retryBudget.retryRatio = 4;
+    settings.retryBudget.maxAttempts = 4;
+    CreateTable(settings);
+  }
+
+  /// Sends a stream that breaks off inside its third event.
+  void BreakStreamOff(std::uint32_t aMaxAttempts)
+  {
+    MakeRetryable(aMaxAttempts);
+    codec.nextRequest.stream = true;
+    codec.nextRequest.resumable = true;
+    Send();
+    transport.listener->OnHead(200, kSealedStreamHeaders);
+    transport.listener->OnBody(std::string(kTwoEvents) + "id: 3\nda");
+    transport.listener->OnFailed(Failure(true));
+  }
+
+  /// Expects that the caller received kTwoEvents, then aMore, and an end that is not a complete
+  /// one.
+  void CheckAborted(const char* aName, const std::string& aMore = {})
+  {
+    STRCMP_EQUAL_TEXT((kTwoEvents + aMore).c_str(), caller->body.c_str(), aName);
+    CHECK_TEXT(caller->aborted, aName);
+    CHECK_FALSE_TEXT(caller->ended, aName);
+    CHECK_EQUAL_TEXT(200, caller->status, aName); // Nothing after the head, no `not-run` either.
+    CHECK_EQUAL_TEXT(0, transport.liveCalls, aName);
+    CHECK_EQUAL_TEXT(0, table->Size(), aName);
+    CHECK_EQUAL_TEXT(0, InFlight(), aName);
+  }
+
   /// Lets the upstream of the current call, the caller or the clock act. aHasHead: the call has
   /// received its head.
   void ApplyRandomEvent(core::Random & aRandom, bool& aHasHead)
@@ -738,13 +775,23 @@
   CHECK_EQUAL(0, InFlight());
 }
 
+/// Guards against a resumed stream that is refused, or blamed for a crash, like a new request.
+TEST(RequestForwarder, StreamIsStillAResumedOneAfterAFailure)
+{
+  CreateTableWithRetries();
+  AddUpstream("u3");
+  codec.nextRequest.spec.sharedParts = { core::PromptPartId("part") };
+  BreakStreamOff(3);
+  transport.listener->OnHead(500, {});
+  transport.listener->OnFailed(Failure(true));
+  CheckAborted("third upstream broke off");
+  CHECK(scheduler->Quarantine().PendingReports().empty());
+}
+
 /// The same for any sequence of what an upstream, the caller and the clock can do.
 TEST(RequestForwarder, EndedRequestHoldsNoSlot)
 {
-  placement::PlacementSettings settings;
-  settings.retryBudget.retryRatio = 4; // Never short of retries.
-  settings.retryBudget.maxAttempts = 4;
-  CreateTable(settings);
+  CreateTableWithRetries();
   core::Random sequence(7);
   for (int n = 0; n < 2'000; ++n) {
     MakeRetryable(1 + static_cast<std::uint32_t>(sequence.UniformBelow(3)));
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -145,6 +145,7 @@
     ArmSilenceTimer();
     return;
   }
+  mStatus = 0;
   RetryElsewhere(AttemptOutcome::Failed, "silent");
 }
 
@@ -178,12 +179,7 @@
   mStatus = aStatus;
   if (aStatus >= connection::kStatusInternalError && CanRetry() &&
       mOptions.scheduler.TryTakeRetry(mOptions.request.spec.service, mAttempts)) {
-    mCall.reset();
-    mSilenceTimer.Cancel();
-    RequestSpec spec = mOptions.request.spec;
-    FinishAttempt(AttemptOutcome::Failed);
-    spec.avoidUpstream = mUpstream.id;
-    mOptions.scheduler.Submit(std::move(spec));
+    RetryElsewhere(AttemptOutcome::Failed, {});
     return;
   }
   if (!mOptions.request.spec.retryable && mOptions.codec.IsNotRunStatus(aStatus)) {
@@ -374,13 +370,13 @@
 
 void RequestForwarder::FailAttempt(const std::string& aReason)
 {
+  mStatus = 0;
   if (CanRetry() && mOptions.scheduler.TryTakeRetry(mOptions.request.spec.service, mAttempts)) {
     RetryElsewhere(AttemptOutcome::BrokenOff, aReason);
     return;
   }
   mCall.reset();
   mSilenceTimer.Cancel();
-  mStatus = 0;
   FinishAttempt(AttemptOutcome::BrokenOff, aReason);
   Fail({ .status = connection::kStatusBadGateway, .reason = aReason, .retryAfter = std::nullopt });
 }
@@ -390,7 +386,6 @@
   mCall.reset();
   mSilenceTimer.Cancel();
   RequestSpec spec = mOptions.request.spec;
-  mStatus = 0;
   FinishAttempt(aOutcome, aReason);
   mEventStream.DiscardPartialEvent();
   mEarlierEvents = mEventStream.EventCount();
