Only what continues a broken stream is forwarded

Cause: once the head was sent, any 200 was taken for the rest of the stream. Its type and seal were not looked at, anything up to an empty line was an event, ids were not compared, and a response without an event ended the stream as complete because earlier attempts had events.

A head that the first runner writes into its own stream was passed on if an empty line followed.

Change: a response continues a stream if its status is 200, it is an event stream, and it is sealed if the first was. EventStreamParser passes on only what has lines of the format, and, from a further source, events whose ids follow: the next number if the ids were consecutive so far, else a larger one, else another one. A response that does not continue the stream fails its attempt: the stream goes on at a third upstream if attempts and budget allow, or is aborted without the last chunk.

Bytes of the first response are judged only by the format, since what a runner numbers oddly is its own.

--- a/UnitTests/platform/LoopbackEntryHost.cpp
+++ b/UnitTests/platform/LoopbackEntryHost.cpp
@@ -32,7 +32,8 @@
   return ntohs(address.sin_port);
 }
 
-LoopbackEntryHost::LoopbackEntryHost(core::EventLoop& aLoop, std::uint16_t aUpstreamPort,
+LoopbackEntryHost::LoopbackEntryHost(core::EventLoop& aLoop,
+                                     const std::vector<std::uint16_t>& aUpstreamPorts,
                                      const std::string& aRoute)
   : mCallerPort(FindFreePort())
 {
@@ -63,15 +64,17 @@
     R"(}],"services":[{"name":"s"}]})");
   feed->set_registry_revision(1);
   feed->set_registry(true);
-  cluster::proto::Upstream* upstream = feed->add_upstreams();
-  upstream->set_id("u");
-  upstream->set_incarnation(1);
-  upstream->set_service("s");
-  upstream->set_version("v1");
-  upstream->set_data_centre("here");
-  upstream->set_address("127.0.0.1");
-  upstream->set_port(aUpstreamPort);
-  upstream->set_slots(100);
+  for (const std::uint16_t port : aUpstreamPorts) {
+    cluster::proto::Upstream* upstream = feed->add_upstreams();
+    upstream->set_id("u" + std::to_string(feed->upstreams_size()));
+    upstream->set_incarnation(1);
+    upstream->set_service("s");
+    upstream->set_version("v1");
+    upstream->set_data_centre("here");
+    upstream->set_address("127.0.0.1");
+    upstream->set_port(port);
+    upstream->set_slots(100);
+  }
   mLinks.OnMessage().emit(kControlHost, { .channel = process::peer::Channel::Cluster,
                                           .payload = message.SerializeAsString() });
   CHECK(mHost->IsReady());
--- a/UnitTests/platform/LoopbackEntryHost.h
+++ b/UnitTests/platform/LoopbackEntryHost.h
@@ -15,13 +15,18 @@
 /// Returns a port of the loopback address that is free now.
 std::uint16_t FindFreePort();
 
-/// An entry host on the loopback address, with a document of one route and its one upstream, as its
+/// An entry host on the loopback address, with a document of one route and its upstreams, as its
 /// control host would send them.
 class LoopbackEntryHost
 {
 public:
   /// aRoute: further fields of the route "r" of host "h" and prefix "/a/", as JSON.
-  LoopbackEntryHost(core::EventLoop& aLoop, std::uint16_t aUpstreamPort, const std::string& aRoute);
+  LoopbackEntryHost(core::EventLoop& aLoop, const std::vector<std::uint16_t>& aUpstreamPorts,
+                    const std::string& aRoute);
+  LoopbackEntryHost(core::EventLoop& aLoop, std::uint16_t aUpstreamPort, const std::string& aRoute)
+    : LoopbackEntryHost(aLoop, std::vector{ aUpstreamPort }, aRoute)
+  {
+  }
 
   /// Ends the host as its process would.
   void Destroy() { mHost.reset(); }
--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -69,6 +69,10 @@
   {
     return aStatus == connection::kStatusMisdirected;
   }
+  bool IsSealed(const connection::HttpHeaders& aHeaders) const override
+  {
+    return !connection::FindHeader(aHeaders, "Seal").empty();
+  }
   UpstreamNotice ParseNotice(int, const connection::HttpHeaders&) const override { return {}; }
   std::optional<ReportedLoad> ParseLoad(const connection::HttpHeaders&) const override
   {
@@ -121,7 +125,61 @@
 const connection::HttpHeaders kSealedStreamHeaders{ { .name = "Content-Type",
                                                       .value = "text/event-stream" },
                                                     { .name = "Seal", .value = "x" } };
+const connection::HttpHeaders kSealedJsonHeaders{ { .name = "Content-Type",
+                                                    .value = "application/json" },
+                                                  { .name = "Seal", .value = "x" } };
+
 constexpr const char* kTwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+constexpr const char* kThirdEvent = "id: 3\ndata: c\n\n";
+constexpr const char* kFailureHead =
+  "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\nerror\n\n";
+
+/// Response to the request to resume a stream after kTwoEvents.
+struct ResumedResponse
+{
+  const char* name;
+  int status;
+  connection::HttpHeaders headers;
+  std::string body;
+  std::string forwarded; ///< The part of the body that continues the stream.
+};
+
+const std::vector<ResumedResponse> kFailedResumptions{
+  { "500", 500, {}, "error\n\n", "" },
+  { "502", 502, kSealedJsonHeaders, "error\n\n", "" },
+  { "503", 503, kSealedStreamHeaders, kThirdEvent, "" },
+  { "504", 504, {}, "", "" },
+  { "429", 429, kSealedJsonHeaders, "error\n\n", "" },
+  { "404", 404, {}, "error\n\n", "" },
+  { "400", 400, {}, "error\n\n", "" },
+  { "204", 204, kSealedStreamHeaders, "", "" },
+  { "206", 206, kSealedStreamHeaders, kThirdEvent, "" },
+  { "JSON", 200, kSealedJsonHeaders, "{\"error\":1}\n\n", "" },
+  { "JSON with an event", 200, kSealedJsonHeaders, kThirdEvent, "" },
+  { "empty JSON", 200, kSealedJsonHeaders, "", "" },
+  { "no type", 200, { { .name = "Seal", .value = "x" } }, "<html>\n\n</html>\n\n", "" },
+  { "no seal", 200, kEventStreamHeaders, kThirdEvent, "" },
+  { "no event", 200, kSealedStreamHeaders, "", "" },
+  { "no event but a comment", 200, kSealedStreamHeaders, ": ok\n\n", ": ok\n\n" },
+  { "part of an event", 200, kSealedStreamHeaders, "id: 3\nda", "" },
+  { "from the start", 200, kSealedStreamHeaders, kTwoEvents, "" },
+  { "last event again", 200, kSealedStreamHeaders, "id: 2\ndata: b\n\n", "" },
+  { "gap", 200, kSealedStreamHeaders, "id: 4\ndata: d\n\n", "" },
+  { "gap later", 200, kSealedStreamHeaders, "id: 3\ndata: c\n\nid: 5\ndata: e\n\n", kThirdEvent },
+  { "event twice", 200, kSealedStreamHeaders, "id: 3\ndata: c\n\nid: 3\ndata: c\n\n", kThirdEvent },
+  { "back", 200, kSealedStreamHeaders, "id: 3\ndata: c\n\nid: 1\ndata: a\n\n", kThirdEvent },
+  { "other ids", 200, kSealedStreamHeaders, "id: x\ndata: c\n\n", "" },
+  { "no id", 200, kSealedStreamHeaders, "data: c\n\n", "" },
+  { "empty id", 200, kSealedStreamHeaders, "id:\ndata: c\n\n", "" },
+  { "error event", 200, kSealedStreamHeaders, "event: error\ndata: overload\n\n", "" },
+  { "text", 200, kSealedStreamHeaders, "Internal error\n\n", "" },
+  { "head", 200, kSealedStreamHeaders, kFailureHead, "" },
+  { "head after an event", 200, kSealedStreamHeaders, std::string(kThirdEvent) + kFailureHead,
+    kThirdEvent },
+  { "head in an event", 200, kSealedStreamHeaders, std::string("id: 3\ndata: c") + kFailureHead,
+    "" },
+};
+
 } // namespace
 
 TEST_GROUP(RequestForwarder)
@@ -260,6 +318,20 @@
     transport.listener->OnFailed(Failure(true));
   }
 
+  /// Lets the upstream respond as far as its response is read, in parts of this size.
+  void Respond(const ResumedResponse& aResponse, std::size_t aPartBytes)
+  {
+    const int call = transport.startedCalls;
+    const auto isRead = [&] { return transport.liveCalls > 0 && transport.startedCalls == call; };
+    transport.listener->OnHead(aResponse.status, aResponse.headers);
+    for (std::size_t n = 0; n < aResponse.body.size() && isRead(); n += aPartBytes) {
+      transport.listener->OnBody(std::string_view(aResponse.body).substr(n, aPartBytes));
+    }
+    if (isRead()) {
+      transport.listener->OnEnd();
+    }
+  }
+
   /// Expects that the caller received kTwoEvents, then aMore, and an end that is not a complete
   /// one.
   void CheckAborted(const char* aName, const std::string& aMore = {})
@@ -775,6 +847,146 @@
   CHECK_EQUAL(0, InFlight());
 }
 
+/// Guards against an error's text, another stream or an early end after events of a stream.
+TEST(RequestForwarder, ResponseThatDoesNotContinueTheStreamIsNotForwarded)
+{
+  for (const ResumedResponse& it : kFailedResumptions) {
+    for (const std::size_t partBytes : { std::size_t{ 1 }, std::size_t{ 1000 } }) {
+      CreateTableWithRetries();
+      BreakStreamOff(2);
+      Respond(it, partBytes);
+      CheckAborted(it.name, it.forwarded);
+    }
+  }
+}
+
+TEST(RequestForwarder, StreamThatWasNotContinuedGoesOnAtAThirdUpstream)
+{
+  for (const ResumedResponse& it : kFailedResumptions) {
+    if (it.status >= connection::kStatusBadRequest &&
+        it.status < connection::kStatusInternalError) {
+      continue; // The upstream blames the request.
+    }
+    CreateTableWithRetries();
+    AddUpstream("u3");
+    BreakStreamOff(3);
+    const int calls = transport.startedCalls;
+    Respond(it, 1000);
+    CHECK_EQUAL_TEXT(calls + 1, transport.startedCalls, it.name);
+    const bool hasThird = it.forwarded == kThirdEvent;
+    STRCMP_EQUAL_TEXT(hasThird ? "3" : "2", codec.lastEventId.c_str(), it.name);
+    const std::string rest =
+      hasThird ? "id: 4\ndata: d\n\n" : std::string(kThirdEvent) + "id: 4\ndata: d\n\n";
+    Respond({ it.name, 200, kSealedStreamHeaders, rest, rest }, 1000);
+    STRCMP_EQUAL_TEXT((kTwoEvents + it.forwarded + rest).c_str(), caller->body.c_str(), it.name);
+    CHECK_TEXT(caller->ended, it.name);
+    CHECK_FALSE_TEXT(caller->aborted, it.name);
+    CHECK_EQUAL_TEXT(0, InFlight(), it.name);
+  }
+}
+
+/// Guards against streams that are no longer resumed because their ids are not 1, 2, 3.
+TEST(RequestForwarder, StreamsWithOtherIdsAreResumed)
+{
+  const std::vector<std::array<const char*, 2>> streams{
+    { "id: 6\ndata: a\n\nid: 12\ndata: b\n\n", "id: 16\ndata: c\n\n" },
+    { "id: x\ndata: a\n\nid: y\ndata: b\n\n", "id: z\ndata: c\n\n" },
+    { "id:1\ndata:a\n\nid:2\ndata:b\n\n", "id:3\ndata:c\n\nid:4\ndata:d\n\n" },
+    { "id: 1\ndata: a\n\n", ": ok\n\nretry: 9\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" },
+    { "id: 1\ndata: a\n\n", "weights: 2\nid: 2\ndata: b\n\ndata: [DONE]\n\n" },
+    { "id: 1\ndata: a\n\n", "data: [DONE]\n\n" },
+  };
+  for (const auto& [first, rest] : streams) {
+    CreateTableWithRetries();
+    MakeRetryable(2);
+    codec.nextRequest.resumable = true;
+    Send();
+    transport.listener->OnHead(200, kSealedStreamHeaders);
+    transport.listener->OnBody(first);
+    transport.listener->OnFailed(Failure(true));
+    Respond({ first, 200, kSealedStreamHeaders, rest, rest }, 1000);
+    STRCMP_EQUAL((std::string(first) + rest).c_str(), caller->body.c_str());
+    CHECK_TEXT(caller->ended, first);
+  }
+}
+
+/// Guards against another response's head, or text, that is passed on as events of a stream.
+TEST(RequestForwarder, BytesThatAreNoEventsEndTheStream)
+{
+  MakeNonRetryable();
+  codec.nextRequest.stream = true;
+  for (const std::string& it :
+       { std::string("Internal error\n\n"), std::string(kFailureHead),
+         std::string("id: 3\ndata: c") + kFailureHead, std::string("\r\n\r\n\n") }) {
+    CreateTable({});
+    Send();
+    transport.listener->OnHead(200, kSealedStreamHeaders);
+    transport.listener->OnBody(kTwoEvents);
+    transport.listener->OnBody(it);
+    if (transport.liveCalls > 0) {
+      transport.listener->OnEnd();
+    }
+    CheckAborted(it.c_str());
+  }
+}
+
+/// What an upstream writes is its answer as long as it consists of events.
+TEST(RequestForwarder, UnusualEventsAreForwardedUnchanged)
+{
+  MakeNonRetryable();
+  codec.nextRequest.stream = true;
+  for (const char* it : { ": comment\n\ndata: a\n\n", "retry: 9\n\nid: 1\ndata: a\n\n",
+                          "weights: 2\nid: 1\ndata: a\n\n", "id: 4\ndata: a\n\nid: 2\ndata: b\n\n",
+                          "data: a\n\n\n\ndata: b\n\n", "data\n\nevent: error\ndata: b\n\n" }) {
+    Send();
+    transport.listener->OnHead(200, kSealedStreamHeaders);
+    transport.listener->OnBody(it);
+    transport.listener->OnEnd();
+    STRCMP_EQUAL(it, caller->body.c_str());
+    CHECK_TEXT(caller->ended, it);
+  }
+}
+
+/// Guards against an end that looks complete, or `not-run`, where a broken stream isn't resumed.
+TEST(RequestForwarder, BrokenStreamIsAbortedIfNoUpstreamTakesIt)
+{
+  CreateTableWithRetries();
+  BreakStreamOff(1);
+  CheckAborted("attempts used up");
+
+  CreateTableWithRetries();
+  BreakStreamOff(2);
+  timers.Advance(1s);
+  CheckAborted("silence until the timeout");
+
+  CreateTableWithRetries();
+  BreakStreamOff(2);
+  transport.listener->OnFailed(Failure(true));
+  CheckAborted("second upstream broke off");
+
+  CreateTableWithRetries();
+  BreakStreamOff(2);
+  for (int n = 0; n < 30 && !caller->aborted; ++n) {
+    if (transport.liveCalls > 0) {
+      transport.listener->OnHead(503, kRefusedHeaders);
+    }
+    timers.Advance(50ms);
+  }
+  CheckAborted("refused");
+
+  CreateTable({});
+  for (int n = 0; n < 100 && scheduler->TryTakeRetry(core::ServiceId("s"), 1); ++n) {
+  }
+  BreakStreamOff(2);
+  CheckAborted("no retry budget");
+
+  CreateTableWithRetries();
+  scheduler->RemoveUpstream(core::UpstreamId("u2"));
+  BreakStreamOff(2);
+  timers.Advance(1s);
+  CheckAborted("no other upstream");
+}
+
 /// Guards against a resumed stream that is refused, or blamed for a crash, like a new request.
 TEST(RequestForwarder, StreamIsStillAResumedOneAfterAFailure)
 {
@@ -788,6 +1000,24 @@
   CHECK(scheduler->Quarantine().PendingReports().empty());
 }
 
+/// A response whose head was sent because of its size can't be retried.
+TEST(RequestForwarder, LargeResponseThatBreaksOffIsAborted)
+{
+  CreateTableWithRetries();
+  MakeRetryable(2);
+  Send();
+  transport.listener->OnHead(200, kSealedJsonHeaders);
+  const std::string part(300 * 1024, 'x');
+  transport.listener->OnBody(part);
+  CHECK_EQUAL(200, caller->status);
+  transport.listener->OnFailed(Failure(true));
+  CHECK_EQUAL(1, transport.startedCalls);
+  CHECK(caller->aborted);
+  CHECK_FALSE(caller->ended);
+  CHECK_EQUAL(part.size(), caller->body.size());
+  CHECK_EQUAL(0, InFlight());
+}
+
 /// The same for any sequence of what an upstream, the caller and the clock can do.
 TEST(RequestForwarder, EndedRequestHoldsNoSlot)
 {
--- a/cuminfield/request/exchange/EventStreamParser.h
+++ b/cuminfield/request/exchange/EventStreamParser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,10 +12,13 @@
 class EventStreamParser
 {
 public:
-  /// Appends aBytes and returns all events that are now complete. The view is valid until the next
-  /// call.
+  /// Appends aBytes and returns all events that are now complete, up to the first fault. The view
+  /// is valid until the next call.
   std::string_view Consume(std::string_view aBytes);
 
+  /// True if the bytes after the last returned event are no event, or do not continue the stream.
+  bool HasFault() const { return mHasFault; }
+
   /// Complete data events so far, excluding the final `[DONE]`.
   std::uint64_t EventCount() const { return mEventCount; }
 
@@ -27,20 +31,38 @@
   /// Size of the buffered incomplete event.
   std::size_t PartialEventBytes() const { return mPartialEvent.size(); }
 
-  /// Discards the buffered incomplete event, before the stream continues from another source.
-  void DiscardPartialEvent() { mPartialEvent.clear(); }
+  /// Prepares for bytes from another source, whose events must follow the last one by their ids.
+  /// Discards what is buffered.
+  void BeginContinuation();
 
   /// True once `data: [DONE]` has arrived.
   bool IsDone() const { return mDone; }
 
 private:
-  void ProcessEvent(std::string_view aEvent);
+  /// The parts of an event that matter here.
+  struct Event
+  {
+    bool isValid = false; ///< Consists of lines of the event stream format.
+    bool hasData = false;
+    bool isDone = false;
+    std::optional<std::string_view> id;
+  };
+
+  static Event ParseEvent(std::string_view aText);
+  bool ProcessEvent(std::string_view aText);
+  /// True if an event may be the next one after those of earlier sources.
+  bool IsNext(const Event& aEvent) const;
 
   std::string mPartialEvent;   ///< Bytes of the incomplete event.
   std::string mCompleteEvents; ///< Result of the last Consume().
   std::string mLastEventId;
   std::uint64_t mEventCount = 0;
   bool mDone = false;
+  bool mHasFault = false;
+  bool mLastEventHasId = false;
+  bool mIsConsecutive = true;      ///< Each id was a number, larger by one than the one before.
+  bool mIsContinuation = false;    ///< The current source is not the first one.
+  bool mContinuationBegun = false; ///< It has sent an event with an id.
 };
 
 } // namespace cuminfield::request::exchange
--- a/cuminfield/request/forward/ForwardCodec.h
+++ b/cuminfield/request/forward/ForwardCodec.h
@@ -52,6 +52,9 @@
   virtual bool IsWrongUpstreamResponse(int aStatus,
                                        const connection::HttpHeaders& aHeaders) const = 0;
 
+  /// True if the response bears the upstream's seal, with which the caller checks it.
+  virtual bool IsSealed(const connection::HttpHeaders& aHeaders) const = 0;
+
   /// What the upstream says of itself beside its answer.
   virtual UpstreamNotice ParseNotice(int aStatus,
                                      const connection::HttpHeaders& aHeaders) const = 0;
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -42,6 +42,12 @@
                                                   : AttemptOutcome::Succeeded;
 }
 
+bool IsEventStream(const connection::HttpHeaders& aHeaders)
+{
+  return connection::FindHeader(aHeaders, connection::kContentTypeHeader)
+    .starts_with(kEventStreamType);
+}
+
 } // namespace
 
 RequestForwarder::RequestForwarder(Options aOptions)
@@ -177,9 +183,18 @@
     return;
   }
   mStatus = aStatus;
-  if (aStatus >= connection::kStatusInternalError && CanRetry() &&
+  const bool isWrongPart = mHeadSent && !IsContinuation(aStatus, aHeaders);
+  const bool hasFailed = aStatus >= connection::kStatusInternalError ||
+                         (isWrongPart && aStatus < connection::kStatusBadRequest);
+  const std::string reason = isWrongPart ? "not-resumed" : "";
+  if (hasFailed && CanRetry() &&
       mOptions.scheduler.TryTakeRetry(mOptions.request.spec.service, mAttempts)) {
-    RetryElsewhere(AttemptOutcome::Failed, {});
+    RetryElsewhere(AttemptOutcome::Failed, reason);
+    return;
+  }
+  if (isWrongPart) {
+    FinishAttempt(hasFailed ? AttemptOutcome::Failed : OutcomeOf(aStatus), reason);
+    AbortResponse(reason);
     return;
   }
   if (!mOptions.request.spec.retryable && mOptions.codec.IsNotRunStatus(aStatus)) {
@@ -192,15 +207,17 @@
     return;
   }
   if (mHeadSent) {
-    if (aStatus != connection::kStatusOk) {
-      FinishAttempt(OutcomeOf(aStatus), "not-resumed");
-      AbortResponse("not-resumed");
-    }
     return;
   }
   mHeaders = mOptions.codec.MakeCallerHeaders(aHeaders);
-  mIsEventStream =
-    connection::FindHeader(aHeaders, connection::kContentTypeHeader).starts_with(kEventStreamType);
+  mIsEventStream = IsEventStream(aHeaders);
+  mIsSealed = mOptions.codec.IsSealed(aHeaders);
+}
+
+bool RequestForwarder::IsContinuation(int aStatus, const connection::HttpHeaders& aHeaders) const
+{
+  return aStatus == connection::kStatusOk && IsEventStream(aHeaders) &&
+         mOptions.codec.IsSealed(aHeaders) == mIsSealed;
 }
 
 void RequestForwarder::HandleNotice(int aStatus, const connection::HttpHeaders& aHeaders)
@@ -255,25 +272,25 @@
 {
   const std::uint64_t eventsBefore = mEventStream.EventCount();
   const std::string_view completeEvents = mEventStream.Consume(aBytes);
-  if (static_cast<std::int64_t>(mEventStream.PartialEventBytes()) >
-      mOptions.settings.maxEventSize.value) {
-    FailAttempt("event-without-end");
-    return;
-  }
-  if (completeEvents.empty()) {
-    return;
+  if (!completeEvents.empty()) {
+    const core::Instant now = mOptions.timers.Now();
+    RecordFirstEvent();
+    if (mEventStream.EventCount() > eventsBefore) {
+      mSummary.maxEventGap = std::max(mSummary.maxEventGap, now - mLastEventAt);
+      mLastEventAt = now;
+      mOptions.scheduler.OnToken(mOptions.request.spec.id);
+      RecordTokenInterval(kTokenIntervalEvents);
+    }
+    ForwardHead();
+    mOptions.caller->SendBody(completeEvents);
+    ArmSilenceTimer();
   }
-  const core::Instant now = mOptions.timers.Now();
-  RecordFirstEvent();
-  if (mEventStream.EventCount() > eventsBefore) {
-    mSummary.maxEventGap = std::max(mSummary.maxEventGap, now - mLastEventAt);
-    mLastEventAt = now;
-    mOptions.scheduler.OnToken(mOptions.request.spec.id);
-    RecordTokenInterval(kTokenIntervalEvents);
+  if (mEventStream.HasFault()) {
+    FailAttempt("not-the-next-event");
+  } else if (static_cast<std::int64_t>(mEventStream.PartialEventBytes()) >
+             mOptions.settings.maxEventSize.value) {
+    FailAttempt("event-without-end");
   }
-  ForwardHead();
-  mOptions.caller->SendBody(completeEvents);
-  ArmSilenceTimer();
 }
 
 void RequestForwarder::RecordTokenInterval(std::uint64_t aMinEvents)
@@ -308,7 +325,8 @@
 {
   mCall.reset();
   mSilenceTimer.Cancel();
-  if (mIsEventStream && (mEventStream.HasPartialEvent() || mEventStream.EventCount() == 0)) {
+  const bool isEmpty = mEventStream.EventCount() == mEarlierEvents && !mEventStream.IsDone();
+  if (mIsEventStream && (mEventStream.HasPartialEvent() || isEmpty)) {
     mEarlierResponseEnded = true;
     FailAttempt("stream-cut");
     return;
@@ -387,7 +405,7 @@
   mSilenceTimer.Cancel();
   RequestSpec spec = mOptions.request.spec;
   FinishAttempt(aOutcome, aReason);
-  mEventStream.DiscardPartialEvent();
+  mEventStream.BeginContinuation();
   mEarlierEvents = mEventStream.EventCount();
   spec.avoidUpstream = mUpstream.id;
   spec.resumed = mHeadSent;
--- a/cuminfield/request/forward/RequestForwarder.h
+++ b/cuminfield/request/forward/RequestForwarder.h
@@ -102,6 +102,8 @@
   PlacementBasis MakePlacementBasis();
   void StartAttempt();
   void HandleNotice(int aStatus, const connection::HttpHeaders& aHeaders);
+  /// True if a response continues the stream whose head was sent to the caller.
+  bool IsContinuation(int aStatus, const connection::HttpHeaders& aHeaders) const;
   void RecordFirstEvent();
   void ForwardEvents(std::string_view aBytes);
   void ForwardHead();
@@ -134,6 +136,7 @@
   int mStatus = 0;
   connection::HttpHeaders mHeaders; ///< For the caller, from the first response.
   bool mIsEventStream = false;      ///< The response consists of server-sent events.
+  bool mIsSealed = false;           ///< The first response bore its upstream's seal.
   std::string mBufferedBody;        ///< Of a plain response until it is complete.
   exchange::EventStreamParser mEventStream;
   std::uint64_t mEarlierEvents = 0; ///< Events of earlier attempts.
