A stream is not resumed after an event without id

Callers would see: an event without id, such as an upstream's error event, in the middle of their stream, with the next upstream's events after it; or that event twice.

Cause: a stream counted as resumable if any event had an id, but an upstream can be asked to go on only after the last id, not after what came since. Such a stream is now aborted when it breaks off; callers may resume it. Holding such events back until the next id would have delayed streams that number few events.

Test failed before: RequestForwarder StreamIsNotResumedAfterAnEventWithoutId ("expected 1 but was 2" calls).

--- a/UnitTests/request/forward/RequestForwarderTest.cpp
+++ b/UnitTests/request/forward/RequestForwarderTest.cpp
@@ -947,6 +947,22 @@
   }
 }
 
+/// Guards against an event that the caller gets twice or in the midst of its stream, since an
+/// upstream can't be asked to go on after it.
+TEST(RequestForwarder, StreamIsNotResumedAfterAnEventWithoutId)
+{
+  MakeRetryable(2);
+  codec.nextRequest.resumable = true;
+  Send();
+  transport.listener->OnHead(200, kSealedStreamHeaders);
+  transport.listener->OnBody("id: 1\ndata: a\n\nevent: error\ndata: overload\n\n");
+  transport.listener->OnFailed(Failure(true));
+  CHECK_EQUAL(1, transport.startedCalls);
+  CHECK(caller->aborted);
+  CHECK_FALSE(caller->ended);
+  CHECK_EQUAL(0, InFlight());
+}
+
 /// Guards against an end that looks complete, or `not-run`, where a broken stream isn't resumed.
 TEST(RequestForwarder, BrokenStreamIsAbortedIfNoUpstreamTakesIt)
 {
--- a/cuminfield/request/exchange/EventStreamParser.h
+++ b/cuminfield/request/exchange/EventStreamParser.h
@@ -25,6 +25,9 @@
   /// The `id:` of the last complete event that had one; empty if none did.
   const std::string& LastEventId() const { return mLastEventId; }
 
+  /// True if the last event had an id, so that another source can be asked to go on after it.
+  bool CanBeContinued() const { return mLastEventHasId; }
+
   /// True while an incomplete event is buffered.
   bool HasPartialEvent() const { return !mPartialEvent.empty(); }
 
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -159,7 +159,7 @@
 {
   const ForwardRequest& request = mOptions.request;
   const bool canContinue =
-    !mHeadSent || (request.resumable && mIsEventStream && !mEventStream.LastEventId().empty());
+    !mHeadSent || (request.resumable && mIsEventStream && mEventStream.CanBeContinued());
   const core::Duration remaining = request.timeout - mOptions.timers.Now();
   return request.spec.retryable && canContinue && mAttempts < request.maxAttempts &&
          remaining > mOptions.settings.minRemainingTime;
