serve: only what continues a broken stream is forwarded

JSON followed the events and ended the stream as complete; text, heads and events from another offset were passed on.

The response must be an event stream, and the parser is kept over a resume, so that ids must follow. A fault counts as a response that broke off.

Test failed before: Exchange ResponseThatDoesNotContinueTheStreamIsNotForwarded (the JSON body after the first event).

--- a/UnitTests/request/exchange/ExchangeTest.cpp
+++ b/UnitTests/request/exchange/ExchangeTest.cpp
@@ -354,6 +354,42 @@
   CHECK(transport.lastRequest.freshConnection);
 }
 
+/// Guards against an error's text, another stream or an early end after events of a stream.
+TEST(Exchange, ResponseThatDoesNotContinueTheStreamIsNotForwarded)
+{
+  const connection::HttpHeaders json{ { .name = "Content-Type", .value = "application/json" } };
+  const std::vector<std::pair<connection::HttpHeaders, const char*>> responses{
+    { json, "{\"error\":1}" },
+    { {}, "<html>\n\n</html>\n\n" },
+    { EventStreamHeaders(), "Internal error\n\n" },
+    { EventStreamHeaders(), "HTTP/1.1 500 X\r\n\r\nerror\n\n" },
+    { EventStreamHeaders(), "id: 0\ndata: a\n\n" },
+    { EventStreamHeaders(), "id: 2\ndata: c\n\n" },
+    { EventStreamHeaders(), "event: error\ndata: overload\n\n" },
+  };
+  for (const auto& [headers, body] : responses) {
+    caller = std::make_shared<FakeCaller>();
+    StartCallWithKey(true);
+    transport.listener->OnHead(200, EventStreamHeaders());
+    transport.listener->OnBody("id: 0\ndata: a\n\nid: 1\nda");
+    transport.listener->OnFailed(FailureAfterSending());
+    for (int n = 0; n < 10 && !caller->aborted; ++n) {
+      timers.Advance(std::chrono::seconds(1));
+      transport.listener->OnHead(200, headers);
+      if (transport.liveCalls > 0) {
+        transport.listener->OnBody(body);
+      }
+      if (transport.liveCalls > 0) {
+        transport.listener->OnEnd();
+      }
+    }
+    STRCMP_EQUAL_TEXT("id: 0\ndata: a\n\n", caller->body.c_str(), body);
+    CHECK_TEXT(caller->aborted, body);
+    CHECK_FALSE_TEXT(caller->ended, body);
+    LONGS_EQUAL_TEXT(0, transport.liveCalls, body);
+  }
+}
+
 TEST(Exchange, DisconnectOfTheCallerCancelsACallWithoutAKey)
 {
   StartRequest(false, true);
--- a/cuminfield/request/exchange/Exchange.cpp
+++ b/cuminfield/request/exchange/Exchange.cpp
@@ -186,7 +186,7 @@
   mContentType = connection::FindHeader(aHeaders, connection::kContentTypeHeader);
   mIsEventStream = mContentType.starts_with(kEventStreamType);
   if (mState == State::Following || mResumeCount > 0) {
-    if (aStatus != connection::kStatusOk) {
+    if (aStatus != connection::kStatusOk || !mIsEventStream) {
       mCall.reset();
       FailAfterDispatch("the upstream does not know the stream any more" + std::string(kRetryHint));
       return;
@@ -229,6 +229,13 @@
     CountToken();
   }
   mOptions.caller->SendBody(complete);
+  if (mStreamParser.HasFault()) {
+    OnFailed(
+      { .mayHaveRun = true,
+        .error = { .kind = core::ErrorKind::Unavailable,
+                   .message = "the upstream sent bytes that are not the stream's next event" +
+                              std::string(kRetryHint) } });
+  }
 }
 
 void Exchange::HandleBodyBytes(std::string_view aBytes)
--- a/cuminfield/request/exchange/ExchangeFollow.cpp
+++ b/cuminfield/request/exchange/ExchangeFollow.cpp
@@ -28,8 +28,12 @@
 
 void Exchange::ReadStream(const std::string& aAddress, std::uint16_t aPort, std::uint64_t aOffset)
 {
-  mStreamOffset = aOffset;
-  mStreamParser = EventStreamParser();
+  if (mHeadSent) {
+    mStreamParser.BeginContinuation();
+  } else {
+    mStreamOffset = aOffset;
+    mStreamParser = EventStreamParser();
+  }
   connection::upstream::UpstreamRequest call{
     .id = mStreamId,
     .method = "GET",
