--- a/UnitTests/platform/EntryHostStreamTest.cpp
+++ b/UnitTests/platform/EntryHostStreamTest.cpp
@@ -26,7 +26,7 @@
 class RawCaller
 {
 public:
-  RawCaller(core::EventLoop& aLoop, std::uint16_t aPort)
+  RawCaller(core::EventLoop& aLoop, std::uint16_t aPort, const std::string& aVersion)
     : mLoop(aLoop)
   {
     sockaddr_in address{};
@@ -38,7 +38,7 @@
     bufferevent_enable(mChannel, EV_READ | EV_WRITE);
     bufferevent_socket_connect(mChannel, reinterpret_cast<const sockaddr*>(&address),
                                sizeof(address));
-    const std::string request = "POST /a/b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" +
+    const std::string request = "POST /a/b " + aVersion + "\r\nHost: h\r\nContent-Length: 0\r\n" +
                                 std::string(wire::kRequestId) + ": r1\r\n\r\n";
     bufferevent_write(mChannel, request.data(), request.size());
   }
@@ -48,6 +48,7 @@
 
   std::string received;
   bool closed = false; ///< The connection has ended.
+  bool reset = false;  ///< It was reset.
 
 private:
   static void OnRead(bufferevent* aChannel, void* aSelf)
@@ -67,6 +68,7 @@
     if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
       auto* self = static_cast<RawCaller*>(aSelf);
       self->closed = true;
+      self->reset = (aWhat & BEV_EVENT_ERROR) != 0;
       self->mLoop.Stop();
     }
   }
@@ -155,6 +157,14 @@
   /// the upstreams received.
   std::string Call(const BrokenStream& aStream, ScriptedUpstream::After aAfter, bool aResumable,
                    std::vector<std::string>& aRequests)
+  {
+    bool isReset = false;
+    return Call("HTTP/1.1", aStream, aAfter, aResumable, aRequests, isReset);
+  }
+
+  std::string Call(const std::string& aVersion, const BrokenStream& aStream,
+                   ScriptedUpstream::After aAfter, bool aResumable,
+                   std::vector<std::string>& aRequests, bool& aReset)
   {
     const auto script = [&](int, const std::string& aHead) {
       aRequests.push_back(aHead);
@@ -167,10 +177,11 @@
                            std::string(R"("kind":"stream","timeout_ms":4000,"max_attempts":2,)") +
                              R"("target_latency_ms":1000,"gap_goal_ms":500,"resumable":)" +
                              (aResumable ? "true" : "false"));
-    RawCaller caller(loop, host.CallerPort());
+    RawCaller caller(loop, host.CallerPort(), aVersion);
     const auto limit = loop.ScheduleAfter(10s, [&] { loop.Stop(); });
     loop.Run();
     CHECK_TEXT(caller.closed || caller.received.ends_with(kLastChunk), aStream.name);
+    aReset = caller.reset;
     return caller.received;
   }
 
@@ -274,3 +285,16 @@
     }
   }
 }
+
+/// Without chunks, the end of the connection is the end of the response; only a reset tells that it
+/// broke off.
+TEST(EntryHostStream, BrokenStreamWithoutChunksIsReset)
+{
+  for (const bool isWhole : { false, true }) {
+    std::vector<std::string> requests;
+    bool isReset = false;
+    const BrokenStream stream{ "HTTP/1.0", kBegun + (isWhole ? kLastChunk : ""), "" };
+    Call("HTTP/1.0", stream, ScriptedUpstream::After::Close, false, requests, isReset);
+    CHECK_EQUAL(!isWhole, isReset);
+  }
+}
