--- a/UnitTests/platform/EntryHostCutResponseTest.cpp
+++ b/UnitTests/platform/EntryHostCutResponseTest.cpp
@@ -1,14 +1,10 @@
 #include "UnitTests/connection/ReplyingUpstream.h"
 #include "UnitTests/platform/LoopbackEntryHost.h"
+#include "UnitTests/platform/RawCaller.h"
 #include "platform/Wire.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/util.h>
 #include <spdlog/spdlog.h>
 
 #include <csignal>
@@ -23,90 +19,34 @@
 using unit_tests::connection::Reply;
 using unit_tests::connection::ReplyingUpstream;
 using unit_tests::platform::LoopbackEntryHost;
+using unit_tests::platform::RawCaller;
 namespace wire = platform::wire;
 
 namespace {
 
-/// Caller that sends one request and records all bytes until the connection ends.
-class RawCaller
+int StatusOf(const std::string& aResponse)
 {
-public:
-  RawCaller(core::EventLoop& aLoop, std::uint16_t aPort, const std::string& aVersion)
-    : mLoop(aLoop)
-  {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(aPort);
-    CHECK_EQUAL(0, ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
-    evutil_make_socket_nonblocking(fd);
-    mChannel = bufferevent_socket_new(aLoop.EventBase(), fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(mChannel, OnRead, nullptr, OnEvent, this);
-    bufferevent_enable(mChannel, EV_READ | EV_WRITE);
-    const std::string request =
-      "GET /a/b HTTP/" + aVersion + "\r\nHost: h\r\n" + std::string(wire::kRequestId) + ": r1\r\n" +
-      std::string(wire::kDeadlineMs) + ": 9000\r\nConnection: close\r\n\r\n";
-    bufferevent_write(mChannel, request.data(), request.size());
-  }
-  RawCaller(const RawCaller&) = delete;
-  RawCaller& operator=(const RawCaller&) = delete;
-
-  ~RawCaller() { bufferevent_free(mChannel); }
-
-  int Status() const
-  {
-    return mReceived.starts_with("HTTP/1.") ? std::atoi(mReceived.c_str() + 9) : 0;
-  }
-
-  bool IsClosed() const { return mClosed; }
+  return aResponse.starts_with("HTTP/1.") ? std::atoi(aResponse.c_str() + 9) : 0;
+}
 
-  /// True if the response is complete by its own framing.
-  bool LooksComplete() const
-  {
-    const std::size_t headEnd = mReceived.find("\r\n\r\n");
-    if (headEnd == std::string::npos) {
-      return false;
-    }
-    const std::string head = mReceived.substr(0, headEnd + 2);
-    const std::string body = mReceived.substr(headEnd + 4);
-    const std::string lengthName = "\r\nContent-Length: ";
-    if (head.find("\r\nTransfer-Encoding: chunked\r\n") != std::string::npos) {
-      return body == "0\r\n\r\n" || body.ends_with("\r\n0\r\n\r\n");
-    }
-    if (const std::size_t at = head.find(lengthName); at != std::string::npos) {
-      return body.size() == std::stoul(head.substr(at + lengthName.size()));
-    }
-    return !mReset;
+/// True if the response is complete by its own framing. aReset: its connection was reset.
+bool LooksComplete(const std::string& aResponse, bool aReset)
+{
+  const std::size_t headEnd = aResponse.find("\r\n\r\n");
+  if (headEnd == std::string::npos) {
+    return false;
   }
-
-  const std::string& Received() const { return mReceived; }
-
-private:
-  static void OnRead(bufferevent* aChannel, void* aSelf)
-  {
-    evbuffer* input = bufferevent_get_input(aChannel);
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    static_cast<RawCaller*>(aSelf)->mReceived += bytes;
+  const std::string head = aResponse.substr(0, headEnd + 2);
+  const std::string body = aResponse.substr(headEnd + 4);
+  const std::string lengthName = "\r\nContent-Length: ";
+  if (head.find("\r\nTransfer-Encoding: chunked\r\n") != std::string::npos) {
+    return body == "0\r\n\r\n" || body.ends_with("\r\n0\r\n\r\n");
   }
-
-  static void OnEvent(bufferevent*, short aWhat, void* aSelf)
-  {
-    auto* self = static_cast<RawCaller*>(aSelf);
-    if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-      self->mClosed = true;
-      self->mReset = (aWhat & BEV_EVENT_ERROR) != 0;
-      self->mLoop.Stop();
-    }
+  if (const std::size_t at = head.find(lengthName); at != std::string::npos) {
+    return body.size() == std::stoul(head.substr(at + lengthName.size()));
   }
-
-  core::EventLoop& mLoop;
-  bufferevent* mChannel = nullptr;
-  std::string mReceived;
-  bool mClosed = false;
-  bool mReset = false;
-};
+  return !aReset;
+}
 
 std::string MakeHead(const std::string& aHeaders)
 {
@@ -146,13 +86,18 @@
   {
     upstream.Prepare(std::move(aReplies));
     LoopbackEntryHost host(loop, upstream.Port(), aRoute);
-    const RawCaller caller(loop, host.CallerPort(), aVersion);
+    const RawCaller caller({ .loop = loop,
+                             .port = host.CallerPort(),
+                             .request = "GET /a/b HTTP/" + aVersion + "\r\nHost: h\r\n" +
+                                        std::string(wire::kRequestId) + ": r1\r\n" +
+                                        std::string(wire::kDeadlineMs) +
+                                        ": 9000\r\nConnection: close\r\n\r\n" });
     const auto limit = loop.ScheduleAfter(10s, [&] { loop.Stop(); });
     loop.Run();
-    CHECK_TEXT(caller.IsClosed(), caller.Received().c_str());
-    return { .status = caller.Status(),
-             .looksComplete = caller.LooksComplete(),
-             .text = caller.Received() };
+    CHECK_TEXT(caller.closed, caller.received.c_str());
+    return { .status = StatusOf(caller.received),
+             .looksComplete = LooksComplete(caller.received, caller.reset),
+             .text = caller.received };
   }
 };
 
--- a/UnitTests/platform/EntryHostStreamTest.cpp
+++ b/UnitTests/platform/EntryHostStreamTest.cpp
@@ -1,16 +1,13 @@
 #include "UnitTests/connection/ScriptedUpstream.h"
 #include "UnitTests/platform/LoopbackEntryHost.h"
+#include "UnitTests/platform/RawCaller.h"
 #include "platform/Wire.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
 #include <array>
 #include <csignal>
 #include <cstdio>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
 #include <string>
 #include <vector>
 
@@ -18,65 +15,11 @@
 using namespace std::chrono_literals;
 using unit_tests::connection::ScriptedUpstream;
 using unit_tests::platform::LoopbackEntryHost;
+using unit_tests::platform::RawCaller;
 namespace wire = platform::wire;
 
 namespace {
 
-/// Caller that sends one request and keeps all bytes of the response.
-class RawCaller
-{
-public:
-  RawCaller(core::EventLoop& aLoop, std::uint16_t aPort, const std::string& aVersion)
-    : mLoop(aLoop)
-  {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    mChannel = bufferevent_socket_new(aLoop.EventBase(), -1, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(mChannel, OnRead, nullptr, OnEvent, this);
-    bufferevent_enable(mChannel, EV_READ | EV_WRITE);
-    bufferevent_socket_connect(mChannel, reinterpret_cast<const sockaddr*>(&address),
-                               sizeof(address));
-    const std::string request = "POST /a/b " + aVersion + "\r\nHost: h\r\nContent-Length: 0\r\n" +
-                                std::string(wire::kRequestId) + ": r1\r\n\r\n";
-    bufferevent_write(mChannel, request.data(), request.size());
-  }
-  RawCaller(const RawCaller&) = delete;
-  RawCaller& operator=(const RawCaller&) = delete;
-  ~RawCaller() { bufferevent_free(mChannel); }
-
-  std::string received;
-  bool closed = false; ///< The connection has ended.
-  bool reset = false;  ///< It was reset.
-
-private:
-  static void OnRead(bufferevent* aChannel, void* aSelf)
-  {
-    auto* self = static_cast<RawCaller*>(aSelf);
-    evbuffer* input = bufferevent_get_input(aChannel);
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    self->received += bytes;
-    if (self->received.ends_with("\r\n0\r\n\r\n")) {
-      self->mLoop.Stop();
-    }
-  }
-
-  static void OnEvent(bufferevent*, short aWhat, void* aSelf)
-  {
-    if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-      auto* self = static_cast<RawCaller*>(aSelf);
-      self->closed = true;
-      self->reset = (aWhat & BEV_EVENT_ERROR) != 0;
-      self->mLoop.Stop();
-    }
-  }
-
-  core::EventLoop& mLoop;
-  bufferevent* mChannel = nullptr;
-};
-
 /// The response as a caller reads it.
 struct ReceivedResponse
 {
@@ -177,7 +120,11 @@
                            std::string(R"("kind":"stream","timeout_ms":4000,"max_attempts":2,)") +
                              R"("target_latency_ms":1000,"gap_goal_ms":500,"resumable":)" +
                              (aResumable ? "true" : "false"));
-    RawCaller caller(loop, host.CallerPort(), aVersion);
+    RawCaller caller({ .loop = loop,
+                       .port = host.CallerPort(),
+                       .request = "POST /a/b " + aVersion + "\r\nHost: h\r\nContent-Length: 0\r\n" +
+                                  std::string(wire::kRequestId) + ": r1\r\n\r\n",
+                       .lastBytes = "\r\n" + kLastChunk });
     const auto limit = loop.ScheduleAfter(10s, [&] { loop.Stop(); });
     loop.Run();
     CHECK_TEXT(caller.closed || caller.received.ends_with(kLastChunk), aStream.name);
