--- a/UnitTests/platform/ControlApiTest.cpp
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -27,12 +27,16 @@
     } else if (message.has_feed() && message.feed().registry()) {
       upstreams = message.feed().upstreams_size();
     }
+    if (message.has_feed()) {
+      feed = message.feed();
+    }
     largest = std::max(largest, aMessage.payload.size());
   }
 
-  int unreadable = 0;      ///< Messages that no host can read.
-  std::size_t largest = 0; ///< Message in bytes.
-  int upstreams = 0;       ///< In the last registry sent.
+  int unreadable = 0;        ///< Messages that no host can read.
+  std::size_t largest = 0;   ///< Message in bytes.
+  int upstreams = 0;         ///< In the last registry sent.
+  cluster::proto::Feed feed; ///< The last one sent.
 };
 
 } // namespace
@@ -51,18 +55,42 @@
   {
     folder = std::filesystem::temp_directory_path() /
              ("cuminfield-control-api-" + std::to_string(::getpid()));
+    StartControlHost({ core::HostId("10.0.0.1") });
+    RunFor(1s);
+  }
+
+  /// The group has these members, of which only the first one exists.
+  void StartControlHost(const std::vector<core::HostId>& aMembers)
+  {
+    api.reset();
+    control.reset();
+    std::filesystem::remove_all(folder);
     cluster::ClusterSettings settings;
-    settings.id = core::HostId("10.0.0.1");
+    settings.id = aMembers.front();
     settings.dataCentre = core::DataCentreId("here");
-    settings.seeds = { settings.id };
+    settings.seeds = aMembers;
     settings.firstStart = true;
-    settings.voterCount = 1;
+    settings.voterCount = static_cast<std::uint32_t>(aMembers.size());
     settings.dataFolder = folder;
-    control = std::make_unique<cluster::ControlHost>(cluster::ControlHost::Options{
-      .cluster = settings, .loop = loop, .links = links, .random = random });
+    control = std::make_unique<cluster::ControlHost>(
+      cluster::ControlHost::Options{ .settings = { .warmUpDuration = 200ms },
+                                     .cluster = settings,
+                                     .loop = loop,
+                                     .links = links,
+                                     .random = random });
     CHECK(control->Start().has_value());
     api = std::make_unique<platform::ControlApi>(*control);
-    RunFor(1s);
+  }
+
+  /// Returns the feed that a host gets half a second after it has reported.
+  cluster::proto::Feed FeedOfANewFollower()
+  {
+    cluster::proto::Message message;
+    message.mutable_report()->set_life(1);
+    links.OnMessage().emit(core::HostId("10.0.0.9"), { .channel = peer::Channel::Cluster,
+                                                       .payload = message.SerializeAsString() });
+    RunFor(500ms);
+    return links.feed;
   }
 
   void teardown() override
@@ -109,6 +137,21 @@
   }
 };
 
+/// Guards against hosts that believe a control host that was never current, about the leader or
+/// about which upstreams are gone.
+TEST(ControlApi, OnlyACurrentControlHostClaimsToKnowLeaderAndUpstreams)
+{
+  cluster::proto::Feed feed = FeedOfANewFollower();
+  CHECK(feed.led());
+  CHECK(feed.complete());
+  CHECK(feed.state_age_ms() < 500);
+  StartControlHost(
+    { core::HostId("10.0.0.1"), core::HostId("10.0.0.2"), core::HostId("10.0.0.3") });
+  feed = FeedOfANewFollower();
+  CHECK_FALSE(feed.led());
+  CHECK_FALSE(feed.complete());
+}
+
 TEST(ControlApi, ReturnsHighestConfigurationUnchanged)
 {
   CHECK_EQUAL(503, Call("GET", "/v1/configuration")->status);
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -348,7 +348,8 @@
 void ControlHost::Tick()
 {
   const core::Instant now = mOptions.loop.Now();
-  if (mGroup->StateAge().value_or(now - mStartedAt) > kMaxStateAgeOfComplete) {
+  const auto stateAge = mGroup->StateAge();
+  if (!stateAge || *stateAge > kMaxStateAgeOfComplete) {
     mCurrentSince = now;
   }
   RestoreKnownUpstreams();
