An outdated state is left for a newer one though no leader is known

Callers saw, with five control hosts of which three vote: a control host was cut off from the others, a configuration was acknowledged 0.19 s later, and 0.13 s after that a second voter was cut off. Three of five control hosts stayed connected, without a quorum.

Cause: with an outdated state, all other control hosts are tried, but each is turned down as outdated, too, though it has the newer configuration. The log of entry-1, which had configuration 5, while 8 was in force on 127.139.188.3: state-outdated control_host=127.139.188.2 document=5 age_ms=1244 control-host-not-followed control_host=127.139.188.3 reason=outdated (and the other three; again every 2 s)

Now a newer state is taken also when it isn't current, as long as the own one is outdated. That is safe, since a control host shows only what was committed, and it ends, since each change needs a newer state. The host stays outdated and goes on trying.

The test failed before: "NewerStateIsTakenThoughNoLeaderIsKnown: expected <6> but was <5>".

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -350,6 +350,32 @@
   CHECK_FALSE(follower->IsOutdated());
 }
 
+/// Guards against a host that keeps an old configuration while every control host that has a newer
+/// one is without a leader.
+TEST(ClusterFollower, NewerStateIsTakenThoughNoLeaderIsKnown)
+{
+  Receive("10.0.0.1", MakeListingFeed({ "10.0.0.1", "10.1.0.1", "10.1.0.2" }));
+  follower->SetDocumentNumber(5);
+  proto::Feed older = MakeFeed(5);
+  proto::Feed newer = MakeFeed(6);
+  older.set_led(false);
+  newer.set_led(false);
+  std::set<std::string> targets;
+  for (core::Duration elapsed{ 0 }; elapsed < 3s; elapsed += 50ms) {
+    links.sent.clear();
+    timers.Advance(50ms);
+    const auto age = static_cast<std::uint64_t>(core::Milliseconds(elapsed + 50ms));
+    older.set_state_age_ms(age);
+    newer.set_state_age_ms(age);
+    targets = std::exchange(links.sent, {});
+    for (const std::string& it : targets) {
+      Receive(it, it == "10.1.0.2" ? newer : older);
+    }
+  }
+  CHECK_EQUAL(6, feeds.back().document_number());
+  CHECK(follower->IsOutdated());
+}
+
 /// Guards against a host that takes the word of a cut-off control host for who is gone, and then
 /// asks control hosts that were replaced.
 TEST(ClusterFollower, CutOffControlHostDoesNotTellWhoIsGone)
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -359,9 +359,12 @@
     // Without a current state or document, it cannot tell what is in force; another one may.
     return IsCurrent(aFeed) && aFeed.document_number() > 0;
   }
-  const bool isUpToDate = IsCurrent(aFeed) && aFeed.document_number() >= mDocumentNumber &&
-                          aFeed.state_applied() >= mStateApplied;
-  return aFrom == mFollowed || isUpToDate;
+  const bool isNoOlder =
+    aFeed.document_number() >= mDocumentNumber && aFeed.state_applied() >= mStateApplied;
+  const bool isNewer = isNoOlder && (aFeed.document_number() > mDocumentNumber ||
+                                     aFeed.state_applied() > mStateApplied);
+  // Without a leader no state is current, but each holds only what was committed.
+  return aFrom == mFollowed || (isNoOlder && IsCurrent(aFeed)) || (isNewer && IsOutdated());
 }
 
 void ClusterFollower::UpdateControlHosts(const proto::Feed& aFeed)
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -46,7 +46,8 @@
 /// Each feed tells how old the sender's state is. While feeds come, the followed control host is
 /// left only for one that has sent a current feed, so that the change leaves no time without feeds:
 /// another one is tried when the state is outdated, and a nearer one when a control host of another
-/// data centre has been followed for some time.
+/// data centre has been followed for some time. An outdated state is also left for a newer one that
+/// is not current, since there may be no leader for long.
 class ClusterFollower : public sigc::trackable
 {
 public:
