Tests: a control host's settings are set by name; a host has the document that it was sent

ControlHostsAreTriedRarelyWithoutALeader left out that a host puts the document of its first feed in force: without it every state counts as newer, and is taken. No check changes.

--- a/UnitTests/platform/ControlApiTest.cpp
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -72,8 +72,10 @@
     settings.firstStart = true;
     settings.voterCount = static_cast<std::uint32_t>(aMembers.size());
     settings.dataFolder = folder;
+    cluster::ControlHostSettings hostSettings;
+    hostSettings.warmUpDuration = 200ms;
     control = std::make_unique<cluster::ControlHost>(
-      cluster::ControlHost::Options{ .settings = { .warmUpDuration = 200ms },
+      cluster::ControlHost::Options{ .settings = hostSettings,
                                      .cluster = settings,
                                      .loop = loop,
                                      .links = links,
--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -319,6 +319,7 @@
 {
   const auto listing = MakeListingFeed({ "10.0.0.1", "10.1.0.1", "10.1.0.2" });
   Receive("10.0.0.1", listing);
+  follower->SetDocumentNumber(5);
   proto::Feed leaderless = listing;
   leaderless.set_led(false);
   int trials = 0;
