--- a/UnitTests/process/log/LogClusterTest.cpp
+++ b/UnitTests/process/log/LogClusterTest.cpp
@@ -132,6 +132,74 @@
 
 } // namespace
 
+/// Checks of every host, every 10 ms, that it holds all that any host knew to be committed as long
+/// ago as the host's StateAge() says.
+class StateAgeChecker
+{
+public:
+  StateAgeChecker(LogCluster& aCluster, std::size_t aHosts)
+    : mCluster(aCluster)
+    , mHosts(aHosts)
+  {
+  }
+
+  void Run(core::Duration aDuration)
+  {
+    for (core::Duration elapsed{ 0 }; elapsed < aDuration; elapsed += kStep) {
+      mCluster.Run(kStep);
+      mTime += kStep;
+      std::uint64_t highest = mCommitted.empty() ? 0 : mCommitted.back();
+      for (std::size_t n = 0; n < mHosts; ++n) {
+        if (mCluster.IsUp(n)) {
+          highest = std::max(highest, mCluster.Group(n).CommitIndex().Value());
+        }
+      }
+      mCommitted.push_back(highest);
+      for (std::size_t n = 0; n < mHosts; ++n) {
+        CheckHost(n);
+      }
+    }
+  }
+
+  /// Proposes a command every 50 ms.
+  void RunWithCommands(core::Duration aDuration)
+  {
+    for (core::Duration elapsed{ 0 }; elapsed < aDuration; elapsed += 50ms) {
+      if (mCluster.LeaderHost() < mHosts) {
+        mCluster.Propose(mCluster.LeaderHost());
+      }
+      Run(50ms);
+    }
+  }
+
+  std::size_t Checks() const { return mChecks; }
+  std::size_t Untrue() const { return mUntrue; }
+
+private:
+  static constexpr core::Duration kStep = 10ms;
+  /// The time that a message was under way is not part of the age.
+  static constexpr core::Duration kMaxDelay = 300ms;
+
+  void CheckHost(std::size_t aHost)
+  {
+    const auto age =
+      mCluster.IsUp(aHost) ? mCluster.Group(aHost).StateAge() : std::optional<core::Duration>();
+    if (!age || *age + kMaxDelay + 2 * kStep >= mTime) {
+      return;
+    }
+    ++mChecks;
+    const auto asOf = static_cast<std::size_t>((mTime - *age - kMaxDelay - 2 * kStep) / kStep);
+    mUntrue += mCluster.Group(aHost).CommitIndex().Value() < mCommitted[asOf] ? 1 : 0;
+  }
+
+  LogCluster& mCluster;
+  std::size_t mHosts;
+  core::Duration mTime{ 0 };
+  std::vector<std::uint64_t> mCommitted; ///< Highest index that any host knew, by step.
+  std::size_t mChecks = 0;
+  std::size_t mUntrue = 0;
+};
+
 TEST_GROUP(LogCluster){};
 
 TEST(LogCluster, SingleVoterWorks)
@@ -177,6 +245,58 @@
   }
 }
 
+/// Guards against a host that takes its state for current on the word of a leader that does not
+/// know all that was committed: a new one, or one that was replaced.
+TEST(LogCluster, StateAgesAreTrueAfterARestartOfAllHosts)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    LogCluster cluster({ .hosts = 3, .seed = seed, .delayProbability = seed % 2 == 0 ? 0.1 : 0 });
+    FoundAndElect(cluster, 3);
+    StateAgeChecker checker(cluster, 3);
+    for (int round = 0; round < 4; ++round) {
+      checker.RunWithCommands(500ms);
+      for (std::size_t n = 0; n < 3; ++n) {
+        cluster.Kill(n);
+      }
+      checker.Run(200ms);
+      for (std::size_t n = 0; n < 3; ++n) {
+        cluster.StartHost(n);
+      }
+      checker.Run(3s);
+    }
+    CHECK(checker.Checks() > 0);
+    CHECK_EQUAL(0, checker.Untrue());
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
+
+TEST(LogCluster, StateAgesAreTrueWhileALearnerHearsAReplacedLeader)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    LogCluster cluster({ .hosts = 4, .seedHosts = 3, .openGroupVoters = 3, .seed = seed });
+    for (std::size_t n = 0; n < 4; ++n) {
+      cluster.StartHost(n);
+    }
+    StateAgeChecker checker(cluster, 4);
+    checker.Run(5s);
+    for (int round = 0; round < 4; ++round) {
+      checker.RunWithCommands(500ms);
+      const std::size_t leader = cluster.LeaderHost();
+      for (std::size_t n = 0; n < 3 && leader < 3; ++n) {
+        cluster.SetLinkBlocked(leader, n, n != leader);
+        cluster.SetLinkBlocked(n, leader, n != leader);
+      }
+      checker.Run(2s);
+      checker.RunWithCommands(500ms);
+      cluster.Heal();
+      checker.Run(3s);
+    }
+    CHECK(checker.Checks() > 0);
+    CHECK_EQUAL(0, checker.Untrue());
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
+
 TEST(LogCluster, RandomRunsWithStalls)
 {
   constexpr double kStallProbability = 0.05;
