--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -91,7 +91,7 @@
   }
   known.lastSeenAt = aNow;
   Follower& follower = mFollowers[aHost];
-  if (std::exchange(follower.isTrial, false)) {
+  if (follower.isTrial) {
     follower = Follower{};
     follower.report.set_life(aReport.life());
   }
