--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -68,6 +68,9 @@
   for (std::size_t i = 0; i < mSettings.hosts; ++i) {
     mIds.emplace_back("h" + std::to_string(i));
   }
+  const bool open = mSettings.openGroupVoters > 0;
+  const std::size_t seeds = open ? mSettings.seedHosts : mSettings.hosts;
+  mSeedIds.assign(mIds.begin(), mIds.begin() + static_cast<std::ptrdiff_t>(seeds));
   mRemote = std::make_unique<process::log::RemoteGroup>(
     process::log::RemoteGroupOptions{ .group = core::GroupId("g"),
                                       .self = core::HostId("remote"),
@@ -112,13 +115,10 @@
   settings.log.snapshotChunkBytes = 300;
   settings.log.openGroupVoters = mSettings.openGroupVoters;
   const bool open = mSettings.openGroupVoters > 0;
-  const auto seedsEnd =
-    open ? mIds.begin() + static_cast<std::ptrdiff_t>(mSettings.seedHosts) : mIds.end();
-  const std::vector<core::HostId> seedIds(mIds.begin(), seedsEnd);
   host.group = std::make_unique<process::log::LogGroup>(
     process::log::LogGroupOptions{ .group = core::GroupId("g"),
                                    .self = mIds[aHost],
-                                   .voters = seedIds,
+                                   .voters = mSeedIds,
                                    .mayFoundGroup = !open || aHost < mSettings.seedHosts,
                                    .peers = *host.links,
                                    .timers = *host.timers,
@@ -137,6 +137,14 @@
   host.failed = host.failed || started.has_error();
 }
 
+void LogCluster::SetSeeds(const std::vector<std::size_t>& aSeeds)
+{
+  mSeedIds.clear();
+  for (const std::size_t host : aSeeds) {
+    mSeedIds.push_back(mIds[host]);
+  }
+}
+
 void LogCluster::Kill(std::size_t aHost)
 {
   mHosts[aHost].unread.clear();
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -79,7 +79,7 @@
 struct ClusterSettings
 {
   std::size_t hosts = 3;             ///< Number of hosts; in a closed group all of them vote.
-  std::size_t seedHosts = 0;         ///< Hosts that found an open group; known to all its hosts.
+  std::size_t seedHosts = 0;         ///< Hosts that found an open group; its first seeds.
   std::uint32_t openGroupVoters = 0; ///< Target number of voters of an open group; 0: closed.
   std::uint64_t seed = 1;
   double lossProbability = 0.0;
@@ -107,6 +107,9 @@
 
   void StartHost(std::size_t aHost);
 
+  /// Sets the hosts that the settings of an open group name from now on, at each start of a host.
+  void SetSeeds(const std::vector<std::size_t>& aSeeds);
+
   /// Ends a host as a power failure does.
   void Kill(std::size_t aHost);
   void LoseDisk(std::size_t aHost);
@@ -196,6 +199,7 @@
   core::Random mRandom;
   core::Instant mNow;
   std::vector<core::HostId> mIds;
+  std::vector<core::HostId> mSeedIds;
   std::vector<Host> mHosts;
   test_framework::time::ManualTimerService mRemoteTimers;
   ClusterLinks mRemoteLinks;
--- a/UnitTests/process/log/OpenGroupTest.cpp
+++ b/UnitTests/process/log/OpenGroupTest.cpp
@@ -2,6 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
 using namespace std::chrono_literals;
 using namespace cuminfield;
 using unit_tests::log::LogCluster;
@@ -21,6 +26,102 @@
          aCluster.Group(leader).Voters().Contains(aCluster.Group(aHost).Self());
 }
 
+void StartHosts(LogCluster& aCluster, std::size_t aCount)
+{
+  for (std::size_t n = 0; n < aCount; ++n) {
+    aCluster.StartHost(n);
+  }
+}
+
+/// Restarts leaders until one of the given hosts leads.
+void MoveLeader(LogCluster& aCluster, const std::function<bool(std::size_t)>& aMayLead)
+{
+  constexpr int kMaxRestarts = 50;
+  for (int n = 0; n < kMaxRestarts && !aMayLead(aCluster.LeaderHost()); ++n) {
+    const std::size_t former = aCluster.LeaderHost();
+    aCluster.Kill(former);
+    CHECK(aCluster.RunUntil(10s, [&] { return aCluster.LeaderHost() < aCluster.RemoteHost(); }));
+    aCluster.StartHost(former);
+    aCluster.Run(2s);
+  }
+  CHECK(aMayLead(aCluster.LeaderHost()));
+}
+
+/// Kills a host for good and starts an empty one in its place, which votes in the end.
+void ReplaceHost(LogCluster& aCluster, std::size_t aFormer, std::size_t aNext)
+{
+  aCluster.Kill(aFormer);
+  aCluster.StartHost(aNext);
+  CHECK(aCluster.RunUntil(15s, [&] { return IsVoter(aCluster, aNext); }));
+}
+
+bool IsAcknowledgedFrom(LogCluster& aCluster, std::size_t aHost)
+{
+  const std::size_t before = aCluster.AcknowledgedCount();
+  aCluster.Propose(aHost);
+  return aCluster.RunUntil(2s, [&] { return aCluster.AcknowledgedCount() > before; });
+}
+
+/// Six hosts with five voters, as many as bear the loss of two. Hosts are replaced in turn, leaders
+/// are killed, and at the end two disks are lost and all hosts stop at once. Returns the first host
+/// that acknowledges nothing 15 s later, or the number of hosts when there is none.
+std::size_t FindHostOutsideTheGroupAfterReplacements(std::uint64_t aSeed)
+{
+  constexpr std::size_t kSeeds = 3;
+  constexpr std::size_t kRunning = 6;
+  constexpr std::size_t kReplacements = 4;
+  LogCluster cluster({ .hosts = kRunning + kReplacements,
+                       .seedHosts = kSeeds,
+                       .openGroupVoters = 5,
+                       .seed = aSeed });
+  core::Random& random = cluster.Randomness();
+  std::vector<std::size_t> running;
+  for (std::size_t n = 0; n < kRunning; ++n) {
+    running.push_back(n);
+    cluster.StartHost(n);
+  }
+  cluster.RunUntil(20s, [&] { return CountVoters(cluster) == 5; });
+  for (std::size_t n = kRunning; n < kRunning + kReplacements; ++n) {
+    const std::size_t leader = cluster.LeaderHost();
+    if (leader < cluster.RemoteHost() && random.Chance(0.7)) {
+      cluster.Kill(leader);
+      cluster.Run(2500ms);
+      cluster.StartHost(leader);
+      cluster.Run(6s);
+    }
+    const std::size_t replaced = random.UniformBelow(running.size());
+    cluster.Kill(running[replaced]);
+    running.erase(running.begin() + static_cast<std::ptrdiff_t>(replaced));
+    running.push_back(n);
+    // The settings name the first of the hosts that are there when a host starts.
+    cluster.SetSeeds({ running[0], running[1], running[2] });
+    cluster.Run(1s);
+    cluster.StartHost(n);
+    // A replaced host counts as lost until its successor has run for 6 s.
+    cluster.Run(6s);
+    cluster.Propose(n);
+  }
+  const std::size_t lost = random.UniformBelow(kRunning);
+  const std::size_t alsoLost = (lost + 1 + random.UniformBelow(kRunning - 1)) % kRunning;
+  for (std::size_t n = 0; n < kRunning; ++n) {
+    if (n == lost || n == alsoLost) {
+      cluster.LoseDisk(running[n]);
+    } else {
+      cluster.Kill(running[n]);
+    }
+  }
+  cluster.Run(1s);
+  for (const std::size_t host : running) {
+    cluster.StartHost(host);
+  }
+  cluster.Run(13s);
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+  const auto outside = std::find_if(running.begin(), running.end(), [&](std::size_t aHost) {
+    return !IsAcknowledgedFrom(cluster, aHost);
+  });
+  return outside == running.end() ? cluster.RemoteHost() : *outside;
+}
+
 } // namespace
 
 TEST_GROUP(OpenGroup){};
@@ -111,3 +212,62 @@
   cluster.Run(3s);
   CHECK(IsVoter(cluster, 2));
 }
+
+/// Guards against a host that joins only while one of its seeds leads.
+TEST(OpenGroup, BlankHostJoinsWhileNoSeedLeads)
+{
+  LogCluster cluster({ .hosts = 6, .seedHosts = 3, .openGroupVoters = 5, .seed = 16 });
+  StartHosts(cluster, 5);
+  CHECK(cluster.RunUntil(20s, [&] { return CountVoters(cluster) == 5; }));
+  MoveLeader(cluster, [](std::size_t aHost) { return aHost == 3 || aHost == 4; });
+  ReplaceHost(cluster, cluster.LeaderHost() == 3 ? 4 : 3, 5);
+  CHECK_EQUAL(5, CountVoters(cluster));
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+/// Guards against a voter that, without its disk, knows nobody who is left.
+TEST(OpenGroup, WipedVoterJoinsAlthoughAllItsSeedsAreGone)
+{
+  LogCluster cluster({ .hosts = 8, .seedHosts = 3, .openGroupVoters = 5, .seed = 17 });
+  StartHosts(cluster, 5);
+  CHECK(cluster.RunUntil(20s, [&] { return CountVoters(cluster) == 5; }));
+  cluster.SetSeeds({ 3, 4, 5 });
+  for (std::size_t n = 0; n < 3; ++n) {
+    ReplaceHost(cluster, n, 5 + n);
+  }
+  MoveLeader(cluster, [](std::size_t aHost) { return aHost != 3; });
+  cluster.SetSeeds({ 0, 1, 2 });
+  cluster.LoseDisk(3);
+  cluster.StartHost(3);
+  CHECK(cluster.RunUntil(10s, [&] { return IsVoter(cluster, 3); }));
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+/// Guards against a voter that was replaced while it was cut off, and asks its former fellow voters
+/// for votes ever after.
+TEST(OpenGroup, FormerVoterJoinsAgainWhileAHostThatItDoesNotKnowLeads)
+{
+  LogCluster cluster({ .hosts = 6, .seedHosts = 3, .openGroupVoters = 3, .seed = 18 });
+  StartHosts(cluster, 3);
+  CHECK(cluster.RunUntil(20s, [&] { return CountVoters(cluster) == 3; }));
+  MoveLeader(cluster, [](std::size_t aHost) { return aHost != 0; });
+  cluster.SetIsolated(0, true);
+  cluster.StartHost(3);
+  CHECK(cluster.RunUntil(15s, [&] { return IsVoter(cluster, 3); }));
+  ReplaceHost(cluster, 1, 4);
+  MoveLeader(cluster, [](std::size_t aHost) { return aHost == 3 || aHost == 4; });
+  cluster.Heal();
+  cluster.Run(3s);
+  CHECK_FALSE(cluster.Group(0).Leader().IsEmpty());
+  CHECK(IsAcknowledgedFrom(cluster, 0));
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+/// Guards against a group that is lost because hosts never joined it.
+TEST(OpenGroup, EveryHostAcknowledgesAfterReplacementsAndTheLossOfTwoDisks)
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    const std::string text = "seed " + std::to_string(seed);
+    CHECK_EQUAL_TEXT(10, FindHostOutsideTheGroupAfterReplacements(seed), text.c_str());
+  }
+}
--- a/UnitTests/process/log/RemoteGroupTest.cpp
+++ b/UnitTests/process/log/RemoteGroupTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Links to a group in which only `leader` replies to probes.
+/// Links to a group in which only `leader`, and a follower that names it, reply to probes.
 class FakeLinks : public peer::PeerLinks
 {
 public:
@@ -18,17 +18,24 @@
     log::proto::GroupMessage message;
     CHECK(message.ParseFromString(aMessage.payload));
     probeCount += message.has_probe() ? 1 : 0;
-    if (aTo != leader) {
+    if (aTo != leader && aTo != namedBy) {
       return;
     }
     log::proto::GroupMessage reply;
     reply.set_group(message.group());
+    if (message.has_request()) {
+      reply.mutable_reply()->set_id(message.request().id());
+      mOnMessage.emit(aTo,
+                      { .channel = peer::Channel::Group, .payload = reply.SerializeAsString() });
+      return;
+    }
     reply.mutable_notice()->set_leader(leader.Text());
     reply.mutable_notice()->set_term(term);
     mOnMessage.emit(aTo, { .channel = peer::Channel::Group, .payload = reply.SerializeAsString() });
   }
 
   core::HostId leader{ "v2" };
+  core::HostId namedBy; ///< A follower that replies with the leader's name; empty: none.
   std::uint64_t term = 1;
   int probeCount = 0;
 };
@@ -61,3 +68,16 @@
   timers.Advance(std::chrono::seconds(3));
   STRCMP_EQUAL("v1", group.Leader().Text().c_str());
 }
+
+/// Guards against a host that has heard who leads and never asks it, since its settings do not name
+/// the leader.
+TEST(RemoteGroup, LeaderThatOnlyAFollowerNamesIsAsked)
+{
+  links.leader = core::HostId("v3");
+  links.namedBy = core::HostId("v1");
+  bool isDone = false;
+  group.Query("q", std::chrono::seconds(2),
+              [&](const core::Result<std::string>& aReply) { isDone = aReply.has_value(); });
+  timers.Advance(std::chrono::seconds(1));
+  CHECK(isDone);
+}
