--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -131,6 +131,21 @@
   return mLog ? mLog->MemberLags(mOptions.timers.Now()) : std::vector<MemberLag>();
 }
 
+core::LogIndex LogGroup::VotersIndex() const
+{
+  return mLog ? mLog->VotersIndex() : core::LogIndex();
+}
+
+std::optional<GroupHealth> LogGroup::Health() const
+{
+  return mLog && !mFailed ? mLog->Health() : std::nullopt;
+}
+
+std::vector<LeaderSearch::Host> LogGroup::SearchedHosts() const
+{
+  return mLog ? mLog->Search().Hosts(mOptions.timers.Now()) : std::vector<LeaderSearch::Host>();
+}
+
 std::optional<core::Instant> LogGroup::LeaderSince() const
 {
   return mLog && !mFailed ? mLog->LeaderSince() : std::nullopt;
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -100,6 +100,18 @@
   /// The state of the other members; empty unless this member leads.
   std::vector<MemberLag> MemberLags() const;
 
+  /// Where in the log that configuration stands.
+  core::LogIndex VotersIndex() const;
+
+  /// The state of the group's voters; nothing unless this member leads.
+  std::optional<GroupHealth> Health() const;
+
+  /// Whom this member has asked for the group, and what it received from other hosts.
+  std::vector<LeaderSearch::Host> SearchedHosts() const;
+
+  /// True while the disk is full, see OnDiskFull().
+  bool IsDiskFull() const { return mDiskFull; }
+
   /// When this member became leader; nothing unless it leads.
   std::optional<core::Instant> LeaderSince() const;
 
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -90,6 +90,9 @@
 {
   mNow = aNow;
   const Member from{ .host = aFrom, .incarnation = core::Incarnation(aMessage.from_incarnation()) };
+  // Any message other than an announcement is sent by members only.
+  mLeaderSearch.RecordHeard(
+    aFrom, !aMessage.has_announcement() || aMessage.announcement().belongs(), mNow);
   if (aMessage.has_announcement()) {
     HandleAnnouncement(from, aMessage.announcement());
     return;
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -6,6 +6,8 @@
 #include "cuminfield/process/log/Configuration.h"
 #include "cuminfield/process/log/EntryLog.h"
 #include "cuminfield/process/log/Founding.h"
+#include "cuminfield/process/log/GroupHealth.h"
+#include "cuminfield/process/log/LeaderSearch.h"
 #include "cuminfield/process/log/LogStorage.h"
 #include "cuminfield/process/log/Progress.h"
 #include "cuminfield/process/log/ReplicatedLogSettings.h"
@@ -160,6 +162,9 @@
   /// The voters of the latest configuration in the log.
   const Configuration& Voters() const { return mLog.LatestConfiguration(); }
 
+  /// Where in the log that configuration stands.
+  core::LogIndex VotersIndex() const { return core::LogIndex(mLog.LatestConfigurationIndex()); }
+
   /// True when this leader has committed an entry of its own term, so that its commit index covers
   /// everything ever acknowledged.
   bool HasCommittedInTerm() const;
@@ -177,6 +182,12 @@
   /// The state of the other members; empty unless leading.
   std::vector<MemberLag> MemberLags(core::Instant aNow) const;
 
+  /// The state of the group's voters as of the last call; nothing unless leading.
+  std::optional<GroupHealth> Health() const;
+
+  /// Whom this member has asked for the group, and what it received from other hosts.
+  const LeaderSearch& Search() const { return mLeaderSearch; }
+
 private:
   struct HeldMessage
   {
@@ -307,6 +318,7 @@
   std::uint64_t mDeliveredIndex = 0;
   std::shared_ptr<const proto::Snapshot> mSnapshotToRestore;
   std::optional<IncomingSnapshot> mIncomingSnapshot;
+  LeaderSearch mLeaderSearch;
   core::Instant mLeaderLastReceivedAt;
   std::optional<core::Instant> mFollowedAsOf; ///< CurrentAsOf() as a follower or learner.
   core::Instant mElectionDue;
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -29,6 +29,7 @@
     return;
   }
   mAnnounceDue = mNow + mSettings.announceInterval;
+  mLeaderSearch.RecordAsked(AnnouncementTargets(), mNow);
   TryFoundGroup();
   for (const core::HostId& host : AnnouncementTargets()) {
     SendAnnouncement(host);
@@ -211,4 +212,24 @@
          IsEligibleVoter(aMember.host) && WasActiveWithin(aMember, mSettings.electionTimeoutMin);
 }
 
+std::optional<GroupHealth> ReplicatedLog::Health() const
+{
+  if (mRole != Role::Leader) {
+    return std::nullopt;
+  }
+  GroupHealth::Options options{ .voters = Voters(),
+                                .silence = { { mSelf, core::Duration::zero() } },
+                                .silentAfter = mSettings.electionTimeoutMax,
+                                .targetVoters = mSettings.openGroupVoters > 0
+                                                  ? mSettings.openGroupVoters
+                                                  : mConfiguredHosts.size() };
+  for (const auto& [member, progress] : mProgress) {
+    options.silence.emplace(member, mNow - progress.lastReceivedAt);
+    if (IsReadyToVote(member, progress)) {
+      options.readyHosts.push_back(member.host);
+    }
+  }
+  return GroupHealth(std::move(options));
+}
+
 } // namespace cuminfield::process::log
