One path and one format of gauges for all metrics

The path of the metrics stood in two files, and an age was formatted by hand; a control host's metrics would have been the third copy. GaugeText writes the lines, in the names and the order that an entry host had before.

--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminfield/process/cluster/CrashMessages.h"
 #include "cuminfield/process/logging/EventLog.h"
+#include "cuminfield/process/metrics/GaugeText.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,11 +25,6 @@
   return static_cast<std::uint64_t>(aLoop.WallNow().time_since_epoch().count());
 }
 
-std::string FormatAge(std::optional<core::Duration> aAge)
-{
-  return aAge ? std::to_string(static_cast<std::int64_t>(core::Milliseconds(*aAge))) : "-1";
-}
-
 request::UpstreamAnnouncement ToAnnouncement(const proto::Upstream& aUpstream)
 {
   return { .id = core::UpstreamId(aUpstream.id()),
@@ -367,17 +363,16 @@
 
 std::string EntryHost::Metrics()
 {
-  std::string text = mMonitor.FormatMetrics();
-  text += "cuminfield_requests_in_flight " + std::to_string(mForwards.Size()) + "\n";
-  text += "cuminfield_requests_waiting " + std::to_string(mScheduler.QueueSize()) + "\n";
+  metrics::GaugeText gauges;
+  gauges.Add("requests_in_flight", mForwards.Size());
+  gauges.Add("requests_waiting", mScheduler.QueueSize());
   // Negative before the first feed.
-  text += "cuminfield_feed_age_ms " + FormatAge(mFollower.FeedAge()) + "\n";
-  text += "cuminfield_state_age_ms " + FormatAge(mFollower.StateAge()) + "\n";
-  text += "cuminfield_upstreams_known " + std::to_string(mKnownUpstreams.size()) + "\n";
-  text += "cuminfield_prompt_parts_quarantined " +
-          std::to_string(mScheduler.Quarantine().QuarantinedCount()) + "\n";
-  text += "cuminfield_log_lines_dropped " + std::to_string(logging::DroppedLineCount()) + "\n";
-  return text;
+  gauges.AddAge("feed_age_ms", mFollower.FeedAge());
+  gauges.AddAge("state_age_ms", mFollower.StateAge());
+  gauges.Add("upstreams_known", mKnownUpstreams.size());
+  gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
+  gauges.Add("log_lines_dropped", logging::DroppedLineCount());
+  return mMonitor.FormatMetrics() + gauges.Text();
 }
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/control/ControlHandler.cpp
+++ b/cuminfield/process/control/ControlHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminfield/connection/Query.h"
 #include "cuminfield/process/control/UpstreamMessages.h"
+#include "cuminfield/process/metrics/MetricsPath.h"
 
 #include <nlohmann/json.hpp>
 
@@ -83,7 +84,7 @@
     SendJson(aRequest, *aChannel, connection::kStatusOk, mOptions.getShowReport());
     return;
   }
-  if (aRequest.path == "/metrics") {
+  if (aRequest.path == metrics::kMetricsPath) {
     aChannel->SendResponse(connection::kStatusOk,
                            MakeResponseHeaders(aRequest, "text/plain; version=0.0.4"),
                            mOptions.getMetrics());
