A control host logs lost voters, tolerated losses and its search for a leader

No line told a host that reaches nobody from one that reaches members and is not taken in.

GroupHealthLog turns what the log knows into lines: voters-changed on every control host; voter-silent, voter-heard and losses-tolerated on the leader; leader-sought once a second without a leader. A state has to last for two seconds before it is logged, so an election or a late reply is not; what lasts is repeated once a minute. OPERATIONS.md leads from each line to what to do.

The check that OPERATIONS.md names every event now also sees events that are written through an injected writer.

--- a/UnitTests/docs/PagesTest.cpp
+++ b/UnitTests/docs/PagesTest.cpp
@@ -87,8 +87,10 @@
 
 TEST(Pages, OperationsNamesEveryLogEvent)
 {
-  const auto events = FindInSources(R"(logging::Event\(\s*logging::Level::\w+,\s*"([a-z-]+)\")");
+  const auto events = FindInSources(
+    R"((?:logging::Event|mWrite)\((?:\s*logging::Level::\w+|[^",]*),\s*"([a-z-]+)\")");
   CHECK(events.size() > 5);
+  CHECK(events.contains("losses-tolerated"));
   CheckPageContains(events, "docs/OPERATIONS.md");
 }
 
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -106,6 +106,7 @@
   , mFollowers(MakeFollowerTableSettings(mOptions))
   , mMoveCoordinator(mOptions.settings.moves)
   , mControlRequests(mOptions.settings.controlRequests)
+  , mGroupHealthLog(mOptions.settings.groupHealth)
   , mPacer(mOptions.settings.rounds)
   , mStalls(mOptions.settings.tickInterval * kTicksUntilStall)
 {
@@ -773,6 +774,7 @@
 void ControlHost::LogChanges()
 {
   LogQuarantine();
+  mGroupHealthLog.Update(ViewGroup(*mGroup), mOptions.loop.Now());
   if (mGroup->Leader() != mLoggedLeader) {
     mLoggedLeader = mGroup->Leader();
     logging::Event(logging::Level::Info, mLoggedLeader.IsEmpty() ? "leader-lost" : "leader-known",
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -9,6 +9,7 @@
 #include "cuminfield/process/cluster/ControlRequestTracker.h"
 #include "cuminfield/process/cluster/CrashEvidenceCollector.h"
 #include "cuminfield/process/cluster/FollowerTable.h"
+#include "cuminfield/process/cluster/GroupHealthLog.h"
 #include "cuminfield/process/cluster/MoveCoordinator.h"
 #include "cuminfield/process/cluster/RoundPacer.h"
 #include "cuminfield/process/cluster/UpstreamRegistry.h"
@@ -42,6 +43,7 @@
   FollowerTableSettings followers;
   MoveCoordinatorSettings moves;
   ControlRequestTrackerSettings controlRequests;
+  GroupHealthLogSettings groupHealth;
 };
 
 /// A control host replicates the cluster's state with the other control hosts, receives the
@@ -143,6 +145,7 @@
   MoveCoordinator mMoveCoordinator;
   ControlRequestTracker mControlRequests;
   CrashEvidenceCollector mCrashEvidence;
+  GroupHealthLog mGroupHealthLog;
   std::map<std::string, proto::Upstream> mReceivedHeartbeats; ///< Since the last exchange.
   std::map<std::uint64_t, core::Instant> mMoveStartedAt;      ///< Local time, by move number.
   std::map<std::string, core::Instant> mUnversionedSince;     ///< By service without a version.
