A control host serves metrics on its control address

The losses that a group tolerates were in no metric, and a control host had no metrics at all. GET /metrics collides with no call of the platform. The figures of the voters are on the leader only; those of the search for a leader only without one.

Tests: ControlApi.ServesMetrics; GroupHealthLog compares the metrics of a host that does not join with those of one that is cut off; Pages checks that OPERATIONS.md names every gauge.

--- a/UnitTests/docs/PagesTest.cpp
+++ b/UnitTests/docs/PagesTest.cpp
@@ -94,6 +94,17 @@
   CheckPageContains(events, "docs/OPERATIONS.md");
 }
 
+TEST(Pages, OperationsNamesEveryGauge)
+{
+  const auto gauges = FindInSources(R"re([gG]auges\.Add(?:Age)?\(\s*"([a-z_]+)")re");
+  CHECK(gauges.size() > 10);
+  std::set<std::string> names;
+  for (const std::string& it : gauges) {
+    names.insert("cuminfield_" + it);
+  }
+  CheckPageContains(names, "docs/OPERATIONS.md");
+}
+
 TEST(Pages, ProofNamesEveryInvariant)
 {
   const auto invariants = FindInSources(R"re(CUMINFIELD_INVARIANT\(\s*"([a-z.-]+)")re");
--- a/UnitTests/platform/ControlApiTest.cpp
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -154,6 +154,30 @@
   CHECK_FALSE(feed.complete());
 }
 
+/// A control host had no metrics at all.
+TEST(ControlApi, ServesMetrics)
+{
+  CHECK_EQUAL(200, Call("PUT", "/v1/instances/i-1", Heartbeat("ready"))->status);
+  std::string body = Call("GET", "/metrics")->body;
+  for (const char* it :
+       { "cuminfield_group_has_leader 1\n", "cuminfield_group_voters 1\n",
+         "cuminfield_group_voters_silent 0\n", "cuminfield_group_learners_ready 0\n",
+         "cuminfield_group_losses_tolerated 0\n", "cuminfield_disk_full 0\n",
+         "cuminfield_followers 0\n", "cuminfield_upstreams_known 1\n" }) {
+    STRCMP_CONTAINS(it, body.c_str());
+  }
+  StartControlHost(
+    { core::HostId("10.0.0.1"), core::HostId("10.0.0.2"), core::HostId("10.0.0.3") });
+  RunFor(500ms);
+  body = Call("GET", "/metrics")->body;
+  STRCMP_CONTAINS("cuminfield_group_has_leader 0\n", body.c_str());
+  STRCMP_CONTAINS("cuminfield_group_hosts_asked 2\n", body.c_str());
+  STRCMP_CONTAINS("cuminfield_group_hosts_answering 0\n", body.c_str());
+  STRCMP_CONTAINS("cuminfield_state_age_ms -1\n", body.c_str());
+  CHECK(body.find("losses_tolerated") == std::string::npos);
+  CHECK_EQUAL(404, Call("POST", "/metrics")->status);
+}
+
 TEST(ControlApi, ReturnsHighestConfigurationUnchanged)
 {
   CHECK_EQUAL(503, Call("GET", "/v1/configuration")->status);
--- a/UnitTests/process/cluster/GroupHealthLogTest.cpp
+++ b/UnitTests/process/cluster/GroupHealthLogTest.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/cluster/GroupHealthLog.h"
 #include "UnitTests/process/log/LogCluster.h"
+#include "cuminfield/process/cluster/GroupMetrics.h"
 
 #include <algorithm>
 #include <iterator>
@@ -20,6 +21,13 @@
 
 constexpr core::Duration kStep = 50ms;
 
+std::string MetricsOf(const GroupView& aView)
+{
+  process::metrics::GaugeText gauges;
+  AddGroupMetrics(aView, gauges);
+  return gauges.Text();
+}
+
 } // namespace
 
 TEST_GROUP(GroupHealthLog)
@@ -189,9 +197,16 @@
   RunCluster(cluster, leader, 10s);
   STRCMP_CONTAINS("spare_ready=0", Last("voter-silent host=" + lostId).c_str());
   STRCMP_CONTAINS("warning event=losses-tolerated tolerated=0", Last("losses-tolerated").c_str());
+  STRCMP_CONTAINS("cuminfield_group_voters_silent 1\n",
+                  MetricsOf(ViewGroup(cluster.Group(leader))).c_str());
   cluster.StartHost(3);
   RunCluster(cluster, leader, 15s);
   STRCMP_CONTAINS("voters-changed", Last("left=" + lostId).c_str());
+  const std::string metrics = MetricsOf(ViewGroup(cluster.Group(leader)));
+  STRCMP_CONTAINS("cuminfield_group_voters 3\n", metrics.c_str());
+  STRCMP_CONTAINS("cuminfield_group_voters_silent 0\n", metrics.c_str());
+  STRCMP_CONTAINS("cuminfield_group_losses_tolerated 1\n", metrics.c_str());
+  STRCMP_CONTAINS("cuminfield_group_losses_wanted 1\n", metrics.c_str());
   STRCMP_CONTAINS("event=losses-tolerated tolerated=1", Last("losses-tolerated").c_str());
   CHECK_EQUAL(0, Last("losses-tolerated").find("event"));
   STRCMP_EQUAL("", cluster.Violation().c_str());
@@ -211,12 +226,20 @@
   CHECK_EQUAL(4, Find("warning event=leader-sought").size());
   STRCMP_CONTAINS("since_ms=4000 asked=3 answering=0 belonging=0", Last("leader-sought").c_str());
   STRCMP_CONTAINS(":none", Last("leader-sought").c_str());
+  std::string metrics = MetricsOf(ViewGroup(cluster.Group(3)));
+  STRCMP_CONTAINS("cuminfield_group_has_leader 0\n", metrics.c_str());
+  STRCMP_CONTAINS("cuminfield_group_hosts_asked 3\n", metrics.c_str());
+  STRCMP_CONTAINS("cuminfield_group_hosts_answering 0\n", metrics.c_str());
+  CHECK(metrics.find("losses_tolerated") == std::string::npos);
 
   cluster.Heal();
   cluster.SetLinkBlocked(cluster.LeaderHost(), 3, true);
   RunCluster(cluster, 3, 5s);
   STRCMP_CONTAINS("asked=3 answering=2 belonging=2", Last("leader-sought").c_str());
   STRCMP_CONTAINS(":belongs/", Last("leader-sought").c_str());
+  metrics = MetricsOf(ViewGroup(cluster.Group(3)));
+  STRCMP_CONTAINS("cuminfield_group_hosts_answering 2\n", metrics.c_str());
+  STRCMP_CONTAINS("cuminfield_group_hosts_belonging 2\n", metrics.c_str());
 
   CHECK_EQUAL(0, Find("voters-changed").size());
   cluster.Heal();
@@ -225,5 +248,8 @@
   lines.clear();
   RunCluster(cluster, 3, 5s);
   CHECK(lines.empty());
+  metrics = MetricsOf(ViewGroup(cluster.Group(3)));
+  STRCMP_CONTAINS("cuminfield_group_has_leader 1\n", metrics.c_str());
+  CHECK(metrics.find("hosts_asked") == std::string::npos);
   STRCMP_EQUAL("", cluster.Violation().c_str());
 }
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/cluster/ControlHost.h"
 
+#include "cuminfield/process/cluster/GroupMetrics.h"
 #include "cuminfield/process/cluster/MovePhase.h"
 #include "cuminfield/process/log/FileLogStorage.h"
 #include "cuminfield/process/log/PosixDisk.h"
@@ -771,6 +772,18 @@
                    { "quarantined", groups } });
 }
 
+std::string ControlHost::Metrics()
+{
+  metrics::GaugeText gauges;
+  AddGroupMetrics(ViewGroup(*mGroup), gauges);
+  gauges.AddAge("state_age_ms", mGroup->StateAge());
+  gauges.Add("disk_full", mGroup->IsDiskFull() ? 1 : 0);
+  gauges.Add("followers", FollowerCount());
+  gauges.Add("upstreams_known", UpstreamCount());
+  gauges.Add("log_lines_dropped", logging::DroppedLineCount());
+  return gauges.Text();
+}
+
 void ControlHost::LogChanges()
 {
   LogQuarantine();
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -100,6 +100,9 @@
   std::size_t FollowerCount() { return mFollowers.Followers().size(); }
   std::size_t UpstreamCount() const { return mRegistry.List().size(); }
 
+  /// Metrics in the Prometheus text exposition format.
+  std::string Metrics();
+
 private:
   void Submit(bool aIsQuery, const google::protobuf::MessageLite& aMessage, core::Duration aTimeout,
               Callback aDone);
