A host finds its group through any member

Cause: a host without a leader announced itself to its seeds and the voters in its own log only, and only a leader acted on that; a follower neither passed it on nor named the leader. If no seed led, a new host never joined. Voters that were gone then had no successor and stayed in the configuration, until one more loss ended the majority.

Change: whoever holds state of the group replies to an announcement with the leader and the voters that it knows, and the announcing host adds them to its contacts. A host that reaches one member now finds the leader, whoever leads.

--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -99,6 +99,10 @@
   /// the leader's silence nor as the followers'.
   void OnStall(core::Duration aDuration);
 
+  /// Names a host that may belong to the group. While this member knows no leader, it announces
+  /// itself to it.
+  void AddContact(const core::HostId& aHost);
+
   /// Handles a message from another host.
   void Receive(const core::HostId& aFrom, const proto::LogMessage& aMessage, core::Instant aNow);
 
@@ -221,7 +225,7 @@
 
   // Founding and membership.
   void Announce();
-  void SendAnnouncement(const core::HostId& aTo);
+  void SendAnnouncement(const core::HostId& aTo, bool aIsReply);
   void TryFoundGroup();
   void FoundGroup();
   void HandleAnnouncement(const Member& aFrom, const proto::Announcement& aAnnouncement);
@@ -323,6 +327,8 @@
   std::optional<core::Instant> mFollowedAsOf; ///< CurrentAsOf() as a follower or learner.
   core::Instant mElectionDue;
   core::Instant mAnnounceDue;
+  /// Hosts that may belong to the group, by when they were named last.
+  std::map<core::HostId, core::Instant> mContacts;
 
   // As a candidate.
   std::set<Member> mVotes;
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -13,6 +13,10 @@
 /// again.
 constexpr int kLearnerDropTimeouts = 5;
 
+/// A host that nothing has named for this long is no longer asked for the group. Data centres may
+/// lose each other for minutes.
+constexpr core::Duration kContactRetention = std::chrono::hours(1);
+
 /// Term of the entry that founds a group: the same on every founder, before any election.
 constexpr std::uint64_t kFoundingTerm = 1;
 
@@ -31,8 +35,17 @@
   mAnnounceDue = mNow + mSettings.announceInterval;
   mLeaderSearch.RecordAsked(AnnouncementTargets(), mNow);
   TryFoundGroup();
+  std::erase_if(mContacts,
+                [this](const auto& aItem) { return mNow - aItem.second > kContactRetention; });
   for (const core::HostId& host : AnnouncementTargets()) {
-    SendAnnouncement(host);
+    SendAnnouncement(host, false);
+  }
+}
+
+void ReplicatedLog::AddContact(const core::HostId& aHost)
+{
+  if (aHost != mSelf.host && IsEligibleVoter(aHost)) {
+    mContacts[aHost] = mNow;
   }
 }
 
@@ -43,16 +56,28 @@
   for (const Member& it : Voters().voters) {
     targets.insert(it.host);
   }
+  for (const auto& [host, lastNamedAt] : mContacts) {
+    targets.insert(host);
+  }
   targets.erase(mSelf.host);
   return targets;
 }
 
-void ReplicatedLog::SendAnnouncement(const core::HostId& aTo)
+void ReplicatedLog::SendAnnouncement(const core::HostId& aTo, bool aIsReply)
 {
   const Member anyIncarnation{ .host = aTo, .incarnation = core::Incarnation() };
   proto::LogMessage message = MakeMessage(anyIncarnation, 0);
   proto::Announcement* announcement = message.mutable_announcement();
   announcement->set_belongs(HoldsGroupState());
+  announcement->set_reply(aIsReply);
+  if (aIsReply) {
+    if (!mLeader.IsEmpty()) {
+      announcement->add_members(mLeader.Text());
+    }
+    for (const Member& it : Voters().voters) {
+      announcement->add_members(it.host.Text());
+    }
+  }
   if (!mFounding.AgreedFounders().voters.empty()) {
     *announcement->mutable_founding() = ToProto(mFounding.AgreedFounders());
   }
@@ -75,8 +100,13 @@
                                  FromProto(aAnnouncement.founding()));
     TryFoundGroup();
   }
-  if (HoldsGroupState() && !aAnnouncement.belongs()) {
-    SendAnnouncement(aFrom.host);
+  for (const std::string& it : aAnnouncement.members()) {
+    AddContact(core::HostId(it));
+  }
+  // Any member helps a host to find the leader, which may be none of the hosts that it knows.
+  const bool mayHelp = !aAnnouncement.belongs() || HasRecentLeaderContact();
+  if (HoldsGroupState() && mayHelp && !aAnnouncement.reply()) {
+    SendAnnouncement(aFrom.host, true);
   }
 }
 
