A host without its disk finds its group through hosts that remember it

A voter that lost its disk starts blank. If all hosts that its settings name had been replaced, it knew nobody, and its former vote could have no successor either.

Cause: messages to its earlier incarnation were dropped, although they show who belongs to the group. The leader goes on sending to the former incarnation for as long as that one votes.

Change: the sender of such a message becomes a contact, to which the host announces itself.

--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -97,8 +97,10 @@
     HandleAnnouncement(from, aMessage.announcement());
     return;
   }
-  // Sent to an earlier incarnation of this host, for which this one must not reply.
+  // Sent to an earlier incarnation of this host, for which this one must not reply. The sender does
+  // belong to the group, though.
   if (aMessage.to_incarnation() != mSelf.incarnation.Value()) {
+    AddContact(aFrom);
     return;
   }
   switch (aMessage.body_case()) {
