A leader that another host names is asked

Cause: requests go only to a host that was heard to lead, and only the hosts of the settings and the voters in the own log were asked whether they do. The leader that these hosts named was remembered, but never asked.

Change: the named leader is asked, too.

Evidence: RemoteGroup LeaderThatOnlyAFollowerNamesIsAsked failed before and passes now.

--- a/cuminfield/process/log/GroupClient.cpp
+++ b/cuminfield/process/log/GroupClient.cpp
@@ -138,6 +138,11 @@
       ProbeHost(host);
     }
   }
+  // Another host may have named a leader that is none of the voters known here.
+  const bool isVoter = std::find(mVoters.begin(), mVoters.end(), mLeader) != mVoters.end();
+  if (!mLeader.IsEmpty() && mLeader != mSelf && !isVoter) {
+    ProbeHost(mLeader);
+  }
 }
 
 void GroupClient::ProbeHost(const core::HostId& aHost)
@@ -184,7 +189,7 @@
     return;
   }
   if (!mLeaderConfirmed && core::Term(aNotice.term()) >= mTerm) {
-    mLeader = leader; // Only a hint: ProbeVoters() asks the leader itself, too.
+    mLeader = leader; // Only a hint: ProbeVoters() asks that host itself.
   }
 }
 
