control: a control host without a leader asks those that send to it

Cause: a control host that lost its disk and restarts while the seeds of its settings are gone announces itself to hosts that no longer exist. The others still send it exchanges, since it is a seed or a known control host of theirs, but the log group never learned of them, so it stayed outside for good.

Change: while it knows no leader, ControlHost passes the control hosts that it knows (seeds, voters, those that it hears from) to its log group as contacts (LogGroup::AddContact, ReplicatedLog::AddContact), which then announces itself to them.

Evidence: ControlHost.JoinsThroughAControlHostThatSendsToIt failed before (no leader within 10 s on a group of three with one learner) and passes now. The test runs whole control hosts on one loop (ControlHosts).

--- /dev/null
+++ b/UnitTests/process/cluster/ControlHostTest.cpp
@@ -0,0 +1,35 @@
+#include "UnitTests/process/cluster/ControlHosts.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cuminfield;
+using namespace std::chrono_literals;
+using unit_tests::cluster::ControlHosts;
+
+namespace {
+
+/// An address at which no control host runs.
+constexpr int kGone = 99;
+
+} // namespace
+
+TEST_GROUP(ControlHost)
+{
+  ControlHosts hosts;
+
+  bool IsInGroup(int aHost)
+  {
+    return hosts.RunUntil(10s, [&] { return hosts.Host(aHost).KnowsLeader(); });
+  }
+};
+
+/// Guards against a control host that stays outside the group although others send to it: it lost
+/// its disk, and the seeds of its settings are gone.
+TEST(ControlHost, JoinsThroughAControlHostThatSendsToIt)
+{
+  hosts.Found({ 1, 2, 3 });
+  hosts.StartEmpty(4, { 1, 5 });
+  CHECK(IsInGroup(4));
+  hosts.StartEmpty(5, { kGone });
+  CHECK(IsInGroup(5));
+}
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -363,6 +363,7 @@
     mFollowers.OnStall(stall);
   }
   mFollowers.Expire(now);
+  AddContacts();
   ProposeCrashEvidence();
   if (mPacer.IsDue(now, mFollowers.HasBacklog())) {
     SendRound();
@@ -419,6 +420,17 @@
   return hosts;
 }
 
+void ControlHost::AddContacts()
+{
+  // The group knows the seeds of the start and the voters of its log, all of which may be gone.
+  if (KnowsLeader()) {
+    return;
+  }
+  for (const core::HostId& it : ListOtherControlHosts()) {
+    mGroup->AddContact(it);
+  }
+}
+
 void ControlHost::SendExchange()
 {
   proto::Message message;
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -96,6 +96,7 @@
   sigc::signal<void(const core::Error&)>& OnFailure() { return mGroup->OnFailure(); }
 
   log::Role CurrentRole() const { return mGroup->CurrentRole(); }
+  bool KnowsLeader() const { return !mGroup->Leader().IsEmpty(); }
   std::uint64_t DocumentNumber() const { return mState.Document().number(); }
   std::size_t FollowerCount() { return mFollowers.Followers().size(); }
   std::size_t UpstreamCount() const { return mRegistry.List().size(); }
@@ -122,6 +123,7 @@
   void SendQuarantine();
   void SendExchange();
   std::vector<core::HostId> ListOtherControlHosts() const;
+  void AddContacts();
   void RunLeaderTasks();
   void CoordinateMove(const proto::Move& aMove);
   void ProposeVersions();
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -70,6 +70,13 @@
   return core::Success();
 }
 
+void LogGroup::AddContact(const core::HostId& aHost)
+{
+  if (mLog) {
+    mLog->AddContact(aHost);
+  }
+}
+
 void LogGroup::Propose(std::string aCommand, core::Duration aTimeout, Completion aDone)
 {
   mClient.Submit(false, std::move(aCommand), aTimeout, std::move(aDone));
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -71,6 +71,10 @@
   /// Loads the log and starts to take part in the group. Until then every request fails.
   core::Result<void> Start();
 
+  /// Names a host that may belong to the group. While this member knows no leader, it announces
+  /// itself to it.
+  void AddContact(const core::HostId& aHost);
+
   void Propose(std::string aCommand, core::Duration aTimeout, Completion aDone) override;
   void Query(std::string aQuery, core::Duration aTimeout, Completion aDone) override;
   core::HostId Leader() const override;
