cluster: running processes take over changed seeds

Cause: a running process kept the seeds of its start. SIGHUP was only logged, and settings files may also change without a signal, so a host whose seeds were all replaced before it had joined the group, or an entry host all of whose control hosts were gone, asked addresses without hosts until it was restarted.

Nothing that is known is dropped: former seeds stay known to an entry host like control hosts that were listed, a control host keeps its voters and those that it hears from, and who founds a group does not change.

Evidence: with UpdateSeeds() empty, these failed and pass now: ControlHost.JoinsThroughSeedsThatAreTakenOver (no leader within 10 s), ClusterFollower.SeedsThatAreTakenOverAreAskedBeforeTheFirstFeed and ...AreFollowedWhenTheOthersAreSilent.

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -423,3 +423,32 @@
   }
   CHECK_EQUAL(before + 300, feeds.size());
 }
+
+/// Guards against a host that goes on asking the seeds of its start after the settings name others.
+TEST(ClusterFollower, SeedsThatAreTakenOverAreAskedBeforeTheFirstFeed)
+{
+  follower->UpdateSeeds({ core::HostId("10.0.0.2"), core::HostId("10.0.0.3") });
+  // What was known before stays: the former seeds may still run.
+  CHECK(CollectReportTargets() == std::set<std::string>({ "10.0.0.1", "10.0.0.2", "10.0.0.3" }));
+}
+
+TEST(ClusterFollower, SeedsThatAreTakenOverDontReplaceTheFollowedControlHost)
+{
+  Receive("10.0.0.1", MakeListingFeed({ "10.0.0.1", "10.1.0.1" }));
+  follower->UpdateSeeds({ core::HostId("10.0.0.3") });
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.0.0.1" });
+  timers.Advance(1100ms);
+  // The one that was listed comes first, then those of this data centre.
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.1.0.1" });
+}
+
+/// Guards against a host that has lost all control hosts that it knows and never asks the seeds of
+/// its changed settings.
+TEST(ClusterFollower, SeedsThatAreTakenOverAreFollowedWhenTheOthersAreSilent)
+{
+  Receive("10.0.0.1", MakeListingFeed({ "10.0.0.1" }));
+  follower->UpdateSeeds({ core::HostId("10.0.0.3") });
+  links.sent.clear();
+  timers.Advance(5s);
+  CHECK(links.sent.contains("10.0.0.3"));
+}
--- a/UnitTests/process/cluster/ControlHostTest.cpp
+++ b/UnitTests/process/cluster/ControlHostTest.cpp
@@ -33,3 +33,15 @@
   hosts.StartEmpty(5, { kGone });
   CHECK(IsInGroup(5));
 }
+
+/// Guards against a control host that goes on asking the seeds of its start after the settings name
+/// others.
+TEST(ControlHost, JoinsThroughSeedsThatAreTakenOver)
+{
+  hosts.Found({ 1, 2, 3 });
+  hosts.StartEmpty(4, { kGone });
+  hosts.Run(1s);
+  CHECK_FALSE(hosts.Host(4).KnowsLeader());
+  hosts.Host(4).UpdateSeeds({ ControlHosts::Address(2) });
+  CHECK(IsInGroup(4));
+}
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -55,6 +55,19 @@
   mTickTimer = mOptions.timers.ScheduleEvery(mOptions.settings.reportInterval, [this] { Tick(); });
 }
 
+void ClusterFollower::UpdateSeeds(const std::vector<core::HostId>& aSeeds)
+{
+  const core::Instant now = mOptions.timers.Now();
+  for (auto& [host, known] : mControlHosts) {
+    if (std::exchange(known.isSeed, false)) {
+      known.lastListedAt = now;
+    }
+  }
+  for (const core::HostId& it : aSeeds) {
+    mControlHosts[it].isSeed = true;
+  }
+}
+
 std::optional<core::Duration> ClusterFollower::FeedAge() const
 {
   if (!mFirstFeedAt) {
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cuminfield::process::cluster {
 
@@ -70,6 +71,9 @@
   /// Starts sending reports.
   void Start();
 
+  /// Takes over the seeds of changed settings. Other control hosts that are known stay so.
+  void UpdateSeeds(const std::vector<core::HostId>& aSeeds);
+
   /// Emitted with each feed of the followed control host, without the parts that are older than the
   /// known state.
   sigc::signal<void(const proto::Feed&)>& OnFeed() { return mOnFeed; }
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -149,6 +149,11 @@
   return core::Success();
 }
 
+void ControlHost::UpdateSeeds(std::vector<core::HostId> aSeeds)
+{
+  mOptions.cluster.seeds = std::move(aSeeds);
+}
+
 std::uint64_t ControlHost::WallClockMs() const
 {
   const auto now = mOptions.loop.WallNow().time_since_epoch();
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cuminfield::process::cluster {
 
@@ -67,6 +68,9 @@
   /// used.
   core::Result<void> Start();
 
+  /// Takes over the seeds of changed settings. Other control hosts that are known stay so.
+  void UpdateSeeds(std::vector<core::HostId> aSeeds);
+
   using Callback = std::function<void(const core::Result<proto::QueryAnswer>&)>;
 
   /// Commits a document. Succeeds without a change if a document with a higher number is in force.
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cuminfield::process::cluster {
 
@@ -65,6 +66,9 @@
   /// Starts listening for callers and following a control host.
   core::Result<void> Start();
 
+  /// Takes over the seeds of changed settings.
+  void UpdateSeeds(const std::vector<core::HostId>& aSeeds) { mFollower.UpdateSeeds(aSeeds); }
+
   /// True when callers can be served: a catalogue is in force, upstreams are known, and no shutdown
   /// has begun.
   bool IsReady() const;
