follower: control hosts named by an outdated one are asked, too

Cause: before its first feed an entry host asks its seeds only. If none of them has a current state (new and empty, or cut off from the leader), it goes without a configuration although they list control hosts that they hear from: lists of senders without a current state were ignored altogether. The same after the first feed: a host whose followed control host is outdated never learned of one at a new address.

Change: such lists add control hosts, but still don't tell who is gone. Before the first feed all control hosts that were named are asked at once, so none that is gone holds up another; after it they rank behind listed ones, as before. A feed is followed under the same conditions as before.

Ruled out: treating these lists like those of current senders. A sender that is cut off hears from none and would take the others out (test CutOffControlHostDoesNotTellWhoIsGone, unchanged).

Evidence: ControlHostsThatASeedHearsFromAreAskedBeforeTheFirstFeed and ControlHostNamedByAnOutdatedOneIsTried failed before and pass now.

--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -424,6 +424,39 @@
   CHECK_EQUAL(before + 300, feeds.size());
 }
 
+/// Guards against a host that asks its seeds only, while none of them has a current state: they may
+/// be new themselves, or cut off.
+TEST(ClusterFollower, ControlHostsThatASeedHearsFromAreAskedBeforeTheFirstFeed)
+{
+  proto::Feed blank = MakeListingFeed({ "10.0.0.1", "10.1.0.1" });
+  blank.set_led(false);
+  blank.set_document_number(0);
+  Receive("10.0.0.1", blank);
+  CHECK_EQUAL(0, feeds.size());
+  CHECK(CollectReportTargets() == std::set<std::string>({ "10.0.0.1", "10.0.0.2", "10.1.0.1" }));
+  Receive("10.1.0.1", MakeListingFeed({ "10.0.0.1", "10.1.0.1" }));
+  CHECK_EQUAL(1, feeds.size());
+  CHECK(CollectReportTargets() == std::set<std::string>{ "10.1.0.1" });
+}
+
+/// Guards against a host that knows only control hosts that are gone, while the one that it follows
+/// is cut off from the leader and hears from another one.
+TEST(ClusterFollower, ControlHostNamedByAnOutdatedOneIsTried)
+{
+  Receive("10.0.0.1", MakeListingFeed({ "10.0.0.1", "10.0.0.2" }));
+  proto::Feed outdated = MakeListingFeed({ "10.0.0.1", "10.1.0.1" });
+  outdated.set_led(false);
+  bool isTried = false;
+  for (core::Duration elapsed{ 0 }; elapsed < 10s && !isTried; elapsed += 50ms) {
+    links.sent.clear();
+    timers.Advance(50ms);
+    outdated.set_state_age_ms(static_cast<std::uint64_t>(core::Milliseconds(elapsed)));
+    Receive("10.0.0.1", outdated);
+    isTried = links.sent.contains("10.1.0.1");
+  }
+  CHECK(isTried);
+}
+
 /// Guards against a host that goes on asking the seeds of its start after the settings name others.
 TEST(ClusterFollower, SeedsThatAreTakenOverAreAskedBeforeTheFirstFeed)
 {
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -330,6 +330,7 @@
   if (!aMessage.has_feed()) {
     return;
   }
+  AddControlHosts(aMessage.feed());
   if (!MayFollow(aFrom, aMessage.feed())) {
     if (aFrom == mTried && !IsCurrent(aMessage.feed())) {
       RejectTried("outdated");
@@ -380,6 +381,15 @@
   return aFrom == mFollowed || (isNoOlder && IsCurrent(aFeed)) || (isNewer && IsOutdated());
 }
 
+void ClusterFollower::AddControlHosts(const proto::Feed& aFeed)
+{
+  for (const proto::ControlHost& it : aFeed.control_hosts()) {
+    KnownControlHost& known = mControlHosts[core::HostId(it.host())];
+    known.dataCentre = it.data_centre();
+    known.lastListedAt = mOptions.timers.Now();
+  }
+}
+
 void ClusterFollower::UpdateControlHosts(const proto::Feed& aFeed)
 {
   const core::Instant now = mOptions.timers.Now();
@@ -387,10 +397,7 @@
     known.isListed = false;
   }
   for (const proto::ControlHost& it : aFeed.control_hosts()) {
-    KnownControlHost& known = mControlHosts[core::HostId(it.host())];
-    known.dataCentre = it.data_centre();
-    known.isListed = true;
-    known.lastListedAt = now;
+    mControlHosts[core::HostId(it.host())].isListed = true;
   }
   std::erase_if(mControlHosts, [&](const auto& aItem) {
     const KnownControlHost& known = aItem.second;
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -42,7 +42,10 @@
 ///
 /// Control hosts are replaced at other addresses. Each feed lists those that its sender hears from,
 /// and one that is not listed is followed only if no other is left. A sender that is cut off from
-/// the leader hears from none, so only lists of senders with a current state count.
+/// the leader hears from none, so only lists of senders with a current state tell who is gone; the
+/// others just name further control hosts. Before the first feed of a sender with a current state,
+/// all control hosts that were named are asked at once: the seeds may be new themselves, or cut
+/// off.
 ///
 /// Each feed tells how old the sender's state is. While feeds come, the followed control host is
 /// left only for one that has sent a current feed, so that the change leaves no time without feeds:
@@ -137,6 +140,7 @@
   bool IsCurrent(const proto::Feed& aFeed) const;
   bool MayFollow(const core::HostId& aFrom, const proto::Feed& aFeed) const;
   void HandleFeed(proto::Feed& aFeed);
+  void AddControlHosts(const proto::Feed& aFeed);
   void UpdateControlHosts(const proto::Feed& aFeed);
 
   Options mOptions;
