control: control hosts tell each other of those that they hear from

Cause: exchanges go to seeds, voters and hosts that send exchanges. Two learners neither of which is a seed of the other never exchanged: the heartbeats that one received didn't reach the other, so the followers of the other lost upstreams after 5 s of silence, and the sums of usage and demand lacked a part.

Change: an exchange names the control hosts that its sender hears from (Exchange.control_hosts), and they get exchanges, too.

Evidence: ControlHost.LearnersTellEachOtherOfUpstreams failed before (unknown after 3 s) and passes now.

--- a/UnitTests/process/cluster/ControlHostTest.cpp
+++ b/UnitTests/process/cluster/ControlHostTest.cpp
@@ -34,6 +34,20 @@
   CHECK(IsInGroup(5));
 }
 
+/// Guards against control hosts that don't exchange what they know, since neither is a seed of the
+/// other, or votes.
+TEST(ControlHost, LearnersTellEachOtherOfUpstreams)
+{
+  hosts.Found({ 1, 2, 3 });
+  hosts.StartEmpty(4, { 1 });
+  hosts.StartEmpty(5, { 2 });
+  CHECK(IsInGroup(4));
+  CHECK(IsInGroup(5));
+  hosts.Run(500ms);
+  hosts.Announce(4, "u");
+  CHECK(hosts.RunUntil(3s, [this] { return hosts.Host(5).UpstreamCount() == 1; }));
+}
+
 /// Guards against a control host that goes on asking the seeds of its start after the settings name
 /// others.
 TEST(ControlHost, JoinsThroughSeedsThatAreTakenOver)
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -419,6 +419,10 @@
   for (const auto& [host, dataCentre] : mFollowers.ControlHosts()) {
     hosts.push_back(host);
   }
+  // Two that are neither voters nor seeds of each other learn of each other from a third one.
+  for (const core::HostId& it : mFollowers.NamedControlHosts()) {
+    hosts.push_back(it);
+  }
   std::sort(hosts.begin(), hosts.end());
   hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
   std::erase(hosts, mOptions.cluster.id);
@@ -446,6 +450,9 @@
     *exchange->add_upstreams() = upstream;
   }
   mReceivedHeartbeats.clear();
+  for (const auto& [host, dataCentre] : mFollowers.ControlHosts()) {
+    exchange->add_control_hosts(host.Text());
+  }
   mFollowers.AddLocalSums(*exchange, mIncludeObserved);
   const std::string payload = message.SerializeAsString();
   for (const core::HostId& it : ListOtherControlHosts()) {
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -300,4 +300,15 @@
   return hosts;
 }
 
+std::set<core::HostId> FollowerTable::NamedControlHosts() const
+{
+  std::set<core::HostId> hosts;
+  for (const auto& [host, peer] : mPeers) {
+    for (const std::string& it : peer.exchange.control_hosts()) {
+      hosts.insert(core::HostId(it));
+    }
+  }
+  return hosts;
+}
+
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -103,9 +104,12 @@
   };
   std::map<core::HostId, Follower>& Followers() { return mFollowers; }
 
-  /// Data centres of the other control hosts.
+  /// Data centres of the other control hosts that this one hears from.
   std::map<core::HostId, std::string> ControlHosts() const;
 
+  /// Control hosts that those hear from.
+  std::set<core::HostId> NamedControlHosts() const;
+
 private:
   struct KnownHost
   {
