Tests: replies on the fake links arrive after the call that sent the request

Real links deliver on a later turn of the loop. The fake of LeaderThatOnlyAFollowerNamesIsAsked replied inside Send(), so GroupClient's loop over its requests went on from an erased one; the whole test program crashed in some builds.

--- a/UnitTests/process/log/RemoteGroupTest.cpp
+++ b/UnitTests/process/log/RemoteGroupTest.cpp
@@ -4,6 +4,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace cuminfield;
 using namespace cuminfield::process;
 
@@ -25,8 +29,7 @@
     reply.set_group(message.group());
     if (message.has_request()) {
       reply.mutable_reply()->set_id(message.request().id());
-      mOnMessage.emit(aTo,
-                      { .channel = peer::Channel::Group, .payload = reply.SerializeAsString() });
+      heldReplies.emplace_back(aTo, reply.SerializeAsString());
       return;
     }
     reply.mutable_notice()->set_leader(leader.Text());
@@ -34,6 +37,16 @@
     mOnMessage.emit(aTo, { .channel = peer::Channel::Group, .payload = reply.SerializeAsString() });
   }
 
+  /// Delivers the replies to requests; as on real links, after the call that sent the request.
+  void DeliverReplies()
+  {
+    for (const auto& [from, payload] : heldReplies) {
+      mOnMessage.emit(from, { .channel = peer::Channel::Group, .payload = payload });
+    }
+    heldReplies.clear();
+  }
+
+  std::vector<std::pair<core::HostId, std::string>> heldReplies;
   core::HostId leader{ "v2" };
   core::HostId namedBy; ///< A follower that replies with the leader's name; empty: none.
   std::uint64_t term = 1;
@@ -79,5 +92,6 @@
   group.Query("q", std::chrono::seconds(2),
               [&](const core::Result<std::string>& aReply) { isDone = aReply.has_value(); });
   timers.Advance(std::chrono::seconds(1));
+  links.DeliverReplies();
   CHECK(isDone);
 }
