A silent voter is removed only once its successor votes

What callers saw: after the disks of control hosts had been full for some seconds each, and one control host had been replaced on the way, no control host acknowledged a configuration any more, while all processes ran.

Cause: a voter whose disk is full for more than 3 s answers nothing and counts as silent. When a learner was ready, the leader first removed the silent voter and then added the learner. If another voter was lost just before (it counted as active for 600 ms after its last reply) or before the learner was added, the leader's configuration held itself and the lost host only: it could not commit, nor be elected. The removed voter, whose disk had room again, could not be elected either, because its log was older. Two running voters of three waited for each other for good.

Change: the learner is added first, and the silent voter is removed when that is committed. A former incarnation of the same host is still removed first, since it never comes back. A voter that answers again before its removal stays; the group then has one voter more than its target until one is silent.

Why it works: with four voters, the three that run or come back are a majority whichever of the silent one and the lost one returns. With two, both were needed.

--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -109,7 +109,7 @@
   host.storage =
     std::make_unique<SlowStorage>(*host.fileStorage, *host.timers, mRandom, host.forcedIncarnation);
   host.stateMachine = std::make_unique<ListStateMachine>(*this);
-  process::log::LogGroupSettings settings;
+  process::log::LogGroupSettings settings = mSettings.group;
   settings.snapshotAfterEntries = 40;
   settings.log.trailingEntries = 10;
   settings.log.snapshotChunkBytes = 300;
@@ -426,10 +426,19 @@
   if (!RunUntil(3s, [&] { return mAcknowledged.size() > before; })) {
     ReportViolation("no commit after recovery");
   }
+  CheckAgreement();
+}
+
+void LogCluster::CheckAgreement()
+{
   const bool allEqual = RunUntil(5s, [this] {
-    return std::all_of(mHosts.begin(), mHosts.end(), [this](const Host& aHost) {
-      return aHost.group->AppliedIndex() == mHosts[0].group->AppliedIndex();
-    });
+    std::set<core::LogIndex> applied;
+    for (const Host& it : mHosts) {
+      if (it.group) {
+        applied.insert(it.group->AppliedIndex());
+      }
+    }
+    return applied.size() == 1;
   });
   if (!allEqual) {
     ReportViolation("hosts differ after recovery");
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -87,6 +87,7 @@
   double delayProbability = 0.0; ///< For a delay of up to 300 ms, so that later ones overtake.
   double maxClockDrift = 0.0;    ///< Largest error of a host's clock, as a fraction.
   double stallProbability = 0.0; ///< Of a stall of up to 1.5 s, in each of the runs' steps.
+  process::log::LogGroupSettings group = {}; ///< Except for the number of voters and the snapshots.
 };
 
 /// A simulated group in virtual time with failing disks and links. Checks the hosts against each
@@ -142,6 +143,9 @@
   /// and every acknowledged command must still be present.
   void CheckRecovery();
 
+  /// Every host must soon have applied the same entries, with all acknowledged commands.
+  void CheckAgreement();
+
   /// Description of the first violation; empty when there is none.
   const std::string& Violation() const { return mViolation; }
   void ReportViolation(const std::string& aDescription);
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -207,6 +207,14 @@
 
 std::optional<Configuration> ReplicatedLog::NextConfiguration() const
 {
+  // A silent voter may come back, unlike a former incarnation: it is removed only once its
+  // successor votes. Otherwise the loss of one more voter could leave no majority although it is
+  // back.
+  const std::size_t voterCount = Voters().voters.size();
+  const Member* silent = FindVoterToReplace();
+  if (silent && voterCount > mSettings.openGroupVoters) {
+    return Voters().WithoutVoter(*silent);
+  }
   for (const auto& [member, progress] : mProgress) {
     if (!IsReadyToVote(member, progress)) {
       continue;
@@ -214,12 +222,12 @@
     // The host's disk was lost: its former incarnation is removed first, then the new one is added.
     const Member* former = Voters().FindVoter(member.host);
     if (!former) {
-      if (mSettings.openGroupVoters == 0 || Voters().voters.size() < mSettings.openGroupVoters) {
+      const bool isClosed = mSettings.openGroupVoters == 0;
+      const bool isMissing = voterCount < mSettings.openGroupVoters;
+      const bool isSuccessor = silent && voterCount == mSettings.openGroupVoters;
+      if (isClosed || isMissing || isSuccessor) {
         return Voters().WithVoter(member);
       }
-      if (const Member* silent = FindVoterToReplace()) {
-        return Voters().WithoutVoter(*silent);
-      }
       continue;
     }
     if (!WasActiveWithin(*former, mSettings.electionTimeoutMax)) {
--- a/cuminfield/process/log/ReplicatedLogSettings.h
+++ b/cuminfield/process/log/ReplicatedLogSettings.h
@@ -52,7 +52,7 @@
 
   /// Target number of voters of an open group; 0: the group is closed, and only the hosts of the
   /// settings may vote. Any host may join an open group: as a voter while the group has fewer than
-  /// this, or in place of a silent voter.
+  /// this, or in place of a silent voter, which is removed afterwards.
   std::uint32_t openGroupVoters = 0;
 
   /// A voter of an open group that is silent for longer may be replaced.
