Tests: a log file on disks that are full now and then

A batch is stored as often as it takes, on a disk that is full or has room for a few bytes only, also at starts and after crashes: what was acknowledged must be there. PosixDisk reports a full device (/dev/full) as full.

--- a/UnitTests/process/log/FileLogStorageTest.cpp
+++ b/UnitTests/process/log/FileLogStorageTest.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <limits>
 #include <vector>
 
 // Included last because it redefines new.
@@ -132,10 +133,79 @@
   return true;
 }
 
+/// Fills a disk entirely or up to a few bytes, or makes room.
+void FillAtRandom(MemoryDisk& aDisk, core::Random& aRandom)
+{
+  constexpr double kFullProbability = 0.3;
+  constexpr double kLittleRoomProbability = 0.4;
+  const bool hasLittleRoom = aRandom.Chance(kLittleRoomProbability);
+  aDisk.SetFull(aRandom.Chance(kFullProbability));
+  aDisk.SetRoom(hasLittleRoom ? aRandom.UniformBelow(300)
+                              : std::numeric_limits<std::uint64_t>::max());
+}
+
+/// Stores a batch on a disk that is full now and then, as often as it takes. Returns false when the
+/// disk fails in another way.
+bool StoreBatchWhenThereIsRoom(FileLogStorage& aStorage, const PersistBatch& aBatch,
+                               MemoryDisk& aDisk, core::Random& aRandom)
+{
+  auto kind = core::ErrorKind::DiskFull;
+  while (kind == core::ErrorKind::DiskFull) {
+    FillAtRandom(aDisk, aRandom);
+    bool stored = false;
+    aStorage.Persist(aBatch, [&](const core::Result<void>& aResult) {
+      stored = aResult.has_value();
+      kind = stored ? kind : aResult.error().kind;
+    });
+    if (stored) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Like SurvivesCrashes(), on a disk that is also full now and then, at starts as well.
+bool SurvivesFullDisksAndCrashes(std::uint64_t aSeed)
+{
+  core::Random random(aSeed);
+  MemoryDisk disk;
+  Model acknowledged;
+  Model inProgress;
+  constexpr int kCrashes = 6;
+  constexpr std::uint64_t kOperations = 60;
+  for (int i = 0; i < kCrashes; ++i) {
+    FileLogStorage storage(MakeOptions(disk));
+    const auto contents = storage.Load(kFirstIncarnation);
+    if (!contents || contents.value().incarnation != kFirstIncarnation) {
+      return false;
+    }
+    if (!MatchesModel(contents.value(), acknowledged) &&
+        !MatchesModel(contents.value(), inProgress)) {
+      return false;
+    }
+    if (!MatchesModel(contents.value(), acknowledged)) {
+      acknowledged = inProgress;
+    }
+    inProgress = acknowledged;
+    disk.FailAfter(random.UniformBelow(kOperations));
+    while (StoreBatchWhenThereIsRoom(storage, GenerateBatch(inProgress, random), disk, random)) {
+      acknowledged = inProgress;
+    }
+    disk.Crash(random);
+    FillAtRandom(disk, random);
+  }
+  return true;
+}
+
 } // namespace
 
 TEST_GROUP(FileLogStorage){};
 
+TEST(FileLogStorage, KeepsAcknowledgedBatchesAcrossFullDisksAndCrashes)
+{
+  CHECK(rc::check([](std::uint64_t aSeed) { RC_ASSERT(SurvivesFullDisksAndCrashes(aSeed)); }));
+}
+
 TEST(FileLogStorage, KeepsAcknowledgedBatchesAcrossCrashesBetweenAnyTwoOperations)
 {
   CHECK(rc::check([](std::uint64_t aSeed) { RC_ASSERT(SurvivesCrashes(aSeed, false)); }));
@@ -214,6 +284,16 @@
   }
 }
 
+/// The device refuses every write as a full file system does.
+TEST(FileLogStorage, RealDiskReportsThatItIsFull)
+{
+  PosixDisk disk;
+  const auto appended = disk.Append("/dev/full", "bytes");
+  CHECK(appended.has_error());
+  CHECK(appended.error().kind == core::ErrorKind::DiskFull);
+  CHECK(appended.error().message.find("make room") != std::string::npos);
+}
+
 TEST(FileLogStorage, StoresBatchesInRealFiles)
 {
   std::string folder = std::filesystem::temp_directory_path() / "cuminfield-log-XXXXXX";
--- a/UnitTests/process/log/MemoryDisk.cpp
+++ b/UnitTests/process/log/MemoryDisk.cpp
@@ -6,6 +6,19 @@
 
 namespace cuminfield::unit_tests::log {
 
+namespace {
+
+constexpr std::uint64_t kUnlimited = std::numeric_limits<std::uint64_t>::max();
+
+} // namespace
+
+void MemoryDisk::AddRoom(std::uint64_t aBytes)
+{
+  if (mRoom != kUnlimited) {
+    mRoom += aBytes;
+  }
+}
+
 core::Result<void> MemoryDisk::CountOperation()
 {
   if (mOperationsRemaining == 0) {
@@ -87,7 +100,14 @@
     file->current += aBytes.substr(0, aBytes.size() / 2);
     return core::Fail(core::ErrorKind::DiskFull, "the disk is full; make room");
   }
-  file->current += aBytes;
+  file->current += aBytes.substr(0, mRoom);
+  if (aBytes.size() > mRoom) {
+    mRoom = 0;
+    return core::Fail(core::ErrorKind::DiskFull, "the disk is full; make room");
+  }
+  if (mRoom != kUnlimited) {
+    mRoom -= aBytes.size();
+  }
   return core::Success();
 }
 
@@ -97,13 +117,18 @@
   if (mFull || mTruncateFails) {
     return core::Fail(core::ErrorKind::DiskFull, "the disk is full; make room");
   }
-  mCurrentFiles.at(aPath)->current.resize(aSize);
+  std::string& bytes = mCurrentFiles.at(aPath)->current;
+  AddRoom(bytes.size() - aSize);
+  bytes.resize(aSize);
   return core::Success();
 }
 
 core::Result<void> MemoryDisk::Sync(const std::string& aPath)
 {
   BOOST_OUTCOME_TRYV(CountOperation());
+  if (mSyncFails) {
+    return core::Fail(core::ErrorKind::Io, "cannot sync: the disk is full");
+  }
   if (!mIgnoreSync) {
     File& file = *mCurrentFiles.at(aPath);
     file.synced = file.current;
@@ -114,6 +139,9 @@
 core::Result<void> MemoryDisk::Rename(const std::string& aFrom, const std::string& aTo)
 {
   BOOST_OUTCOME_TRYV(CountOperation());
+  if (const auto replaced = mCurrentFiles.find(aTo); replaced != mCurrentFiles.end()) {
+    AddRoom(replaced->second->current.size());
+  }
   mCurrentFiles[aTo] = mCurrentFiles.at(aFrom);
   mCurrentFiles.erase(aFrom);
   return core::Success();
@@ -122,7 +150,10 @@
 core::Result<void> MemoryDisk::Remove(const std::string& aPath)
 {
   BOOST_OUTCOME_TRYV(CountOperation());
-  mCurrentFiles.erase(aPath);
+  if (const auto removed = mCurrentFiles.find(aPath); removed != mCurrentFiles.end()) {
+    AddRoom(removed->second->current.size());
+    mCurrentFiles.erase(removed);
+  }
   return core::Success();
 }
 
--- a/UnitTests/process/log/MemoryDisk.h
+++ b/UnitTests/process/log/MemoryDisk.h
@@ -22,6 +22,13 @@
   /// While the disk is full, a write stores part of its bytes and fails.
   void SetFull(bool aFull) { mFull = aFull; }
 
+  /// Leaves room for this many bytes. A write that needs more stores what fits and fails; bytes
+  /// that are cut off or removed make room again.
+  void SetRoom(std::uint64_t aBytes) { mRoom = aBytes; }
+
+  /// Makes Sync() fail, as where room is only looked for when bytes are written back.
+  void SetSyncFails(bool aFails) { mSyncFails = aFails; }
+
   /// Makes Truncate() fail for lack of space even when the next write succeeds.
   void SetTruncateFails(bool aFails) { mTruncateFails = aFails; }
 
@@ -56,6 +63,7 @@
   using Names = std::map<std::string, std::shared_ptr<File>>;
 
   core::Result<void> CountOperation();
+  void AddRoom(std::uint64_t aBytes);
   static void DropUnsynced(File& aFile, core::Random& aRandom);
 
   Names mCurrentFiles;
@@ -63,7 +71,9 @@
   std::uint64_t mOperationsRemaining = std::numeric_limits<std::uint64_t>::max();
   bool mIgnoreSync = false;
   bool mFull = false;
+  std::uint64_t mRoom = std::numeric_limits<std::uint64_t>::max();
   bool mTruncateFails = false;
+  bool mSyncFails = false;
 };
 
 } // namespace cuminfield::unit_tests::log
