A host with a full disk holds back a bounded number of messages

Cause: a follower holds its answer to each heartbeat until its batch is durable, 13 a second, without a limit. Change: the latest 1,000 are kept. Any message may be lost on a link, and an answer says all that earlier ones say.

--- a/UnitTests/process/log/DiskFullTest.cpp
+++ b/UnitTests/process/log/DiskFullTest.cpp
@@ -379,3 +379,32 @@
     STRCMP_EQUAL("", cluster.Violation().c_str());
   }
 }
+
+/// Guards against memory that grows for as long as a disk is full, and against a flood of late
+/// messages once it has room.
+TEST(DiskFull, HostWithAFullDiskHoldsBackABoundedNumberOfMessages)
+{
+  LogCluster cluster(ThreeVoters());
+  for (std::size_t n = 0; n < 3; ++n) {
+    cluster.StartHost(n);
+  }
+  CHECK(cluster.RunUntil(20s, [&] { return cluster.LeaderHost() < 3; }));
+  const std::size_t leader = cluster.LeaderHost();
+  const std::size_t full = (leader + 1) % 3;
+  const auto bytesAfterSilence = [&](core::Duration aSilence) {
+    cluster.Disk(full).SetFull(true);
+    cluster.Propose(leader);
+    cluster.Run(aSilence);
+    const std::size_t before = cluster.BytesSent();
+    cluster.Disk(full).SetFull(false);
+    cluster.Run(500ms);
+    return cluster.BytesSent() - before;
+  };
+  const std::size_t afterMinutes = bytesAfterSilence(2min);
+  const std::size_t afterHalfAnHour = bytesAfterSilence(30min);
+  const std::string text =
+    std::to_string(afterMinutes) + " bytes, then " + std::to_string(afterHalfAnHour);
+  CHECK_TEXT(afterHalfAnHour < 2 * afterMinutes, text.c_str());
+  CHECK(IsAcknowledgedFrom(cluster, full, kLimitOfThree));
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -251,7 +251,7 @@
 
 void ReplicatedLog::ReleaseHeldMessages()
 {
-  std::vector<HeldMessage> held = std::exchange(mHeldMessages, {});
+  std::deque<HeldMessage> held = std::exchange(mHeldMessages, {});
   for (HeldMessage& it : held) {
     if (it.batch > mLastBatchNumber) {
       mHeldMessages.push_back(std::move(it));
@@ -287,6 +287,10 @@
     SendNow(aTo, std::move(aMessage));
     return;
   }
+  // Any message may be lost, and later ones repeat what the oldest say.
+  if (mHeldMessages.size() >= mSettings.maxHeldMessages) {
+    mHeldMessages.pop_front();
+  }
   mHeldMessages.push_back(
     { .batch = batch, .outgoing = { .to = aTo.host, .message = std::move(aMessage) } });
 }
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -313,7 +313,7 @@
   std::uint64_t mStoringFirstIndex = 0;   ///< mFirstUnsavedIndex before the batch being stored.
   std::uint64_t mStoringLastIndex = 0;    ///< Last untruncated entry of the batch being stored.
   std::uint64_t mLastBatchNumber = 0;     ///< Number of the batch taken last.
-  std::vector<HeldMessage> mHeldMessages; ///< Messages that wait for a batch, oldest first.
+  std::deque<HeldMessage> mHeldMessages;  ///< Messages that wait for a batch, oldest first.
   std::vector<OutgoingMessage> mOutgoing; ///< Messages that may be sent now.
 
   Role mRole = Role::Learner;
--- a/cuminfield/process/log/ReplicatedLogSettings.h
+++ b/cuminfield/process/log/ReplicatedLogSettings.h
@@ -50,6 +50,10 @@
   /// With this many proposed but uncommitted entries, new proposals are rejected.
   std::uint64_t maxUncommittedEntries = 20'000;
 
+  /// Maximum number of messages that wait until something is durable. A disk that is full for hours
+  /// must not fill the memory, nor its last byte flood the leader. Above it the oldest are lost.
+  std::uint64_t maxHeldMessages = 1000;
+
   /// Target number of voters of an open group; 0: the group is closed, and only the hosts of the
   /// settings may vote. Any host may join an open group: as a voter while the group has fewer than
   /// this, or in place of a silent voter, which is removed afterwards.
