A refusal of an earlier term confirms no round of heartbeats

What callers could see: a leader that is cut off keeps its lease for up to an election timeout beside the next one, and answers reads from its own state, without what the next leader has acknowledged.

Cause: a voter that refuses an append request of an earlier term repeats its round, with the voter's own, later term. If the sender restarts, it counts its rounds from 0, and if it is elected in just that term, a refusal that arrives late confirms rounds that were not sent yet. Answers are late by seconds when a disk is full, since they are held until the batch is durable; a late request does the same.

Evidence: ReplicatedLog: RefusalOfAnEarlierTermConfirmsNoRound fails before (round 23 with term 3) and passes now.

Why it works: no other answer names a round of another term than its own, and a term has one leader, which is not restarted in it.

--- a/UnitTests/process/log/ReplicatedLogTest.cpp
+++ b/UnitTests/process/log/ReplicatedLogTest.cpp
@@ -152,6 +152,26 @@
   LONGS_EQUAL(2, sent[0].message.append_reply().index());
 }
 
+/// Guards against a leader that takes a late answer for one to a round of its own. Rounds start
+/// anew after a restart, and the answer bears the term in which the same host leads by now.
+TEST(ReplicatedLog, RefusalOfAnEarlierTermConfirmsNoRound)
+{
+  log.Receive(kThird, MakeAppend(3, "x", 0), now);
+  log.TakeBatch();
+  log.OnPersisted(now);
+  log.TakeMessages();
+  proto::LogMessage late = MakeMessage(2);
+  late.mutable_append_request()->set_previous_index(1);
+  late.mutable_append_request()->set_previous_term(1);
+  late.mutable_append_request()->set_round(23);
+  log.Receive(kOther, late, now);
+  const auto messages = log.TakeMessages();
+  LONGS_EQUAL(1, messages.size());
+  LONGS_EQUAL(3, messages[0].message.term());
+  CHECK_FALSE(messages[0].message.append_reply().success());
+  LONGS_EQUAL(0, messages[0].message.append_reply().round());
+}
+
 TEST(ReplicatedLog, MessageForAnotherIncarnationIsDropped)
 {
   proto::LogMessage message = MakeAppend(2, "x", 0);
--- a/cuminfield/process/log/ReplicatedLogReplication.cpp
+++ b/cuminfield/process/log/ReplicatedLogReplication.cpp
@@ -164,7 +164,9 @@
 {
   const std::uint64_t previous = aRequest.previous_index();
   if (!FollowLeader(aFrom, aTerm)) {
-    SendAppendReply(aFrom, false, mLog.LastIndex(), previous, aRequest.round());
+    // The round is one of an earlier term. The answer bears the term of now, in which that host may
+    // lead again after a restart, with rounds of the same numbers.
+    SendAppendReply(aFrom, false, mLog.LastIndex(), previous, 0);
     return;
   }
   if (previous < mLog.BaseIndex()) {
