Tests: full disks beside all other disruptions at once

Restarts, cuts, replacements and lost disks together found the refusals that confirm rounds. A disk is lost or a host replaced only once all hosts know the same voters: a successor that only its leader knows is not a member yet, and its leader's loss then is the second one.

--- a/UnitTests/process/log/DiskFullTest.cpp
+++ b/UnitTests/process/log/DiskFullTest.cpp
@@ -243,7 +243,8 @@
     }
   }
 
-  /// All running hosts know a leader, and the group has all its voters, which run.
+  /// All running hosts know a leader and the same voters, as many as the group should have, which
+  /// all run.
   bool IsComplete()
   {
     const std::size_t leader = mCluster.LeaderHost();
@@ -253,7 +254,8 @@
     const auto voters = mCluster.Group(leader).Voters();
     std::size_t running = 0;
     for (const std::size_t host : mRunning) {
-      if (!mCluster.IsUp(host) || mCluster.Group(host).Leader().IsEmpty()) {
+      if (!mCluster.IsUp(host) || mCluster.Group(host).Leader().IsEmpty() ||
+          mCluster.Group(host).Voters() != voters) {
         return false;
       }
       running += voters.Contains(mCluster.Group(host).Self()) ? 1 : 0;
@@ -342,6 +344,9 @@
   CheckRuns(FiveVotersOfSixHosts(), 6, { .restarts = true, .lostDisks = true }, kLimitOfSix, 5101);
   CheckRuns(FiveVotersOfSixHosts(2), 6, { .restarts = true, .replacements = true }, kLimitOfSix,
             5001);
+  const Disruptions all{ .restarts = true, .replacements = true, .lostDisks = true, .cuts = true };
+  CheckRuns(ThreeVoters(2), 3, all, kLimitOfThree, 5201);
+  CheckRuns(FiveVotersOfSixHosts(2), 6, all, kLimitOfSix, 5201);
 }
 
 /// Guards against a group that is lost because it removed a voter that was silent for as long as
