A new leader knows for how long a voter has been silent

With leaders that change more often than every 3 s, a voter that is gone was never replaced, although a host was ready.

Change: append requests name the voters that have been silent for an election timeout, with the time; a member that is elected goes on from there, except for voters that voted for it. A leader that steps down keeps what it saw.

Evidence: OpenGroup VoterThatIsGoneIsReplacedAlthoughLeadersChange failed before (the voter still votes after 30 changes of leader, 1.5 s apart) and passes now. OpenGroupLoss, DiskFull, GroupRecovery and ReplicatedLog pass.

--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -257,6 +257,9 @@
   void TruncateFrom(std::uint64_t aIndex);
   void RecordCurrent(const proto::AppendRequest& aRequest);
   void FillLeaderState(proto::AppendRequest& aRequest) const;
+  std::map<Member, core::Instant> SilentVoters() const;
+  void RecordSilentVoters(const proto::AppendRequest& aRequest);
+  core::Instant LastReceivedFrom(const Member& aVoter) const;
   std::uint64_t MismatchHint(std::uint64_t aPrevious) const;
   void SendAppendReply(const Member& aTo, bool aSuccess, std::uint64_t aIndex,
                        std::uint64_t aRejected, std::uint64_t aRound);
@@ -325,6 +328,9 @@
   LeaderSearch mLeaderSearch;
   core::Instant mLeaderLastReceivedAt;
   std::optional<core::Instant> mFollowedAsOf; ///< CurrentAsOf() as a follower or learner.
+  /// Voters that were silent to the last leader that was heard, by when that leader last received
+  /// from them.
+  std::map<Member, core::Instant> mSilentSince;
   core::Instant mElectionDue;
   core::Instant mAnnounceDue;
   /// Hosts that may belong to the group, by when they were named last.
--- a/cuminfield/process/log/ReplicatedLogElection.cpp
+++ b/cuminfield/process/log/ReplicatedLogElection.cpp
@@ -48,6 +48,7 @@
   if (mRole == Role::Leader) {
     mFollowedAsOf = CurrentAsOf();
     FailReads();
+    mSilentSince = SilentVoters();
     mProgress.clear();
     RestartElectionTimer();
   }
@@ -171,12 +172,13 @@
   mRole = Role::Leader;
   mLeader = mSelf.host;
   mLeaderSince = mNow;
-  mVotes.clear();
   mProgress.clear();
   mRoundTimes.clear();
   mRoundRequested = false;
   mHeartbeatDue = mNow;
   OnConfigurationChanged();
+  mVotes.clear();
+  mSilentSince.clear();
   // Entries of earlier terms are committed only through one of this term (Raft paper 5.4.2 and 8).
   AppendAsLeader(proto::Entry());
   mTermStartIndex = mLog.LastIndex();
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -147,7 +147,7 @@
       }
       Progress progress;
       progress.nextIndex = mLog.LastIndex() + 1;
-      progress.lastReceivedAt = mNow;
+      progress.lastReceivedAt = LastReceivedFrom(it);
       mProgress.emplace(it, progress);
     }
     return;
@@ -160,6 +160,12 @@
   }
 }
 
+core::Instant ReplicatedLog::LastReceivedFrom(const Member& aVoter) const
+{
+  const auto silent = mSilentSince.find(aVoter);
+  return mVotes.contains(aVoter) || silent == mSilentSince.end() ? mNow : silent->second;
+}
+
 void ReplicatedLog::DropInactiveLearners()
 {
   const core::Duration limit = mSettings.electionTimeoutMax * kLearnerDropTimeouts;
--- a/cuminfield/process/log/ReplicatedLogReplication.cpp
+++ b/cuminfield/process/log/ReplicatedLogReplication.cpp
@@ -169,6 +169,7 @@
     SendAppendReply(aFrom, false, mLog.LastIndex(), previous, 0);
     return;
   }
+  RecordSilentVoters(aRequest);
   if (previous < mLog.BaseIndex()) {
     // Up to the commit index all logs are equal.
     RecordCurrent(aRequest);
@@ -205,6 +206,32 @@
     aRequest.set_confirmed_ms_ago(
       static_cast<std::uint64_t>(core::Milliseconds(mNow - *confirmed)));
   }
+  for (const auto& [voter, lastReceivedAt] : SilentVoters()) {
+    proto::SilentVoter* it = aRequest.add_silent_voters();
+    *it->mutable_member() = ToProto(voter);
+    it->set_silent_ms(static_cast<std::uint64_t>(core::Milliseconds(mNow - lastReceivedAt)));
+  }
+}
+
+std::map<Member, core::Instant> ReplicatedLog::SilentVoters() const
+{
+  std::map<Member, core::Instant> voters;
+  for (const Member& it : Voters().voters) {
+    const auto progress = mProgress.find(it);
+    if (progress != mProgress.end() && !WasActiveWithin(it, mSettings.electionTimeoutMax)) {
+      voters.emplace(it, progress->second.lastReceivedAt);
+    }
+  }
+  return voters;
+}
+
+// If leaders change often, each of them alone leads for too short a time to replace a silent voter.
+void ReplicatedLog::RecordSilentVoters(const proto::AppendRequest& aRequest)
+{
+  mSilentSince.clear();
+  for (const proto::SilentVoter& it : aRequest.silent_voters()) {
+    mSilentSince[FromProto(it.member())] = mNow - std::chrono::milliseconds(it.silent_ms());
+  }
 }
 
 // The leader skips all entries of a mismatching term at once (Raft paper 5.3).
