Announcements don't wait for a full disk

A host that joins, and whose settings name only a member with a full disk, knew no leader for as long as the disk was full: the member held its reply back like a promise.

Cause: every announcement waited until all before it was durable. Only the agreement to a founding is a promise. Change: announcements wait only while such an agreement may not be durable. Evidence: OpenGroup BlankHostJoinsThroughAMemberWithAFullDisk failed before (no leader known after 10 s) and passes now; LogCluster's and DiskFull's runs pass.

--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -78,10 +78,16 @@
       announcement->add_members(it.host.Text());
     }
   }
-  if (!mFounding.AgreedFounders().voters.empty()) {
+  const bool hasAgreed = !mFounding.AgreedFounders().voters.empty();
+  if (hasAgreed) {
     *announcement->mutable_founding() = ToProto(mFounding.AgreedFounders());
   }
-  SendWhenDurable(anyIncarnation, std::move(message));
+  // Only the agreement is a promise. It is durable at the latest with the first entry.
+  if (hasAgreed && mDurableIndex == 0) {
+    SendWhenDurable(anyIncarnation, std::move(message));
+  } else {
+    SendNow(anyIncarnation, std::move(message));
+  }
 }
 
 void ReplicatedLog::HandleAnnouncement(const Member& aFrom,
