--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -198,6 +198,11 @@
     std::uint64_t batch = 0; ///< Number of the batch that must be durable first.
     OutgoingMessage outgoing;
   };
+  enum class AnnouncementKind
+  {
+    Search, ///< Asks for the group.
+    Reply,  ///< Names the leader and the voters.
+  };
   struct PendingRead
   {
     std::uint64_t id = 0;
@@ -225,7 +230,7 @@
 
   // Founding and membership.
   void Announce();
-  void SendAnnouncement(const core::HostId& aTo, bool aIsReply);
+  void SendAnnouncement(const core::HostId& aTo, AnnouncementKind aKind);
   void TryFoundGroup();
   void FoundGroup();
   void HandleAnnouncement(const Member& aFrom, const proto::Announcement& aAnnouncement);
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -38,7 +38,7 @@
   std::erase_if(mContacts,
                 [this](const auto& aItem) { return mNow - aItem.second > kContactRetention; });
   for (const core::HostId& host : AnnouncementTargets()) {
-    SendAnnouncement(host, false);
+    SendAnnouncement(host, AnnouncementKind::Search);
   }
 }
 
@@ -63,14 +63,14 @@
   return targets;
 }
 
-void ReplicatedLog::SendAnnouncement(const core::HostId& aTo, bool aIsReply)
+void ReplicatedLog::SendAnnouncement(const core::HostId& aTo, AnnouncementKind aKind)
 {
   const Member anyIncarnation{ .host = aTo, .incarnation = core::Incarnation() };
   proto::LogMessage message = MakeMessage(anyIncarnation, 0);
   proto::Announcement* announcement = message.mutable_announcement();
   announcement->set_belongs(HoldsGroupState());
-  announcement->set_reply(aIsReply);
-  if (aIsReply) {
+  announcement->set_reply(aKind == AnnouncementKind::Reply);
+  if (announcement->reply()) {
     if (!mLeader.IsEmpty()) {
       announcement->add_members(mLeader.Text());
     }
@@ -112,7 +112,7 @@
   // Any member helps a host to find the leader, which may be none of the hosts that it knows.
   const bool mayHelp = !aAnnouncement.belongs() || HasRecentLeaderContact();
   if (HoldsGroupState() && mayHelp && !aAnnouncement.reply()) {
-    SendAnnouncement(aFrom.host, true);
+    SendAnnouncement(aFrom.host, AnnouncementKind::Reply);
   }
 }
 
