A voter that is gone is replaced before the next loss may come

Callers saw, with real processes: a control host that led was removed, its successor had been started half a second before, and 3.5 s later the next one was removed; from then on no configuration was answered or taken, for good.

Cause: a voter was replaced after 3 s of silence, which for a leader count from the next election on. A removed host no longer counts as lost 4 s after its successor's start, so the next loss came while it still voted.

Change: control hosts replace a silent voter that a ready host can replace after 1.5 s. The settings of their group are a function of their own now, so that tests in virtual time use them, too. What is replaced too soon, for example a host that was frozen, joins again without a vote, and the order of the change keeps its majority meanwhile.

--- a/UnitTests/process/log/DiskFullTest.cpp
+++ b/UnitTests/process/log/DiskFullTest.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/process/log/LogCluster.h"
+#include "cuminfield/process/cluster/ControlGroupSettings.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,36 +10,26 @@
 
 using namespace std::chrono_literals;
 using namespace cuminfield;
+using process::cluster::MakeControlGroupSettings;
 using unit_tests::log::ClusterSettings;
 using unit_tests::log::LogCluster;
 
 namespace {
 
-/// The settings of control hosts.
-process::log::LogGroupSettings ControlHostSettings()
-{
-  process::log::LogGroupSettings settings;
-  settings.log.electionTimeoutMin = 300ms;
-  settings.log.electionTimeoutMax = 600ms;
-  settings.log.heartbeatInterval = 75ms;
-  settings.log.leaseDuration = 220ms;
-  settings.log.announceInterval = 100ms;
-  settings.client.resendTimeout = 250ms;
-  return settings;
-}
-
 ClusterSettings ThreeVoters(std::size_t aSpareHosts = 0)
 {
-  return {
-    .hosts = 3 + aSpareHosts, .seedHosts = 3, .openGroupVoters = 3, .group = ControlHostSettings()
-  };
+  return { .hosts = 3 + aSpareHosts,
+           .seedHosts = 3,
+           .openGroupVoters = 3,
+           .group = MakeControlGroupSettings(3) };
 }
 
 ClusterSettings FiveVotersOfSixHosts(std::size_t aSpareHosts = 0)
 {
-  return {
-    .hosts = 6 + aSpareHosts, .seedHosts = 3, .openGroupVoters = 5, .group = ControlHostSettings()
-  };
+  return { .hosts = 6 + aSpareHosts,
+           .seedHosts = 3,
+           .openGroupVoters = 5,
+           .group = MakeControlGroupSettings(5) };
 }
 
 /// What happens beside the full disks.
--- a/UnitTests/process/log/OpenGroupTest.cpp
+++ b/UnitTests/process/log/OpenGroupTest.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/process/log/LogCluster.h"
+#include "cuminfield/process/cluster/ControlGroupSettings.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -348,3 +349,29 @@
   }
   CHECK_FALSE(isVoterStill());
 }
+
+/// Guards against a group that is lost because a leader that was removed still votes when the next
+/// host is lost. The successor was started first; 4 s later the removed host no longer counts.
+TEST(OpenGroup, RemovedLeaderIsReplacedInTimeForTheNextLoss)
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    const std::string text = "seed " + std::to_string(seed);
+    LogCluster cluster({ .hosts = 4,
+                         .seedHosts = 3,
+                         .openGroupVoters = 3,
+                         .seed = seed,
+                         .group = process::cluster::MakeControlGroupSettings(3) });
+    StartHosts(cluster, 3);
+    CHECK(cluster.RunUntil(20s, [&] { return CountVoters(cluster) == 3; }));
+    cluster.StartHost(3);
+    cluster.Run(1s);
+    const std::size_t removed = cluster.LeaderHost();
+    CHECK(removed < cluster.RemoteHost());
+    cluster.Kill(removed);
+    cluster.Run(3s);
+    cluster.Kill(cluster.LeaderHost());
+    const std::size_t other = removed == 3 ? 0 : 3;
+    CHECK_TEXT(IsAcknowledgedFrom(cluster, other), text.c_str());
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+}
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/cluster/ControlHost.h"
 
+#include "cuminfield/process/cluster/ControlGroupSettings.h"
 #include "cuminfield/process/cluster/GroupMetrics.h"
 #include "cuminfield/process/cluster/MovePhase.h"
 #include "cuminfield/process/log/FileLogStorage.h"
@@ -24,15 +25,6 @@
 /// A service must be known for this long before its version is recorded as the version in force.
 constexpr core::Duration kVersionSettleDuration = std::chrono::milliseconds(500);
 
-/// A host that starts cannot get the document in force while no leader is known, so a lost leader
-/// must be replaced quickly. A round trip between regions takes 17 ms, a sync of a slow disk 30 ms.
-constexpr core::Duration kElectionTimeoutMin = std::chrono::milliseconds(300);
-constexpr core::Duration kElectionTimeoutMax = std::chrono::milliseconds(600);
-constexpr core::Duration kHeartbeatInterval = std::chrono::milliseconds(75);
-constexpr core::Duration kLeaseDuration = std::chrono::milliseconds(220);
-constexpr core::Duration kAnnounceInterval = std::chrono::milliseconds(100);
-constexpr core::Duration kResendInterval = std::chrono::milliseconds(250);
-
 /// Ticks that may be missed before this process counts as stalled.
 constexpr int kTicksUntilStall = 3;
 
@@ -70,19 +62,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
 }
 
-log::LogGroupSettings MakeGroupSettings(const ClusterSettings& aCluster)
-{
-  log::LogGroupSettings settings;
-  settings.log.openGroupVoters = aCluster.voterCount;
-  settings.log.electionTimeoutMin = kElectionTimeoutMin;
-  settings.log.electionTimeoutMax = kElectionTimeoutMax;
-  settings.log.heartbeatInterval = kHeartbeatInterval;
-  settings.log.leaseDuration = kLeaseDuration;
-  settings.log.announceInterval = kAnnounceInterval;
-  settings.client.resendTimeout = kResendInterval;
-  return settings;
-}
-
 FollowerTableSettings MakeFollowerTableSettings(const ControlHost::Options& aOptions)
 {
   FollowerTableSettings settings = aOptions.settings.followers;
@@ -130,7 +109,7 @@
                           .storage = *mStorage,
                           .stateMachine = mState,
                           .random = core::Random(mOptions.random.Bits()),
-                          .settings = MakeGroupSettings(cluster) });
+                          .settings = MakeControlGroupSettings(cluster.voterCount) });
 }
 
 core::Result<void> ControlHost::Start()
--- a/cuminfield/process/cluster/GroupHealthLog.h
+++ b/cuminfield/process/cluster/GroupHealthLog.h
@@ -17,7 +17,7 @@
 /// Settings of GroupHealthLog.
 struct GroupHealthLogSettings
 {
-  /// A voter that is silent for longer is logged. Less than the time after which it is replaced.
+  /// A voter that is silent for longer is logged. One that a ready host replaces sooner is not.
   core::Duration silentAfter = std::chrono::seconds(2);
   /// A voter that is heard again, or another number of tolerated losses, is logged when it has
   /// lasted for this long: longer than an election or the exchange of a voter takes.
