--- a/review/harness.py
+++ b/review/harness.py
@@ -144,8 +144,12 @@
     def peer_port(self, host):
         return self.port + (3 if host.role == "entry" else 4 + int(host.name.split("-")[1]))
 
+    def seeds(self):
+        """The control hosts that a settings file names when it is written."""
+        return self.controls[:3]
+
     def settings(self, host):
-        seeds = ",".join(f"{it.ip}:{self.port}" for it in self.controls[:3])
+        seeds = ",".join(f"{it.ip}:{self.port}" for it in self.seeds())
         data = f"{self.work}/{host.name}"
         lines = ["[host]", f"id = {host.ip}", f"name = {host.name}", f"data-centre = {host.zone}",
                  f"region = region-{host.zone}"]
