--- a/review/entries/replaced_control_hosts.py
+++ b/review/entries/replaced_control_hosts.py
@@ -1,6 +1,6 @@
 """CONFIG and LOST after control hosts were replaced: issue 40.
 
-    python3 review/entries/replaced_control_hosts.py SEED [--small] [--entries N]
+    python3 review/entries/replaced_control_hosts.py SEED [--small] [--entries N] [--rounds N] [--freeze]
 
 Six control hosts, two losses borne; with --small three and one. An operator sends a configuration about every
 second, one at a time. The seed draws what happens: control hosts are replaced (ended by SIGKILL or SIGTERM, with an
@@ -10,7 +10,8 @@
 until catch_up_s after that and after its successor's start. At last as many disks as are borne are lost and all
 other control hosts are killed at once, with or without the entry hosts.
 
---entries sets the number of entry hosts (the seed draws 3 to 6). LOGS names a folder in which a run that broke
+--entries sets the number of entry hosts (the seed draws 3 to 6), --rounds that of disruptions (5 to 7). With --freeze
+leaders are also frozen for 1 to 8 s, some while another control host is replaced. LOGS names a folder in which a run that broke
 something leaves its logs under SEED; KEEP=1 keeps the hosts' folders; TMPDIR should name a folder in memory where
 others use the disk, too: a sync that takes seconds is another case than this one. Exit codes: 1 something was broken, 0
 nothing was, 2 could not run. Timing isn't seeded: a seed repeats the plan, not the run.
@@ -42,7 +43,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from harness import BROKEN, HELD, PROGRAM, Client, Deployment, Runner, now, run
 
-SPARE = 40
+SPARE = 60
 MARGIN = 0.3  # Between the end of a bound and the next loss, so that the bound can be judged.
 GRACE = 8.0
 ROUTES = 30
@@ -84,12 +85,13 @@
         self.core_event = now()   # The last moment at which the core was not stable.
         self.offsets = {}         # Where the log of the present life of a host begins.
         self.expected = set()     # Hosts that were told to end.
+        self.frozen = set()
 
     def peer_port(self, host):
         return self.port + 3
 
     def seeds(self):
-        running = [it for it in self.controls if self.is_running(it)]
+        running = [it for it in self.controls if self.is_running(it) and it not in self.frozen]
         return running[:3] if len(running) >= 3 else self.controls[:3]
 
     @staticmethod
@@ -170,8 +172,9 @@
 
 
 class Case:
-    def __init__(self, seed, small, entries):
+    def __init__(self, seed, small, entries, rounds, freeze):
         self.seed, self.rng, self.small = seed, random.Random(seed), small
+        self.rounds, self.freezes = rounds, freeze
         rng = self.rng
         self.pages = Bounds(small)
         size, losses = (3, 1) if small else (6, 2)
@@ -253,7 +256,7 @@
     async def read(self):
         while not self.stop.is_set():
             for host in list(self.d.controls):
-                if self.d.is_running(host):
+                if self.d.is_running(host) and host not in self.d.frozen:
                     await self.get(host)
                 await asyncio.sleep(0.1)
 
@@ -428,6 +431,31 @@
         jobs = [self.substitute(self.rng.choice(others))] + ([self.restart(leader)] if leader else [])
         await asyncio.gather(*jobs)
 
+    async def freeze(self, host):
+        d, pause = self.d, self.rng.choice((self.rng.uniform(1, 3), self.rng.uniform(3, 8)))
+        d.note(f"SIGSTOP {host.name} for {pause:.1f} s")
+        d.lost[host] = float("inf")
+        d.frozen.add(host)
+        host.process.send_signal(signal.SIGSTOP)
+        d.core_event = now()
+        await asyncio.sleep(pause)
+        d.core_event = now()
+        host.process.send_signal(signal.SIGCONT)
+        d.frozen.discard(host)
+        d.note(f"SIGCONT {host.name}")
+        d.lost[host] = now() + self.pages.catch_up + MARGIN
+
+    async def freeze_leader(self):
+        await self.d.borne(1)
+        if leader := self.d.leader():
+            await self.freeze(leader)
+
+    async def replace_beside_frozen_leader(self):
+        await self.d.borne(2)
+        if leader := self.d.leader():
+            others = [it for it in self.d.controls if it is not leader]
+            await asyncio.gather(self.freeze(leader), self.substitute(self.rng.choice(others)))
+
     async def restart_leader(self):
         await self.d.borne(1)
         if leader := self.d.leader():
@@ -491,7 +519,9 @@
         kinds = [self.replace_one] * 5 + [self.restart_leader] * 2 + [self.lose_disk] * 2 + [self.kill_all]
         if not self.small:
             kinds += [self.replace_two] * 2 + [self.replace_beside_leader] * 2
-        plan = [rng.choice(kinds) for _ in range(rng.randint(5, 7))]
+        if self.freezes:
+            kinds += [self.freeze_leader] * 2 + ([] if self.small else [self.replace_beside_frozen_leader] * 3)
+        plan = [rng.choice(kinds) for _ in range(self.rounds or rng.randint(5, 7))]
         if rng.random() < 0.6:
             plan.insert(rng.randrange(2), self.lead_elsewhere)
         if rng.random() < 0.5:
@@ -605,8 +635,10 @@
     parser.add_argument("seed", type=int)
     parser.add_argument("--small", action="store_true", help="three control hosts, one loss borne")
     parser.add_argument("--entries", type=int, default=0, help="entry hosts")
+    parser.add_argument("--rounds", type=int, default=0, help="disruptions before the last loss")
+    parser.add_argument("--freeze", action="store_true", help="leaders are also frozen")
     args = parser.parse_args()
-    await Case(args.seed, args.small, args.entries).main()
+    await Case(args.seed, args.small, args.entries, args.rounds, args.freeze).main()
 
 
 run(main)
