--- a/review/entries/replaced_control_hosts.py
+++ b/review/entries/replaced_control_hosts.py
@@ -11,10 +11,10 @@
 other control hosts are killed at once, with or without the entry hosts.
 
 --entries sets the number of entry hosts (the seed draws 3 to 6), --rounds that of disruptions (5 to 7). With --freeze
-leaders are also frozen for 1 to 8 s, some while another control host is replaced. LOGS names a folder in which a run that broke
-something leaves its logs under SEED; KEEP=1 keeps the hosts' folders; TMPDIR should name a folder in memory where
-others use the disk, too: a sync that takes seconds is another case than this one. Exit codes: 1 something was broken, 0
-nothing was, 2 could not run. Timing isn't seeded: a seed repeats the plan, not the run.
+leaders are also frozen for 1 to 8 s, some while another control host is replaced. LOGS names a folder in which a run
+that broke something leaves its logs under SEED; KEEP=1 keeps the hosts' folders; TMPDIR should name a folder in memory
+where others use the disk, too: a sync that takes seconds is another case than this one. Exit codes: 1 something was
+broken, 0 nothing was, 2 could not run. Timing isn't seeded: a seed repeats the plan, not the run.
 
 The bounds are those of the pages. What is judged:
 join     a control host that was started knows no leader catch_up_s later, though the group acknowledged two
