review: replaced control hosts, the disruptions can be named

--plan names the disruptions. --by-start counts a removed host as lost only until catch_up_s after its successor's start, as the page on losses says, also where the successor came first.

--- a/review/entries/replaced_control_hosts.py
+++ b/review/entries/replaced_control_hosts.py
@@ -1,6 +1,7 @@
 """CONFIG and LOST after control hosts were replaced: issue 40.
 
     python3 review/entries/replaced_control_hosts.py SEED [--small] [--entries N] [--rounds N] [--freeze]
+                                                          [--plan KIND[,KIND]...] [--by-start]
 
 Six control hosts, two losses borne; with --small three and one. An operator sends a configuration about every
 second, one at a time. The seed draws what happens: control hosts are replaced (ended by SIGKILL or SIGTERM, with an
@@ -11,10 +12,15 @@
 other control hosts are killed at once, with or without the entry hosts.
 
 --entries sets the number of entry hosts (the seed draws 3 to 6), --rounds that of disruptions (5 to 7). With --freeze
-leaders are also frozen for 1 to 8 s, some while another control host is replaced. LOGS names a folder in which a run
-that broke something leaves its logs under SEED; KEEP=1 keeps the hosts' folders; TMPDIR should name a folder in memory
-where others use the disk, too: a sync that takes seconds is another case than this one. Exit codes: 1 something was
-broken, 0 nothing was, 2 could not run. Timing isn't seeded: a seed repeats the plan, not the run.
+leaders are also frozen for 1 to 8 s, some while another control host is replaced. --plan names the disruptions, which
+are repeated in turn without pauses: methods of Case that begin with replace_, restart_, lose_, kill_ or freeze_. With
+--by-start a host that was removed no longer counts as lost catch_up_s after its successor's start, also where the
+successor came first.
+
+LOGS names a folder in which a run that broke something leaves its logs under SEED; KEEP=1 keeps the hosts' folders;
+TMPDIR should name a folder in memory where others use the disk, too: a sync that takes seconds is another case than
+this one. Exit codes: 1 something was broken, 0 nothing was, 2 could not run. Timing isn't seeded: a seed repeats the
+plan, not the run.
 
 The bounds are those of the pages. What is judged:
 join     a control host that was started knows no leader catch_up_s later, though the group acknowledged two
@@ -172,9 +178,10 @@
 
 
 class Case:
-    def __init__(self, seed, small, entries, rounds, freeze):
+    def __init__(self, args):
+        seed, small, entries = args.seed, args.small, args.entries
         self.seed, self.rng, self.small = seed, random.Random(seed), small
-        self.rounds, self.freezes = rounds, freeze
+        self.rounds, self.freezes, self.plan, self.by_start = args.rounds, args.freeze, args.plan, args.by_start
         rng = self.rng
         self.pages = Bounds(small)
         size, losses = (3, 1) if small else (6, 2)
@@ -375,10 +382,11 @@
             hosts.sort(key=lambda it: it.started)
         return hosts[:count]
 
-    async def substitute(self, old):
+    async def substitute(self, old, first=None, pause=None):
         d, rng = self.d, self.rng
         how = rng.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM))
-        first, pause = rng.random() < 0.25, rng.uniform(0.5, 3)
+        first = rng.random() < 0.25 if first is None else first
+        pause = rng.uniform(0.5, 3) if pause is None else pause
         new = self.successor(old)
         d.note(f"replaces {old.name} by {new.name}, {how.name}, " +
                (f"successor {pause:.1f} s before" if first else f"successor {pause:.1f} s after"))
@@ -400,7 +408,8 @@
             await asyncio.sleep(pause)
             await d.launch(new)
             self.watch_join(new, "successor")
-        d.lost[old] = now() + self.pages.catch_up + MARGIN
+        counted_from = new.started if self.by_start else now()
+        d.lost[old] = max(now(), counted_from + self.pages.catch_up) + MARGIN
 
     async def restart(self, host, lose_disk=False):
         d, rng = self.d, self.rng
@@ -420,6 +429,18 @@
         await self.d.borne(1)
         await self.substitute(self.pick()[0])
 
+    async def replace_leader(self):
+        """The successor comes half a second later."""
+        await self.d.borne(1)
+        if leader := self.d.leader():
+            await self.substitute(leader, False, 0.5)
+
+    async def replace_leader_late(self):
+        """The successor came first."""
+        await self.d.borne(1)
+        if leader := self.d.leader():
+            await self.substitute(leader, True, self.rng.uniform(0.5, 1))
+
     async def replace_two(self):
         await self.d.borne(2)
         await asyncio.gather(*(self.substitute(it) for it in self.pick(2)))
@@ -522,15 +543,18 @@
         if self.freezes:
             kinds += [self.freeze_leader] * 2 + ([] if self.small else [self.replace_beside_frozen_leader] * 3)
         plan = [rng.choice(kinds) for _ in range(self.rounds or rng.randint(5, 7))]
-        if rng.random() < 0.6:
+        if self.plan:
+            kinds = [getattr(self, it) for it in self.plan.split(",")]
+            plan = [kinds[n % len(kinds)] for n in range(self.rounds or 8)]
+        if not self.plan and rng.random() < 0.6:
             plan.insert(rng.randrange(2), self.lead_elsewhere)
-        if rng.random() < 0.5:
+        if not self.plan and rng.random() < 0.5:
             plan.insert(rng.randrange(len(plan)), self.change_settings)
         self.d.note("plan: " + ", ".join(it.__name__ for it in plan))
         for it in plan:
             self.d.note("round: " + it.__name__)
             await it()
-            await asyncio.sleep(rng.choice((0, 0.5, 2)))
+            await asyncio.sleep(0 if self.plan else rng.choice((0, 0.5, 2)))
 
     async def last_loss(self):
         d, rng = self.d, self.rng
@@ -637,8 +661,9 @@
     parser.add_argument("--entries", type=int, default=0, help="entry hosts")
     parser.add_argument("--rounds", type=int, default=0, help="disruptions before the last loss")
     parser.add_argument("--freeze", action="store_true", help="leaders are also frozen")
-    args = parser.parse_args()
-    await Case(args.seed, args.small, args.entries, args.rounds, args.freeze).main()
+    parser.add_argument("--plan", help="disruptions, repeated in turn")
+    parser.add_argument("--by-start", action="store_true", help="a removed host counts from its successor's start")
+    await Case(parser.parse_args()).main()
 
 
 run(main)
