--- a/UnitTests/process/log/OpenGroupLossTest.cpp
+++ b/UnitTests/process/log/OpenGroupLossTest.cpp
@@ -117,6 +117,19 @@
     mCluster.SetSeeds(seeds);
   }
 
+  enum class Loss
+  {
+    Replaced,
+    Killed,
+    DiskLost,
+    CutOff,
+    Frozen,
+    DiskFull,
+    PartlyCutOff, ///< Heard by some hosts and not by others, or cut off in one direction.
+    AllKilled,
+  };
+  static constexpr std::uint64_t kLossKinds = 8;
+
   void LoseOne()
   {
     const std::size_t leader = mCluster.LeaderHost();
@@ -131,60 +144,93 @@
       return;
     }
     const core::Duration duration = 500ms + core::Duration(mRandom.UniformBelow(4'500'000));
-    const core::Instant end = mCluster.Now() + duration;
-    std::size_t kind = mRandom.UniformBelow(8);
-    if (kind == 0 && mNext == kRunning + kReplacements) {
-      kind = 1;
+    auto loss = static_cast<Loss>(mRandom.UniformBelow(kLossKinds));
+    if (loss == Loss::Replaced && mNext == kRunning + kReplacements) {
+      loss = Loss::Killed;
     }
     mTrace += " " + std::to_string(mCluster.Now().time_since_epoch().count() / 1000) +
-              "ms:" + std::to_string(host) + (host == leader ? "L" : "") + "abcdefgh"[kind];
-    mLostUntil[host] = end + kCatchUp;
-    if (kind == 0) {
-      mCluster.Kill(host);
-      const std::size_t next = mNext++;
-      mLostUntil[next] = end + kCatchUp;
-      mRunningHosts[index] = next;
-      mRunningHosts.erase(mRunningHosts.begin() + static_cast<std::ptrdiff_t>(index));
-      mRunningHosts.push_back(next);
-      TurnSeeds();
-      mActions.emplace(end, [this, next] { mCluster.StartHost(next); });
-    } else if (kind == 1 || kind == 2) {
-      kind == 1 ? mCluster.Kill(host) : mCluster.LoseDisk(host);
-      mActions.emplace(end, [this, host] {
-        if (!mCluster.IsUp(host)) {
-          mCluster.StartHost(host);
-        }
-      });
-    } else if (kind == 3) {
-      mCluster.SetIsolated(host, true);
-      mActions.emplace(end, [this, host] { mCluster.SetIsolated(host, false); });
-    } else if (kind == 4) {
-      mCluster.StallHost(host, duration);
-    } else if (kind == 6) {
-      // Heard by some and not by others, or cut off in one direction.
-      for (std::size_t n = 0; n < kRunning + kReplacements; ++n) {
-        const bool isTo = mRandom.Chance(0.5);
-        if (mRandom.Chance(0.7)) {
-          mCluster.SetLinkBlocked(isTo ? n : host, isTo ? host : n, true);
-        }
+              "ms:" + std::to_string(host) + (host == leader ? "(leader)" : "") + " loss " +
+              std::to_string(static_cast<int>(loss));
+    mLostUntil[host] = mCluster.Now() + duration + kCatchUp;
+    Lose(loss, index, duration);
+  }
+
+  void Lose(Loss aLoss, std::size_t aIndex, core::Duration aDuration)
+  {
+    const std::size_t host = mRunningHosts[aIndex];
+    const core::Instant end = mCluster.Now() + aDuration;
+    switch (aLoss) {
+      case Loss::Replaced:
+        Replace(aIndex, end);
+        break;
+      case Loss::Killed:
+        mCluster.Kill(host);
+        StartAt(end, host);
+        break;
+      case Loss::DiskLost:
+        mCluster.LoseDisk(host);
+        StartAt(end, host);
+        break;
+      case Loss::CutOff:
+        mCluster.SetIsolated(host, true);
+        mActions.emplace(end, [this, host] { mCluster.SetIsolated(host, false); });
+        break;
+      case Loss::Frozen:
+        mCluster.StallHost(host, aDuration);
+        break;
+      case Loss::DiskFull:
+        mCluster.Disk(host).SetFull(true);
+        mActions.emplace(end, [this, host] { mCluster.Disk(host).SetFull(false); });
+        break;
+      case Loss::PartlyCutOff:
+        CutOffPartly(host);
+        mActions.emplace(end, [this, host] { mCluster.SetIsolated(host, false); });
+        break;
+      case Loss::AllKilled:
+        KillAll(end);
+        break;
+    }
+  }
+
+  void StartAt(core::Instant aTime, std::size_t aHost)
+  {
+    mActions.emplace(aTime, [this, aHost] {
+      if (!mCluster.IsUp(aHost)) {
+        mCluster.StartHost(aHost);
+      }
+    });
+  }
+
+  void Replace(std::size_t aIndex, core::Instant aStart)
+  {
+    mCluster.Kill(mRunningHosts[aIndex]);
+    const std::size_t next = mNext++;
+    mLostUntil[next] = aStart + kCatchUp;
+    mRunningHosts.erase(mRunningHosts.begin() + static_cast<std::ptrdiff_t>(aIndex));
+    mRunningHosts.push_back(next);
+    TurnSeeds();
+    StartAt(aStart, next);
+  }
+
+  void CutOffPartly(std::size_t aHost)
+  {
+    for (std::size_t n = 0; n < kRunning + kReplacements; ++n) {
+      const bool isTo = mRandom.Chance(0.5);
+      if (mRandom.Chance(0.7)) {
+        mCluster.SetLinkBlocked(isTo ? n : aHost, isTo ? aHost : n, true);
       }
-      mActions.emplace(end, [this, host] { mCluster.SetIsolated(host, false); });
-    } else if (kind == 7) {
-      for (const std::size_t it : mRunningHosts) {
-        if (mCluster.IsUp(it)) {
-          mCluster.Kill(it);
-          mCluster.Disk(it).SetFull(false);
-          mActions.emplace(end + core::Duration(mRandom.UniformBelow(300'000)), [this, it] {
-            if (!mCluster.IsUp(it)) {
-              mCluster.StartHost(it);
-            }
-          });
-          mLostUntil[it] = std::max(mLostUntil[it], end + 300ms + kCatchUp);
-        }
+    }
+  }
+
+  void KillAll(core::Instant aStart)
+  {
+    for (const std::size_t it : mRunningHosts) {
+      if (mCluster.IsUp(it)) {
+        mCluster.Kill(it);
+        mCluster.Disk(it).SetFull(false);
+        StartAt(aStart + core::Duration(mRandom.UniformBelow(300'000)), it);
+        mLostUntil[it] = std::max(mLostUntil[it], aStart + 300ms + kCatchUp);
       }
-    } else {
-      mCluster.Disk(host).SetFull(true);
-      mActions.emplace(end, [this, host] { mCluster.Disk(host).SetFull(false); });
     }
   }
 
