peer: how attempts to open streams end is logged and counted

Logs could not tell a connection that never opens from one that is open and slow: peer-stream-replaced is logged only for a peer that was heard on the stream. New, once a second at most and only when it tells something: peer-streams (open, opening, given up before they were open, how long the slowest took, how long urgent messages waited), and on a control host without a leader leaderless-load (hosts that report, reports, rounds). No logic changes.

--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -39,6 +39,9 @@
 /// election of a leader takes less.
 constexpr core::Duration kMaxStateAgeOfComplete = std::chrono::seconds(2);
 
+/// Time between two lines on the load of a control host that knows no leader.
+constexpr core::Duration kLeaderlessLoadLogInterval = std::chrono::seconds(1);
+
 /// Observations of upstreams are sent once in this many rounds: they are as large as the rest of a
 /// feed and change over seconds.
 constexpr std::uint64_t kRoundsPerObserved = 4;
@@ -313,6 +316,7 @@
   }
   const core::Instant now = mOptions.loop.Now();
   if (message.has_report()) {
+    ++mReportsSinceLoadLog;
     const auto known = mFollowers.Followers().find(aFrom);
     const bool isFollower = known != mFollowers.Followers().end() && !known->second.isTrial;
     if (!message.report().unfollows() && !message.report().trial() && !isFollower) {
@@ -353,6 +357,7 @@
     SendRound();
   }
   LogPacing();
+  LogLeaderlessLoad();
   RunLeaderTasks();
   LogPendingRequests();
   LogChanges();
@@ -367,6 +372,7 @@
   SendQuarantine();
   SendFeeds();
   mPacer.OnRoundSent(start, mOptions.loop.Now());
+  ++mRoundsSinceLoadLog;
 }
 
 void ControlHost::LogPacing()
@@ -382,6 +388,25 @@
                    { "followers", mFollowers.Followers().size() } });
 }
 
+void ControlHost::LogLeaderlessLoad()
+{
+  const core::Instant now = mOptions.loop.Now();
+  if (KnowsLeader()) {
+    mReportsSinceLoadLog = 0;
+    mRoundsSinceLoadLog = 0;
+    return;
+  }
+  if (mFollowers.Followers().empty() || now < mLoadLogDue) {
+    return;
+  }
+  mLoadLogDue = now + kLeaderlessLoadLogInterval;
+  logging::Event(logging::Level::Info, "leaderless-load",
+                 { { "followers", mFollowers.Followers().size() },
+                   { "reports", std::exchange(mReportsSinceLoadLog, 0) },
+                   { "rounds", std::exchange(mRoundsSinceLoadLog, 0) },
+                   { "round_ms", ToMilliseconds(mPacer.MeanDuration()) } });
+}
+
 void ControlHost::ApplyLeaves()
 {
   for (const auto& [id, leave] : mState.Leaves()) {
@@ -784,6 +809,7 @@
   gauges.Add("followers", FollowerCount());
   gauges.Add("upstreams_known", UpstreamCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
+  mOptions.links.AddMetrics(gauges);
   return gauges.Text();
 }
 
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -120,6 +120,8 @@
   void Tick();
   void SendRound();
   void LogPacing();
+  /// Logs what followers cost while there is no leader, and so nothing to tell them.
+  void LogLeaderlessLoad();
   void ApplyLeaves();
   void SendFeeds();
   proto::Feed BuildCommonFeed() const;
@@ -168,6 +170,9 @@
   std::string mLoggedQuarantine;
   RoundPacer mPacer;
   bool mLoggedSlowed = false;
+  std::uint64_t mReportsSinceLoadLog = 0;
+  std::uint64_t mRoundsSinceLoadLog = 0;
+  core::Instant mLoadLogDue{};
   core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
   std::uint64_t mMessageRounds = 0;   ///< Rounds of exchanges and feeds sent.
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -372,6 +372,7 @@
   gauges.Add("upstreams_known", mKnownUpstreams.size());
   gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
+  mOptions.links.AddMetrics(gauges);
   return mMonitor.FormatMetrics() + gauges.Text();
 }
 
--- a/cuminfield/process/peer/DeliveryMonitor.h
+++ b/cuminfield/process/peer/DeliveryMonitor.h
@@ -89,6 +89,12 @@
   /// When a message was last queued for the peer or a batch received from it.
   core::Instant LastUsedAt() const;
 
+  /// When the current stream was opened, less the time that this process did not run since.
+  core::Instant StreamOpenedAt() const { return mStreamOpenedAt; }
+
+  /// True once the current stream has taken a batch: its connection is established.
+  bool IsStreamOpen() const { return mWritten > 0; }
+
   /// True if the peer was heard since the current stream was opened.
   bool WasHeardOnStream() const { return mLastReceivedAt > mStreamOpenedAt; }
 
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -280,6 +280,9 @@
   if (peer.queue.size() >= mOptions.settings.maxQueuedFrames) {
     return;
   }
+  if (IsUrgent(aMessage.channel) && !peer.urgentSince) {
+    peer.urgentSince = mOptions.loop.Now();
+  }
   peer.queue.push_back(std::move(aMessage));
   FlushQueue(peer);
 }
@@ -321,7 +324,7 @@
     const core::Duration idle = now - peer.delivery.LastUsedAt();
     if (peer.isDynamic && idle > mOptions.settings.dynamicPeerIdleTimeout) {
       if (peer.stream) {
-        peer.stream->Close();
+        DropStream(peer);
       }
       it = mPeers.erase(it);
       continue;
@@ -336,6 +339,53 @@
       SendBatch(peer, {}, false);
     }
   }
+  LogStreams();
+}
+
+GrpcPeerLinks::StreamCounts GrpcPeerLinks::CountStreams() const
+{
+  const core::Instant now = mOptions.loop.Now();
+  StreamCounts counts;
+  for (const auto& [id, peer] : mPeers) {
+    if (!peer.stream) {
+      continue;
+    }
+    if (peer.delivery.IsStreamOpen()) {
+      ++counts.open;
+    } else if (peer.stream->IsBusy()) {
+      ++counts.opening;
+      counts.longestOpening = std::max(counts.longestOpening, now - peer.delivery.StreamOpenedAt());
+    }
+  }
+  return counts;
+}
+
+void GrpcPeerLinks::LogStreams()
+{
+  const auto report = mStatistics.TakeReport(mOptions.loop.Now());
+  if (!report) {
+    return;
+  }
+  const StreamCounts counts = CountStreams();
+  logging::Event(
+    logging::Level::Info, "peer-streams",
+    { { "open", counts.open },
+      { "opening", counts.opening },
+      { "opening_ms", static_cast<std::int64_t>(core::Milliseconds(counts.longestOpening)) },
+      { "opened", report->opened },
+      { "opened_after_ms", static_cast<std::int64_t>(core::Milliseconds(report->longestOpening)) },
+      { "given_up", report->givenUp },
+      { "urgent_wait_ms",
+        static_cast<std::int64_t>(core::Milliseconds(report->longestUrgentWait)) } });
+}
+
+void GrpcPeerLinks::AddMetrics(metrics::GaugeText& aGauges) const
+{
+  const StreamCounts counts = CountStreams();
+  aGauges.Add("peer_streams_open", counts.open);
+  aGauges.Add("peer_streams_opening", counts.opening);
+  aGauges.Add("peer_streams_opened_total", mStatistics.OpenedCount());
+  aGauges.Add("peer_streams_given_up_total", mStatistics.GivenUpCount());
 }
 
 void GrpcPeerLinks::OpenStream(Peer& aPeer)
@@ -355,11 +405,20 @@
     logging::Event(logging::Level::Info, "peer-stream-replaced",
                    { { "peer", aPeer.settings.id.Text() }, { "reason", ToText(aFault) } });
   }
+  // Queued messages are outdated.
+  DropStream(aPeer);
+  OpenStream(aPeer);
+}
+
+void GrpcPeerLinks::DropStream(Peer& aPeer)
+{
+  if (!aPeer.delivery.IsStreamOpen() && aPeer.stream->IsBusy()) {
+    mStatistics.OnGivenUp();
+  }
   aPeer.stream->Close();
   aPeer.stream.reset();
-  // Queued messages are outdated.
   aPeer.queue.clear();
-  OpenStream(aPeer);
+  aPeer.urgentSince.reset();
 }
 
 void GrpcPeerLinks::FlushQueue(Peer& aPeer)
@@ -381,6 +440,9 @@
     compress = compress || it->compress;
   }
   aPeer.queue.erase(aPeer.queue.begin(), end);
+  if (aPeer.urgentSince) {
+    mStatistics.OnUrgentSent(mOptions.loop.Now() - *std::exchange(aPeer.urgentSince, {}));
+  }
   SendBatch(aPeer, std::move(batch), compress);
 }
 
@@ -409,6 +471,9 @@
     peer.stream->Close();
     return;
   }
+  if (!peer.delivery.IsStreamOpen()) {
+    mStatistics.OnOpened(mOptions.loop.Now() - peer.delivery.StreamOpenedAt());
+  }
   peer.delivery.OnWritten(mOptions.loop.Now());
   peer.stream->SetIdle();
   FlushQueue(peer);
@@ -421,10 +486,8 @@
     return;
   }
   Peer& peer = it->second;
-  peer.stream->Close();
-  peer.stream.reset();
   // Queued messages would be outdated by the time the next stream is open.
-  peer.queue.clear();
+  DropStream(peer);
   peer.reconnectTimer = mOptions.loop.ScheduleAfter(mOptions.settings.reconnectDelay,
                                                     [this, &peer] { OpenStream(peer); });
 }
--- a/cuminfield/process/peer/GrpcPeerLinks.h
+++ b/cuminfield/process/peer/GrpcPeerLinks.h
@@ -5,11 +5,13 @@
 #include "cuminfield/core/StallDetector.h"
 #include "cuminfield/process/peer/DeliveryMonitor.h"
 #include "cuminfield/process/peer/PeerLinks.h"
+#include "cuminfield/process/peer/StreamStatistics.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace grpc {
@@ -73,6 +75,9 @@
   core::Bytes BytesSent() const { return mBytesSent; }
   core::Bytes BytesReceived() const { return mBytesReceived; }
 
+  /// Adds the numbers of streams to peers: open, opening, and given up before they were open.
+  void AddMetrics(metrics::GaugeText& aGauges) const override;
+
 private:
   class OutgoingStream;
   class IncomingStream;
@@ -85,14 +90,26 @@
     std::shared_ptr<OutgoingStream> stream;
     core::TimerHandle reconnectTimer;
     DeliveryMonitor delivery;
-    bool isDynamic = false; ///< Not listed in the settings.
+    std::optional<core::Instant> urgentSince; ///< Oldest queued urgent message.
+    bool isDynamic = false;                   ///< Not listed in the settings.
+  };
+
+  /// Streams to peers by state.
+  struct StreamCounts
+  {
+    std::size_t open = 0;
+    std::size_t opening = 0;
+    core::Duration longestOpening{ 0 }; ///< Of the opening ones, so far.
   };
 
   Peer& AddPeer(const settings::PeerSettings& aSettings);
   Peer* FindOrAddPeer(const core::HostId& aHost);
   void CheckPeers();
+  StreamCounts CountStreams() const;
+  void LogStreams();
   void OpenStream(Peer& aPeer);
   void ReplaceStream(Peer& aPeer, StreamFault aFault);
+  void DropStream(Peer& aPeer);
   void FlushQueue(Peer& aPeer);
   void SendBatch(Peer& aPeer, proto::Batch aBatch, bool aCompress);
   void OnBatchWritten(const core::HostId& aPeer, const OutgoingStream* aStream, bool aOk);
@@ -103,6 +120,7 @@
   Options mOptions;
   std::map<core::HostId, Peer> mPeers;
   core::StallDetector mStalls;
+  StreamStatistics mStatistics;
   std::unique_ptr<Service> mService;
   std::unique_ptr<grpc::Server> mServer;
   std::shared_ptr<bool> mAlive; ///< False once stopped, so that late completions are ignored.
--- a/cuminfield/process/peer/PeerLinks.h
+++ b/cuminfield/process/peer/PeerLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminfield/core/Ids.h"
+#include "cuminfield/process/metrics/GaugeText.h"
 
 #include <sigc++/sigc++.h>
 
@@ -46,6 +47,9 @@
   /// Sends to aTo. The message is dropped silently while there is no link.
   virtual void Send(const core::HostId& aTo, PeerMessage aMessage) = 0;
 
+  /// Adds what is known of the links.
+  virtual void AddMetrics(metrics::GaugeText& /*aGauges*/) const {}
+
   /// Emitted on the loop for each received message, with its sender.
   using MessageSignal = sigc::signal<void(const core::HostId&, const PeerMessage&)>;
   MessageSignal& OnMessage() { return mOnMessage; }
