peer: a connection that is slow to open is not given up before it can

Cause: gRPC's least reconnect backoff, set to 200 ms, is the time limit of a connection attempt, too; it grows to 1 s at most. And DeliveryMonitor replaced a stream whose peer was silent for 1.2 s though the stream had never opened. Each attempt threw away what the one before had achieved and cost both sides as much: the repeats were the overload. Class: under overload an attempt is given up before it can succeed (metastable failure).

Change: an attempt may take 3 s. A stream that does not open is replaced, while its peer is silent, after 1.2 s and then after 2.4 s, each extended by a random part; the time to open no longer counts as the peer's silence. A peer that refuses connections is still tried every 0.2 to 1 s.

--- a/TestFramework/relay/Relay.cpp
+++ b/TestFramework/relay/Relay.cpp
@@ -48,7 +48,7 @@
   mForwardBlocked = aForward;
   mBackwardBlocked = aBackward;
   for (const auto& it : mLinks) {
-    it->SetBlocked(aForward || it->IsSilenced(), aBackward || it->IsSilenced());
+    it->SetBlocked(aForward, aBackward);
   }
 }
 
@@ -65,7 +65,7 @@
   auto* self = static_cast<Relay*>(aSelf);
   // The close callback identifies the link by its address, which is known only after construction.
   auto linkAddress = std::make_shared<RelayLink*>(nullptr);
-  auto link = std::make_unique<RelayLink>(self->mBase, aSocket, self->mTarget,
+  auto link = std::make_unique<RelayLink>(self->mBase, aSocket, self->mTarget, self->mOpeningDelay,
                                           [self, linkAddress] { self->CloseLink(*linkAddress); });
   *linkAddress = link.get();
   link->SetBlocked(self->mForwardBlocked, self->mBackwardBlocked);
--- a/TestFramework/relay/Relay.h
+++ b/TestFramework/relay/Relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cuminfield/core/Units.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
 #include <memory>
@@ -32,6 +33,10 @@
   /// new connections work.
   void SilenceOpenLinks();
 
+  /// Holds back all bytes of each new connection for this long, like a host that is too busy to
+  /// answer it.
+  void SetOpeningDelay(core::Duration aDelay) { mOpeningDelay = aDelay; }
+
   /// Number of open connections.
   std::size_t LinkCount() const { return mLinks.size(); }
 
@@ -45,6 +50,7 @@
   evconnlistener* mListener;
   bool mForwardBlocked = false;
   bool mBackwardBlocked = false;
+  core::Duration mOpeningDelay{ 0 };
   std::set<std::unique_ptr<RelayLink>> mLinks;
 };
 
--- a/TestFramework/relay/RelayLink.h
+++ b/TestFramework/relay/RelayLink.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "cuminfield/core/Units.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
 #include <functional>
 
 struct bufferevent;
+struct event;
 struct event_base;
 
 namespace cuminfield::test_framework::relay {
@@ -13,10 +15,10 @@
 class RelayLink
 {
 public:
-  /// Owns the accepted aSocket and connects to aTarget. aCloseCallback is called when either side
-  /// closes.
+  /// Owns the accepted aSocket and connects to aTarget. Holds back all bytes for the first
+  /// aOpeningDelay. aCloseCallback is called when either side closes.
   RelayLink(event_base* aBase, int aSocket, const process::settings::Endpoint& aTarget,
-            std::function<void()> aCloseCallback);
+            core::Duration aOpeningDelay, std::function<void()> aCloseCallback);
   ~RelayLink();
   RelayLink(const RelayLink&) = delete;
   RelayLink& operator=(const RelayLink&) = delete;
@@ -26,14 +28,19 @@
 
   /// Blocks both directions for good.
   void Silence();
-  bool IsSilenced() const { return mIsSilenced; }
 
 private:
   static void OnDataReceived(bufferevent* aFrom, void* aSelf);
   static void OnConnectionEvent(bufferevent* aSide, short aEvents, void* aSelf);
+  static void OnOpeningDelayEnded(int aSocket, short aWhat, void* aSelf);
+  void UpdateReading();
 
   bufferevent* mCaller;
   bufferevent* mTarget;
+  event* mOpeningTimer;
+  bool mIsOpening = true;
+  bool mForwardBlocked = false;
+  bool mBackwardBlocked = false;
   bool mIsSilenced = false;
   std::function<void()> mCloseCallback;
 };
--- a/UnitTests/process/peer/DeliveryMonitorTest.cpp
+++ b/UnitTests/process/peer/DeliveryMonitorTest.cpp
@@ -33,7 +33,8 @@
   core::Duration sendInterval{ 150ms }; ///< Zero: it has nothing to send.
   core::Duration latency{ 5ms };        ///< Of what it sends.
   core::Duration openingTime{ 0 };      ///< Until a new stream carries the first batch.
-  bool acknowledges = true;             ///< False: a version that does not.
+  core::Duration openingTimeout{ kTimeout };
+  bool acknowledges = true; ///< False: a version that does not.
   core::Instant frozenUntil{};
   std::uint32_t silentUpTo = 0; ///< Streams up to this number deliver nothing.
 
@@ -74,7 +75,7 @@
     aHost.stream = ++lastStream;
     aHost.batches = 0;
     aHost.openAt = now + aHost.openingTime;
-    aHost.monitor.OnStreamOpened(aHost.stream, now);
+    aHost.monitor.OnStreamOpened(aHost.stream, aHost.openingTimeout, now);
   }
 
   void Send(SimulatedHost & aFrom, SimulatedHost & aTo, bool aHasFrames)
@@ -175,6 +176,32 @@
   LONGS_EQUAL(1, left.undelivered);
 }
 
+// Streams to an overloaded peer were replaced before they could open, again and again.
+TEST(DeliveryMonitor, StreamToASilentPeerHasTheTimeToOpenThatItWasGiven)
+{
+  DeliveryMonitor monitor({ .timeout = kTimeout });
+  monitor.OnStreamOpened(1, 2 * kTimeout, now);
+  for (const core::Instant end = now + 2 * kTimeout; now <= end; now += kStep) {
+    monitor.OnQueued(now);
+    CHECK_FALSE(monitor.Judge(now).has_value());
+  }
+  CHECK(monitor.Judge(now) == StreamFault::Silent);
+}
+
+TEST(DeliveryMonitor, TimeToOpenDoesNotCountAsSilenceOfThePeer)
+{
+  DeliveryMonitor monitor({ .timeout = kTimeout });
+  monitor.OnStreamOpened(1, 2 * kTimeout, now);
+  monitor.OnQueued(now);
+  now += 2 * kTimeout;
+  monitor.OnWritten(now);
+  for (const core::Instant end = now + kTimeout; now <= end; now += kStep) {
+    monitor.OnQueued(now);
+    CHECK_FALSE(monitor.Judge(now).has_value());
+  }
+  CHECK(monitor.Judge(now) == StreamFault::Silent);
+}
+
 TEST(DeliveryMonitor, FindsThatTheLastBatchWasNotDelivered)
 {
   left.sendInterval = 0ms;
--- a/UnitTests/process/peer/GrpcPeerLinksTest.cpp
+++ b/UnitTests/process/peer/GrpcPeerLinksTest.cpp
@@ -19,6 +19,9 @@
 /// Far longer than it takes on a busy machine to connect.
 constexpr auto kConnectLimit = 60s;
 
+/// Time in which an overloaded host answers a new connection; more than a second.
+constexpr auto kSlowOpening = 1500ms;
+
 /// What users allow in calm.
 constexpr auto kRecoveryLimit = 4s;
 
@@ -135,3 +138,26 @@
   CHECK(receivedByRight > 0);
   LONGS_EQUAL(-1, receivedByLeft);
 }
+
+// Connections to hosts that were too busy to answer within a second were given up and begun anew,
+// and never opened: after 200 hosts had started at once, control hosts did not find each other.
+TEST(GrpcPeerLinks, ConnectionThatIsSlowToOpenIsNotGivenUp)
+{
+  relay.SetOpeningDelay(kSlowOpening);
+  CHECK(BothReceive(kConnectLimit));
+}
+
+// The same while nothing comes from the peer, which may be as slow to open its own connection.
+TEST(GrpcPeerLinks, ConnectionToAPeerThatWasNeverHeardIsLeftTheTimeToOpen)
+{
+  rightSends = false;
+  relay.SetOpeningDelay(kSilenceTimeout * 3 / 2);
+  const auto limitTimer = loop.ScheduleAfter(kConnectLimit, [this] { loop.Stop(); });
+  const auto pollTimer = loop.ScheduleEvery(kSendInterval, [this] {
+    if (receivedByRight > 0) {
+      loop.Stop();
+    }
+  });
+  loop.Run();
+  CHECK(receivedByRight > 0);
+}
--- a/cuminfield/process/peer/DeliveryMonitor.cpp
+++ b/cuminfield/process/peer/DeliveryMonitor.cpp
@@ -9,10 +9,12 @@
 {
 }
 
-void DeliveryMonitor::OnStreamOpened(std::uint32_t aStream, core::Instant aNow)
+void DeliveryMonitor::OnStreamOpened(std::uint32_t aStream, core::Duration aOpeningTimeout,
+                                     core::Instant aNow)
 {
   mStream = aStream;
   mStreamOpenedAt = aNow;
+  mOpeningTimeout = aOpeningTimeout;
   mWritten = 0;
   mAcknowledged = 0;
   mWatched.reset();
@@ -34,7 +36,9 @@
 
 void DeliveryMonitor::OnWritten(core::Instant aNow)
 {
-  ++mWritten;
+  if (mWritten++ == 0) {
+    mEstablishedAt = aNow;
+  }
   if (!mWatched && mAcknowledged < mWritten) {
     mWatched = mWritten;
     mWatchedSince = aNow;
@@ -80,6 +84,7 @@
 void DeliveryMonitor::ExcuseStall(core::Duration aStall, core::Instant aNow)
 {
   mStreamOpenedAt = std::min(mStreamOpenedAt + aStall, aNow);
+  mEstablishedAt = std::min(mEstablishedAt + aStall, aNow);
   if (mUnansweredSince) {
     mUnansweredSince = std::min(*mUnansweredSince + aStall, aNow);
   }
@@ -94,8 +99,9 @@
     return StreamFault::Undelivered;
   }
   const bool isInUse = aNow - mLastQueuedAt < mSettings.timeout;
-  if (isInUse && mUnansweredSince &&
-      aNow - std::max(*mUnansweredSince, mStreamOpenedAt) > mSettings.timeout) {
+  const core::Duration timeout = IsStreamOpen() ? mSettings.timeout : mOpeningTimeout;
+  const core::Instant since = IsStreamOpen() ? mEstablishedAt : mStreamOpenedAt;
+  if (isInUse && mUnansweredSince && aNow - std::max(*mUnansweredSince, since) > timeout) {
     return StreamFault::Silent;
   }
   return std::nullopt;
--- a/cuminfield/process/peer/DeliveryMonitor.h
+++ b/cuminfield/process/peer/DeliveryMonitor.h
@@ -57,9 +57,11 @@
 public:
   explicit DeliveryMonitor(DeliveryMonitorSettings aSettings = {});
 
-  /// A stream to the peer was opened; it replaces the former one. No number is used twice in a row,
-  /// also after a restart of this host.
-  void OnStreamOpened(std::uint32_t aStream, core::Instant aNow);
+  /// A stream to the peer is being opened; it replaces the former one. No number is used twice in a
+  /// row, also after a restart of this host. Until it has taken a batch, a silent peer has
+  /// aOpeningTimeout instead of the timeout: an overloaded one takes long to accept a connection,
+  /// and a new one would wait as long.
+  void OnStreamOpened(std::uint32_t aStream, core::Duration aOpeningTimeout, core::Instant aNow);
 
   /// A message to the peer was queued or dropped.
   void OnQueued(core::Instant aNow);
@@ -89,7 +91,8 @@
   /// When a message was last queued for the peer or a batch received from it.
   core::Instant LastUsedAt() const;
 
-  /// When the current stream was opened, less the time that this process did not run since.
+  /// When the opening of the current stream began; time in which this process did not run is left
+  /// out.
   core::Instant StreamOpenedAt() const { return mStreamOpenedAt; }
 
   /// True once the current stream has taken a batch: its connection is established.
@@ -109,6 +112,8 @@
   std::optional<core::Instant> mUnansweredSince; ///< First message since the peer was last heard.
   core::Instant mLastSentAt{};
   core::Instant mStreamOpenedAt{};
+  core::Duration mOpeningTimeout{ 0 };
+  core::Instant mEstablishedAt{}; ///< When the current stream took its first batch.
   std::uint32_t mStream = 0;
   std::uint64_t mWritten = 0;            ///< Batches that the current stream has taken.
   std::uint64_t mAcknowledged = 0;       ///< Batches of the current stream that the peer received.
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -43,7 +43,9 @@
   {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 200);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
+    // The least backoff is also the time limit of an attempt.
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
+                     static_cast<int>(core::Milliseconds(aLinks.mOptions.settings.connectTimeout)));
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 5000);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 2000);
@@ -213,8 +215,9 @@
 GrpcPeerLinks::GrpcPeerLinks(Options aOptions)
   : mOptions(std::move(aOptions))
   , mStalls(kCheckPeriod * 2)
+  , mRandom(std::random_device()())
   , mAlive(std::make_shared<bool>(true))
-  , mLastStream(std::random_device()() % kStreamNumbers)
+  , mLastStream(static_cast<std::uint32_t>(mRandom.UniformBelow(kStreamNumbers)))
 {
   for (const settings::PeerSettings& it : mOptions.peers) {
     AddPeer(it);
@@ -291,7 +294,11 @@
 {
   Peer& peer = mPeers[aSettings.id];
   peer.settings = aSettings;
-  peer.delivery = DeliveryMonitor({ .timeout = mOptions.settings.silenceTimeout });
+  const GrpcPeerLinksSettings& settings = mOptions.settings;
+  peer.delivery = DeliveryMonitor({ .timeout = settings.silenceTimeout });
+  peer.opening =
+    core::Backoff({ .initial = settings.silenceTimeout,
+                    .maximum = core::Scaled(settings.silenceTimeout, settings.maxOpeningRatio) });
   return peer;
 }
 
@@ -391,7 +398,7 @@
 void GrpcPeerLinks::OpenStream(Peer& aPeer)
 {
   mLastStream = mLastStream % (kStreamNumbers - 1) + 1;
-  aPeer.delivery.OnStreamOpened(mLastStream, mOptions.loop.Now());
+  aPeer.delivery.OnStreamOpened(mLastStream, aPeer.opening.Next(mRandom), mOptions.loop.Now());
   aPeer.stream = std::make_shared<OutgoingStream>(*this, aPeer.settings.id, aPeer.settings.endpoint,
                                                   mLastStream);
   aPeer.stream->Start();
@@ -473,6 +480,7 @@
   }
   if (!peer.delivery.IsStreamOpen()) {
     mStatistics.OnOpened(mOptions.loop.Now() - peer.delivery.StreamOpenedAt());
+    peer.opening.Reset();
   }
   peer.delivery.OnWritten(mOptions.loop.Now());
   peer.stream->SetIdle();
--- a/cuminfield/process/peer/GrpcPeerLinks.h
+++ b/cuminfield/process/peer/GrpcPeerLinks.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "cuminfield/core/Backoff.h"
 #include "cuminfield/core/Error.h"
 #include "cuminfield/core/EventLoop.h"
+#include "cuminfield/core/Random.h"
 #include "cuminfield/core/StallDetector.h"
 #include "cuminfield/process/peer/DeliveryMonitor.h"
 #include "cuminfield/process/peer/PeerLinks.h"
@@ -29,6 +31,12 @@
 {
   /// Queued frames for one peer above which new ones are dropped; messages are best effort.
   std::size_t maxQueuedFrames = 4096;
+  /// Time that an attempt to connect may take. An overloaded host needs long, and an attempt that
+  /// is given up costs it as much as one that succeeds.
+  core::Duration connectTimeout = std::chrono::seconds(3);
+  /// A stream that does not open is replaced, if the peer is silent, after `silenceTimeout`; the
+  /// next ones after up to this many times as long.
+  double maxOpeningRatio = 2;
   /// Delay before a broken stream to a peer is reopened.
   core::Duration reconnectDelay = std::chrono::milliseconds(200);
   /// Largest batch that is accepted, in bytes.
@@ -90,6 +98,7 @@
     std::shared_ptr<OutgoingStream> stream;
     core::TimerHandle reconnectTimer;
     DeliveryMonitor delivery;
+    core::Backoff opening{ {} };              ///< Time for the next stream to open.
     std::optional<core::Instant> urgentSince; ///< Oldest queued urgent message.
     bool isDynamic = false;                   ///< Not listed in the settings.
   };
@@ -121,6 +130,7 @@
   std::map<core::HostId, Peer> mPeers;
   core::StallDetector mStalls;
   StreamStatistics mStatistics;
+  core::Random mRandom;
   std::unique_ptr<Service> mService;
   std::unique_ptr<grpc::Server> mServer;
   std::shared_ptr<bool> mAlive; ///< False once stopped, so that late completions are ignored.
