cluster: hosts that start ask one control host at a time

Cause: before its first feed a host reported to every control host that it had heard of, ten times a second, and each of them answered in each of its rounds, with the whole registry every 0.9 s, although none may be followed while there is no leader. So each control host carried all hosts of the cluster, just when the control hosts have to find each other.

Change: a host asks one control host, chosen at random, every 250 ms, and the next one after 0.8, 1.6, 3.2, 4 s, each extended by a random part; any feed that may be followed is. A control host sends those that start ("searching") only the part that is the same for all, twice a second, until they may follow.

--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -1,5 +1,6 @@
 #include "cuminfield/process/cluster/ClusterFollower.h"
 
+#include "cuminfield/process/cluster/FeedSelector.h"
 #include "cuminfield/process/logging/EventLog.h"
 
 #include <algorithm>
@@ -40,6 +41,7 @@
 
 ClusterFollower::ClusterFollower(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mSearchBackoff(mOptions.settings.search)
   , mStalls(mOptions.settings.reportInterval * kTicksUntilStall)
 {
   for (const core::HostId& it : mOptions.cluster.seeds) {
@@ -51,6 +53,7 @@
 void ClusterFollower::Start()
 {
   Follow(SelectControlHost(Candidates::All), "start");
+  mSearchTimeout = mSearchBackoff.Next(mOptions.random);
   mStalls.Update(mOptions.timers.Now());
   mTickTimer = mOptions.timers.ScheduleEvery(mOptions.settings.reportInterval, [this] { Tick(); });
 }
@@ -88,7 +91,11 @@
 {
   ExcuseStall();
   LogStateAge();
-  ReconsiderControlHost();
+  if (mFirstFeedAt) {
+    ReconsiderControlHost();
+  } else {
+    UpdateSearch();
+  }
   if (IsReportDue()) {
     SendReport();
   }
@@ -103,6 +110,9 @@
   logging::Event(logging::Level::Warning, "host-stalled",
                  { { "ms", static_cast<std::int64_t>(core::Milliseconds(stall)) } });
   mLastReceivedAt += stall;
+  if (!mFirstFeedAt) {
+    mFollowedSince += stall;
+  }
   // The state did age, but the followed control host may be about to send a newer one.
   mNextTrialAt = mOptions.timers.Now() + mOptions.settings.silenceTimeout;
 }
@@ -128,10 +138,15 @@
 bool ClusterFollower::IsReportDue() const
 {
   // A control host that is busy announces longer intervals; reports then come less often, too.
+  const ClusterFollowerSettings& settings = mOptions.settings;
+  const core::Duration elapsed =
+    mOptions.timers.Now() - mLastReportAt + settings.reportInterval / 2;
+  if (!mFirstFeedAt) {
+    return elapsed >= settings.searchReportInterval;
+  }
   const core::Duration wanted =
-    mOptions.hasBacklog() ? mOptions.settings.reportInterval : mOptions.settings.idleReportInterval;
-  const core::Duration tolerance = mOptions.settings.reportInterval / 2;
-  return mOptions.timers.Now() - mLastReportAt + tolerance >= std::max(wanted, mFeedInterval);
+    mOptions.hasBacklog() ? settings.reportInterval : settings.idleReportInterval;
+  return elapsed >= std::max(wanted, mFeedInterval);
 }
 
 void ClusterFollower::HastenReport()
@@ -148,19 +163,12 @@
   report.set_registry_revision(mRegistryRevision);
   report.set_data_centre(mOptions.cluster.dataCentre.Text());
   report.set_pressed(mOptions.hasBacklog());
+  report.set_searching(!mFirstFeedAt);
   mOptions.fillReport(report);
   mLastReportAt = mOptions.timers.Now();
-  if (mFirstFeedAt) {
-    SendTo(mFollowed, mFollowEpoch, std::move(report));
-    if (!mTried.IsEmpty()) {
-      SendTrial(false);
-    }
-    return;
-  }
-  // Nothing can be served before the first feed, so the first control host that responds is
-  // followed.
-  for (const auto& [host, known] : mControlHosts) {
-    SendTo(host, mFollowEpoch, report);
+  SendTo(mFollowed, mFollowEpoch, std::move(report));
+  if (!mTried.IsEmpty()) {
+    SendTrial(false);
   }
 }
 
@@ -203,6 +211,18 @@
   UpdateTrial();
 }
 
+void ClusterFollower::UpdateSearch()
+{
+  if (mOptions.timers.Now() - mFollowedSince <= mSearchTimeout) {
+    return;
+  }
+  const bool hasAnswered = mLastReceivedAt >= mFollowedSince;
+  mSearchTimeout = mSearchBackoff.Next(mOptions.random);
+  Abandon(mFollowed);
+  Follow(SelectControlHost(Candidates::All), hasAnswered ? "no-current-state" : "silent");
+  SendReport();
+}
+
 void ClusterFollower::UpdateTrial()
 {
   const core::Instant now = mOptions.timers.Now();
@@ -332,7 +352,9 @@
   }
   AddControlHosts(aMessage.feed());
   if (!MayFollow(aFrom, aMessage.feed())) {
-    if (aFrom == mTried && !IsCurrent(aMessage.feed())) {
+    if (!mFirstFeedAt && aFrom == mFollowed) {
+      mLastReceivedAt = mOptions.timers.Now();
+    } else if (aFrom == mTried && !IsCurrent(aMessage.feed())) {
       RejectTried("outdated");
     }
     return;
@@ -371,7 +393,7 @@
 {
   if (!mFirstFeedAt) {
     // Without a current state or document, it cannot tell what is in force; another one may.
-    return IsCurrent(aFeed) && aFeed.document_number() > 0;
+    return FeedSelector::MayBeFollowedFirst(aFeed, mOptions.settings.outdatedAge);
   }
   const bool isNoOlder =
     aFeed.document_number() >= mDocumentNumber && aFeed.state_applied() >= mStateApplied;
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cuminfield/core/Backoff.h"
 #include "cuminfield/core/Random.h"
 #include "cuminfield/core/StallDetector.h"
 #include "cuminfield/core/TimerService.h"
@@ -34,6 +35,13 @@
   /// Other control hosts are tried when the received state has not been current for this long. The
   /// election of a leader takes less.
   core::Duration outdatedAge = std::chrono::milliseconds(1200);
+  /// Time between two reports before the first feed that may be followed. Nothing is served yet, so
+  /// a report only keeps the control host sending.
+  core::Duration searchReportInterval = std::chrono::milliseconds(250);
+  /// Before the first feed: how long one control host is asked before the next one. The first delay
+  /// covers new connections to a busy host, and an election.
+  core::BackoffSettings search{ .initial = std::chrono::milliseconds(800),
+                                .maximum = std::chrono::seconds(4) };
 };
 
 /// Connects a host to the control hosts: follows one of them, sends it reports, and switches to
@@ -43,9 +51,11 @@
 /// Control hosts are replaced at other addresses. Each feed lists those that its sender hears from,
 /// and one that is not listed is followed only if no other is left. A sender that is cut off from
 /// the leader hears from none, so only lists of senders with a current state tell who is gone; the
-/// others just name further control hosts. Before the first feed of a sender with a current state,
-/// all control hosts that were named are asked at once: the seeds may be new themselves, or cut
-/// off.
+/// others just name further control hosts, since the seeds may be new themselves, or cut off.
+///
+/// Before the first feed of a sender with a current state, one control host after the other is
+/// asked, in random order and with growing delays. All hosts may start at once, and control hosts
+/// that have to answer each of them do not find each other.
 ///
 /// Each feed tells how old the sender's state is. While feeds come, the followed control host is
 /// left only for one that has sent a current feed, so that the change leaves no time without feeds:
@@ -122,6 +132,8 @@
   void SendReport();
   void SendTo(const core::HostId& aHost, std::uint64_t aEpoch, proto::Report aReport);
   void ReconsiderControlHost();
+  /// Asks the next control host if this one has had its time.
+  void UpdateSearch();
   void LogStateAge();
   void UpdateTrial();
   core::HostId SelectTrial() const;
@@ -158,8 +170,10 @@
   std::uint64_t mStateApplied = 0;
   std::uint64_t mFollowEpoch = 0; ///< Increases with each control host that is followed.
   core::Instant mTriedSince{};
-  core::Instant mNextTrialAt{};        ///< No trial for an outdated state before.
-  core::Instant mReturnDueAt{};        ///< When a nearer control host is tried.
+  core::Instant mNextTrialAt{}; ///< No trial for an outdated state before.
+  core::Instant mReturnDueAt{}; ///< When a nearer control host is tried.
+  core::Backoff mSearchBackoff;
+  core::Duration mSearchTimeout{ 0 };  ///< Drawn for the control host that is asked.
   core::Duration mSilenceTimeout{ 0 }; ///< Drawn for the followed control host.
   core::Duration mFeedInterval{ 0 };   ///< As announced by the control host.
   core::Instant mLastReportAt{};
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -87,6 +87,7 @@
   , mCurrentSince(mStartedAt)
   , mRegistry(mOptions.settings.registry)
   , mFollowers(MakeFollowerTableSettings(mOptions))
+  , mFeedSelector(mOptions.settings.feeds)
   , mMoveCoordinator(mOptions.settings.moves)
   , mControlRequests(mOptions.settings.controlRequests)
   , mGroupHealthLog(mOptions.settings.groupHealth)
@@ -511,19 +512,24 @@
   proto::Message common;
   *common.mutable_feed() = BuildCommonFeed();
   const std::string commonBytes = common.SerializeAsString();
+  const core::Instant now = mOptions.loop.Now();
   for (auto& [host, follower] : mFollowers.Followers()) {
+    const FeedContent content = mFeedSelector.Select(follower, common.feed(), now);
+    if (content == FeedContent::None) {
+      continue;
+    }
+    follower.feedSentAt = now;
+    const std::string ownPart =
+      content == FeedContent::Full ? BuildOwnPart(host, follower) : std::string();
     const bool isRemote = follower.report.data_centre() != mOptions.cluster.dataCentre.Text();
     mOptions.links.Send(host, { .channel = peer::Channel::Cluster,
-                                .payload = commonBytes + BuildOwnPart(host, follower),
+                                .payload = commonBytes + ownPart,
                                 .compress = isRemote });
   }
 }
 
 std::string ControlHost::BuildOwnPart(const core::HostId& aHost, FollowerTable::Follower& aFollower)
 {
-  if (aFollower.isTrial) {
-    return {}; // Of use only to a host that follows.
-  }
   const core::Instant now = mOptions.loop.Now();
   const core::Duration resendInterval = mOptions.settings.resendInterval;
   proto::Message message;
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -8,6 +8,7 @@
 #include "cuminfield/process/cluster/ClusterState.h"
 #include "cuminfield/process/cluster/ControlRequestTracker.h"
 #include "cuminfield/process/cluster/CrashEvidenceCollector.h"
+#include "cuminfield/process/cluster/FeedSelector.h"
 #include "cuminfield/process/cluster/FollowerTable.h"
 #include "cuminfield/process/cluster/GroupHealthLog.h"
 #include "cuminfield/process/cluster/MoveCoordinator.h"
@@ -42,6 +43,7 @@
   core::Duration readTimeout = std::chrono::milliseconds(900);
   UpstreamRegistrySettings registry;
   FollowerTableSettings followers;
+  FeedSelectorSettings feeds;
   MoveCoordinatorSettings moves;
   ControlRequestTrackerSettings controlRequests;
   GroupHealthLogSettings groupHealth;
@@ -153,6 +155,7 @@
   std::unique_ptr<log::LogGroup> mGroup;
   UpstreamRegistry mRegistry;
   FollowerTable mFollowers;
+  FeedSelector mFeedSelector;
   MoveCoordinator mMoveCoordinator;
   ControlRequestTracker mControlRequests;
   CrashEvidenceCollector mCrashEvidence;
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -93,6 +93,7 @@
     UsageSums::Part part;
     UsageSums::Part localPart; ///< The same in the sums over the followers.
     core::Instant lastReceivedAt{};
+    core::Instant feedSentAt{};
     std::uint64_t sentRegistryRevision = 0;
     core::Instant registrySentAt{};
     std::uint64_t sentDocumentNumber = 0;
