follower: a control host has the time to answer a host that turns to it

A running host that lost its control host left the next one after 0.9 to 1.08 s, too, whether or not that one could answer so soon. If all control hosts had been away, and were too busy to send a first feed within a second after that, hosts went from one to the next for good, each time with new connections.

Change: the time until the first feed grows with each control host that sent none (0.8, 1.6, 3.2, 4 s, each extended by a random part), and starts anew with a feed. It is the same delay as that of a host that starts, so both use one rule. A control host that has sent feeds is left as before.

HostsReturnToControlHostsThatAnswerLate failed on the code before: with first feeds 1.5 s late, hosts had none 15 s after the control hosts were back.

--- a/UnitTests/process/cluster/ManyHostsStartTest.cpp
+++ b/UnitTests/process/cluster/ManyHostsStartTest.cpp
@@ -26,6 +26,12 @@
 /// Interval of a control host's feeds.
 constexpr core::Duration kRound = 100ms;
 
+/// A control host drops a host that sends no report for this long.
+constexpr core::Duration kFollowerGap = 1500ms;
+
+/// Users want service again this long after all machines are back.
+constexpr core::Duration kRecoveryLimit = 15s;
+
 /// Users count a machine as lost for this long after its start.
 constexpr core::Duration kCatchUpLimit = 6s;
 
@@ -33,10 +39,12 @@
 struct ControlHostModel
 {
   bool isRunning = true;
-  bool isAnswering = true;       ///< False: it is too busy, or cut off.
-  bool isCurrent = false;        ///< It knows the leader.
-  std::set<std::string> callers; ///< A connection each, in both directions.
+  bool isAnswering = true;         ///< False: it is too busy, or cut off.
+  bool isCurrent = false;          ///< It knows the leader.
+  core::Duration answerDelay{ 0 }; ///< From the first report of a host to its first feed.
+  std::set<std::string> callers;   ///< A connection each, in both directions.
   std::map<std::string, core::Instant> lastReportAt;
+  std::map<std::string, core::Instant> calledSince; ///< First of the reports without a gap.
   int reportCount = 0;
 };
 
@@ -58,6 +66,7 @@
     std::unique_ptr<ClusterFollower> follower;
     core::TimerHandle startTimer;
     bool hasFeed = false;
+    core::Instant lastFeedAt{};
   };
 
   test_framework::time::ManualTimerService timers;
@@ -92,6 +101,10 @@
       host.onReport = [this, id](const std::string& aTo, const proto::Report&) {
         ControlHostModel& controlHost = controlHosts.at(aTo);
         controlHost.callers.insert(id);
+        const auto last = controlHost.lastReportAt.find(id);
+        if (last == controlHost.lastReportAt.end() || timers.Now() - last->second > kFollowerGap) {
+          controlHost.calledSince[id] = timers.Now();
+        }
         controlHost.lastReportAt[id] = timers.Now();
         ++controlHost.reportCount;
       };
@@ -103,7 +116,10 @@
                                   .random = random,
                                   .hasBacklog = [] { return false; },
                                   .fillReport = [](proto::Report&) {} });
-      host.follower->OnFeed().connect([&host](const proto::Feed&) { host.hasFeed = true; });
+      host.follower->OnFeed().connect([this, &host](const proto::Feed&) {
+        host.hasFeed = true;
+        host.lastFeedAt = timers.Now();
+      });
       host.startTimer = timers.ScheduleAfter(core::Scaled(kStartSpread, random.Uniform()),
                                              [&host] { host.follower->Start(); });
     }
@@ -135,7 +151,8 @@
       const peer::PeerMessage feed{ .channel = peer::Channel::Cluster,
                                     .payload = message.SerializeAsString() };
       for (const auto& [host, reportedAt] : controlHost.lastReportAt) {
-        if (timers.Now() - reportedAt < 1500ms) {
+        const core::Duration calledFor = timers.Now() - controlHost.calledSince[host];
+        if (timers.Now() - reportedAt < kFollowerGap && calledFor >= controlHost.answerDelay) {
           hosts.at(host).OnMessage().emit(core::HostId(id), feed);
         }
       }
@@ -229,3 +246,27 @@
   RunFor(kCatchUpLimit);
   CHECK_EQUAL(kHostCount, CountServedHosts());
 }
+
+// Hosts left a control host before it could answer, went on to the next one, and so round and
+// round.
+TEST(ManyHostsStart, HostsReturnToControlHostsThatAnswerLate)
+{
+  for (auto& [id, controlHost] : controlHosts) {
+    controlHost.isCurrent = true;
+  }
+  StartHosts();
+  RunFor(3s);
+  for (auto& [id, controlHost] : controlHosts) {
+    controlHost.isRunning = false;
+  }
+  RunFor(5s);
+  for (auto& [id, controlHost] : controlHosts) {
+    controlHost.isRunning = true;
+    controlHost.answerDelay = 1500ms;
+    controlHost.lastReportAt.clear();
+  }
+  RunFor(kRecoveryLimit);
+  for (const auto& [id, host] : hosts) {
+    CHECK(timers.Now() - host.lastFeedAt < 1s);
+  }
+}
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -41,7 +41,7 @@
 
 ClusterFollower::ClusterFollower(Options aOptions)
   : mOptions(std::move(aOptions))
-  , mSearchBackoff(mOptions.settings.search)
+  , mFirstFeedBackoff(mOptions.settings.firstFeed)
   , mStalls(mOptions.settings.reportInterval * kTicksUntilStall)
 {
   for (const core::HostId& it : mOptions.cluster.seeds) {
@@ -53,7 +53,6 @@
 void ClusterFollower::Start()
 {
   Follow(SelectControlHost(Candidates::All), "start");
-  mSearchTimeout = mSearchBackoff.Next(mOptions.random);
   mStalls.Update(mOptions.timers.Now());
   mTickTimer = mOptions.timers.ScheduleEvery(mOptions.settings.reportInterval, [this] { Tick(); });
 }
@@ -91,11 +90,7 @@
 {
   ExcuseStall();
   LogStateAge();
-  if (mFirstFeedAt) {
-    ReconsiderControlHost();
-  } else {
-    UpdateSearch();
-  }
+  ReconsiderControlHost();
   if (IsReportDue()) {
     SendReport();
   }
@@ -110,9 +105,7 @@
   logging::Event(logging::Level::Warning, "host-stalled",
                  { { "ms", static_cast<std::int64_t>(core::Milliseconds(stall)) } });
   mLastReceivedAt += stall;
-  if (!mFirstFeedAt) {
-    mFollowedSince += stall;
-  }
+  mFollowedSince += stall;
   // The state did age, but the followed control host may be about to send a newer one.
   mNextTrialAt = mOptions.timers.Now() + mOptions.settings.silenceTimeout;
 }
@@ -202,25 +195,17 @@
 void ClusterFollower::ReconsiderControlHost()
 {
   const core::Instant now = mOptions.timers.Now();
-  const core::Instant lastReceived = std::max(mLastReceivedAt, mFollowedSince);
-  if (now - lastReceived > mSilenceTimeout) {
-    Abandon(mFollowed);
-    Follow(SelectControlHost(Candidates::All), "silent");
-    return;
-  }
-  UpdateTrial();
-}
-
-void ClusterFollower::UpdateSearch()
-{
-  if (mOptions.timers.Now() - mFollowedSince <= mSearchTimeout) {
+  const bool isSilent = HasFeedFromFollowed()
+                          ? now - std::max(mLastReceivedAt, mFollowedSince) > mSilenceTimeout
+                          : now - mFollowedSince > mFirstFeedTimeout;
+  if (!isSilent) {
+    UpdateTrial();
     return;
   }
-  const bool hasAnswered = mLastReceivedAt >= mFollowedSince;
-  mSearchTimeout = mSearchBackoff.Next(mOptions.random);
+  const bool hasNoState = !mFirstFeedAt && mLastReceivedAt >= mFollowedSince;
   Abandon(mFollowed);
-  Follow(SelectControlHost(Candidates::All), hasAnswered ? "no-current-state" : "silent");
-  SendReport();
+  Follow(SelectControlHost(Candidates::All), hasNoState ? "no-current-state" : "silent");
+  HastenReport();
 }
 
 void ClusterFollower::UpdateTrial()
@@ -316,6 +301,7 @@
   mFollowed = aHost;
   mFollowedSince = mOptions.timers.Now();
   mNextTrialAt = mFollowedSince + kTrialTimeout;
+  mFirstFeedTimeout = mFirstFeedBackoff.Next(mOptions.random);
   mSilenceTimeout =
     core::Scaled(mOptions.settings.silenceTimeout,
                  1 + mOptions.settings.silenceTimeoutSpread * mOptions.random.Uniform());
@@ -438,6 +424,7 @@
                      { "document", aFeed.document_number() },
                      { "registry", aFeed.registry_revision() } });
   }
+  mFirstFeedBackoff.Reset();
   mLastReceivedAt = now;
   mFeedInterval = std::chrono::milliseconds(aFeed.interval_ms());
   if (!mFirstFeedAt) {
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -26,8 +26,8 @@
   core::Duration reportInterval = std::chrono::milliseconds(50);
   /// Time between two reports while no request waits.
   core::Duration idleReportInterval = std::chrono::milliseconds(100);
-  /// A control host that sends nothing for this long is replaced by another one. Time in which this
-  /// process itself did not run doesn't count.
+  /// A control host that has sent feeds and then nothing for this long is replaced by another one.
+  /// Time in which this process itself did not run doesn't count.
   core::Duration silenceTimeout = std::chrono::milliseconds(900);
   /// The silence timeout is extended by a random part of itself up to this one, so that the
   /// followers of a control host that fails don't all reach the next one at the same time.
@@ -38,10 +38,10 @@
   /// Time between two reports before the first feed that may be followed. Nothing is served yet, so
   /// a report only keeps the control host sending.
   core::Duration searchReportInterval = std::chrono::milliseconds(250);
-  /// Before the first feed: how long one control host is asked before the next one. The first delay
-  /// covers new connections to a busy host, and an election.
-  core::BackoffSettings search{ .initial = std::chrono::milliseconds(800),
-                                .maximum = std::chrono::seconds(4) };
+  /// How long a control host that has sent no feed yet is asked before the next one is. All hosts
+  /// may ask at once, so the first feed of a busy one may take longer than a round.
+  core::BackoffSettings firstFeed{ .initial = std::chrono::milliseconds(800),
+                                   .maximum = std::chrono::seconds(4) };
 };
 
 /// Connects a host to the control hosts: follows one of them, sends it reports, and switches to
@@ -54,8 +54,9 @@
 /// others just name further control hosts, since the seeds may be new themselves, or cut off.
 ///
 /// Before the first feed of a sender with a current state, one control host after the other is
-/// asked, in random order and with growing delays. All hosts may start at once, and control hosts
-/// that have to answer each of them do not find each other.
+/// asked, in random order and with growing delays, and so it is after a control host fell silent.
+/// All hosts may start or turn to others at once: control hosts that have to answer each of them do
+/// not find each other, and hosts that leave one before it can answer go round for good.
 ///
 /// Each feed tells how old the sender's state is. While feeds come, the followed control host is
 /// left only for one that has sent a current feed, so that the change leaves no time without feeds:
@@ -132,8 +133,7 @@
   void SendReport();
   void SendTo(const core::HostId& aHost, std::uint64_t aEpoch, proto::Report aReport);
   void ReconsiderControlHost();
-  /// Asks the next control host if this one has had its time.
-  void UpdateSearch();
+  bool HasFeedFromFollowed() const { return mFeedIncarnation != 0; }
   void LogStateAge();
   void UpdateTrial();
   core::HostId SelectTrial() const;
@@ -170,12 +170,12 @@
   std::uint64_t mStateApplied = 0;
   std::uint64_t mFollowEpoch = 0; ///< Increases with each control host that is followed.
   core::Instant mTriedSince{};
-  core::Instant mNextTrialAt{}; ///< No trial for an outdated state before.
-  core::Instant mReturnDueAt{}; ///< When a nearer control host is tried.
-  core::Backoff mSearchBackoff;
-  core::Duration mSearchTimeout{ 0 };  ///< Drawn for the control host that is asked.
-  core::Duration mSilenceTimeout{ 0 }; ///< Drawn for the followed control host.
-  core::Duration mFeedInterval{ 0 };   ///< As announced by the control host.
+  core::Instant mNextTrialAt{};          ///< No trial for an outdated state before.
+  core::Instant mReturnDueAt{};          ///< When a nearer control host is tried.
+  core::Backoff mFirstFeedBackoff;       ///< Starts anew with each first feed.
+  core::Duration mFirstFeedTimeout{ 0 }; ///< Drawn for the followed control host, like the next.
+  core::Duration mSilenceTimeout{ 0 };
+  core::Duration mFeedInterval{ 0 }; ///< As announced by the control host.
   core::Instant mLastReportAt{};
   core::StallDetector mStalls;
   core::TimerHandle mTickTimer;
