peer: a peer that is heard again is connected to anew

Leaders were known as soon as before after the cuts, 0.4 to 0.5 s, but some connections opened up to 1.6 s after a cut had ended instead of within half a second: an attempt that began during the cut waits for the repetition of its first packet, which is 2 s later.

Change: when a batch comes from a peer that was silent since an attempt to connect to it began, that attempt is replaced if it is older than 0.5 s, once. A younger one may be about to succeed.

--- a/UnitTests/process/peer/GrpcPeerLinksTest.cpp
+++ b/UnitTests/process/peer/GrpcPeerLinksTest.cpp
@@ -161,3 +161,14 @@
   loop.Run();
   CHECK(receivedByRight > 0);
 }
+
+// After a partition had healed, an attempt to connect that began before waited for seconds.
+TEST(GrpcPeerLinks, PeerThatIsHeardAgainIsConnectedToAnew)
+{
+  rightSends = false;
+  relay.SetOpeningDelay(kConnectLimit);
+  CHECK_FALSE(BothReceive(4 * kSilenceTimeout));
+  relay.SetOpeningDelay(0ms);
+  rightSends = true;
+  CHECK(BothReceive(GrpcPeerLinksSettings{}.connectTimeout / 2));
+}
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -15,6 +15,10 @@
 /// Interval at which streams are checked.
 constexpr core::Duration kCheckPeriod = std::chrono::milliseconds(250);
 
+/// An attempt to connect that began within this time before the peer was heard may succeed soon:
+/// each end opens a connection, and the ends are not equally fast.
+constexpr core::Duration kFreshAttemptDuration = std::chrono::milliseconds(500);
+
 /// Numbers of streams are below this, so that each takes at most three bytes in a batch. They begin
 /// at random, so that a restarted host does not take the acknowledgements of its former streams for
 /// those of new ones.
@@ -502,8 +506,21 @@
 
 void GrpcPeerLinks::OnBatchArrived(const core::HostId& aFrom, const ReceivedBatch& aBatch)
 {
-  if (Peer* peer = FindOrAddPeer(aFrom)) {
-    peer->delivery.OnReceived(aBatch, mOptions.loop.Now());
+  Peer* peer = FindOrAddPeer(aFrom);
+  if (!peer) {
+    return;
+  }
+  const core::Instant now = mOptions.loop.Now();
+  const DeliveryMonitor& delivery = peer->delivery;
+  // An attempt that began while the peer could not be reached may wait seconds for the repetition
+  // of its lost packets.
+  const bool isAttemptOutdated = peer->stream && !delivery.IsStreamOpen() &&
+                                 !delivery.WasHeardOnStream() &&
+                                 now - delivery.StreamOpenedAt() > kFreshAttemptDuration;
+  peer->delivery.OnReceived(aBatch, now);
+  if (isAttemptOutdated) {
+    DropStream(*peer);
+    OpenStream(*peer);
   }
 }
 
