--- a/UnitTests/process/peer/DeliveryMonitorTest.cpp
+++ b/UnitTests/process/peer/DeliveryMonitorTest.cpp
@@ -33,8 +33,7 @@
   core::Duration sendInterval{ 150ms }; ///< Zero: it has nothing to send.
   core::Duration latency{ 5ms };        ///< Of what it sends.
   core::Duration openingTime{ 0 };      ///< Until a new stream carries the first batch.
-  core::Duration openingTimeout{ kTimeout };
-  bool acknowledges = true; ///< False: a version that does not.
+  bool acknowledges = true;             ///< False: a version that does not.
   core::Instant frozenUntil{};
   std::uint32_t silentUpTo = 0; ///< Streams up to this number deliver nothing.
 
@@ -75,7 +74,7 @@
     aHost.stream = ++lastStream;
     aHost.batches = 0;
     aHost.openAt = now + aHost.openingTime;
-    aHost.monitor.OnStreamOpened(aHost.stream, aHost.openingTimeout, now);
+    aHost.monitor.OnStreamOpened(aHost.stream, kTimeout, now);
   }
 
   void Send(SimulatedHost & aFrom, SimulatedHost & aTo, bool aHasFrames)
