peer: an attempt to connect is replaced once when its peer is heard again

Change: whether the peer was heard since the attempt began is recorded, not derived from two times. The message that replaces an attempt counts as heard on the new one, so the next ones leave it alone.

--- a/UnitTests/process/peer/GrpcPeerLinksTest.cpp
+++ b/UnitTests/process/peer/GrpcPeerLinksTest.cpp
@@ -67,6 +67,7 @@
       .loop = loop }
   };
   bool rightSends = true;
+  int rightPeriod = 1; ///< Of its messages, in send intervals.
   int sent = 0;
   int receivedByLeft = -1;
   int receivedByRight = -1;
@@ -85,7 +86,7 @@
     sendTimer = loop.ScheduleEvery(kSendInterval, [this] {
       ++sent;
       left.Send(rightId, { .payload = std::to_string(sent) });
-      if (rightSends) {
+      if (rightSends && sent % rightPeriod == 0) {
         right.Send(leftId, { .payload = std::to_string(sent) });
       }
     });
@@ -162,6 +163,17 @@
   CHECK(receivedByRight > 0);
 }
 
+// The connection to a peer that sends less than twice a second was begun anew with each message.
+TEST(GrpcPeerLinks, ConnectionToAPeerThatIsHeardRarelyIsLeftTheTimeToOpen)
+{
+  rightSends = false;
+  relay.SetOpeningDelay(kSlowOpening);
+  CHECK_FALSE(BothReceive(1s));
+  rightSends = true;
+  rightPeriod = 11;
+  CHECK(BothReceive(kConnectLimit));
+}
+
 // After a partition had healed, an attempt to connect that began before waited for seconds.
 TEST(GrpcPeerLinks, PeerThatIsHeardAgainIsConnectedToAnew)
 {
--- a/cuminfield/process/peer/DeliveryMonitor.cpp
+++ b/cuminfield/process/peer/DeliveryMonitor.cpp
@@ -15,6 +15,7 @@
   mStream = aStream;
   mStreamOpenedAt = aNow;
   mOpeningTimeout = aOpeningTimeout;
+  mWasHeardOnStream = false;
   mWritten = 0;
   mAcknowledged = 0;
   mWatched.reset();
@@ -52,6 +53,7 @@
   mHeardSinceWatched += std::clamp(gap, core::Duration::zero(),
                                    core::Scaled(mSettings.timeout, mSettings.largestGapRatio));
   mLastReceivedAt = aNow;
+  mWasHeardOnStream = true;
   mUnansweredSince.reset();
   if (aBatch.position.stream == mReceived.stream) {
     // Urgent batches overtake others on their way through the loop.
--- a/cuminfield/process/peer/DeliveryMonitor.h
+++ b/cuminfield/process/peer/DeliveryMonitor.h
@@ -98,8 +98,8 @@
   /// True once the current stream has taken a batch: its connection is established.
   bool IsStreamOpen() const { return mWritten > 0; }
 
-  /// True if the peer was heard since the current stream was opened.
-  bool WasHeardOnStream() const { return mLastReceivedAt > mStreamOpenedAt; }
+  /// True if the peer was heard since the opening of the current stream began.
+  bool WasHeardOnStream() const { return mWasHeardOnStream; }
 
 private:
   void OnAcknowledged(std::uint64_t aBatches);
@@ -114,6 +114,7 @@
   core::Instant mStreamOpenedAt{};
   core::Duration mOpeningTimeout{ 0 };
   core::Instant mEstablishedAt{}; ///< When the current stream took its first batch.
+  bool mWasHeardOnStream = false;
   std::uint32_t mStream = 0;
   std::uint64_t mWritten = 0;            ///< Batches that the current stream has taken.
   std::uint64_t mAcknowledged = 0;       ///< Batches of the current stream that the peer received.
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -513,15 +513,14 @@
   const core::Instant now = mOptions.loop.Now();
   const DeliveryMonitor& delivery = peer->delivery;
   // An attempt that began while the peer could not be reached may wait seconds for the repetition
-  // of its lost packets.
-  const bool isAttemptOutdated = peer->stream && !delivery.IsStreamOpen() &&
-                                 !delivery.WasHeardOnStream() &&
-                                 now - delivery.StreamOpenedAt() > kFreshAttemptDuration;
-  peer->delivery.OnReceived(aBatch, now);
-  if (isAttemptOutdated) {
+  // of its lost packets. It is replaced once: while the peer is heard, it has the time that it
+  // needs.
+  if (peer->stream && !delivery.IsStreamOpen() && !delivery.WasHeardOnStream() &&
+      now - delivery.StreamOpenedAt() > kFreshAttemptDuration) {
     DropStream(*peer);
     OpenStream(*peer);
   }
+  peer->delivery.OnReceived(aBatch, now);
 }
 
 void GrpcPeerLinks::OnBatch(const std::string& aBytes)
