--- a/UnitTests/process/cluster/ManyHostsStartTest.cpp
+++ b/UnitTests/process/cluster/ManyHostsStartTest.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
--- a/cuminfield/process/cluster/ClusterFollower.h
+++ b/cuminfield/process/cluster/ClusterFollower.h
@@ -133,6 +133,7 @@
   void SendReport();
   void SendTo(const core::HostId& aHost, std::uint64_t aEpoch, proto::Report aReport);
   void ReconsiderControlHost();
+  /// True once the followed control host has sent a feed since this host turned to it.
   bool HasFeedFromFollowed() const { return mFeedIncarnation != 0; }
   void LogStateAge();
   void UpdateTrial();
@@ -157,8 +158,8 @@
 
   Options mOptions;
   std::map<core::HostId, KnownControlHost> mControlHosts;
-  core::HostId mFollowed;
-  core::HostId mTried; ///< Control host that is asked for a current feed, if any.
+  core::HostId mFollowed; ///< Before the first feed: the control host that is asked.
+  core::HostId mTried;    ///< Control host that is asked for a current feed, if any.
   core::Instant mFollowedSince{};
   core::Instant mLastReceivedAt{};
   std::optional<core::Instant> mFirstFeedAt;
--- a/cuminfield/process/cluster/FeedSelector.h
+++ b/cuminfield/process/cluster/FeedSelector.h
@@ -17,7 +17,8 @@
 /// Settings of FeedSelector.
 struct FeedSelectorSettings
 {
-  /// Feeds of a state older than this are followed by no host that starts.
+  /// Feeds of a state older than this are followed by no host that starts; see
+  /// ClusterFollowerSettings::outdatedAge.
   core::Duration maxStateAge = std::chrono::milliseconds(1200);
   /// Time between two feeds to a host that cannot use them yet; they tell it that this control host
   /// runs, and which others do.
