--- a/Build/soak.py
+++ b/Build/soak.py
@@ -5,9 +5,9 @@
 
 Checks what callers and runners see: a request that may not repeat runs at most once; `not run` is
 true; every whole answer is the caller's own; streams have no gap; what an operator was acknowledged
-is read back, and never an older document; a document is acknowledged within ACKNOWLEDGED of calm; an
-acknowledged leave is heeded, and so is what a runner says in its answers: that it leaves, or asks to
-wait; a planned stop ends with 0; service is back after the last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
+is read back, and never an older document; a document is acknowledged within ACKNOWLEDGED of calm; a
+request runs in its allowed regions only; an acknowledged leave is heeded, and so is what a runner says
+in its answers: that it leaves, or asks to wait; a planned stop ends with 0; service is back after the last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
 """
 import argparse
 import asyncio
@@ -21,6 +21,8 @@
 import time
 
 CONTROLS, RUNNERS, SLOTS = 3, 4, 8
+REGIONS = {"dc0": "r0", "dc1": "r1", "dc2": "r1"}
+PLAIN = ("unsafe", "safe", "bound")  # Kinds of requests without a stream; `bound` may run in r0 only.
 GREY_FAILED, GREY_BROKEN = 0.4, 0.4  # Shares of the requests of a grey runner.
 GRACE = 8.0          # Seconds from SIGTERM to SIGKILL.
 LEAVE_HEEDED = 2.5   # After an acknowledged leave no new request comes.
@@ -83,6 +85,7 @@
         else:
             lines += [f"callers = {ip}:{self.base + 2}", f"ready = {ip}:{self.base + 3}"]
         lines += ["[cluster]", f"seeds = {seeds}", f"first-start = {'yes' if first else 'no'}",
+                  "[data-centres]", *(f"{zone} = {region}" for zone, region in REGIONS.items()),
                   "[limits]", f"shutdown = {GRACE:.0f}s"]
         path = f"{self.folder}/{name}.ini"
         with open(path, "w", encoding="utf-8") as file:
@@ -173,6 +176,7 @@
         service = {"name": "s", **({"engine": {"slots": SLOTS}} if self.engines else {})}
         return {"version": number, "services": [service], "routes": [
             route("unsafe", "unsafe"), route("safe", "safe", max_attempts=2),
+            route("bound", "safe", max_attempts=2, allowed_regions=["r0"]),
             route("stream", "stream", gap_goal_ms=300),
             route("resumable", "stream", resumable=True, max_attempts=3, gap_goal_ms=300)]}
 
@@ -207,7 +211,8 @@
     # Runners, each behind a proxy of its own.
     async def runner(self, index):
         state = {"id": f"i-{index}-0", "born": int(time.time() * 1000), "leaving": None, "up": True,
-                 "mode": "pass", "life": 0, "open": set(), "sequence": 0, "says": False, "harmed": 0}
+                 "mode": "pass", "life": 0, "open": set(), "sequence": 0, "says": False, "harmed": 0,
+                 "zone": f"dc{index % 3}"}
         host = f"127.80.{self.args.seed % 250}.{index + 1}"
 
         async def serve(reader, writer):
@@ -253,7 +258,7 @@
             if state["up"]:
                 state["sequence"] += 1
                 status, _ = await self.order("PUT", f"/v1/instances/{state['id']}", {
-                    "service": "s", "address": state["address"], "zone": f"dc{index % 3}",
+                    "service": "s", "address": state["address"], "zone": state["zone"],
                     "version": "v1", "slots": SLOTS, "sequence": state["sequence"],
                     **({"models": []} if self.engines else {}),
                     "born": state["born"], "cold_left_ms": 0,
@@ -301,6 +306,8 @@
         kind = self.sent.get(request)
         if kind is None or body != request.encode():
             self.violate(f"{request} is nobody's request, or its body was changed")
+        if kind == "bound" and REGIONS[state["zone"]] != "r0":
+            self.violate(f"{request} came to {state['id']}, outside its regions")
         self.runs[request] += 2 if self.args.plant and self.rng.random() < 0.01 else 1
         if self.runs[request] > 1 and kind in ("unsafe", "stream"):
             self.violate(f"{kind} {request} ran {self.runs[request]} times")
@@ -312,10 +319,10 @@
             reply(500, "failed", "X-Cuminfield-Server-Seal: x\r\n" + notice)
             return True
         broken = grey and self.rng.random() < GREY_BROKEN
-        if broken and kind in ("unsafe", "safe"):
+        if broken and kind in PLAIN:
             writer.transport.abort()
             return False
-        if kind in ("unsafe", "safe"):
+        if kind in PLAIN:
             reply(200, f"answer {request}", "X-Cuminfield-Server-Seal: x\r\n" + notice)
             return True
         writer.write((f"HTTP/1.1 200 X\r\nX-Cuminfield-Request-Id: {request}\r\n{notice}Content-Type: "
@@ -336,7 +343,7 @@
         rng = random.Random(self.args.seed * 1000 + index)
         connection = None
         while not self.stopping:
-            kind = rng.choice(["unsafe", "safe", "stream", "resumable"])
+            kind = rng.choice([*PLAIN, "stream", "resumable"])
             request = f"{rng.getrandbits(64):016x}"
             self.sent[request] = kind
             good = False
@@ -367,7 +374,7 @@
             self.told_leaving.setdefault((host, headers["x-soak-runner"]), time.monotonic())
         status = int(line.split()[1])
         body = (await self.read_body(reader, headers)).decode()
-        if status == 200 and kind in ("unsafe", "safe") and body != f"answer {request}":
+        if status == 200 and kind in PLAIN and body != f"answer {request}":
             self.violate(f"{request} got another answer: {body[:60]!r}")
         whole = "".join(f"id: {n}\ndata: {request} {n}\n\n" for n in range(1, 9))
         if status == 200 and kind in ("stream", "resumable") and body != whole:
--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -89,3 +89,31 @@
   body["new"] = true;
   CHECK(platform::ParseConfiguration(body.dump()).has_value());
 }
+
+TEST(ConfigurationText, AllowedRegionsAreParsed)
+{
+  body["routes"][0]["allowed_regions"] = { "b", "a" };
+  body["routes"][1]["allowed_regions"] = nlohmann::json::array();
+  body["tenants"][0]["allowed_regions"] = nullptr;
+  const auto parsed = platform::ParseConfiguration(body.dump());
+  CHECK(parsed.has_value());
+  const core::RegionSet expected({ core::RegionId("a"), core::RegionId("b") });
+  CHECK(parsed.value().routes[0].allowedRegions == expected);
+  CHECK_FALSE(parsed.value().routes[1].allowedRegions.has_value());
+  CHECK_FALSE(parsed.value().workspaces[0].allowedRegions.has_value());
+}
+
+/// Guards against a restriction that is dropped because it is written in another way.
+TEST(ConfigurationText, AllowedRegionsOfAnotherTypeAreRejected)
+{
+  const nlohmann::json valid = body;
+  for (const char* it : { R"("a")", R"({"a":true})", R"(["a",1])", "[null]", "false", "0" }) {
+    for (const char* list : { "routes", "tenants" }) {
+      body = valid;
+      body[list][0]["allowed_regions"] = nlohmann::json::parse(it);
+      ExpectInvalid();
+      STRCMP_CONTAINS("allowed_regions must be a list",
+                      platform::ParseConfiguration(body.dump()).error().message.c_str());
+    }
+  }
+}
--- a/UnitTests/process/cluster/ClusterSettingsTest.cpp
+++ b/UnitTests/process/cluster/ClusterSettingsTest.cpp
@@ -75,3 +75,28 @@
     STRCMP_CONTAINS((spec.FormatTableRow() + "\n").c_str(), page.str().c_str());
   }
 }
+
+TEST(ClusterSettings, ReadsTheRegionOfEachDataCentre)
+{
+  CHECK(ParseClusterSettings(text, "file.ini").value().regions.empty()); // An older template.
+  text += "[data-centres]\n";
+  CHECK(ParseClusterSettings(text, "file.ini").value().regions.empty()); // No zone is known.
+  text += "gent-a = vlaanderen\nGent-A = other\nbrussel-1 = brussel\n";
+  const auto parsed = ParseClusterSettings(text, "file.ini");
+  CHECK_TEXT(parsed.has_value(), parsed.has_error() ? parsed.error().message.c_str() : "");
+  const auto& regions = parsed.value().regions;
+  CHECK_EQUAL(3, regions.size());
+  STRCMP_EQUAL("vlaanderen", regions.at(core::DataCentreId("gent-a")).Text().c_str());
+  STRCMP_EQUAL("brussel", regions.at(core::DataCentreId("brussel-1")).Text().c_str());
+  text += "gent-b = two words\n";
+  ExpectError("gent-b");
+}
+
+/// Guards against a template whose hosts know no region, so that restricted requests are refused.
+TEST(ClusterSettings, TemplateNamesTheDataCentres)
+{
+  const std::ifstream file(CUMINFIELD_SOURCE_DIR "/deploy/host.ini");
+  std::ostringstream page;
+  page << file.rdbuf();
+  STRCMP_CONTAINS("[data-centres]\n{{#zones}}\n{{@}} = {{.}}\n{{/zones}}\n", page.str().c_str());
+}
--- a/UnitTests/request/placement/UpstreamTableTest.cpp
+++ b/UnitTests/request/placement/UpstreamTableTest.cpp
@@ -189,3 +189,40 @@
   }
   CHECK(table.TokenIntervalMs(entry) < 5);
 }
+
+/// Guards against figures of a restricted request that count upstreams outside its regions.
+TEST(UpstreamTable, RegionsLimitEveryFigure)
+{
+  const auto add = [&](const char* aId, const char* aRegion) {
+    UpstreamAnnouncement upstream;
+    upstream.id = core::UpstreamId(aId);
+    upstream.incarnation = core::Incarnation(1);
+    upstream.service = core::ServiceId("s");
+    upstream.region = core::RegionId(aRegion);
+    upstream.slots = 10;
+    upstream.isEngine = true;
+    table.AddOrUpdateUpstream(upstream);
+  };
+  const core::ServiceId service("s");
+  const core::RegionSet east({ core::RegionId("east") });
+  add("w", "west");
+  add("n", "");
+  CHECK(table.HasUpstream(service, {}));
+  CHECK_FALSE(table.HasUpstream(service, {}, &east));
+  add("e", "east");
+  CHECK(table.HasUpstream(service, {}, &east));
+  DOUBLES_EQUAL(30, table.SuitableEngineSlots(MakeSpec(), now), 0);
+  DOUBLES_EQUAL(10, table.SuitableEngineSlots(MakeSpec(), now, &east), 0);
+  const auto choose = [&] {
+    return table.Choose(MakeSpec(), {}, Urgency::Normal, UpstreamTable::SlotFilter::Any, now,
+                        &east);
+  };
+  STRCMP_EQUAL("e", choose()->upstream.id.Text().c_str());
+  table.RecordNotice(core::UpstreamId("e"), core::Incarnation(1), { .retryAfter = 3s }, now);
+  POINTERS_EQUAL(nullptr, choose());
+  CHECK(table.EarliestQuietEnd(service, {}, now, &east) == now + 3s);
+  CHECK_FALSE(table.EarliestQuietEnd(service, {}, now).has_value());
+  CHECK(table.EarliestOpening(service, {}, now, &east) == now + 3s);
+  add("e", "west"); // Its data centre is in another region now.
+  CHECK_FALSE(table.HasUpstream(service, {}, &east));
+}
--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -49,3 +49,36 @@
   STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.26).Text().c_str());
   STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.999).Text().c_str());
 }
+
+/// Guards against a route's restriction that is lost because another route has the same id, and
+/// against sets that grow with the number of routes and workspaces.
+TEST(CatalogueIndex, KeepsTheRegionsThatRouteAndWorkspaceAllow)
+{
+  const auto regions = [](std::vector<std::string> aNames) {
+    return core::RegionSet({ aNames.begin(), aNames.end() });
+  };
+  Catalogue catalogue;
+  catalogue.routes = { MakeRoute("r", "h", "/a/"), MakeRoute("same", "h", "/b/"),
+                       MakeRoute("same", "h", "/c/"), MakeRoute("free", "h", "/d/") };
+  catalogue.routes[0].allowedRegions = regions({ "x", "y" });
+  catalogue.routes[1].allowedRegions = regions({ "x", "y" });
+  catalogue.workspaces.resize(3);
+  catalogue.workspaces[0].id = core::WorkspaceId("w");
+  catalogue.workspaces[0].allowedRegions = regions({ "y", "z" });
+  catalogue.workspaces[1].id = core::WorkspaceId("twin");
+  catalogue.workspaces[1].allowedRegions = regions({ "z", "y" });
+  catalogue.workspaces[2].id = core::WorkspaceId("free");
+  const CatalogueIndex index(std::move(catalogue));
+  const auto allowed = [&](const char* aRoute, const char* aWorkspace) {
+    return index.AllowedRegions(core::RouteId(aRoute), core::WorkspaceId(aWorkspace)).get();
+  };
+  CHECK(*allowed("r", "w") == regions({ "y" }));
+  POINTERS_EQUAL(allowed("r", "w"), allowed("same", "twin"));
+  CHECK(*allowed("r", "free") == regions({ "x", "y" }));
+  CHECK(*allowed("same", "") == regions({ "x", "y" }));
+  CHECK(*allowed("free", "w") == regions({ "y", "z" }));
+  CHECK(*allowed("gone", "w") == regions({ "y", "z" }));
+  POINTERS_EQUAL(nullptr, allowed("free", "free"));
+  POINTERS_EQUAL(nullptr, index.FindRouteRegions(core::RouteId("gone")));
+  POINTERS_EQUAL(nullptr, index.FindRouteRegions(core::RouteId("free"))->get());
+}
--- a/cuminfield/process/cluster/ClusterSettings.h
+++ b/cuminfield/process/cluster/ClusterSettings.h
@@ -5,6 +5,7 @@
 #include "cuminfield/process/settings/HostSettings.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,6 +20,8 @@
   std::string name;
   core::DataCentreId dataCentre;
   core::RegionId region;
+  /// The region of each data centre. Upstreams of other data centres are in no region.
+  std::map<core::DataCentreId, core::RegionId> regions;
   std::optional<settings::Endpoint> callerEndpoint;  ///< Set on an entry host.
   std::optional<settings::Endpoint> readyEndpoint;   ///< Readiness endpoint of an entry host.
   std::optional<settings::Endpoint> controlEndpoint; ///< Set on a control host.
--- a/cuminfield/process/cluster/ClusterSettingsFile.cpp
+++ b/cuminfield/process/cluster/ClusterSettingsFile.cpp
@@ -18,7 +18,7 @@
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 constexpr std::int64_t kFullRatioPercent = 100; ///< 100 % in hundredths.
 
-const std::array<KeySpec, 19> kKeySpecs{ {
+const std::array<KeySpec, 20> kKeySpecs{ {
   { .section = "host",
     .key = "id",
     .type = ValueType::Name,
@@ -83,6 +83,12 @@
     .description = "control hosts that may be lost at once; twice as many and one vote",
     .min = 0,
     .max = kMaxLosses },
+  { .section = "data-centres",
+    .key = "NAME",
+    .type = ValueType::Name,
+    .defaultValue = "none",
+    .description = "region of the data centre NAME, one line each; upstreams of others are in no "
+                   "region" },
   { .section = "limits",
     .key = "shutdown",
     .type = ValueType::Duration,
@@ -200,6 +206,11 @@
     result.peerEndpoint = { .address = result.id.Text(), .port = static_cast<std::uint16_t>(port) };
   }
   ReadCluster(reader, result);
+  if (const settings::IniSection* dataCentres = reader.FindSection("data-centres")) {
+    for (const settings::IniEntry& it : dataCentres->entries) {
+      reader.Read(*dataCentres, it.key.c_str(), result.regions[core::DataCentreId(it.key)]);
+    }
+  }
   if (const settings::IniSection* limits = reader.FindSection("limits")) {
     reader.Read(*limits, "shutdown", result.shutdownLimit);
   }
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -25,22 +25,6 @@
   return static_cast<std::uint64_t>(aLoop.WallNow().time_since_epoch().count());
 }
 
-request::UpstreamAnnouncement ToAnnouncement(const proto::Upstream& aUpstream)
-{
-  return { .id = core::UpstreamId(aUpstream.id()),
-           .incarnation = core::Incarnation(aUpstream.incarnation()),
-           .service = core::ServiceId(aUpstream.service()),
-           .version = core::VersionId(aUpstream.version()),
-           .dataCentre = core::DataCentreId(aUpstream.data_centre()),
-           .region = {},
-           .address = aUpstream.address(),
-           .port = static_cast<std::uint16_t>(aUpstream.port()),
-           .slots = aUpstream.slots(),
-           .cacheCapacity = {},
-           .supportsResume = false,
-           .isEngine = aUpstream.model() };
-}
-
 } // namespace
 
 EntryHost::EntryHost(Options aOptions)
@@ -62,7 +46,8 @@
                  .random = mOptions.random,
                  .listener = mForwards,
                  .versions = mVersionShares,
-                 .dataCentre = mOptions.cluster.dataCentre })
+                 .dataCentre = mOptions.cluster.dataCentre,
+                 .regions = &mRegionPolicy })
   , mReachability({ .settings = mOptions.settings.reachability, .loop = mOptions.loop })
   , mServer({ .settings = mOptions.settings.server,
               .listen = mOptions.callerEndpoint,
@@ -112,6 +97,10 @@
 void EntryHost::OnFeed(const proto::Feed& aFeed)
 {
   mVersionShares.ApplyFeed(aFeed);
+  if (aFeed.state_applied() != 0 && aFeed.state_applied() != mStateApplied) {
+    mStateApplied = aFeed.state_applied();
+    mScheduler.RecheckQueued();
+  }
   if (aFeed.registry()) {
     ApplyRegistry(aFeed);
   }
@@ -137,10 +126,56 @@
   mCatalogue =
     std::make_shared<const version::catalogue::CatalogueIndex>(std::move(parsed.value()));
   mFollower.SetDocumentNumber(aDocument.number());
+  mRegionPolicy.SetCatalogue(mCatalogue);
+  mScheduler.OnRegionsChanged();
   mForwards.OnCatalogueAvailable();
   logging::Event(
     logging::Level::Info, "document-in-force",
     { { "number", aDocument.number() }, { "routes", mCatalogue->Content().routes.size() } });
+  LogUnknownRegions();
+}
+
+void EntryHost::LogUnknownRegions() const
+{
+  const auto& regions = mOptions.cluster.regions;
+  std::map<core::RegionId, std::string> unknown;
+  const auto collect = [&](const auto& aRules) {
+    for (const auto& rule : aRules) {
+      for (const core::RegionId& it :
+           rule.allowedRegions ? rule.allowedRegions->Regions() : std::vector<core::RegionId>()) {
+        if (std::none_of(regions.begin(), regions.end(),
+                         [&](const auto& aItem) { return aItem.second == it; })) {
+          unknown.emplace(it, rule.id.Text());
+        }
+      }
+    }
+  };
+  collect(mCatalogue->Content().routes);
+  collect(mCatalogue->Content().workspaces);
+  for (const auto& [region, rule] : unknown) {
+    logging::Event(logging::Level::Warning, "region-unknown",
+                   { { "region", region.Text() },
+                     { "named_by", rule },
+                     { "number", mCatalogue->Content().number } });
+  }
+}
+
+request::UpstreamAnnouncement EntryHost::ToAnnouncement(const proto::Upstream& aUpstream) const
+{
+  const core::DataCentreId dataCentre(aUpstream.data_centre());
+  const auto region = mOptions.cluster.regions.find(dataCentre);
+  return { .id = core::UpstreamId(aUpstream.id()),
+           .incarnation = core::Incarnation(aUpstream.incarnation()),
+           .service = core::ServiceId(aUpstream.service()),
+           .version = core::VersionId(aUpstream.version()),
+           .dataCentre = dataCentre,
+           .region = region == mOptions.cluster.regions.end() ? core::RegionId() : region->second,
+           .address = aUpstream.address(),
+           .port = static_cast<std::uint16_t>(aUpstream.port()),
+           .slots = aUpstream.slots(),
+           .cacheCapacity = {},
+           .supportsResume = false,
+           .isEngine = aUpstream.model() };
 }
 
 void EntryHost::ApplyQuarantine(const proto::Quarantine& aQuarantine)
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -10,6 +10,7 @@
 #include "cuminfield/process/cluster/VersionShares.h"
 #include "cuminfield/process/peer/PeerLinks.h"
 #include "cuminfield/request/forward/ForwardTable.h"
+#include "cuminfield/request/placement/CatalogueRegionPolicy.h"
 #include "cuminfield/request/placement/PlacementScheduler.h"
 #include "cuminfield/version/catalogue/CatalogueIndex.h"
 
@@ -82,6 +83,9 @@
 private:
   void OnFeed(const proto::Feed& aFeed);
   void ApplyDocument(const proto::Document& aDocument);
+  /// Logs the regions of the catalogue that no data centre has.
+  void LogUnknownRegions() const;
+  request::UpstreamAnnouncement ToAnnouncement(const proto::Upstream& aUpstream) const;
   void ApplyQuarantine(const proto::Quarantine& aQuarantine);
   void CheckUpstream(const request::quarantine::Crash& aCrash);
   void ApplyRegistry(const proto::Feed& aFeed);
@@ -96,6 +100,7 @@
   ForwardMonitor mMonitor;
   connection::upstream::HttpUpstreamTransport mTransport;
   request::forward::ForwardTable mForwards;
+  request::placement::CatalogueRegionPolicy mRegionPolicy;
   request::placement::PlacementScheduler mScheduler;
   connection::upstream::ReachabilityChecker mReachability;
   connection::caller::HttpServer mServer;
@@ -107,6 +112,7 @@
   std::size_t mAbortedRequests = 0; ///< Because the shutdown took too long.
   core::TimerHandle mDrainTimer;
   std::uint64_t mReportCount = 0;
+  std::uint64_t mStateApplied = 0; ///< Of the last feed that was not older than the known state.
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/ForwardMonitor.cpp
+++ b/cuminfield/process/cluster/ForwardMonitor.cpp
@@ -58,7 +58,8 @@
     return "answered";
   }
   const bool isShed = aSummary.reason == "overload" || aSummary.reason == "deadline" ||
-                      aSummary.reason == "quarantined";
+                      aSummary.reason == "quarantined" ||
+                      aSummary.reason == "no-upstream-in-regions";
   return isShed ? aSummary.reason : "failed";
 }
 
--- a/cuminfield/request/RequestSpec.h
+++ b/cuminfield/request/RequestSpec.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "cuminfield/core/Ids.h"
+#include "cuminfield/core/RegionSet.h"
 #include "cuminfield/core/Units.h"
 
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace cuminfield::request {
@@ -39,6 +41,9 @@
   std::uint32_t tokensPerEvent = 1; ///< Tokens in one event of the response.
   bool resumed = false; ///< Rest of an interrupted stream that its caller is already reading.
   core::UpstreamId avoidUpstream{}; ///< Where it failed; used only if there is no other.
+  /// The regions in which it might be served when it arrived; null: any. Applies once its route is
+  /// gone; until then a RegionPolicy tells what is in force.
+  std::shared_ptr<const core::RegionSet> regionsAtArrival{};
 };
 
 /// Number of tokens covered by one PrefixHash.
--- a/cuminfield/request/Scheduler.h
+++ b/cuminfield/request/Scheduler.h
@@ -15,7 +15,9 @@
   Overload,   ///< No capacity for its tier, and no lower tier left to shed first.
   Deadline,   ///< It can no longer meet its deadline.
   NoUpstream, ///< No upstream of the service is available.
-  Shutdown,   ///< This host is shutting down.
+  /// No upstream of the service is in the regions in which it may be served.
+  NoUpstreamInRegions,
+  Shutdown, ///< This host is shutting down.
   /// A part of its prompt crashes upstreams.
   Quarantined,
 };
--- a/cuminfield/request/Upstream.h
+++ b/cuminfield/request/Upstream.h
@@ -19,8 +19,8 @@
   core::ServiceId service{};
   core::VersionId version{};
   core::DataCentreId dataCentre{};
-  core::RegionId region{};
-  std::string address{}; ///< IP address.
+  core::RegionId region{}; ///< Of its data centre; empty if this host does not know it.
+  std::string address{};   ///< IP address.
   std::uint16_t port = 0;
   std::uint32_t slots = 1;         ///< Requests it runs concurrently without slowing down.
   core::Tokens cacheCapacity{ 0 }; ///< Size of the prefix cache.
--- a/cuminfield/request/exchange/ExchangeAnswer.cpp
+++ b/cuminfield/request/exchange/ExchangeAnswer.cpp
@@ -22,6 +22,8 @@
       return "It could not be begun in time; send again after Retry-After.";
     case ShedReason::NoUpstream:
       return "No upstream of the service is in reach; send again after Retry-After.";
+    case ShedReason::NoUpstreamInRegions:
+      return "No upstream is in the regions that may serve it; send again after Retry-After.";
     case ShedReason::Shutdown:
       return "This host is stopping; send again through another host.";
     case ShedReason::Quarantined:
@@ -39,6 +41,8 @@
       return "deadline";
     case ShedReason::NoUpstream:
       return "no upstream";
+    case ShedReason::NoUpstreamInRegions:
+      return "no upstream in regions";
     case ShedReason::Shutdown:
       return "stopping";
     case ShedReason::Quarantined:
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -24,6 +24,8 @@
       return "deadline";
     case ShedReason::NoUpstream:
       return "no-upstream";
+    case ShedReason::NoUpstreamInRegions:
+      return "no-upstream-in-regions";
     case ShedReason::Shutdown:
       return "stopping";
     case ShedReason::Quarantined:
@@ -102,6 +104,8 @@
 {
   const ForwardRequest& request = mOptions.request;
   const core::Instant now = mOptions.timers.Now();
+  CUMINFIELD_INVARIANT("forward.upstream-in-allowed-regions",
+                       mOptions.scheduler.MayServe(request.spec, mUpstream));
   mState = State::Calling;
   mAttemptStartedAt = now;
   mAttemptFirstEventLatency.reset();
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -5,12 +5,20 @@
 
 namespace cuminfield::request::placement {
 
+namespace {
+
+/// The sample point of the requests that a version move moves last.
+constexpr double kLastSamplePoint = 0.999999;
+
+} // namespace
+
 PlacementScheduler::PlacementScheduler(const PlacementSchedulerOptions& aOptions)
   : mSettings(aOptions.settings)
   , mTimers(aOptions.timers)
   , mRandom(aOptions.random)
   , mListener(aOptions.listener)
   , mVersions(aOptions.versions)
+  , mRegions(aOptions.regions)
   , mUpstreams(aOptions.settings.upstreamTable, aOptions.dataCentre, aOptions.random)
 {
   mTickTimer = mTimers.ScheduleEvery(mSettings.tickInterval, [this] { Tick(); });
@@ -61,6 +69,15 @@
   typical.needsEngine = aSpec.needsEngine;
 }
 
+void PlacementScheduler::UpdateRankRegions(RankState& aRank, const RequestSpec& aSpec) const
+{
+  if (const core::RegionSet* regions = RegionsOf(aSpec)) {
+    aRank.regions.Add(*regions);
+  } else {
+    aRank.hasUnrestricted = true;
+  }
+}
+
 void PlacementScheduler::UpdateSuitableSlots(ServiceState& aService)
 {
   const core::Instant now = mTimers.Now();
@@ -71,7 +88,9 @@
     }
     RequestSpec typical = state.typicalRequest;
     typical.deadline = now + (typical.deadline - typical.arrival);
-    state.suitableSlots = mUpstreams.SuitableEngineSlots(typical, now);
+    const bool isRestricted = !state.hasUnrestricted && !state.regions.IsEmpty();
+    state.suitableSlots =
+      mUpstreams.SuitableEngineSlots(typical, now, isRestricted ? &state.regions : nullptr);
     state.slotsCountedAt = now;
   }
 }
@@ -106,6 +125,11 @@
     return;
   }
   UpdateTypicalRequest(service.ranks[state.spec.tier], state.spec);
+  UpdateRankRegions(service.ranks[state.spec.tier], state.spec);
+  if (const auto reason = WhyUnservable(state)) {
+    Shed(id, *reason);
+    return;
+  }
   const bool waitsTooLong =
     service.queue.CountAhead(state.spec.tier) >= mSettings.minQueueForPrediction &&
     PredictWait(service, state.spec.tier) > MaxWait(state.spec);
@@ -148,15 +172,55 @@
   return aSpec.resumed ? aSpec.deadline : aSpec.arrival + MaxWait(aSpec);
 }
 
+const core::RegionSet* PlacementScheduler::RegionsOf(const RequestSpec& aSpec) const
+{
+  return mRegions ? mRegions->AllowedRegions(aSpec) : nullptr;
+}
+
 core::VersionId PlacementScheduler::VersionOf(const RequestState& aState) const
 {
-  return mVersions.Choose(aState.spec.service, aState.spec.route, aState.samplePoint);
+  const RequestSpec& spec = aState.spec;
+  core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.samplePoint);
+  const core::RegionSet* regions = RegionsOf(spec);
+  if (!regions || mUpstreams.HasUpstream(spec.service, version, regions)) {
+    return version;
+  }
+  // A new version may not have upstreams in every region yet: its part of the requests goes to the
+  // version that serves the others, as long as a move leaves it requests.
+  return mVersions.Choose(spec.service, spec.route, kLastSamplePoint);
+}
+
+std::optional<ShedReason> PlacementScheduler::WhyUnservable(const RequestState& aState) const
+{
+  const core::RegionSet* regions = RegionsOf(aState.spec);
+  if (!regions || mUpstreams.HasUpstream(aState.spec.service, VersionOf(aState), regions)) {
+    return std::nullopt;
+  }
+  return ShedReason::NoUpstreamInRegions;
+}
+
+bool PlacementScheduler::MayServe(const RequestSpec& aSpec,
+                                  const UpstreamAnnouncement& aUpstream) const
+{
+  const core::RegionSet* regions = RegionsOf(aSpec);
+  return !regions || regions->Contains(aUpstream.region);
+}
+
+void PlacementScheduler::OnRegionsChanged()
+{
+  for (auto& [id, service] : mServices) {
+    for (auto& [rank, state] : service.ranks) {
+      state.regions = core::RegionSet();
+      state.hasUnrestricted = false;
+    }
+  }
+  ShedUnservable();
 }
 
 bool PlacementScheduler::WaitsInVain(const RequestState& aState) const
 {
-  const auto quietEnd =
-    mUpstreams.EarliestQuietEnd(aState.spec.service, VersionOf(aState), mTimers.Now());
+  const auto quietEnd = mUpstreams.EarliestQuietEnd(aState.spec.service, VersionOf(aState),
+                                                    mTimers.Now(), RegionsOf(aState.spec));
   return quietEnd && *quietEnd >= QueueExpiryOf(aState.spec);
 }
 
@@ -274,8 +338,9 @@
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
   const core::VersionId version = VersionOf(aState);
+  const core::RegionSet* regions = RegionsOf(spec);
   const auto choose = [&](Urgency aChosenUrgency, UpstreamTable::SlotFilter aSlotFilter) {
-    return mUpstreams.Choose(spec, version, aChosenUrgency, aSlotFilter, now);
+    return mUpstreams.Choose(spec, version, aChosenUrgency, aSlotFilter, now, regions);
   };
   if (!spec.needsEngine) {
     return choose(aUrgency, UpstreamTable::SlotFilter::Any);
@@ -418,6 +483,8 @@
     mRequests.erase(it);
   } else if (mQuarantine.IsQuarantined(state.spec)) {
     Shed(aRequest, ShedReason::Quarantined);
+  } else if (const auto reason = WhyUnservable(state)) {
+    Shed(aRequest, *reason);
   } else if (!WaitsInVain(state) &&
              GetOrCreateService(service).retryBudget.TryTakeRetry(state.attempts)) {
     state.spec.avoidUpstream = state.upstream;
@@ -453,6 +520,19 @@
   }
 }
 
+void PlacementScheduler::ShedUnservable()
+{
+  std::vector<std::pair<core::RequestId, ShedReason>> shed;
+  for (const auto& [id, state] : mRequests) {
+    if (const auto reason = state.isQueued ? WhyUnservable(state) : std::nullopt) {
+      shed.emplace_back(id, *reason);
+    }
+  }
+  for (const auto& [id, reason] : shed) {
+    Shed(id, reason);
+  }
+}
+
 bool PlacementScheduler::OnUpstreamNotice(const UpstreamAnnouncement& aUpstream,
                                           const UpstreamNotice& aNotice)
 {
@@ -462,6 +542,9 @@
     ShedQueued(ShedReason::Overload,
                [this](const RequestState& aQueued) { return WaitsInVain(aQueued); });
   }
+  if (isNews && aNotice.isLeaving) {
+    RecheckQueued();
+  }
   return isNews;
 }
 
@@ -481,12 +564,14 @@
 void PlacementScheduler::AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream)
 {
   mUpstreams.AddOrUpdateUpstream(aUpstream);
+  RecheckQueued();
   DispatchQueued(aUpstream.service);
 }
 
 void PlacementScheduler::RemoveUpstream(const core::UpstreamId& aUpstream)
 {
   mUpstreams.RemoveUpstream(aUpstream);
+  RecheckQueued();
 }
 
 void PlacementScheduler::OnLoadReport(const LoadReport& aReport)
@@ -501,22 +586,35 @@
   mRequests.erase(it);
   ServiceState& service = GetOrCreateService(state.spec.service);
   service.queue.Remove(aId);
-  const core::VersionId version = VersionOf(state);
-  const bool any = mUpstreams.HasUpstream(state.spec.service, version);
   if (aReason == ShedReason::Quarantined) {
     mListener.OnShed(aId, aReason, mSettings.quarantineRetryAfter);
     return;
   }
+  // Randomized, so that callers don't return together.
+  const auto spread = [this] { return core::Scaled(mSettings.minRetryAfter, mRandom.Uniform()); };
+  if (const auto reason = WhyUnservable(state)) {
+    mListener.OnShed(aId, *reason, mSettings.registrationInterval + spread());
+    return;
+  }
+  const bool any = mUpstreams.HasUpstream(state.spec.service, VersionOf(state));
   core::Duration retryAfter = ComputeRetryAfter(state.spec);
-  const core::Instant now = mTimers.Now();
-  if (const auto quietEnd = mUpstreams.EarliestQuietEnd(state.spec.service, version, now)) {
-    // Randomized, so that callers don't return together.
-    retryAfter = std::max(retryAfter, *quietEnd - now +
-                                        core::Scaled(mSettings.minRetryAfter, mRandom.Uniform()));
+  if (const auto opening = NextOpening(state)) {
+    retryAfter = std::max(retryAfter, *opening - mTimers.Now() + spread());
   }
   mListener.OnShed(aId, any ? aReason : ShedReason::NoUpstream, retryAfter);
 }
 
+std::optional<core::Instant> PlacementScheduler::NextOpening(const RequestState& aState) const
+{
+  const RequestSpec& spec = aState.spec;
+  const core::VersionId version = VersionOf(aState);
+  if (const core::RegionSet* regions = RegionsOf(spec)) {
+    // Elsewhere it cannot go, so it had better return once an ejection ends, too.
+    return mUpstreams.EarliestOpening(spec.service, version, mTimers.Now(), regions);
+  }
+  return mUpstreams.EarliestQuietEnd(spec.service, version, mTimers.Now());
+}
+
 std::size_t PlacementScheduler::QueueSize() const
 {
   std::size_t n = 0;
@@ -528,6 +626,9 @@
 
 void PlacementScheduler::Tick()
 {
+  if (std::exchange(mIsRecheckDue, false)) {
+    ShedUnservable();
+  }
   for (auto& [id, service] : mServices) {
     if (service.queue.Size() == 0) {
       continue;
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -4,11 +4,13 @@
 #include "cuminfield/core/TimerService.h"
 #include "cuminfield/request/Scheduler.h"
 #include "cuminfield/request/placement/PlacementSettings.h"
+#include "cuminfield/request/placement/RegionPolicy.h"
 #include "cuminfield/request/placement/RequestQueue.h"
 #include "cuminfield/request/placement/UpstreamTable.h"
 #include "cuminfield/request/quarantine/QuarantineTable.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -23,6 +25,7 @@
   SchedulerListener& listener;
   const VersionChooser& versions;
   core::DataCentreId dataCentre;
+  const RegionPolicy* regions = nullptr; ///< Null: no request is restricted to regions.
 };
 
 /// Admission control and routing of one host of a cluster whose hosts share all upstreams. Requests
@@ -38,6 +41,10 @@
 /// share of the other free slots.
 ///
 /// A request whose prompt has a part that crashes upstreams is shed, also while it is queued.
+///
+/// A request is dispatched only in the regions that its RegionPolicy allows at that moment. It is
+/// shed at once, also while it is queued, when they have no upstream that accepts work; if the
+/// upstreams there are busy, ejected or quiet, it waits.
 class PlacementScheduler : public Scheduler
 {
 public:
@@ -72,6 +79,17 @@
   /// Sets the demand of all other hosts together. Called once per reporting round.
   void SetRemoteDemand(RequestsByRank aRemoteDemand);
 
+  /// Must be called after the RegionPolicy has changed. Queued requests that no upstream may serve
+  /// any more are shed.
+  void OnRegionsChanged();
+
+  /// Sheds the queued requests that no upstream may serve any more, at the next check of the
+  /// queues. Must be called when the versions in force have changed.
+  void RecheckQueued() { mIsRecheckDue = true; }
+
+  /// True if the request may be sent to this upstream now.
+  bool MayServe(const RequestSpec& aSpec, const UpstreamAnnouncement& aUpstream) const;
+
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
   /// applies to. Returns false if the state isn't newer than the known one.
   bool UpdateQuarantine(quarantine::QuarantineTable::State aState);
@@ -103,6 +121,9 @@
     RequestSpec typicalRequest;       ///< With the mean lengths of prompt and response.
     double suitableSlots = 0;         ///< Slots of engines suitable for it.
     core::Instant slotsCountedAt{};
+    /// Where its requests may be served, as far as all of them are restricted.
+    core::RegionSet regions;
+    bool hasUnrestricted = false;
   };
 
   struct ServiceState
@@ -125,17 +146,24 @@
   void RecordStart(RequestState& aState);
   ServiceState& GetOrCreateService(const core::ServiceId& aId);
   void Enqueue(RequestState& aState);
+  const core::RegionSet* RegionsOf(const RequestSpec& aSpec) const;
   core::VersionId VersionOf(const RequestState& aState) const;
+  /// Why no upstream may serve the request, however long it waits; empty if one may, or if there is
+  /// none for a reason that ends by itself.
+  std::optional<ShedReason> WhyUnservable(const RequestState& aState) const;
   core::Instant QueueExpiryOf(const RequestSpec& aSpec) const;
   /// True if every upstream that may serve the request has asked for no requests until it expires.
   bool WaitsInVain(const RequestState& aState) const;
   /// Sheds the queued requests to which the predicate applies.
   template<typename Predicate>
   void ShedQueued(ShedReason aReason, const Predicate& aPredicate);
+  /// Sheds the queued requests that no upstream may serve any more.
+  void ShedUnservable();
   void DispatchQueued(const core::ServiceId& aId);
   bool TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency);
   static Urgency UrgencyOf(const placement::QueuedRequest& aQueued, core::Instant aNow);
   void UpdateTypicalRequest(RankState& aRank, const RequestSpec& aSpec) const;
+  void UpdateRankRegions(RankState& aRank, const RequestSpec& aSpec) const;
   void UpdateSuitableSlots(ServiceState& aService);
   static std::uint32_t DemandOf(const ServiceState& aService, TierRank aRank,
                                 const RankState& aState);
@@ -162,6 +190,9 @@
   core::Duration MaxWait(const RequestSpec& aSpec) const;
   static core::Duration PredictWait(const ServiceState& aService, TierRank aRank);
   core::Duration ComputeRetryAfter(const RequestSpec& aSpec);
+  /// When the first upstream that may serve the request is expected to take requests again, if all
+  /// of them are closed now.
+  std::optional<core::Instant> NextOpening(const RequestState& aState) const;
   void Shed(const core::RequestId& aId, ShedReason aReason);
   void Tick();
 
@@ -170,11 +201,13 @@
   core::Random& mRandom;
   SchedulerListener& mListener;
   const VersionChooser& mVersions;
+  const RegionPolicy* mRegions;
   UpstreamTable mUpstreams;
   quarantine::QuarantineTable mQuarantine;
   std::unordered_map<core::RequestId, RequestState> mRequests;
   std::map<core::ServiceId, ServiceState> mServices;
   RequestsByRank mRemoteDemand;
+  bool mIsRecheckDue = false; ///< Queued requests may have become unservable.
   core::TimerHandle mTickTimer;
 };
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -140,6 +140,9 @@
   /// Retry-After of a request with a quarantined part: the least duration of a quarantine. A caller
   /// that comes back earlier is turned away again.
   core::Duration quarantineRetryAfter = std::chrono::minutes(30);
+  /// Retry-After of a request that no upstream may serve now: the time in which an upstream that
+  /// runs, or starts, registers with a heartbeat.
+  core::Duration registrationInterval = std::chrono::milliseconds(1200);
   admission::RetryBudgetSettings retryBudget{ .retryRatio = 0.12,
                                               .maxSavedRetries = 3,
                                               .maxAttempts = 4 };
--- a/cuminfield/request/placement/UpstreamTable.cpp
+++ b/cuminfield/request/placement/UpstreamTable.cpp
@@ -47,7 +47,9 @@
     entry.localInFlight = inFlight;
     entry.localPromptTokens = promptTokens;
   }
-  const bool indexChanged = entry.upstream.service != aUpstream.service || !entry.acceptsNewWork;
+  const bool indexChanged = entry.upstream.service != aUpstream.service ||
+                            entry.upstream.version != aUpstream.version ||
+                            entry.upstream.region != aUpstream.region || !entry.acceptsNewWork;
   entry.upstream = aUpstream;
   entry.acceptsNewWork = true;
   entry.quietUntil = notice ? notice->quietUntil : core::Instant();
@@ -116,7 +118,8 @@
 
 std::optional<core::Instant> UpstreamTable::EarliestQuietEnd(const core::ServiceId& aService,
                                                              const core::VersionId& aVersion,
-                                                             core::Instant aNow) const
+                                                             core::Instant aNow,
+                                                             const core::RegionSet* aRegions) const
 {
   const auto it = mServices.find(aService);
   if (aNow >= mNotices.LatestQuietEnd() || it == mServices.end()) {
@@ -124,7 +127,8 @@
   }
   std::optional<core::Instant> earliest;
   for (const UpstreamEntry* entry : it->second.entries) {
-    if (!aVersion.IsEmpty() && entry->upstream.version != aVersion) {
+    const bool isOther = !aVersion.IsEmpty() && entry->upstream.version != aVersion;
+    if (isOther || !IsAllowed(entry->upstream.region, aRegions)) {
       continue;
     }
     if (aNow >= entry->quietUntil) {
@@ -135,6 +139,54 @@
   return earliest;
 }
 
+std::optional<core::Instant> UpstreamTable::EarliestOpening(const core::ServiceId& aService,
+                                                            const core::VersionId& aVersion,
+                                                            core::Instant aNow,
+                                                            const core::RegionSet* aRegions) const
+{
+  const auto it = mServices.find(aService);
+  const core::Instant latest = std::max(mNotices.LatestQuietEnd(), mLatestEjectionEnd);
+  if (aNow >= latest || it == mServices.end()) {
+    return std::nullopt;
+  }
+  std::optional<core::Instant> earliest;
+  for (const UpstreamEntry* entry : it->second.entries) {
+    const bool isOther = !aVersion.IsEmpty() && entry->upstream.version != aVersion;
+    if (isOther || !IsAllowed(entry->upstream.region, aRegions)) {
+      continue;
+    }
+    if (IsOpen(*entry, aNow)) {
+      return std::nullopt;
+    }
+    const core::Instant end = std::max(entry->quietUntil, entry->ejectedUntil);
+    earliest = std::min(earliest.value_or(end), end);
+  }
+  return earliest;
+}
+
+bool UpstreamTable::IsAllowed(const core::RegionId& aRegion, const core::RegionSet* aRegions)
+{
+  return !aRegions || aRegions->Contains(aRegion);
+}
+
+const std::vector<UpstreamTable::UpstreamGroup>& UpstreamTable::GroupsOf(
+  const ServiceUpstreams& aService)
+{
+  if (aService.groups.empty()) {
+    for (const UpstreamEntry* entry : aService.entries) {
+      const UpstreamAnnouncement& upstream = entry->upstream;
+      const bool isKnown =
+        std::any_of(aService.groups.begin(), aService.groups.end(), [&](const UpstreamGroup& aIt) {
+          return aIt.region == upstream.region && aIt.version == upstream.version;
+        });
+      if (!isKnown) {
+        aService.groups.push_back({ .region = upstream.region, .version = upstream.version });
+      }
+    }
+  }
+  return aService.groups;
+}
+
 bool UpstreamTable::IsOpen(const UpstreamEntry& aEntry, core::Instant aNow)
 {
   return aNow >= aEntry.ejectedUntil && aNow >= aEntry.quietUntil;
@@ -146,34 +198,40 @@
   return it == mEntries.end() ? nullptr : &it->second;
 }
 
-bool UpstreamTable::HasUpstream(const core::ServiceId& aService,
-                                const core::VersionId& aVersion) const
+bool UpstreamTable::HasUpstream(const core::ServiceId& aService, const core::VersionId& aVersion,
+                                const core::RegionSet* aRegions) const
 {
   const auto it = mServices.find(aService);
-  return it != mServices.end() &&
-         std::any_of(it->second.entries.begin(), it->second.entries.end(), [&](const auto* aEntry) {
-           return aVersion.IsEmpty() || aEntry->upstream.version == aVersion;
-         });
+  if (it == mServices.end()) {
+    return false;
+  }
+  const std::vector<UpstreamGroup>& groups = GroupsOf(it->second);
+  return std::any_of(groups.begin(), groups.end(), [&](const UpstreamGroup& aGroup) {
+    return (aVersion.IsEmpty() || aGroup.version == aVersion) && IsAllowed(aGroup.region, aRegions);
+  });
 }
 
 UpstreamEntry* UpstreamTable::Choose(const RequestSpec& aSpec, const core::VersionId& aVersion,
-                                     Urgency aUrgency, SlotFilter aSlotFilter, core::Instant aNow)
+                                     Urgency aUrgency, SlotFilter aSlotFilter, core::Instant aNow,
+                                     const core::RegionSet* aRegions)
 {
   ServiceUpstreams& service = UpstreamsOf(aSpec.service, aNow);
   const auto isEligible = [&](const UpstreamEntry& aEntry) {
-    return IsOpen(aEntry, aNow) && (aVersion.IsEmpty() || aEntry.upstream.version == aVersion);
+    return IsOpen(aEntry, aNow) && (aVersion.IsEmpty() || aEntry.upstream.version == aVersion) &&
+           IsAllowed(aEntry.upstream.region, aRegions);
   };
   // If no upstream can finish in time, not even an idle one, the best of all is used.
   const bool anySuitable =
     std::any_of(service.entries.begin(), service.entries.end(), [&](const UpstreamEntry* aEntry) {
       return isEligible(*aEntry) && IsSuitable(*aEntry, aSpec, aNow);
     });
+  const FailureSum failures = SumFailures(service, aRegions);
   UpstreamEntry* avoided = nullptr;
   mCandidates.clear();
   for (UpstreamEntry* entry : service.entries) {
     const bool isMatch = isEligible(*entry) && (!anySuitable || IsSuitable(*entry, aSpec, aNow));
     const bool passesFilter = aSlotFilter == SlotFilter::Any || HasFreedSlot(*entry, aNow);
-    if (!isMatch || !passesFilter || !IsUsable(*entry, service, aUrgency, aNow)) {
+    if (!isMatch || !passesFilter || !IsUsable(*entry, failures, aUrgency, aNow)) {
       continue;
     }
     if (entry->upstream.id == aSpec.avoidUpstream) {
@@ -268,14 +326,15 @@
   return slots;
 }
 
-double UpstreamTable::SuitableEngineSlots(const RequestSpec& aSpec, core::Instant aNow)
+double UpstreamTable::SuitableEngineSlots(const RequestSpec& aSpec, core::Instant aNow,
+                                          const core::RegionSet* aRegions)
 {
   double all = 0;
   double suitable = 0;
   for (const UpstreamEntry* entry : UpstreamsOf(aSpec.service, aNow).entries) {
-    const bool usable = entry->upstream.isEngine && !entry->unreachable &&
-                        aNow >= entry->quietUntil && !IsSilent(*entry, aNow) &&
-                        !IsSuspected(*entry, aNow);
+    const bool usable = entry->upstream.isEngine && IsAllowed(entry->upstream.region, aRegions) &&
+                        !entry->unreachable && aNow >= entry->quietUntil &&
+                        !IsSilent(*entry, aNow) && !IsSuspected(*entry, aNow);
     const double slots = usable ? entry->upstream.slots : 0;
     all += slots;
     suitable += IsSuitable(*entry, aSpec, aNow) ? slots : 0;
@@ -432,7 +491,24 @@
   return aNow >= aEntry.nextProbeAt;
 }
 
-bool UpstreamTable::IsUsable(const UpstreamEntry& aEntry, const ServiceUpstreams& aService,
+UpstreamTable::FailureSum UpstreamTable::SumFailures(const ServiceUpstreams& aService,
+                                                     const core::RegionSet* aRegions) const
+{
+  if (!aRegions) {
+    return { .ratios = aService.failureRatioSum, .upstreams = aService.upstreamCount };
+  }
+  // Upstreams outside are no alternative to one that fails more often than they do.
+  FailureSum sum;
+  for (const UpstreamEntry* it : aService.entries) {
+    if (IsAllowed(it->upstream.region, aRegions)) {
+      sum.ratios += FailureRatio(*it);
+      ++sum.upstreams;
+    }
+  }
+  return sum;
+}
+
+bool UpstreamTable::IsUsable(const UpstreamEntry& aEntry, const FailureSum& aFailures,
                              Urgency aUrgency, core::Instant aNow) const
 {
   if (!HasFreeSlot(aEntry, aUrgency)) {
@@ -447,8 +523,8 @@
   }
   const double failureRatio = FailureRatio(aEntry);
   const double meanOfOthers =
-    aService.upstreamCount > 1
-      ? (aService.failureRatioSum - failureRatio) / static_cast<double>(aService.upstreamCount - 1)
+    aFailures.upstreams > 1
+      ? (aFailures.ratios - failureRatio) / static_cast<double>(aFailures.upstreams - 1)
       : failureRatio;
   return failureRatio <= meanOfOthers + mSettings.maxExcessFailureRatio || aEntry.onProbation;
 }
@@ -542,14 +618,19 @@
   aEntry.localObservations.tokenIntervalSumMs += aTokenIntervalMs;
 }
 
-void UpstreamTable::Eject(UpstreamEntry& aEntry, core::Duration aDuration, core::Instant aNow) const
+void UpstreamTable::Eject(UpstreamEntry& aEntry, core::Duration aDuration, core::Instant aNow)
 {
   ++aEntry.consecutiveFailures;
-  const core::Duration duration = std::min(aDuration, mSettings.maxEjection);
-  aEntry.ejectedUntil = std::max(aEntry.ejectedUntil, aNow + duration);
+  EjectUntil(aEntry, aNow + std::min(aDuration, mSettings.maxEjection));
   aEntry.onProbation = true;
 }
 
+void UpstreamTable::EjectUntil(UpstreamEntry& aEntry, core::Instant aEnd)
+{
+  aEntry.ejectedUntil = std::max(aEntry.ejectedUntil, aEnd);
+  mLatestEjectionEnd = std::max(mLatestEjectionEnd, aEnd);
+}
+
 void UpstreamTable::RecordAttemptEnd(UpstreamEntry& aEntry, const RequestSpec& aSpec,
                                      AttemptOutcome aOutcome, bool aHasFirstEvent,
                                      core::Instant aNow)
@@ -580,7 +661,7 @@
       break;
     case AttemptOutcome::Refused:
       RecordActivity(aEntry, aNow);
-      aEntry.ejectedUntil = std::max(aEntry.ejectedUntil, aNow + mSettings.refusalEjection);
+      EjectUntil(aEntry, aNow + mSettings.refusalEjection);
       break;
     case AttemptOutcome::Unreachable:
       aEntry.unreachable = true;
--- a/cuminfield/request/placement/UpstreamTable.h
+++ b/cuminfield/request/placement/UpstreamTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminfield/core/Random.h"
+#include "cuminfield/core/RegionSet.h"
 #include "cuminfield/request/Scheduler.h"
 #include "cuminfield/request/placement/PlacementSettings.h"
 #include "cuminfield/request/placement/UpstreamNotices.h"
@@ -81,10 +82,16 @@
                     const UpstreamNotice& aNotice, core::Instant aNow);
 
   /// When the first upstream of the service and version takes requests again, if all have asked for
-  /// none.
+  /// none. Here and below, aRegions limits the upstreams to those of these regions unless it is
+  /// null.
   std::optional<core::Instant> EarliestQuietEnd(const core::ServiceId& aService,
-                                                const core::VersionId& aVersion,
-                                                core::Instant aNow) const;
+                                                const core::VersionId& aVersion, core::Instant aNow,
+                                                const core::RegionSet* aRegions = nullptr) const;
+
+  /// The same if all have asked for no requests or are ejected.
+  std::optional<core::Instant> EarliestOpening(const core::ServiceId& aService,
+                                               const core::VersionId& aVersion, core::Instant aNow,
+                                               const core::RegionSet* aRegions) const;
 
   /// Which free slots may be used.
   enum class SlotFilter
@@ -95,7 +102,8 @@
 
   /// Returns the best upstream with a free slot for the request, or null if there is none.
   UpstreamEntry* Choose(const RequestSpec& aSpec, const core::VersionId& aVersion, Urgency aUrgency,
-                        SlotFilter aSlotFilter, core::Instant aNow);
+                        SlotFilter aSlotFilter, core::Instant aNow,
+                        const core::RegionSet* aRegions = nullptr);
 
   /// Number of free slots of the service's engines, as far as this host knows.
   double FreeEngineSlots(const core::ServiceId& aService, core::Instant aNow);
@@ -106,11 +114,14 @@
   UpstreamEntry* Find(const core::UpstreamId& aUpstream);
 
   /// True if an upstream of the service and version accepts work, even if it has no free slot now.
-  bool HasUpstream(const core::ServiceId& aService, const core::VersionId& aVersion) const;
+  /// Does not iterate over the upstreams, so it may be called for each request.
+  bool HasUpstream(const core::ServiceId& aService, const core::VersionId& aVersion,
+                   const core::RegionSet* aRegions = nullptr) const;
 
   /// Number of slots at usable engines that are suitable for such a request, or at all usable
   /// engines if none is suitable; 0 for a plain service.
-  double SuitableEngineSlots(const RequestSpec& aSpec, core::Instant aNow);
+  double SuitableEngineSlots(const RequestSpec& aSpec, core::Instant aNow,
+                             const core::RegionSet* aRegions = nullptr);
 
   /// Predicts the time from dispatch to the first event, or to the response of a plain call.
   core::Duration PredictFirstEventLatency(const UpstreamEntry& aEntry,
@@ -165,15 +176,32 @@
   std::unordered_map<core::UpstreamId, UpstreamEntry>& Entries() { return mEntries; }
 
 private:
+  /// Upstreams of a service that are alike in what restricts requests.
+  struct UpstreamGroup
+  {
+    core::RegionId region;
+    core::VersionId version;
+  };
+
   /// The upstreams of one service with the sums used to compare them.
   struct ServiceUpstreams
   {
     std::vector<UpstreamEntry*> entries;
+    /// Each combination that occurs in entries; there are as many as regions and versions. Empty
+    /// until it is needed.
+    mutable std::vector<UpstreamGroup> groups;
     double failureRatioSum = 0;
     std::size_t upstreamCount = 0; ///< Number of entries in the sum.
     core::Instant summedAt{};
   };
 
+  /// Failure ratios of the upstreams that an upstream is compared with, itself included.
+  struct FailureSum
+  {
+    double ratios = 0;
+    std::size_t upstreams = 0;
+  };
+
   struct Candidate
   {
     UpstreamEntry* entry = nullptr;
@@ -182,7 +210,8 @@
 
   ServiceUpstreams& UpstreamsOf(const core::ServiceId& aService, core::Instant aNow);
   void RebuildIndex();
-  bool IsUsable(const UpstreamEntry& aEntry, const ServiceUpstreams& aService, Urgency aUrgency,
+  FailureSum SumFailures(const ServiceUpstreams& aService, const core::RegionSet* aRegions) const;
+  bool IsUsable(const UpstreamEntry& aEntry, const FailureSum& aFailures, Urgency aUrgency,
                 core::Instant aNow) const;
   core::Instant NextSuspectProbe(core::Instant aNow);
   bool CanBeProbed(const UpstreamEntry& aEntry, core::Instant aNow) const;
@@ -196,17 +225,24 @@
   bool IsSuitable(const UpstreamEntry& aEntry, const RequestSpec& aSpec, core::Instant aNow) const;
   bool IsSilent(const UpstreamEntry& aEntry, core::Instant aNow) const;
   double Score(const UpstreamEntry& aEntry, const RequestSpec& aSpec);
-  void Eject(UpstreamEntry& aEntry, core::Duration aDuration, core::Instant aNow) const;
+  void Eject(UpstreamEntry& aEntry, core::Duration aDuration, core::Instant aNow);
+  void EjectUntil(UpstreamEntry& aEntry, core::Instant aEnd);
 
   /// False while the upstream is ejected or has asked for no requests.
   static bool IsOpen(const UpstreamEntry& aEntry, core::Instant aNow);
 
+  /// True if requests may be sent to an upstream of this region.
+  static bool IsAllowed(const core::RegionId& aRegion, const core::RegionSet* aRegions);
+
+  static const std::vector<UpstreamGroup>& GroupsOf(const ServiceUpstreams& aService);
+
   UpstreamTableSettings mSettings;
   UpstreamNotices mNotices;
   core::DataCentreId mDataCentre;
   core::Random& mRandom;
   std::unordered_map<core::UpstreamId, UpstreamEntry> mEntries;
   std::map<core::ServiceId, ServiceUpstreams> mServices;
+  core::Instant mLatestEjectionEnd{}; ///< Of any upstream.
   std::vector<Candidate> mCandidates; ///< Member only to reuse its allocation.
 };
 
--- a/cuminfield/version/catalogue/Catalogue.h
+++ b/cuminfield/version/catalogue/Catalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminfield/core/Ids.h"
+#include "cuminfield/core/RegionSet.h"
 #include "cuminfield/core/Units.h"
 
 #include <cstdint>
@@ -35,6 +36,8 @@
   /// From arrival to the first event, or to the complete response.
   core::Duration latencyTarget{ 0 };
   core::Duration eventGapTarget{ 0 }; ///< Maximum gap between events that still counts as in time.
+  /// Regions in which its requests may be served; any region if not set.
+  std::optional<core::RegionSet> allowedRegions{};
 };
 
 /// Properties of a model engine that are known before its first response.
@@ -62,6 +65,8 @@
   double unitsPerSecond = 0;         ///< Quota over all hosts; 0 means none.
   double burstUnits = 0;             ///< Units that may be used at once.
   double defaultRequestUnits = 1;    ///< Units charged for a request that does not state its size.
+  /// Regions in which its requests may be served; any region if not set.
+  std::optional<core::RegionSet> allowedRegions{};
 };
 
 /// Limits on callers' requests and connections.
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -46,6 +46,62 @@
   for (const ServiceRule& it : mCatalogue.services) {
     mServicesById[it.id] = &it;
   }
+  IndexRegions();
+}
+
+CatalogueIndex::RegionRestriction CatalogueIndex::Intern(const core::RegionSet& aRegions)
+{
+  RegionRestriction& restriction = mRegionSets[aRegions];
+  if (!restriction) {
+    restriction = std::make_shared<const core::RegionSet>(aRegions);
+  }
+  return restriction;
+}
+
+void CatalogueIndex::IndexRegions()
+{
+  for (const RouteRule& it : mCatalogue.routes) {
+    RegionRestriction& restriction = mRouteRegions[it.id];
+    if (it.allowedRegions) {
+      restriction =
+        Intern(restriction ? restriction->Intersect(*it.allowedRegions) : *it.allowedRegions);
+    }
+  }
+  for (const WorkspaceRule& it : mCatalogue.workspaces) {
+    if (it.allowedRegions) {
+      mWorkspaceRegions[it.id] = Intern(*it.allowedRegions);
+    }
+  }
+  for (const auto& [route, ofRoute] : mRouteRegions) {
+    for (const auto& [workspace, ofWorkspace] : mWorkspaceRegions) {
+      const std::pair key(ofRoute.get(), ofWorkspace.get());
+      if (ofRoute && !mIntersections.contains(key)) {
+        mIntersections.emplace(key, Intern(ofRoute->Intersect(*ofWorkspace)));
+      }
+    }
+  }
+}
+
+const CatalogueIndex::RegionRestriction* CatalogueIndex::FindRouteRegions(
+  const core::RouteId& aRoute) const
+{
+  const auto it = mRouteRegions.find(aRoute);
+  return it == mRouteRegions.end() ? nullptr : &it->second;
+}
+
+const CatalogueIndex::RegionRestriction& CatalogueIndex::AllowedRegions(
+  const core::RouteId& aRoute, const core::WorkspaceId& aWorkspace) const
+{
+  static const RegionRestriction sUnrestricted;
+  const RegionRestriction* ofRoute = FindRouteRegions(aRoute);
+  const auto ofWorkspace = mWorkspaceRegions.find(aWorkspace);
+  if (ofWorkspace == mWorkspaceRegions.end()) {
+    return ofRoute ? *ofRoute : sUnrestricted;
+  }
+  if (!ofRoute || !*ofRoute) {
+    return ofWorkspace->second;
+  }
+  return mIntersections.find({ ofRoute->get(), ofWorkspace->second.get() })->second;
 }
 
 const RouteRule* CatalogueIndex::FindRoute(std::string_view aHost, std::string_view aPath) const
--- a/cuminfield/version/catalogue/CatalogueIndex.h
+++ b/cuminfield/version/catalogue/CatalogueIndex.h
@@ -2,9 +2,12 @@
 
 #include "cuminfield/version/catalogue/Catalogue.h"
 
+#include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cuminfield::version::catalogue {
@@ -28,18 +31,42 @@
   const WorkspaceRule* FindWorkspace(const core::WorkspaceId& aId) const;
   const ServiceRule* FindService(const core::ServiceId& aId) const;
 
+  /// A restriction of requests to regions; null if there is none.
+  using RegionRestriction = std::shared_ptr<const core::RegionSet>;
+
+  /// Returns the restriction of a route alone, or nullptr if no route has this id. If several
+  /// routes have it, the restrictions of all of them apply.
+  const RegionRestriction* FindRouteRegions(const core::RouteId& aRoute) const;
+
+  /// Returns the restriction of the requests of a workspace on a route: the regions that both
+  /// allow. An unknown route or workspace allows any region. The intersections are kept, so this
+  /// only looks them up.
+  const RegionRestriction& AllowedRegions(const core::RouteId& aRoute,
+                                          const core::WorkspaceId& aWorkspace) const;
+
   /// Chooses the service for one request of a route; aPoint is uniform in [0, 1).
   static const core::ServiceId& ChooseService(const RouteRule& aRoute, double aPoint);
 
   const Catalogue& Content() const { return mCatalogue; }
 
 private:
+  /// Returns the one object that stands for all equal sets.
+  RegionRestriction Intern(const core::RegionSet& aRegions);
+  void IndexRegions();
+
   const Catalogue mCatalogue;
   /// Longest prefix first.
   std::unordered_map<std::string, std::vector<const RouteRule*>> mRoutesByHost;
   std::unordered_map<std::string, const WorkspaceRule*> mWorkspacesByKey;
   std::unordered_map<core::WorkspaceId, const WorkspaceRule*> mWorkspacesById;
   std::unordered_map<core::ServiceId, const ServiceRule*> mServicesById;
+  std::map<core::RegionSet, RegionRestriction> mRegionSets; ///< Each distinct restriction once.
+  std::unordered_map<core::RouteId, RegionRestriction> mRouteRegions;
+  /// Only the workspaces that have a restriction.
+  std::unordered_map<core::WorkspaceId, RegionRestriction> mWorkspaceRegions;
+  /// By the objects of mRegionSets. There are few, however many routes and workspaces share them.
+  std::map<std::pair<const core::RegionSet*, const core::RegionSet*>, RegionRestriction>
+    mIntersections;
 };
 
 } // namespace cuminfield::version::catalogue
