placement: a wait ends while half of the caller's time is left; waiting and ended requests on the wire

Cause: a request waits for up to twice its target.

Change: for a service with a route whose target is at least half of its timeout (CatalogueIndex::ServicesWithTightTargets), WaitPolicy bounds the wait by the smaller of twice the target and half of the caller's time. A late request also leaves the time for Retry-After and its service elsewhere. A target equal to the timeout doesn't count, since a route without a target has this one. Other services are served as before. Reports of such services contain the waiting requests and those that ended in the last second by rank (Wanted.waiting, Wanted.done_per_s), and UsageSums adds them up. SimulatedCluster knows ranks with their own times and lengths, engines of different speed, callers that come back, and workspaces.

--- a/UnitTests/process/cluster/UsageSumsTest.cpp
+++ b/UnitTests/process/cluster/UsageSumsTest.cpp
@@ -181,3 +181,32 @@
   sums.Remove(faulty);
   sums.Remove(sound);
 }
+
+/// A host predicts waits from the sums over all other hosts; its own part must not be in them.
+TEST(UsageSums, SumsWaitingAndEndedRequestsOfAllOtherHosts)
+{
+  UsageSums sums;
+  UsageSums::Part first;
+  UsageSums::Part second;
+  proto::Report report;
+  proto::Wanted* wanted = report.add_wanted();
+  wanted->set_service("s");
+  wanted->set_rank(2);
+  wanted->set_requests(5);
+  wanted->set_waiting(3);
+  wanted->set_done_per_s(1.5);
+  sums.Replace(first, report);
+  wanted->set_waiting(4);
+  wanted->set_done_per_s(2.25);
+  sums.Replace(second, report);
+  proto::Exchange all;
+  sums.Write(nullptr, true, all);
+  CHECK_EQUAL(7, all.wanted(0).waiting());
+  DOUBLES_EQUAL(3.75, all.wanted(0).done_per_s(), 1e-6);
+  proto::Feed feed;
+  sums.Write(&first, true, feed);
+  CHECK_EQUAL(4, feed.wanted(0).waiting());
+  DOUBLES_EQUAL(2.25, feed.wanted(0).done_per_s(), 1e-6);
+  sums.Remove(first);
+  sums.Remove(second);
+}
--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -605,3 +605,29 @@
   STRCMP_EQUAL("u", reports[0].report.crash.upstream.Text().c_str());
   CHECK_EQUAL(1, reports[0].report.crash.incarnation.Value());
 }
+
+/// Fault: a request whose target is two thirds of its deadline waited until its caller gave up.
+TEST(PlacementScheduler, ARequestOfATightServiceIsRejectedWhileItsCallerHasHalfOfItsTime)
+{
+  const auto submit = [&](const std::string& aId) {
+    RequestSpec spec = MakeSpec(aId);
+    spec.firstTokenTarget = 2s;
+    spec.deadline = spec.arrival + 3s;
+    scheduler->Submit(std::move(spec));
+  };
+  AddUpstream("u", 1);
+  submit("running");
+  submit("usual");
+  timers.Advance(2900ms);
+  CHECK_FALSE(listener.shed.contains("usual"));
+  scheduler->Withdraw(core::RequestId("usual"));
+  scheduler->SetTightServices({ core::ServiceId("s") });
+  submit("tight");
+  timers.Advance(1400ms);
+  CHECK_FALSE(listener.shed.contains("tight"));
+  const auto load = scheduler->LocalLoad();
+  DOUBLES_EQUAL(1, load.at({ core::ServiceId("s"), 1 }).waiting, 0);
+  timers.Advance(120ms);
+  CHECK(listener.shed.at("tight") == ShedReason::Overload);
+  CHECK(listener.retryAfter.at("tight") <= 500ms);
+}
--- a/UnitTests/request/placement/SimulatedCluster.cpp
+++ b/UnitTests/request/placement/SimulatedCluster.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/request/placement/SimulatedCluster.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cuminfield::unit_tests {
@@ -16,6 +17,20 @@
 constexpr core::Duration kTarget = 400ms;
 constexpr core::Duration kCallerDeadline = 15s;
 
+/// Speed of a fast engine at a full batch. The time between tokens includes that for the prompts of
+/// other requests.
+constexpr double kPromptTokensPerMs = 83;
+constexpr double kTokenIntervalMs = 3.4;
+
+/// Limit of a response relative to its mean length.
+constexpr double kOutputLimitFactor = 1.43;
+
+/// Observations are exchanged with one in this many reports.
+constexpr std::size_t kReportsPerObserved = 4;
+
+/// Callers obey Retry-After up to this part of their remaining time.
+constexpr double kMaxRetryAfterShare = 1.0 / 3;
+
 /// Callers notice a longer queue: three slots become free in about 350 ms.
 constexpr std::size_t kLongQueue = 3;
 
@@ -30,6 +45,17 @@
 
 const AnyVersionChooser kAnyVersionChooser;
 
+void AddObservations(placement::UpstreamObservations& aSum,
+                     const placement::UpstreamObservations& aObservations, double aFactor)
+{
+  aSum.attemptCount += aFactor * aObservations.attemptCount;
+  aSum.failureCount += aFactor * aObservations.failureCount;
+  aSum.tokenIntervalCount += aFactor * aObservations.tokenIntervalCount;
+  aSum.tokenIntervalSumMs += aFactor * aObservations.tokenIntervalSumMs;
+  aSum.firstEventCount += aFactor * aObservations.firstEventCount;
+  aSum.firstEventFactorSum += aFactor * aObservations.firstEventFactorSum;
+}
+
 } // namespace
 
 class SimulatedCluster::Host : public SchedulerListener
@@ -52,10 +78,11 @@
     mCluster.DeliverToEngine(*this, aUpstream.id.Text(), aRequest);
   }
 
-  void OnShed(const core::RequestId& aRequest, ShedReason, core::Duration) override
+  void OnShed(const core::RequestId& aRequest, ShedReason, core::Duration aRetryAfter) override
   {
-    ++mCluster.mOutcomes[specs.at(aRequest).tier].shed;
+    const RequestSpec spec = specs.at(aRequest);
     specs.erase(aRequest);
+    mCluster.OnShed(*this, spec, aRetryAfter);
   }
 
   /// The figures that this host reports to the others.
@@ -75,6 +102,7 @@
   }
 
   std::map<core::RequestId, RequestSpec> specs;
+  std::set<core::RequestId> dispatched;
   std::deque<HostReport> reports;
   core::Random random;
   placement::PlacementScheduler scheduler;
@@ -87,10 +115,14 @@
   : mOptions(aOptions)
 {
   for (std::size_t n = 0; n < mOptions.engines; ++n) {
-    mEngines["engine-" + std::to_string(n)];
+    mEngines["engine-" + std::to_string(n)].slowness =
+      n < mOptions.slowEngines ? mOptions.slowFactor : 1;
   }
   for (std::size_t n = 0; n < mOptions.hosts; ++n) {
     mHosts.push_back(std::make_unique<Host>(*this, 100 + n));
+    if (mOptions.isTight) {
+      mHosts.back()->scheduler.SetTightServices({ kService });
+    }
     for (const auto& [id, engine] : mEngines) {
       UpstreamAnnouncement upstream;
       upstream.id = core::UpstreamId(id);
@@ -126,12 +158,86 @@
     host->scheduler.OnAttemptEnded(request, AttemptOutcome::Refused);
   }
   FinishDueRequests();
+  RemoveExpired();
+  SubmitReturningCallers();
   SubmitArrivals();
 }
 
+const SimulatedCluster::RankProfile* SimulatedCluster::ProfileOf(TierRank aRank) const
+{
+  const auto it = mOptions.profiles.find(aRank);
+  return it == mOptions.profiles.end() ? nullptr : &it->second;
+}
+
+template<typename Change>
+void SimulatedCluster::CountOutcome(const RequestSpec& aSpec, const Change& aChange)
+{
+  aChange(mOutcomes[aSpec.tier]);
+  aChange(mWorkspaceOutcomes[aSpec.workspace]);
+}
+
+void SimulatedCluster::Submit(Host& aHost, const RequestSpec& aSpec)
+{
+  aHost.specs[aSpec.id] = aSpec;
+  if (ProfileOf(aSpec.tier)) {
+    mDeadlines.emplace(aSpec.deadline, std::pair(&aHost, aSpec.id));
+  }
+  aHost.scheduler.Submit(aSpec);
+}
+
+void SimulatedCluster::OnShed(Host& aHost, const RequestSpec& aSpec, core::Duration aRetryAfter)
+{
+  const core::Duration remaining = aSpec.deadline - mTimers.Now();
+  if (!mOptions.callersReturn || mFirstArrivals.contains(aSpec.id) || remaining <= kStep) {
+    CountOutcome(aSpec, [](RankOutcome& aOutcome) { ++aOutcome.shed; });
+    return;
+  }
+  const bool isLate = remaining + 2 * kSampleInterval < (aSpec.deadline - aSpec.arrival) / 2;
+  CountOutcome(aSpec, [&](RankOutcome& aOutcome) {
+    ++aOutcome.returned;
+    aOutcome.rejectedLate += isLate ? 1 : 0;
+  });
+  const core::Duration wait = std::min(aRetryAfter, core::Scaled(remaining, kMaxRetryAfterShare));
+  mReturning.emplace(mTimers.Now() + wait, ReturningCaller{ .spec = aSpec, .rejectedBy = &aHost });
+}
+
+void SimulatedCluster::SubmitReturningCallers()
+{
+  while (!mReturning.empty() && mReturning.begin()->first <= mTimers.Now()) {
+    ReturningCaller caller = mReturning.begin()->second;
+    mReturning.erase(mReturning.begin());
+    caller.spec.id = core::RequestId("r" + std::to_string(++mRequests));
+    mFirstArrivals[caller.spec.id] = caller.spec.arrival;
+    caller.spec.arrival = mTimers.Now();
+    Host* host = caller.rejectedBy;
+    while (host == caller.rejectedBy) {
+      host = mHosts[mRandom.UniformBelow(mHosts.size())].get();
+    }
+    Submit(*host, caller.spec);
+  }
+}
+
+void SimulatedCluster::RemoveExpired()
+{
+  while (!mDeadlines.empty() && mDeadlines.begin()->first <= mTimers.Now()) {
+    const auto [host, request] = mDeadlines.begin()->second;
+    mDeadlines.erase(mDeadlines.begin());
+    const auto it = host->specs.find(request);
+    // Dispatched requests are counted when they start.
+    if (it == host->specs.end() || host->dispatched.contains(request)) {
+      continue;
+    }
+    const RequestSpec spec = it->second;
+    host->specs.erase(it);
+    host->scheduler.Withdraw(request);
+    CountOutcome(spec, [](RankOutcome& aOutcome) { ++aOutcome.expired; });
+  }
+}
+
 void SimulatedCluster::SubmitArrivals()
 {
-  for (const auto& [rank, perSecond] : mLoad) {
+  for (const auto& [key, perSecond] : mLoad) {
+    const auto& [rank, workspace] = key;
     double due = perSecond * core::Seconds(kStep);
     while (due > 0 && (due >= 1 || mRandom.Chance(due))) {
       due -= 1;
@@ -145,10 +251,17 @@
       spec.promptTokens.value = 600;
       spec.maxOutputTokens.value = 250;
       spec.needsEngine = mOptions.areEngines;
+      spec.workspace = core::WorkspaceId(workspace);
+      if (const RankProfile* profile = ProfileOf(rank)) {
+        spec.deadline = spec.arrival + profile->deadline;
+        spec.firstTokenTarget = profile->target;
+        spec.promptTokens.value = static_cast<std::int64_t>(profile->promptTokens);
+        spec.maxOutputTokens.value =
+          static_cast<std::int64_t>(profile->outputTokens * kOutputLimitFactor);
+      }
       Host& host = *mHosts[mRandom.UniformBelow(mHosts.size())];
-      ++mOutcomes[rank].submitted;
-      host.specs[spec.id] = spec;
-      host.scheduler.Submit(spec);
+      CountOutcome(spec, [](RankOutcome& aOutcome) { ++aOutcome.submitted; });
+      Submit(host, spec);
     }
   }
 }
@@ -157,10 +270,12 @@
                                        const core::RequestId& aRequest)
 {
   Engine& engine = mEngines.at(aEngine);
+  aHost.dispatched.insert(aRequest);
   if (IsFull(engine)) {
     ++mOutcomes[aHost.specs.at(aRequest).tier].refusals;
     // Reported later, since the scheduler is in the middle of dispatching.
     mRefusals.emplace_back(&aHost, aRequest);
+    aHost.dispatched.erase(aRequest);
     return;
   }
   if (engine.running >= mOptions.slots) {
@@ -176,6 +291,16 @@
   ++mEngines.at(aEngine).running;
   const core::Instant now = mTimers.Now();
   const RequestSpec& spec = aHost.specs.at(aRequest);
+  if (ProfileOf(spec.tier)) {
+    const core::Duration serviceTime = StartProfiled(aEngine, spec);
+    const core::Duration prefill =
+      core::FromMilliseconds(static_cast<double>(spec.promptTokens.value) / kPromptTokensPerMs *
+                             mEngines.at(aEngine).slowness);
+    mFirstTokens.emplace(now + prefill, std::pair(&aHost, aRequest));
+    mRunning.emplace(now + serviceTime,
+                     RunningRequest{ .engine = aEngine, .host = &aHost, .request = aRequest });
+    return;
+  }
   RankOutcome& outcome = mOutcomes[spec.tier];
   ++(now - spec.arrival <= kTarget ? outcome.inTime : outcome.late);
   const double serviceMs = mRandom.Exponential(core::Milliseconds(mOptions.meanServiceTime));
@@ -184,8 +309,32 @@
   aHost.scheduler.OnFirstToken(aRequest);
 }
 
+core::Duration SimulatedCluster::StartProfiled(const std::string& aEngine, const RequestSpec& aSpec)
+{
+  const RankProfile& profile = *ProfileOf(aSpec.tier);
+  const double slowness = mEngines.at(aEngine).slowness;
+  const double prefillMs = profile.promptTokens / kPromptTokensPerMs * slowness;
+  const double decodeMs =
+    profile.outputTokens * (0.6 + 0.8 * mRandom.Uniform()) * kTokenIntervalMs * slowness;
+  const auto first = mFirstArrivals.find(aSpec.id);
+  const core::Instant arrival = first == mFirstArrivals.end() ? aSpec.arrival : first->second;
+  const core::Instant firstToken = mTimers.Now() + core::FromMilliseconds(prefillMs);
+  const core::Duration total = core::FromMilliseconds(prefillMs + decodeMs);
+  CountOutcome(aSpec, [&](RankOutcome& aOutcome) {
+    const bool isComplete = mTimers.Now() + total <= aSpec.deadline;
+    const bool isInTime = firstToken - arrival <= profile.target;
+    ++(!isComplete ? aOutcome.expired : isInTime ? aOutcome.inTime : aOutcome.late);
+  });
+  return total;
+}
+
 void SimulatedCluster::FinishDueRequests()
 {
+  while (!mFirstTokens.empty() && mFirstTokens.begin()->first <= mTimers.Now()) {
+    const auto [host, request] = mFirstTokens.begin()->second;
+    mFirstTokens.erase(mFirstTokens.begin());
+    host->scheduler.OnFirstToken(request);
+  }
   while (!mRunning.empty() && mRunning.begin()->first <= mTimers.Now()) {
     const RunningRequest ended = mRunning.begin()->second;
     mRunning.erase(mRunning.begin());
@@ -197,6 +346,7 @@
       StartRequest(ended.engine, *host, request);
     }
     ended.host->specs.erase(ended.request);
+    ended.host->dispatched.erase(ended.request);
     ended.host->scheduler.OnAttemptEnded(ended.request, AttemptOutcome::Succeeded);
   }
 }
@@ -205,6 +355,13 @@
 {
   for (const auto& [ends, it] : mRunning) {
     it.host->scheduler.OnToken(it.request);
+    if (!mOptions.profiles.empty()) {
+      it.host->scheduler.RecordTokenInterval(core::UpstreamId(it.engine),
+                                             kTokenIntervalMs * mEngines.at(it.engine).slowness);
+    }
+  }
+  if (!mOptions.profiles.empty() && ++mExchanges % kReportsPerObserved == 0) {
+    ExchangeObservations();
   }
   std::map<std::string, std::uint32_t> inFlight;
   placement::PlacementScheduler::RequestsByRank demand;
@@ -236,6 +393,26 @@
   }
 }
 
+void SimulatedCluster::ExchangeObservations()
+{
+  std::map<core::UpstreamId, placement::UpstreamObservations> sums;
+  std::vector<std::map<core::UpstreamId, placement::UpstreamObservations>> own(mHosts.size());
+  for (std::size_t n = 0; n < mHosts.size(); ++n) {
+    placement::UpstreamTable& upstreams = mHosts[n]->scheduler.Upstreams();
+    for (auto& [id, entry] : upstreams.Entries()) {
+      own[n][id] = upstreams.LocalObservations(entry, mTimers.Now());
+      AddObservations(sums[id], own[n][id], 1);
+    }
+  }
+  for (std::size_t n = 0; n < mHosts.size(); ++n) {
+    for (const auto& [id, sum] : sums) {
+      placement::UpstreamObservations remote = sum;
+      AddObservations(remote, own[n].at(id), -1);
+      mHosts[n]->scheduler.Upstreams().SetRemoteObservations(id, remote);
+    }
+  }
+}
+
 void SimulatedCluster::SampleEngines()
 {
   ++mSampleCount;
@@ -257,6 +434,7 @@
 void SimulatedCluster::ResetStatistics()
 {
   mOutcomes.clear();
+  mWorkspaceOutcomes.clear();
   mSampleCount = 0;
   mStatisticsSum = {};
 }
--- a/UnitTests/request/placement/SimulatedCluster.h
+++ b/UnitTests/request/placement/SimulatedCluster.h
@@ -17,6 +17,15 @@
 class SimulatedCluster
 {
 public:
+  /// Requests of one rank: their callers' times and the lengths of prompt and response.
+  struct RankProfile
+  {
+    core::Duration target{ 0 };
+    core::Duration deadline{ 0 };
+    double promptTokens = 0;
+    double outputTokens = 0;
+  };
+
   struct Options
   {
     std::size_t hosts = 60;
@@ -31,6 +40,16 @@
     /// False: upstreams of a plain service, which refuse requests beyond their queue.
     bool areEngines = true;
     std::size_t plainQueueLimit = 24;
+    /// With profiles, engines need the time for prompt and response instead of meanServiceTime, and
+    /// callers give up at their deadline.
+    std::map<request::TierRank, RankProfile> profiles{};
+    /// The first engines are slower by this factor.
+    std::size_t slowEngines = 0;
+    double slowFactor = 4.4;
+    /// Callers that are rejected come back once, at another host, after Retry-After.
+    bool callersReturn = false;
+    /// The wait policy applies to the service.
+    bool isTight = false;
   };
 
   /// Counts of the requests of one rank by outcome.
@@ -41,6 +60,10 @@
     std::size_t late = 0;
     std::size_t shed = 0;
     std::size_t refusals = 0; ///< Attempts refused by a full upstream.
+    std::size_t expired = 0;  ///< Not started, or not ended, at the caller's deadline.
+    std::size_t returned = 0; ///< Rejected once and came back.
+    /// First rejections with less than half of the caller's time left, less one tick of the queue.
+    std::size_t rejectedLate = 0;
   };
 
   /// Statistics of the engines, sampled every 20 ms.
@@ -56,12 +79,16 @@
   ~SimulatedCluster();
 
   /// Sets the arrival rate of a rank from now on.
-  void SetLoad(request::TierRank aRank, double aPerSecond) { mLoad[aRank] = aPerSecond; }
+  void SetLoad(request::TierRank aRank, double aPerSecond, const std::string& aWorkspace = {})
+  {
+    mLoad[{ aRank, aWorkspace }] = aPerSecond;
+  }
 
   void RunFor(core::Duration aDuration);
 
   /// Outcomes since the last call of ResetStatistics().
   std::map<request::TierRank, RankOutcome> Outcomes() const { return mOutcomes; }
+  std::map<core::WorkspaceId, RankOutcome> WorkspaceOutcomes() const { return mWorkspaceOutcomes; }
   EngineStatistics MeanEngineStatistics() const;
   void ResetStatistics();
 
@@ -69,6 +96,7 @@
   class Host;
   struct Engine
   {
+    double slowness = 1;
     std::size_t running = 0;
     std::deque<std::pair<Host*, core::RequestId>> queue;
   };
@@ -80,8 +108,24 @@
     core::RequestId request;
   };
 
+  /// A caller that was rejected and comes back.
+  struct ReturningCaller
+  {
+    request::RequestSpec spec;
+    Host* rejectedBy = nullptr;
+  };
+
   void AdvanceStep();
   void SubmitArrivals();
+  void Submit(Host& aHost, const request::RequestSpec& aSpec);
+  void OnShed(Host& aHost, const request::RequestSpec& aSpec, core::Duration aRetryAfter);
+  void SubmitReturningCallers();
+  void RemoveExpired();
+  void ExchangeObservations();
+  template<typename Change>
+  void CountOutcome(const request::RequestSpec& aSpec, const Change& aChange);
+  const RankProfile* ProfileOf(request::TierRank aRank) const;
+  core::Duration StartProfiled(const std::string& aEngine, const request::RequestSpec& aSpec);
   void FinishDueRequests();
   bool IsFull(const Engine& aEngine) const;
   void DeliverToEngine(Host& aHost, const std::string& aEngine, const core::RequestId& aRequest);
@@ -94,8 +138,14 @@
   core::Random mRandom{ 11 };
   std::map<std::string, Engine> mEngines;
   std::vector<std::unique_ptr<Host>> mHosts;
-  std::map<request::TierRank, double> mLoad;
+  std::map<std::pair<request::TierRank, std::string>, double> mLoad;
   std::map<request::TierRank, RankOutcome> mOutcomes;
+  std::map<core::WorkspaceId, RankOutcome> mWorkspaceOutcomes;
+  std::map<core::RequestId, core::Instant> mFirstArrivals; ///< Of callers that came back.
+  std::multimap<core::Instant, ReturningCaller> mReturning;
+  std::multimap<core::Instant, std::pair<Host*, core::RequestId>> mDeadlines;
+  std::multimap<core::Instant, std::pair<Host*, core::RequestId>> mFirstTokens;
+  std::size_t mExchanges = 0;
   std::uint64_t mRequests = 0;
   std::size_t mSampleCount = 0;
   EngineStatistics mStatisticsSum;
--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -49,3 +49,22 @@
   STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.26).Text().c_str());
   STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.999).Text().c_str());
 }
+
+/// Only these services get the other wait policy; a route without a target has its timeout as target.
+TEST(CatalogueIndex, TightServicesHaveARouteWhoseTargetIsHalfOfItsTimeout)
+{
+  const auto isTight = [](core::Duration aTarget, core::Duration aTimeout) {
+    Catalogue catalogue;
+    catalogue.routes = { MakeRoute("r", "h", "/") };
+    catalogue.routes[0].latencyTarget = aTarget;
+    catalogue.routes[0].timeout = aTimeout;
+    const auto tight = CatalogueIndex(std::move(catalogue)).ServicesWithTightTargets();
+    CHECK_FALSE(tight.contains(core::ServiceId("b"))); // Has weight 0.
+    return tight.contains(core::ServiceId("a"));
+  };
+  const std::chrono::milliseconds timeout(3000);
+  CHECK(isTight(timeout * 2 / 3, timeout));
+  CHECK(isTight(timeout / 2, timeout));
+  CHECK_FALSE(isTight(timeout / 3, timeout));
+  CHECK_FALSE(isTight(timeout, timeout));
+}
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -137,6 +137,7 @@
   mCatalogue =
     std::make_shared<const version::catalogue::CatalogueIndex>(std::move(parsed.value()));
   mFollower.SetDocumentNumber(aDocument.number());
+  mScheduler.SetTightServices(mCatalogue->ServicesWithTightTargets());
   mForwards.OnCatalogueAvailable();
   logging::Event(
     logging::Level::Info, "document-in-force",
@@ -298,11 +299,16 @@
     it->set_units_per_s(use.demand);
     it->set_used(use.used);
   }
+  const request::placement::PlacementScheduler::LoadByRank load = mScheduler.LocalLoad();
   for (const auto& [key, requests] : mScheduler.LocalDemand()) {
     proto::Wanted* it = aReport.add_wanted();
     it->set_service(key.first.Text());
     it->set_rank(key.second);
     it->set_requests(requests);
+    if (const auto tight = load.find(key); tight != load.end()) {
+      it->set_waiting(static_cast<std::uint32_t>(tight->second.waiting));
+      it->set_done_per_s(tight->second.donePerSecond);
+    }
   }
   const double historyShare = mQuota.HistoryShare(now);
   aReport.set_quota_memory(historyShare);
--- a/cuminfield/process/cluster/UsageSums.cpp
+++ b/cuminfield/process/cluster/UsageSums.cpp
@@ -50,7 +50,8 @@
   mDemand.Replace(aPart.demand, demand);
   decltype(mWanted)::Entries wanted;
   for (const proto::Wanted& it : aMessage.wanted()) {
-    wanted.push_back({ { it.service(), it.rank() }, { { it.requests() } } });
+    wanted.push_back({ { it.service(), it.rank() },
+                       { { it.requests(), it.waiting(), ToFixed(it.done_per_s()) } } });
   }
   mWanted.Replace(aPart.wanted, wanted);
   if (!aMessage.has_observed()) {
@@ -109,11 +110,13 @@
                     it->set_trusting(ToCount(aSums[4]));
                   });
   mWanted.Visit(aExcluded ? &aExcluded->wanted : nullptr,
-                [&](const std::pair<std::string, std::uint32_t>& aKey, const Amounts<1>& aSums) {
+                [&](const std::pair<std::string, std::uint32_t>& aKey, const Amounts<3>& aSums) {
                   proto::Wanted* it = aMessage.add_wanted();
                   it->set_service(aKey.first);
                   it->set_rank(aKey.second);
                   it->set_requests(ToCount(aSums[0]));
+                  it->set_waiting(ToCount(aSums[1]));
+                  it->set_done_per_s(FromFixed(aSums[2]));
                 });
   mDemand.Visit(aExcluded ? &aExcluded->demand : nullptr,
                 [&](const std::string& aWorkspace, const Amounts<2>& aSums) {
--- a/cuminfield/process/cluster/UsageSums.h
+++ b/cuminfield/process/cluster/UsageSums.h
@@ -42,7 +42,7 @@
     friend class UsageSums;
     KeyedSums<std::string, Amounts<5>>::Part inFlight;
     KeyedSums<std::string, Amounts<2>>::Part demand;
-    KeyedSums<std::pair<std::string, std::uint32_t>, Amounts<1>>::Part wanted;
+    KeyedSums<std::pair<std::string, std::uint32_t>, Amounts<3>>::Part wanted;
     KeyedSums<std::string, Amounts<6>>::Part observed;
     Amounts<3> hosts{}; ///< Hosts, their quota history, hosts with a partial history.
   };
@@ -74,8 +74,8 @@
   KeyedSums<std::string, Amounts<5>> mInFlight;
   /// Units per second, used units; fixed point.
   KeyedSums<std::string, Amounts<2>> mDemand;
-  /// Requests by service and rank.
-  KeyedSums<std::pair<std::string, std::uint32_t>, Amounts<1>> mWanted;
+  /// Requests, waiting requests, ended requests per second (fixed point), by service and rank.
+  KeyedSums<std::pair<std::string, std::uint32_t>, Amounts<3>> mWanted;
   /// The fields of Observed in their order; fixed point.
   KeyedSums<std::string, Amounts<6>> mObserved;
   Amounts<3> mHosts{};
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -18,11 +18,43 @@
 
 PlacementScheduler::ServiceState& PlacementScheduler::GetOrCreateService(const core::ServiceId& aId)
 {
-  return mServices.try_emplace(aId, mSettings.retryBudget).first->second;
+  const auto [it, isNew] = mServices.try_emplace(aId, mSettings);
+  if (isNew) {
+    it->second.isTight = mTightServices.contains(aId);
+  }
+  return it->second;
+}
+
+void PlacementScheduler::SetTightServices(std::set<core::ServiceId> aServices)
+{
+  mTightServices = std::move(aServices);
+  for (auto& [id, service] : mServices) {
+    service.isTight = mTightServices.contains(id);
+  }
+}
+
+const PlacementScheduler::ServiceState* PlacementScheduler::FindTightService(
+  const core::ServiceId& aId) const
+{
+  const auto it = mServices.find(aId);
+  return it != mServices.end() && it->second.isTight ? &it->second : nullptr;
+}
+
+RequestTimes PlacementScheduler::TimesOf(const RequestSpec& aSpec,
+                                         const ServiceState& aService) const
+{
+  const auto rank = aService.ranks.find(aSpec.tier);
+  return { .target = aSpec.firstTokenTarget,
+           .deadline = aSpec.deadline - aSpec.arrival,
+           .serviceTime =
+             rank == aService.ranks.end() ? core::Duration::zero() : rank->second.meanSlotTime };
 }
 
 core::Duration PlacementScheduler::MaxWait(const RequestSpec& aSpec) const
 {
+  if (const ServiceState* service = FindTightService(aSpec.service)) {
+    return service->waitPolicy.MaxWait(TimesOf(aSpec, *service));
+  }
   const core::Duration total = aSpec.deadline - aSpec.arrival;
   return std::min(core::Scaled(aSpec.firstTokenTarget, 1 + mSettings.extraWaitFactor), total);
 }
@@ -189,6 +221,22 @@
   return demand;
 }
 
+PlacementScheduler::LoadByRank PlacementScheduler::LocalLoad() const
+{
+  LoadByRank load;
+  for (const auto& [id, service] : mServices) {
+    if (!service.isTight) {
+      continue;
+    }
+    for (const auto& [rank, state] : service.ranks) {
+      load[{ id, rank }] = { .requests = static_cast<double>(DemandOf(service, rank, state)),
+                             .waiting = static_cast<double>(service.queue.CountOfRank(rank)),
+                             .donePerSecond = state.ended.PerSecond(mTimers.Now()) };
+    }
+  }
+  return load;
+}
+
 bool PlacementScheduler::IsWithinShare(const RequestState& aState, const RankState& aRank,
                                        const DemandSummary& aDemand) const
 {
@@ -396,6 +444,9 @@
   if (rank.inFlight > 0) {
     --rank.inFlight;
   }
+  if (!HasNotRun(aOutcome)) {
+    rank.ended.Record(mTimers.Now());
+  }
   if (aOutcome == AttemptOutcome::Succeeded) {
     RecordStart(state);
     const core::Duration slotTime = mTimers.Now() - state.dispatchedAt;
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -4,11 +4,14 @@
 #include "cuminfield/core/TimerService.h"
 #include "cuminfield/request/Scheduler.h"
 #include "cuminfield/request/placement/PlacementSettings.h"
+#include "cuminfield/request/placement/RecentCounter.h"
 #include "cuminfield/request/placement/RequestQueue.h"
 #include "cuminfield/request/placement/UpstreamTable.h"
+#include "cuminfield/request/placement/WaitPolicy.h"
 #include "cuminfield/request/quarantine/QuarantineTable.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -72,6 +75,16 @@
   /// Sets the demand of all other hosts together. Called once per reporting round.
   void SetRemoteDemand(RequestsByRank aRemoteDemand);
 
+  /// Sets the services whose callers have hardly more time than the target. WaitPolicy decides how
+  /// long their requests wait.
+  void SetTightServices(std::set<core::ServiceId> aServices);
+
+  /// Load of tight services, by service and rank.
+  using LoadByRank = std::map<std::pair<core::ServiceId, TierRank>, RankLoad>;
+
+  /// Load of this host's tight services, to be reported to the other hosts.
+  LoadByRank LocalLoad() const;
+
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
   /// applies to. Returns false if the state isn't newer than the known one.
   bool UpdateQuarantine(quarantine::QuarantineTable::State aState);
@@ -103,17 +116,21 @@
     RequestSpec typicalRequest;       ///< With the mean lengths of prompt and response.
     double suitableSlots = 0;         ///< Slots of engines suitable for it.
     core::Instant slotsCountedAt{};
+    RecentCounter ended; ///< Requests that ended at an upstream.
   };
 
   struct ServiceState
   {
-    explicit ServiceState(const admission::RetryBudgetSettings& aRetry)
-      : retryBudget(aRetry)
+    explicit ServiceState(const PlacementSettings& aSettings)
+      : retryBudget(aSettings.retryBudget)
+      , waitPolicy(aSettings.wait)
     {
     }
 
     RequestQueue queue;
     admission::RetryBudget retryBudget;
+    bool isTight = false; ///< The wait policy applies.
+    WaitPolicy waitPolicy;
     std::map<TierRank, RankState> ranks;
     double loadFactor = 1; ///< First event latency relative to an idle upstream.
     double freeSlots = 0;  ///< As of the last reporting round.
@@ -160,6 +177,8 @@
   UpstreamEntry* ChooseUpstream(const RequestState& aState, ServiceState& aService,
                                 Urgency aUrgency);
   core::Duration MaxWait(const RequestSpec& aSpec) const;
+  const ServiceState* FindTightService(const core::ServiceId& aId) const;
+  RequestTimes TimesOf(const RequestSpec& aSpec, const ServiceState& aService) const;
   static core::Duration PredictWait(const ServiceState& aService, TierRank aRank);
   core::Duration ComputeRetryAfter(const RequestSpec& aSpec);
   void Shed(const core::RequestId& aId, ShedReason aReason);
@@ -174,6 +193,7 @@
   quarantine::QuarantineTable mQuarantine;
   std::unordered_map<core::RequestId, RequestState> mRequests;
   std::map<core::ServiceId, ServiceState> mServices;
+  std::set<core::ServiceId> mTightServices;
   RequestsByRank mRemoteDemand;
   core::TimerHandle mTickTimer;
 };
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -3,6 +3,7 @@
 #include "cuminfield/core/Units.h"
 #include "cuminfield/request/admission/RetryBudget.h"
 #include "cuminfield/request/placement/UpstreamNotices.h"
+#include "cuminfield/request/placement/WaitPolicy.h"
 
 #include <cstdint>
 
@@ -143,6 +144,7 @@
   admission::RetryBudgetSettings retryBudget{ .retryRatio = 0.12,
                                               .maxSavedRetries = 3,
                                               .maxAttempts = 4 };
+  WaitPolicySettings wait;
 };
 
 } // namespace cuminfield::request::placement
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -77,6 +77,22 @@
   return FindOrNull(mServicesById, aId);
 }
 
+std::set<core::ServiceId> CatalogueIndex::ServicesWithTightTargets() const
+{
+  std::set<core::ServiceId> tight;
+  for (const RouteRule& route : mCatalogue.routes) {
+    if (route.latencyTarget * 2 < route.timeout || route.latencyTarget >= route.timeout) {
+      continue;
+    }
+    for (const ServiceShare& it : route.services) {
+      if (it.weight > 0) {
+        tight.insert(it.service);
+      }
+    }
+  }
+  return tight;
+}
+
 const core::ServiceId& CatalogueIndex::ChooseService(const RouteRule& aRoute, double aPoint)
 {
   double total = 0;
--- a/cuminfield/version/catalogue/CatalogueIndex.h
+++ b/cuminfield/version/catalogue/CatalogueIndex.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/version/catalogue/Catalogue.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -31,6 +32,11 @@
   /// Chooses the service for one request of a route; aPoint is uniform in [0, 1).
   static const core::ServiceId& ChooseService(const RouteRule& aRoute, double aPoint);
 
+  /// Returns the services of routes whose latency target is half of their timeout or more: a
+  /// request that waits for twice its target leaves its caller no time. A target equal to the
+  /// timeout doesn't count, since a route without a target has this one.
+  std::set<core::ServiceId> ServicesWithTightTargets() const;
+
   const Catalogue& Content() const { return mCatalogue; }
 
 private:
