--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -82,3 +82,23 @@
   POINTERS_EQUAL(nullptr, index.FindRouteRegions(core::RouteId("gone")));
   POINTERS_EQUAL(nullptr, index.FindRouteRegions(core::RouteId("free"))->get());
 }
+
+/// Only these services get the other wait policy; a route without a target has its timeout as
+/// target.
+TEST(CatalogueIndex, TightServicesHaveARouteWhoseTargetIsHalfOfItsTimeout)
+{
+  const auto isTight = [](core::Duration aTarget, core::Duration aTimeout) {
+    Catalogue catalogue;
+    catalogue.routes = { MakeRoute("r", "h", "/") };
+    catalogue.routes[0].latencyTarget = aTarget;
+    catalogue.routes[0].timeout = aTimeout;
+    const auto tight = CatalogueIndex(std::move(catalogue)).ServicesWithTightTargets();
+    CHECK_FALSE(tight.contains(core::ServiceId("b"))); // Has weight 0.
+    return tight.contains(core::ServiceId("a"));
+  };
+  const std::chrono::milliseconds timeout(3000);
+  CHECK(isTight(timeout * 2 / 3, timeout));
+  CHECK(isTight(timeout / 2, timeout));
+  CHECK_FALSE(isTight(timeout / 3, timeout));
+  CHECK_FALSE(isTight(timeout, timeout));
+}
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -4,13 +4,16 @@
 #include "cuminfield/core/TimerService.h"
 #include "cuminfield/request/Scheduler.h"
 #include "cuminfield/request/placement/PlacementSettings.h"
+#include "cuminfield/request/placement/RecentCounter.h"
 #include "cuminfield/request/placement/RegionPolicy.h"
 #include "cuminfield/request/placement/RequestQueue.h"
 #include "cuminfield/request/placement/UpstreamTable.h"
+#include "cuminfield/request/placement/WaitPolicy.h"
 #include "cuminfield/request/quarantine/QuarantineTable.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -90,6 +93,16 @@
   /// True if the request may be sent to this upstream now.
   bool MayServe(const RequestSpec& aSpec, const UpstreamAnnouncement& aUpstream) const;
 
+  /// Sets the services whose callers have hardly more time than the target. WaitPolicy decides how
+  /// long their requests wait.
+  void SetTightServices(std::set<core::ServiceId> aServices);
+
+  /// Load of tight services, by service and rank.
+  using LoadByRank = std::map<std::pair<core::ServiceId, TierRank>, RankLoad>;
+
+  /// Load of this host's tight services, to be reported to the other hosts.
+  LoadByRank LocalLoad() const;
+
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
   /// applies to. Returns false if the state isn't newer than the known one.
   bool UpdateQuarantine(quarantine::QuarantineTable::State aState);
@@ -124,17 +137,21 @@
     /// Where its requests may be served, as far as all of them are restricted.
     core::RegionSet regions;
     bool hasUnrestricted = false;
+    RecentCounter ended; ///< Requests that ended at an upstream.
   };
 
   struct ServiceState
   {
-    explicit ServiceState(const admission::RetryBudgetSettings& aRetry)
-      : retryBudget(aRetry)
+    explicit ServiceState(const PlacementSettings& aSettings)
+      : retryBudget(aSettings.retryBudget)
+      , waitPolicy(aSettings.wait)
     {
     }
 
     RequestQueue queue;
     admission::RetryBudget retryBudget;
+    bool isTight = false; ///< The wait policy applies.
+    WaitPolicy waitPolicy;
     std::map<TierRank, RankState> ranks;
     double loadFactor = 1; ///< First event latency relative to an idle upstream.
     double freeSlots = 0;  ///< As of the last reporting round.
@@ -188,6 +205,8 @@
   UpstreamEntry* ChooseUpstream(const RequestState& aState, ServiceState& aService,
                                 Urgency aUrgency);
   core::Duration MaxWait(const RequestSpec& aSpec) const;
+  const ServiceState* FindTightService(const core::ServiceId& aId) const;
+  RequestTimes TimesOf(const RequestSpec& aSpec, const ServiceState& aService) const;
   static core::Duration PredictWait(const ServiceState& aService, TierRank aRank);
   core::Duration ComputeRetryAfter(const RequestSpec& aSpec);
   /// When the first upstream that may serve the request is expected to take requests again, if all
@@ -206,6 +225,7 @@
   quarantine::QuarantineTable mQuarantine;
   std::unordered_map<core::RequestId, RequestState> mRequests;
   std::map<core::ServiceId, ServiceState> mServices;
+  std::set<core::ServiceId> mTightServices;
   RequestsByRank mRemoteDemand;
   bool mIsRecheckDue = false; ///< Queued requests may have become unservable.
   core::TimerHandle mTickTimer;
