Responses that begin during an upload, and invalid statuses

Cause, found with tests over real sockets: - A response that ends with its connection was complete although the upstream had not received the request: an orderly end while most of the body was in the socket buffers (64 KB to 1 MB), where evhttp has nothing left to write. - A reset right behind the orderly end went unnoticed, since reading returns the end. - Statuses 600 to 999 passed as responses. With X-Cuminfield-Not-Executed, they passed as word that the request had not run, so that it was sent again. - A complete response with a length was delivered only when the upstream read the upload, otherwise the request ended with 504. Its connection was used again.

Change: a body that ends with the connection is complete only if the peer has acknowledged all bytes (SIOCOUTQ) and the connection is not reset (TCP_INFO). A status line has a class from 1 to 5. When a complete response with a length, or a malformed head, arrives while the request is written, the rest of the request is dropped and evhttp reads the response; such a connection is not used again.

--- a/cuminfield/connection/upstream/BodyFraming.cpp
+++ b/cuminfield/connection/upstream/BodyFraming.cpp
@@ -3,7 +3,7 @@
 #include <strings.h>
 
 #include <algorithm>
-#include <string_view>
+#include <charconv>
 
 namespace cuminfield::connection::upstream {
 
@@ -87,4 +87,32 @@
   return length ? BodyFraming::Length : BodyFraming::ConnectionClose;
 }
 
+std::optional<std::size_t> FindResponseSize(std::string_view aHead)
+{
+  constexpr std::string_view kStatusLineStart = "HTTP/1.1 ";
+  const std::string_view status = aHead.substr(std::min(kStatusLineStart.size(), aHead.size()), 3);
+  if (status.starts_with('1') || status == "204" || status == "304") {
+    return aHead.size();
+  }
+  constexpr std::string_view kName = "Content-Length:";
+  for (std::size_t begin = 0; begin < aHead.size();) {
+    const std::size_t end = std::min(aHead.find('\n', begin), aHead.size());
+    const std::string_view line = aHead.substr(begin, end - begin);
+    begin = end + 1;
+    if (!EqualsIgnoringCase(line.substr(0, kName.size()), kName)) {
+      continue;
+    }
+    std::string_view value = line.substr(kName.size());
+    value.remove_suffix(value.ends_with('\r') ? 1 : 0);
+    value = Trim(value);
+    std::size_t length = 0;
+    if (!IsLength(value)) {
+      return std::nullopt;
+    }
+    std::from_chars(value.data(), value.data() + value.size(), length);
+    return aHead.size() + length;
+  }
+  return std::nullopt;
+}
+
 } // namespace cuminfield::connection::upstream
--- a/cuminfield/connection/upstream/BodyFraming.h
+++ b/cuminfield/connection/upstream/BodyFraming.h
@@ -2,7 +2,9 @@
 
 #include "cuminfield/connection/Http.h"
 
+#include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace cuminfield::connection::upstream {
 
@@ -20,4 +22,8 @@
 /// next one, without notice.
 std::optional<BodyFraming> DetermineBodyFraming(int aStatus, const HttpHeaders& aHeaders);
 
+/// Returns the size in bytes of the response that begins with a well-formed head, if it has no body
+/// or announces a length. Does not check the headers as DetermineBodyFraming() does.
+std::optional<std::size_t> FindResponseSize(std::string_view aHead);
+
 } // namespace cuminfield::connection::upstream
--- a/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
+++ b/cuminfield/connection/upstream/HttpUpstreamTransport.cpp
@@ -221,7 +221,14 @@
       Fail(mErrorText.empty() ? "no answer" : mErrorText);
       return;
     }
-    if (mFraming == BodyFraming::ConnectionClose) {
+    const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    if (mFraming == BodyFraming::ConnectionClose && !core::HasPeerReceivedAll(socket)) {
+      mTransport.DeferClose(connection, nullptr);
+      Fail("connection closed before the request was received");
+      return;
+    }
+    // After an early response, unread bytes of the request would precede the next one.
+    if (mFraming == BodyFraming::ConnectionClose || mIsEarlyResponse) {
       mTransport.DeferClose(connection, nullptr);
     } else {
       mTransport.ReleaseConnection(mEndpoint, connection);
@@ -250,6 +257,7 @@
     }
     mHeadReceived = true;
     mFraming = *framing;
+    mIsEarlyResponse |= !mRequest.body.empty() && !core::HasPeerReceivedAll(Socket());
     core::SetTcpQuickAck(Socket());
     if (mFraming == BodyFraming::ConnectionClose) {
       // With `keep-alive`, evhttp would take the response for empty.
@@ -338,18 +346,68 @@
   static void OnInput(evbuffer* aInput, const evbuffer_cb_info* aInfo, void* aSelf)
   {
     auto* self = static_cast<Call*>(aSelf);
+    if (aInfo->n_added > 0) {
+      self->CheckHead(aInput, aInfo);
+      self->CheckEarlyResponse(aInput);
+    }
+  }
+
+  void CheckHead(evbuffer* aInput, const evbuffer_cb_info* aInfo)
+  {
     std::size_t unread = std::min(aInfo->n_added, evbuffer_get_length(aInput));
     std::array<char, 1024> bytes{};
-    while (unread > 0 && !self->mHeadChecker.IsDone()) {
+    while (unread > 0 && !mHeadChecker.IsDone()) {
       evbuffer_ptr position;
       evbuffer_ptr_set(aInput, &position, evbuffer_get_length(aInput) - unread, EVBUFFER_PTR_SET);
       const std::size_t size = std::min(unread, bytes.size());
       evbuffer_copyout_from(aInput, &position, bytes.data(), size);
-      self->mHeadChecker.Consume({ bytes.data(), size });
+      mHeadChecker.Consume({ bytes.data(), size });
       unread -= size;
     }
   }
 
+  /// Handles a response that arrives while the request is being written. evhttp reads it only once
+  /// all is written, which an upstream that doesn't read the request would prevent.
+  void CheckEarlyResponse(evbuffer* aInput)
+  {
+    if (mIsUploadStopped || evbuffer_get_length(mOutput) == 0) {
+      return;
+    }
+    mIsEarlyResponse = true;
+    if (!mHeadChecker.IsDone()) {
+      return;
+    }
+    if (!mHeadChecker.IsMalformed() && !std::exchange(mIsEarlyHeadRead, true)) {
+      std::string head(mHeadChecker.HeadSize(), '\0');
+      evbuffer_copyout(aInput, head.data(), head.size());
+      mEarlyResponseSize = FindResponseSize(head);
+    }
+    const bool isComplete =
+      mEarlyResponseSize && evbuffer_get_length(aInput) >= *mEarlyResponseSize;
+    if (mHeadChecker.IsMalformed() || isComplete) {
+      mIsUploadStopped = true;
+      mTransport.mOptions.loop.Post([state = mState] {
+        if (state->call) {
+          state->call->StopUpload();
+        }
+      });
+    }
+  }
+
+  /// Drops the rest of the request, so that evhttp reads the response.
+  void StopUpload()
+  {
+    // With nothing left to write, evhttp is reading already.
+    if (!mConnection || evbuffer_get_length(mOutput) == 0) {
+      return;
+    }
+    evbuffer_unfreeze(mOutput, 1); // Only the bufferevent itself may remove bytes.
+    evbuffer_drain(mOutput, evbuffer_get_length(mOutput));
+    evbuffer_freeze(mOutput, 1);
+    bufferevent_trigger(evhttp_connection_get_bufferevent(mConnection), EV_WRITE,
+                        BEV_TRIG_IGNORE_WATERMARKS);
+  }
+
   HttpUpstreamTransport& mTransport;
   Endpoint mEndpoint;
   UpstreamRequest mRequest;
@@ -364,6 +422,10 @@
   evbuffer_cb_entry* mOutputCallback = nullptr;
   bool mAnyByteSent = false; ///< Whether the upstream may have received a byte.
   ResponseHeadChecker mHeadChecker;
+  bool mIsEarlyResponse = false; ///< It began before the upstream had received the request.
+  bool mIsUploadStopped = false; ///< The response is decided, so the rest need not be written.
+  bool mIsEarlyHeadRead = false;
+  std::optional<std::size_t> mEarlyResponseSize; ///< Of an early response that announces it.
   bool mHeadReceived = false;
   const char* mRejection = nullptr; ///< Why the head was rejected.
   BodyFraming mFraming = BodyFraming::NoBody;
--- a/cuminfield/connection/upstream/ResponseHeadChecker.cpp
+++ b/cuminfield/connection/upstream/ResponseHeadChecker.cpp
@@ -4,16 +4,24 @@
 
 namespace {
 
-/// Prefix of a status line; each 0 stands for a digit.
-constexpr std::string_view kStatusLineForm = "HTTP/0.0 000";
+/// Prefix of a status line; each 0 stands for a digit, the 1 for one of the five classes of
+/// statuses (RFC 9110, 15).
+constexpr std::string_view kStatusLineForm = "HTTP/0.0 100";
 
 /// The status line up to the character behind the code; of other lines it only matters whether they
 /// are empty.
 constexpr std::size_t kCheckedLineBytes = kStatusLineForm.size() + 1;
 
-bool IsDigit(char aCharacter)
+bool Matches(char aForm, char aCharacter)
 {
-  return aCharacter >= '0' && aCharacter <= '9';
+  switch (aForm) {
+    case '0':
+      return aCharacter >= '0' && aCharacter <= '9';
+    case '1':
+      return aCharacter >= '1' && aCharacter <= '5';
+    default:
+      return aCharacter == aForm;
+  }
 }
 
 bool IsStatusLine(std::string_view aLine)
@@ -22,9 +30,7 @@
     return false;
   }
   for (std::size_t n = 0; n < kStatusLineForm.size(); ++n) {
-    const bool matches =
-      kStatusLineForm[n] == '0' ? IsDigit(aLine[n]) : aLine[n] == kStatusLineForm[n];
-    if (!matches) {
+    if (!Matches(kStatusLineForm[n], aLine[n])) {
       return false;
     }
   }
@@ -39,6 +45,7 @@
     if (IsDone()) {
       return;
     }
+    ++mConsumedBytes;
     if (it == '\n') {
       ConsumeLine();
     } else if (it == '\0') {
--- a/cuminfield/connection/upstream/ResponseHeadChecker.h
+++ b/cuminfield/connection/upstream/ResponseHeadChecker.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace cuminfield::connection::upstream {
 
 /// Checks the bytes of a response head for what evhttp accepts though it is malformed: it reads any
-/// number as a status code, and ends a line, or the whole head, at a null character.
+/// number as a status code, of any class, and ends a line, or the whole head, at a null character.
 class ResponseHeadChecker
 {
 public:
@@ -19,10 +20,14 @@
   /// True once the bytes decide whether the head is malformed.
   bool IsDone() const { return mIsMalformed || mIsComplete; }
 
+  /// Length of the head in bytes, once it is done and not malformed.
+  std::size_t HeadSize() const { return mConsumedBytes; }
+
 private:
   void ConsumeLine();
 
   std::string mLine; ///< The start of the current line, as far as it is checked.
+  std::size_t mConsumedBytes = 0;
   bool mIsStatusLine = true;
   bool mIsComplete = false;
   bool mIsMalformed = false;
--- a/cuminfield/core/Socket.h
+++ b/cuminfield/core/Socket.h
@@ -11,6 +11,11 @@
 /// does not wait. The option is not permanent: call this with each read (tcp(7)).
 void SetTcpQuickAck(int aSocket);
 
+/// True if the peer of a TCP connection has acknowledged all bytes that were sent, and has not
+/// reset the connection. A peer whose program has read all bytes has acknowledged them, at the
+/// latest with what it sends afterwards.
+bool HasPeerReceivedAll(int aSocket);
+
 /// Resets a TCP connection, so that the peer does not take its end for the end of a message. Bytes
 /// that the peer has not read may be lost. The socket remains to be closed.
 void ResetConnection(int aSocket);
