--- a/cuminfield/process/command/Commands.cpp
+++ b/cuminfield/process/command/Commands.cpp
@@ -13,11 +13,13 @@
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <map>
 #include <optional>
 #include <sstream>
+#include <string_view>
 
 namespace cuminfield::process::command {
 
@@ -105,28 +107,7 @@
                         "host settings file or environment document");
   const ParsedCommandLine parsed = ParseCommandLine(
     "check", "checks a host settings file or an environment document", aArguments, options, "file");
-  if (parsed.exitCode) {
-    return *parsed.exitCode;
-  }
-  const auto text = core::ReadTextFile(path);
-  if (!text) {
-    return PrintError("cannot read " + path + "; check its name and permissions", ExitCode::Failed);
-  }
-  const bool isDocument = text.value().find("[environment]") != std::string::npos;
-  std::optional<core::Error> error;
-  if (isDocument) {
-    if (const auto document = version::document::ParseDocument(text.value(), path); !document) {
-      error = document.error();
-    }
-  } else if (const auto settings = settings::ParseHostSettings(text.value(), path); !settings) {
-    error = settings.error();
-  }
-  if (error) {
-    return PrintError(core::Describe(*error), ExitCode::Failed);
-  }
-  std::cout << path << ": ok, " << (isDocument ? "an environment document" : "host settings")
-            << "\n";
-  return ExitCode::Ok;
+  return parsed.exitCode ? *parsed.exitCode : CheckFile(path);
 }
 
 /// Adds the option that all commands to a host share.
@@ -355,7 +336,16 @@
 std::vector<Command> AllCommands(std::span<const Command> aExtraCommands)
 {
   std::vector<Command> commands(std::begin(kCommands), std::end(kCommands));
-  commands.insert(commands.end(), aExtraCommands.begin(), aExtraCommands.end());
+  for (const Command& extra : aExtraCommands) {
+    const auto it = std::find_if(commands.begin(), commands.end(), [&](const Command& aCommand) {
+      return std::string_view(aCommand.name) == extra.name;
+    });
+    if (it == commands.end()) {
+      commands.push_back(extra);
+    } else {
+      *it = extra;
+    }
+  }
   return commands;
 }
 
@@ -369,6 +359,30 @@
 
 } // namespace
 
+ExitCode CheckFile(const std::string& aPath)
+{
+  const auto text = core::ReadTextFile(aPath);
+  if (!text) {
+    return PrintError("cannot read " + aPath + "; check its name and permissions",
+                      ExitCode::Failed);
+  }
+  const bool isDocument = text.value().find("[environment]") != std::string::npos;
+  std::optional<core::Error> error;
+  if (isDocument) {
+    if (const auto document = version::document::ParseDocument(text.value(), aPath); !document) {
+      error = document.error();
+    }
+  } else if (const auto settings = settings::ParseHostSettings(text.value(), aPath); !settings) {
+    error = settings.error();
+  }
+  if (error) {
+    return PrintError(core::Describe(*error), ExitCode::Failed);
+  }
+  std::cout << aPath << ": ok, " << (isDocument ? "an environment document" : "host settings")
+            << "\n";
+  return ExitCode::Ok;
+}
+
 ExitCode RunCommand(const std::vector<std::string>& aArguments,
                     std::span<const Command> aExtraCommands)
 {
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-std::string NormalizeHostName(std::string_view aHost)
-{
-  std::string key(aHost.substr(0, aHost.find(':')));
-  std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::tolower(aCharacter));
-  });
-  return key;
-}
-
 template<typename Map, typename Key>
 auto FindOrNull(const Map& aMap, const Key& aKey) -> typename Map::mapped_type
 {
@@ -77,6 +68,15 @@
   return FindOrNull(mServicesById, aId);
 }
 
+std::string CatalogueIndex::NormalizeHostName(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return key;
+}
+
 const core::ServiceId& CatalogueIndex::ChooseService(const RouteRule& aRoute, double aPoint)
 {
   double total = 0;
--- a/cuminfield/version/catalogue/CatalogueIndex.h
+++ b/cuminfield/version/catalogue/CatalogueIndex.h
@@ -28,6 +28,9 @@
   const WorkspaceRule* FindWorkspace(const core::WorkspaceId& aId) const;
   const ServiceRule* FindService(const core::ServiceId& aId) const;
 
+  /// Returns the form in which host names are compared: in lower case, without the port.
+  static std::string NormalizeHostName(std::string_view aHost);
+
   /// Chooses the service for one request of a route; aPoint is uniform in [0, 1).
   static const core::ServiceId& ChooseService(const RouteRule& aRoute, double aPoint);
 
