Placement: cold upstreams and slow start

Cause: all upstreams of a data centre return at the same moment, and dozens of hosts with backlogs find out before any heartbeat says that they are cold. An upstream that tolerates 11 requests per second while it is cold crashes.

Change: UpstreamPacer decides whether this host may send. In slow start (AnswerWindow) the number of requests in flight follows from sums of responses over all hosts. After an upstream was out of reach, silent or suspected, only a heartbeat sent later counts. UpstreamTable tells the pacer what it sees and asks it in Choose; for upstreams that are not paced this is one flag. A heartbeat that counts clears a host's own mark 'unreachable': hosts that may not send would suspect the upstream for good.

--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -465,6 +465,13 @@
   return isNews;
 }
 
+void PlacementScheduler::OnColdTime(const UpstreamAnnouncement& aUpstream, core::Duration aLeft,
+                                    core::Instant aSentAt)
+{
+  mUpstreams.RecordColdTimeInResponse(aUpstream.id, aUpstream.incarnation, aLeft, aSentAt,
+                                      mTimers.Now());
+}
+
 bool PlacementScheduler::TryTakeRetry(const core::ServiceId& aService, std::uint32_t aAttempts)
 {
   return GetOrCreateService(aService).retryBudget.TryTakeRetry(aAttempts);
@@ -480,13 +487,13 @@
 
 void PlacementScheduler::AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream)
 {
-  mUpstreams.AddOrUpdateUpstream(aUpstream);
+  mUpstreams.AddOrUpdateUpstream(aUpstream, mTimers.Now());
   DispatchQueued(aUpstream.service);
 }
 
 void PlacementScheduler::RemoveUpstream(const core::UpstreamId& aUpstream)
 {
-  mUpstreams.RemoveUpstream(aUpstream);
+  mUpstreams.RemoveUpstream(aUpstream, mTimers.Now());
 }
 
 void PlacementScheduler::OnLoadReport(const LoadReport& aReport)
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -57,6 +57,10 @@
   /// are shed. Returns true if the notice is news.
   bool OnUpstreamNotice(const UpstreamAnnouncement& aUpstream, const UpstreamNotice& aNotice);
 
+  /// Records the cold time that a response to a request sent at aSentAt states.
+  void OnColdTime(const UpstreamAnnouncement& aUpstream, core::Duration aLeft,
+                  core::Instant aSentAt);
+
   /// Takes a retry from the service's retry budget; false if there is none left.
   bool TryTakeRetry(const core::ServiceId& aService, std::uint32_t aAttempts);
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -3,6 +3,7 @@
 #include "cuminfield/core/Units.h"
 #include "cuminfield/request/admission/RetryBudget.h"
 #include "cuminfield/request/placement/UpstreamNotices.h"
+#include "cuminfield/request/placement/UpstreamPacer.h"
 
 #include <cstdint>
 
@@ -94,6 +95,17 @@
   /// Part of the remaining time that a predicted response may take.
   double remainingTimeShare = 0.8;
   UpstreamNoticesSettings notices;
+  UpstreamPacerSettings pacer;
+  /// Factor of the sampling weight of an upstream in slow start. Only a few hosts may send to it,
+  /// and at usual weights one of them would take seconds to choose it among a hundred.
+  double slowStartWeight = 10;
+  /// A first event or response later than this multiple of the prediction shrinks the window of
+  /// slow start, unless it is faster than slowStartMinLatency: a busy host measures its own delays.
+  double slowStartLatencyFactor = 2;
+  core::Duration slowStartMinLatency = std::chrono::milliseconds(150);
+  /// Weight of the newest response in the mean first event latency of a service relative to the
+  /// nominal one, by which a new upstream is judged.
+  double typicalFactorLearningRate = 0.02;
 };
 
 /// Settings of PlacementScheduler.
--- a/cuminfield/request/placement/UpstreamTable.cpp
+++ b/cuminfield/request/placement/UpstreamTable.cpp
@@ -20,18 +20,23 @@
 /// Maximum number of times that an ejection or probe interval is doubled.
 constexpr std::uint32_t kMaxBackoffDoublings = 4;
 
+/// How long this host's responses in slow start are reported after its end: three times the time
+/// constant of their decay.
+constexpr core::Duration kPacedAnswerLifetime = std::chrono::seconds(9);
+
 } // namespace
 
 UpstreamTable::UpstreamTable(const UpstreamTableSettings& aSettings, core::DataCentreId aDataCentre,
                              core::Random& aRandom)
   : mSettings(aSettings)
   , mNotices(aSettings.notices)
+  , mPacer(aSettings.pacer)
   , mDataCentre(std::move(aDataCentre))
   , mRandom(aRandom)
 {
 }
 
-void UpstreamTable::AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream)
+void UpstreamTable::AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream, core::Instant aNow)
 {
   const UpstreamNotices::Entry* notice = mNotices.Find(aUpstream.id, aUpstream.incarnation);
   if (notice && notice->isLeaving) {
@@ -51,6 +56,8 @@
   entry.upstream = aUpstream;
   entry.acceptsNewWork = true;
   entry.quietUntil = notice ? notice->quietUntil : core::Instant();
+  mPacer.OnAppeared(aUpstream, aNow);
+  entry.isPaced = true;
   if (indexChanged) {
     RebuildIndex();
   }
@@ -82,12 +89,122 @@
   return upstreams;
 }
 
-void UpstreamTable::RemoveUpstream(const core::UpstreamId& aUpstream)
+void UpstreamTable::SetPacedServices(std::map<core::ServiceId, PacedService> aServices)
+{
+  mPacer.SetServices(std::move(aServices));
+  for (auto& [id, entry] : mEntries) {
+    entry.isPaced = true;
+  }
+}
+
+void UpstreamTable::RecordColdTime(const core::UpstreamId& aUpstream,
+                                   core::Incarnation aIncarnation, std::uint64_t aSequence,
+                                   core::Duration aLeft, core::Instant aNow)
+{
+  const bool counts = mPacer.OnColdTime(aUpstream, aIncarnation, aSequence, aLeft, aNow);
+  UpstreamEntry* entry = Find(aUpstream);
+  if (!entry) {
+    return;
+  }
+  entry->isPaced = true;
+  if (counts && entry->upstream.incarnation == aIncarnation &&
+      mPacer.IsPacedService(entry->upstream.service)) {
+    // Most hosts may not send it a request by which they would see that it is back, and would
+    // suspect it for good.
+    entry->unreachable = false;
+  }
+}
+
+void UpstreamTable::RecordColdTimeInResponse(const core::UpstreamId& aUpstream,
+                                             core::Incarnation aIncarnation, core::Duration aLeft,
+                                             core::Instant aSentAt, core::Instant aNow)
+{
+  mPacer.OnColdTimeInResponse(aUpstream, aIncarnation, aLeft, aSentAt, aNow);
+  if (UpstreamEntry* entry = Find(aUpstream)) {
+    entry->isPaced = true;
+  }
+}
+
+void UpstreamTable::RecordOutOfReach(const core::UpstreamId& aUpstream,
+                                     core::Incarnation aIncarnation, core::Instant aNow)
+{
+  UpstreamEntry* entry = Find(aUpstream);
+  if (entry && entry->upstream.incarnation == aIncarnation) {
+    NoticeOutOfReach(*entry, aNow);
+  }
+}
+
+void UpstreamTable::ReleaseUpstreams(const std::vector<core::UpstreamId>& aUpstreams,
+                                     core::Instant aNow)
+{
+  for (const core::UpstreamId& it : aUpstreams) {
+    if (UpstreamEntry* entry = Find(it)) {
+      mPacer.OnReleased(it, entry->upstream.incarnation, aNow);
+      entry->isPaced = true;
+    }
+  }
+}
+
+void UpstreamTable::NoticeOutOfReach(UpstreamEntry& aEntry, core::Instant aNow)
+{
+  mPacer.OnReturned(aEntry.upstream.id, aEntry.upstream.incarnation, aNow);
+  aEntry.isPaced = true;
+}
+
+bool UpstreamTable::MaySend(UpstreamEntry& aEntry, core::Instant aNow)
+{
+  if (!aEntry.isPaced) {
+    return true;
+  }
+  const auto verdict = mPacer.Check(aEntry.upstream.id, aEntry.localInFlight, aNow);
+  aEntry.isPaced = verdict != UpstreamPacer::Verdict::Unpaced;
+  aEntry.lastPacedAt = aNow;
+  return verdict != UpstreamPacer::Verdict::Denied;
+}
+
+UpstreamPacer::AnswerSums UpstreamTable::LocalPacedAnswers(const UpstreamEntry& aEntry,
+                                                           core::Instant aNow) const
+{
+  // The sums fade after the end, as other hosts may still be in slow start.
+  const bool hasFaded = !aEntry.isPaced && aNow - aEntry.lastPacedAt > kPacedAnswerLifetime;
+  return hasFaded ? UpstreamPacer::AnswerSums{} : mPacer.LocalAnswers(aEntry.upstream.id, aNow);
+}
+
+void UpstreamTable::SetRemotePacedAnswers(const core::UpstreamId& aUpstream, double aGood,
+                                          double aBad, core::Instant aNow)
+{
+  const UpstreamEntry* entry = Find(aUpstream);
+  if (entry && entry->isPaced) {
+    mPacer.SetRemoteAnswers(aUpstream, aGood, aBad, aNow);
+  }
+}
+
+void UpstreamTable::RecordPacedAnswer(UpstreamEntry& aEntry, core::Duration aLatency,
+                                      core::Duration aPredicted, core::Instant aNow)
+{
+  if (!mPacer.IsPacedService(aEntry.upstream.service)) {
+    return;
+  }
+  double& typical = mTypicalFactors.try_emplace(aEntry.upstream.service, 1.0).first->second;
+  const double expectedFactor = std::max(typical, FirstEventFactor(aEntry));
+  const double factor =
+    core::Milliseconds(aLatency) / std::max(1.0, core::Milliseconds(aPredicted));
+  typical += mSettings.typicalFactorLearningRate *
+             (std::clamp(factor, 1.0, mSettings.maxFirstEventFactor) - typical);
+  const bool isSlow = factor > mSettings.slowStartLatencyFactor * expectedFactor &&
+                      aLatency > mSettings.slowStartMinLatency;
+  if (aEntry.isPaced) {
+    mPacer.OnAnswer(aEntry.upstream.id, !isSlow, aNow);
+  }
+}
+
+void UpstreamTable::RemoveUpstream(const core::UpstreamId& aUpstream, core::Instant aNow)
 {
   const auto it = mEntries.find(aUpstream);
   if (it == mEntries.end()) {
     return;
   }
+  mPacer.OnRemoved(aUpstream, aNow);
   it->second.acceptsNewWork = false;
   if (it->second.localInFlight == 0) {
     mEntries.erase(it);
@@ -109,7 +226,7 @@
     entry->onProbation = true;
   }
   if (aNotice.isLeaving) {
-    RemoveUpstream(aUpstream);
+    RemoveUpstream(aUpstream, aNow);
   }
   return true;
 }
@@ -173,7 +290,8 @@
   for (UpstreamEntry* entry : service.entries) {
     const bool isMatch = isEligible(*entry) && (!anySuitable || IsSuitable(*entry, aSpec, aNow));
     const bool passesFilter = aSlotFilter == SlotFilter::Any || HasFreedSlot(*entry, aNow);
-    if (!isMatch || !passesFilter || !IsUsable(*entry, service, aUrgency, aNow)) {
+    if (!isMatch || !passesFilter || !IsUsable(*entry, service, aUrgency, aNow) ||
+        !MaySend(*entry, aNow)) {
       continue;
     }
     if (entry->upstream.id == aSpec.avoidUpstream) {
@@ -183,7 +301,8 @@
     const bool isNear = entry->upstream.dataCentre == mDataCentre;
     mCandidates.push_back(
       { .entry = entry,
-        .weight = FreeSlots(*entry, aUrgency) * (isNear ? mSettings.sameDataCentreWeight : 1) });
+        .weight = FreeSlots(*entry, aUrgency) * (isNear ? mSettings.sameDataCentreWeight : 1) *
+                  (entry->isPaced ? mSettings.slowStartWeight : 1) });
   }
   UpstreamEntry* best = ChooseFromSample(aSpec);
   return best ? best : avoided;
@@ -337,12 +456,17 @@
   aEntry.unreachable = false;
 }
 
-UpstreamObservations UpstreamTable::LocalObservations(UpstreamEntry& aEntry,
-                                                      core::Instant aNow) const
+UpstreamObservations UpstreamTable::LocalObservations(UpstreamEntry& aEntry, core::Instant aNow)
 {
   DecayTo(aEntry, aNow);
   UpstreamObservations observations = aEntry.localObservations;
-  observations.suspectingHosts = aEntry.unreachable || IsSilent(aEntry, aNow) ? 1 : 0;
+  const bool isSilent = IsSilent(aEntry, aNow);
+  // A single hanging request says little about an upstream that other hosts confirm.
+  if (isSilent &&
+      aEntry.remoteObservations.confirmingHosts <= aEntry.remoteObservations.suspectingHosts) {
+    NoticeOutOfReach(aEntry, aNow);
+  }
+  observations.suspectingHosts = aEntry.unreachable || isSilent ? 1 : 0;
   observations.confirmingHosts =
     aNow - aEntry.lastReceivedAt <= mSettings.confirmationLifetime ? 1 : 0;
   return observations;
@@ -363,6 +487,11 @@
   if (!wasSuspected && aSuspecting > aConfirming) {
     entry->nextProbeAt = std::max(entry->nextProbeAt, NextSuspectProbe(aNow));
   }
+  const bool isSuspected = IsSuspected(*entry, aNow);
+  if (isSuspected || wasSuspected) {
+    mPacer.SetSuspected(aUpstream, isSuspected, aNow);
+    entry->isPaced = true;
+  }
 }
 
 core::Instant UpstreamTable::NextSuspectProbe(core::Instant aNow)
@@ -513,6 +642,7 @@
   if (aEntry.localInFlight == 0) {
     aEntry.lastActivityAt = aNow;
   }
+  mPacer.RecordSend(aEntry.upstream.id, aNow);
   ++aEntry.localInFlight;
   if (aEntry.recentlyFreedSlots > 0) {
     --aEntry.recentlyFreedSlots;
@@ -525,6 +655,7 @@
                                      core::Instant aNow)
 {
   RecordActivity(aEntry, aNow);
+  RecordPacedAnswer(aEntry, aLatency, aPredicted, aNow);
   aEntry.localPromptTokens -= aSpec.promptTokens.value;
   DecayTo(aEntry, aNow);
   const double factor =
@@ -584,6 +715,7 @@
       break;
     case AttemptOutcome::Unreachable:
       aEntry.unreachable = true;
+      NoticeOutOfReach(aEntry, aNow);
       Eject(aEntry,
             mSettings.connectFailureEjection *
               (1U << std::min(aEntry.consecutiveFailures, kMaxBackoffDoublings)),
@@ -592,9 +724,15 @@
     case AttemptOutcome::Failed:
     case AttemptOutcome::BrokenOff:
       recordResult(1);
+      if (aEntry.isPaced) {
+        mPacer.OnAnswer(aEntry.upstream.id, false, aNow);
+      }
       ++aEntry.consecutiveFailures;
       if (aEntry.consecutiveFailures > 2) {
         Eject(aEntry, mSettings.failureEjection, aNow);
+        if (aOutcome == AttemptOutcome::BrokenOff) {
+          NoticeOutOfReach(aEntry, aNow); // One after the other broke off: it may have restarted.
+        }
       }
       break;
     case AttemptOutcome::Cancelled:
--- a/cuminfield/request/placement/UpstreamTable.h
+++ b/cuminfield/request/placement/UpstreamTable.h
@@ -5,6 +5,7 @@
 #include "cuminfield/request/placement/PlacementSettings.h"
 #include "cuminfield/request/placement/UpstreamNotices.h"
 #include "cuminfield/request/placement/UpstreamObservations.h"
+#include "cuminfield/request/placement/UpstreamPacer.h"
 
 #include <map>
 #include <optional>
@@ -53,6 +54,10 @@
   std::uint32_t probesSent = 0;   ///< Requests this host has sent since it became silent.
   core::Instant nextProbeAt{};
 
+  /// The pacer must be asked before a request is sent. Stays set until it says otherwise.
+  bool isPaced = false;
+  core::Instant lastPacedAt{};
+
   std::uint32_t InFlight() const { return localInFlight + remoteInFlight; }
 };
 
@@ -72,8 +77,31 @@
   UpstreamTable(const UpstreamTableSettings& aSettings, core::DataCentreId aDataCentre,
                 core::Random& aRandom);
 
-  void AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream);
-  void RemoveUpstream(const core::UpstreamId& aUpstream);
+  void AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream, core::Instant aNow = {});
+  void RemoveUpstream(const core::UpstreamId& aUpstream, core::Instant aNow = {});
+
+  /// Sets the services whose upstreams are paced while they are cold or in slow start.
+  void SetPacedServices(std::map<core::ServiceId, PacedService> aServices);
+
+  /// Records how long an upstream stays cold, as its heartbeat with this sequence said.
+  void RecordColdTime(const core::UpstreamId& aUpstream, core::Incarnation aIncarnation,
+                      std::uint64_t aSequence, core::Duration aLeft, core::Instant aNow);
+
+  /// Records the same from a response to a request sent at aSentAt.
+  void RecordColdTimeInResponse(const core::UpstreamId& aUpstream, core::Incarnation aIncarnation,
+                                core::Duration aLeft, core::Instant aSentAt, core::Instant aNow);
+
+  /// Other hosts used the upstream before this one started.
+  void RecordFoundInUse(const core::UpstreamId& aUpstream) { mPacer.OnFoundInUse(aUpstream); }
+
+  /// Records that this incarnation of an upstream accepts no connections.
+  void RecordOutOfReach(const core::UpstreamId& aUpstream, core::Incarnation aIncarnation,
+                        core::Instant aNow);
+
+  /// The evacuation of their data centre was revoked: they may be cold, and start slowly.
+  void ReleaseUpstreams(const std::vector<core::UpstreamId>& aUpstreams, core::Instant aNow);
+
+  UpstreamPacer& Pacer() { return mPacer; }
 
   /// Records what an upstream says of itself. It gets no new work from now on, or until the quiet
   /// time ends, whatever the control hosts' list says. Returns true if the notice is news.
@@ -141,12 +169,20 @@
 
   /// This host's observations for the other hosts, with whether it now suspects or confirms the
   /// upstream.
-  UpstreamObservations LocalObservations(UpstreamEntry& aEntry, core::Instant aNow) const;
+  UpstreamObservations LocalObservations(UpstreamEntry& aEntry, core::Instant aNow);
 
   /// Sets how many other hosts suspect and how many confirm the upstream.
   void SetRemoteReachability(const core::UpstreamId& aUpstream, std::uint32_t aSuspecting,
                              std::uint32_t aConfirming, core::Instant aNow);
 
+  /// This host's responses in slow start, for the other hosts.
+  UpstreamPacer::AnswerSums LocalPacedAnswers(const UpstreamEntry& aEntry,
+                                              core::Instant aNow) const;
+
+  /// Sets the other hosts' sums of the same.
+  void SetRemotePacedAnswers(const core::UpstreamId& aUpstream, double aGood, double aBad,
+                             core::Instant aNow);
+
   /// Sets the sums of the other hosts' observations; the counts of hosts in aSums are ignored.
   void SetRemoteObservations(const core::UpstreamId& aUpstream, const UpstreamObservations& aSums);
 
@@ -197,16 +233,24 @@
   bool IsSilent(const UpstreamEntry& aEntry, core::Instant aNow) const;
   double Score(const UpstreamEntry& aEntry, const RequestSpec& aSpec);
   void Eject(UpstreamEntry& aEntry, core::Duration aDuration, core::Instant aNow) const;
+  bool MaySend(UpstreamEntry& aEntry, core::Instant aNow);
+  void NoticeOutOfReach(UpstreamEntry& aEntry, core::Instant aNow);
+  /// Tells the pacer whether the response was about as fast as predicted.
+  void RecordPacedAnswer(UpstreamEntry& aEntry, core::Duration aLatency, core::Duration aPredicted,
+                         core::Instant aNow);
 
   /// False while the upstream is ejected or has asked for no requests.
   static bool IsOpen(const UpstreamEntry& aEntry, core::Instant aNow);
 
   UpstreamTableSettings mSettings;
   UpstreamNotices mNotices;
+  UpstreamPacer mPacer;
   core::DataCentreId mDataCentre;
   core::Random& mRandom;
   std::unordered_map<core::UpstreamId, UpstreamEntry> mEntries;
   std::map<core::ServiceId, ServiceUpstreams> mServices;
+  /// Mean first event latency of a service relative to the nominal one.
+  std::map<core::ServiceId, double> mTypicalFactors;
   std::vector<Candidate> mCandidates; ///< Member only to reuse its allocation.
 };
 
