Cold upstreams: messages, settings and wiring

Cause: heartbeats' cold times were kept and never used, and hosts were not told when an upstream turned cold again. Hosts know old sequence numbers only, so they could not tell a heartbeat sent before a failure from a later one.

Change: feeds have the states of upstreams that are cold or have turned (Feed.upstream_states) beside the registry, which is not sent for them. Hosts ask for the heartbeats that they wait for (Report.awaited). The list of all known hosts is sent on change until confirmed, if a service has cold_per_s. InFlight carries the sums of responses in slow start. A control host that was frozen no longer forgets all known hosts. A host that has just started does not pace upstreams with a recent heartbeat that says warm.

--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -89,3 +89,17 @@
   body["new"] = true;
   CHECK(platform::ParseConfiguration(body.dump()).has_value());
 }
+
+/// Without the limit of its cold upstreams, a service would crash them when they return.
+TEST(ConfigurationText, ReadsLimitsOfColdUpstreams)
+{
+  CHECK_FALSE(platform::HasPacedService(body.dump()));
+  body["services"][0]["cold_per_s"] = 11.0;
+  body["services"][0]["cold_start_s"] = 2.5;
+  CHECK(platform::HasPacedService(body.dump()));
+  const auto parsed = platform::ParseConfiguration(body.dump());
+  DOUBLES_EQUAL(11, parsed.value().services[0].coldPerSecond, 0);
+  CHECK(parsed.value().services[0].coldStart == std::chrono::milliseconds(2500));
+  body["services"][0]["cold_per_s"] = nullptr;
+  CHECK_FALSE(platform::HasPacedService(body.dump()));
+}
--- a/UnitTests/platform/HeaderCodecTest.cpp
+++ b/UnitTests/platform/HeaderCodecTest.cpp
@@ -190,3 +190,17 @@
   CHECK_EQUAL(127, parsed.spec.sharedParts.size());
   STRCMP_EQUAL("b", parsed.spec.sharedParts[0].Text().c_str());
 }
+
+/// A time that can't be read must not stand for a warm upstream.
+TEST(HeaderCodec, ParsesColdTimes)
+{
+  const auto parse = [&](const char* aText) {
+    return codec.ParseColdTime({ { .name = "X-Cuminfield-Cold-Ms", .value = aText } });
+  };
+  CHECK_FALSE(codec.ParseColdTime({}).has_value());
+  CHECK(parse("0") == core::Duration(0));
+  CHECK(parse("1500") == core::Duration(1500ms));
+  for (const char* it : { "-1", "600001", "1e99", "nan", "soon", "12x" }) {
+    CHECK(*parse(it) < core::Duration(0));
+  }
+}
--- a/UnitTests/process/cluster/ClusterSettingsTest.cpp
+++ b/UnitTests/process/cluster/ClusterSettingsTest.cpp
@@ -75,3 +75,14 @@
     STRCMP_CONTAINS((spec.FormatTableRow() + "\n").c_str(), page.str().c_str());
   }
 }
+
+/// Platforms without cold upstreams don't set the section; others write numbers with a fraction.
+TEST(ClusterSettings, ReadsBoundOfColdUpstreams)
+{
+  text += "[cold-upstreams]\n";
+  DOUBLES_EQUAL(0, ParseClusterSettings(text, "file.ini").value().coldSlack, 0);
+  text += "overshoot = 1.5\nslack = 5.0\n";
+  const auto parsed = ParseClusterSettings(text, "file.ini");
+  DOUBLES_EQUAL(1.5, parsed.value().coldOvershoot, 1e-9);
+  DOUBLES_EQUAL(5, parsed.value().coldSlack, 1e-9);
+}
--- a/UnitTests/process/cluster/FollowerTableTest.cpp
+++ b/UnitTests/process/cluster/FollowerTableTest.cpp
@@ -316,3 +316,31 @@
   table.OnReport(core::HostId("a"), report, now + 3s);
   DOUBLES_EQUAL(0, Departed(table), 1e-9);
 }
+
+/// Hosts with different lists send too much to a cold upstream, and a list without most hosts lets
+/// each of the others take part.
+TEST(FollowerTable, ListOfHostsIsTheSameAtAllControlHosts)
+{
+  FollowerTable other{ {} };
+  table.OnReport(core::HostId("a"), MakeReport(1, 0), now);
+  other.OnReport(core::HostId("b"), MakeReport(1, 0), now);
+  table.OnExchange(core::HostId("control-2"), MakeExchange(other), now);
+  other.OnExchange(core::HostId("control-1"), MakeExchange(table), now);
+  CHECK_EQUAL(2, table.Members().size());
+  CHECK(table.Members() == other.Members());
+  table.OnStall(30s); // It was frozen; the others were not silent.
+  table.Expire(now + 32s);
+  CHECK_EQUAL(2, table.Members().size());
+  table.Expire(now + 41s);
+  CHECK_EQUAL(0, table.Members().size());
+}
+
+/// Most reports await nothing, and may come before the answer to one that does.
+TEST(FollowerTable, AwaitedHeartbeatsStayUntilAnswered)
+{
+  proto::Report report = MakeReport(1, 0);
+  report.add_awaited()->set_upstream(4);
+  table.OnReport(core::HostId("a"), report, now);
+  table.OnReport(core::HostId("a"), MakeReport(1, 0), now);
+  CHECK_EQUAL(1, table.Followers().at(core::HostId("a")).awaited.size());
+}
--- a/UnitTests/process/cluster/UpstreamRegistryTest.cpp
+++ b/UnitTests/process/cluster/UpstreamRegistryTest.cpp
@@ -1,5 +1,7 @@
 #include "cuminfield/process/cluster/UpstreamRegistry.h"
 
+#include "cuminfield/request/placement/RendezvousSet.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace cuminfield;
@@ -78,3 +80,62 @@
   CHECK(registry.HandleHeartbeat(MakeHeartbeat("a", 49, 3), now));
   CHECK(registry.List().front().leaving());
 }
+
+/// Each heartbeat of a cold upstream differs in its cold time. The registry goes to every host, so
+/// it must not be sent for that.
+TEST(UpstreamRegistry, ColdTimesAreSentBesideTheRegistry)
+{
+  registry.HandleHeartbeat(MakeHeartbeat("a", 1, 1), now - 3s);
+  registry.HandleHeartbeat(MakeHeartbeat("b", 1, 1, "10.0.0.2"), now - 3s);
+  const std::uint64_t revision = registry.Revision();
+  proto::Upstream cold = MakeHeartbeat("a", 1, 2);
+  cold.set_warming_ms(4000);
+  registry.HandleHeartbeat(cold, now);
+  CHECK_EQUAL(revision, registry.Revision());
+  proto::Feed feed;
+  registry.AddColdStates(feed, now + 1s);
+  CHECK_EQUAL(1, feed.upstream_states_size());
+  CHECK_EQUAL(3000, feed.upstream_states(0).cold_ms());
+  registry.AddUpstreams(feed, now + 2500ms);
+  CHECK_EQUAL(1500, feed.upstreams(0).warming_ms());
+  registry.HandleHeartbeat(MakeHeartbeat("a", 1, 3), now + 3s);
+  feed.Clear();
+  registry.AddColdStates(feed, now + 4s);
+  CHECK_EQUAL(1, feed.upstream_states_size()); // Hosts learn that it is warm.
+  CHECK_EQUAL(0, feed.upstream_states(0).cold_ms());
+  feed.Clear();
+  registry.AddColdStates(feed, now + 6s);
+  CHECK_EQUAL(0, feed.upstream_states_size());
+}
+
+/// After all machines lost power, the stored upstreams may be down, or have returned cold.
+TEST(UpstreamRegistry, RestoredUpstreamsHaveNoRecentHeartbeat)
+{
+  registry.Restore(MakeHeartbeat("a", 1, 1), now);
+  proto::Feed feed;
+  registry.AddUpstreams(feed, now);
+  CHECK(feed.upstreams(0).heard_ms() > 600'000);
+  registry.HandleHeartbeat(MakeHeartbeat("a", 1, 2), now);
+  registry.Restore(MakeHeartbeat("a", 1, 1), now);
+  feed.Clear();
+  registry.AddUpstreams(feed, now + 700ms);
+  CHECK_EQUAL(700, feed.upstreams(0).heard_ms());
+}
+
+/// A host that missed the states of two seconds would treat the upstream as cold for good.
+TEST(UpstreamRegistry, AnswersHostsThatAwaitHeartbeats)
+{
+  registry.HandleHeartbeat(MakeHeartbeat("a", 1, 7), now);
+  UpstreamRegistry::AwaitedHeartbeats awaited;
+  proto::AwaitedHeartbeat* it = awaited.Add();
+  it->set_upstream(request::placement::RendezvousSet::HashOf("a"));
+  const auto answers = [&](std::uint64_t aFrom) {
+    it->set_from_sequence(aFrom);
+    proto::Feed feed;
+    registry.AddAwaitedStates(awaited, feed, now);
+    return feed.upstream_states_size();
+  };
+  CHECK_EQUAL(1, answers(0));
+  CHECK_EQUAL(1, answers(7));
+  CHECK_EQUAL(0, answers(8));
+}
--- a/cuminfield/process/cluster/ClusterSettings.h
+++ b/cuminfield/process/cluster/ClusterSettings.h
@@ -31,7 +31,10 @@
   core::Duration quotaWindow = std::chrono::seconds(8);
   double quotaOvershoot = 0; ///< Tolerated excess in a window, as a share of the quota.
   double quotaSlack = 0;     ///< Units tolerated beyond that, for all hosts together.
-  double retryShare = 0.1;   ///< Maximum retries of a service, as a share of its requests.
+  /// Requests tolerated at a cold upstream in a second: this multiple of its service's rate,
+  double coldOvershoot = 1;
+  double coldSlack = 0;    ///< and so many more, of all hosts together.
+  double retryShare = 0.1; ///< Maximum retries of a service, as a share of its requests.
   std::string logLevel = "info";
   settings::LogFormat logFormat = settings::LogFormat::KeyValue;
 };
--- a/cuminfield/process/cluster/ClusterSettingsFile.cpp
+++ b/cuminfield/process/cluster/ClusterSettingsFile.cpp
@@ -17,8 +17,10 @@
 constexpr std::int64_t kMaxLosses = 8;
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 constexpr std::int64_t kFullRatioPercent = 100; ///< 100 % in hundredths.
+constexpr std::int64_t kMaxColdOvershootPercent = 10'000;
+constexpr std::int64_t kMaxColdSlackHundredths = 100'000'000;
 
-const std::array<KeySpec, 19> kKeySpecs{ {
+const std::array<KeySpec, 21> kKeySpecs{ {
   { .section = "host",
     .key = "id",
     .type = ValueType::Name,
@@ -106,6 +108,18 @@
     .type = ValueType::Count,
     .defaultValue = "0",
     .description = "units tolerated above a quota, of all hosts together" },
+  { .section = "cold-upstreams",
+    .key = "overshoot",
+    .type = ValueType::Ratio,
+    .defaultValue = "1",
+    .description = "tolerated at a cold upstream, as a multiple of its service's cold_per_s",
+    .max = kMaxColdOvershootPercent },
+  { .section = "cold-upstreams",
+    .key = "slack",
+    .type = ValueType::Ratio,
+    .defaultValue = "0",
+    .description = "requests a second tolerated beyond that, of all hosts together",
+    .max = kMaxColdSlackHundredths },
   { .section = "retries",
     .key = "share",
     .type = ValueType::Ratio,
@@ -210,6 +224,10 @@
     reader.Read(*quota, "slack", slack);
     result.quotaSlack = static_cast<double>(slack);
   }
+  if (const settings::IniSection* cold = reader.FindSection("cold-upstreams")) {
+    reader.Read(*cold, "overshoot", result.coldOvershoot);
+    reader.Read(*cold, "slack", result.coldSlack);
+  }
   if (const settings::IniSection* retries = reader.FindSection("retries")) {
     reader.Read(*retries, "share", result.retryShare);
   }
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -8,6 +8,7 @@
 #include "cuminfield/process/log/ThreadedLogStorage.h"
 #include "cuminfield/process/logging/EventLog.h"
 #include "cuminfield/request/forward/WorkspaceQuota.h"
+#include "cuminfield/request/placement/RendezvousSet.h"
 
 #include <algorithm>
 #include <utility>
@@ -494,6 +495,9 @@
     *feed.mutable_recorded() = mState.QuotaRecord().uses();
   }
   mFollowers.AddDeparted(feed);
+  if (mIncludeObserved) {
+    mRegistry.AddColdStates(feed, now);
+  }
   proto::ControlHost* self = feed.add_control_hosts();
   self->set_host(mOptions.cluster.id.Text());
   self->set_data_centre(mOptions.cluster.dataCentre.Text());
@@ -512,6 +516,7 @@
   proto::Message common;
   *common.mutable_feed() = BuildCommonFeed();
   const std::string commonBytes = common.SerializeAsString();
+  UpdateMembers();
   const core::Instant now = mOptions.loop.Now();
   for (auto& [host, follower] : mFollowers.Followers()) {
     const FeedContent content = mFeedSelector.Select(follower, common.feed(), now);
@@ -528,6 +533,34 @@
   }
 }
 
+void ControlHost::UpdateMembers()
+{
+  const std::uint64_t number = mState.Document().number();
+  if (mOptions.hasPacedService && number != mPacedDocument) {
+    mPacedDocument = number;
+    mHasPacedService = mOptions.hasPacedService(mState.Document().text());
+  }
+  const bool isSent =
+    mHasPacedService && mOptions.loop.Now() - mStartedAt >= mOptions.settings.membersDelay;
+  mMembers = isSent ? mFollowers.Members() : std::vector<std::uint32_t>();
+  mMembersRevision = mMembers.empty() ? 0 : request::placement::RendezvousSet::RevisionOf(mMembers);
+}
+
+void ControlHost::AddMembers(FollowerTable::Follower& aFollower, proto::Feed& aFeed) const
+{
+  const core::Instant now = mOptions.loop.Now();
+  const bool isSent = aFollower.sentMembersRevision == mMembersRevision &&
+                      now - aFollower.membersSentAt < mOptions.settings.resendInterval;
+  if (mMembers.empty() || aFollower.isTrial || isSent ||
+      aFollower.report.members_revision() == mMembersRevision) {
+    return;
+  }
+  aFeed.mutable_members()->Assign(mMembers.begin(), mMembers.end());
+  aFeed.set_members_revision(mMembersRevision);
+  aFollower.sentMembersRevision = mMembersRevision;
+  aFollower.membersSentAt = now;
+}
+
 std::string ControlHost::BuildOwnPart(const core::HostId& aHost, FollowerTable::Follower& aFollower)
 {
   const core::Instant now = mOptions.loop.Now();
@@ -542,9 +575,7 @@
     aFollower.sentRegistryRevision == revision && now - aFollower.registrySentAt < resendInterval;
   if (!isRegistryConfirmed && !isRegistrySent) {
     feed->set_registry(true);
-    for (const proto::Upstream& it : mRegistry.List()) {
-      *feed->add_upstreams() = it;
-    }
+    mRegistry.AddUpstreams(*feed, now);
     aFollower.sentRegistryRevision = revision;
     aFollower.registrySentAt = now;
   }
@@ -556,6 +587,9 @@
     aFollower.sentDocumentNumber = number;
     aFollower.documentSentAt = now;
   }
+  AddMembers(aFollower, *feed);
+  mRegistry.AddAwaitedStates(aFollower.awaited, *feed, now);
+  aFollower.awaited.Clear();
   feed->set_crashes_received(aFollower.crashesReceived);
   return message.SerializeAsString();
 }
@@ -747,9 +781,7 @@
   mKnownUpstreamsRestored = true;
   const core::Instant now = mOptions.loop.Now();
   for (const proto::Upstream& it : mState.KnownUpstreams().upstreams()) {
-    if (mRegistry.IncarnationOf(it.id()) == 0) {
-      mRegistry.HandleHeartbeat(it, now);
-    }
+    mRegistry.Restore(it, now);
   }
 }
 
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -41,6 +41,9 @@
   core::Duration commandTimeout = std::chrono::milliseconds(2500);
   /// Timeout of a read from the group; callers give up after a second.
   core::Duration readTimeout = std::chrono::milliseconds(900);
+  /// The list of hosts is not sent before this long after the start: a host that takes a part of
+  /// it for the whole would send too much to cold upstreams.
+  core::Duration membersDelay = std::chrono::milliseconds(1000);
   UpstreamRegistrySettings registry;
   FollowerTableSettings followers;
   FeedSelectorSettings feeds;
@@ -62,6 +65,9 @@
     core::EventLoop& loop;
     peer::PeerLinks& links;
     core::Random& random;
+    /// True if a document has a service whose upstreams are paced while they are cold. If it is not
+    /// set, the list of hosts is never sent.
+    std::function<bool(const std::string&)> hasPacedService{};
   };
 
   explicit ControlHost(Options aOptions);
@@ -128,6 +134,8 @@
   void SendFeeds();
   proto::Feed BuildCommonFeed() const;
   std::string BuildOwnPart(const core::HostId& aHost, FollowerTable::Follower& aFollower);
+  void UpdateMembers();
+  void AddMembers(FollowerTable::Follower& aFollower, proto::Feed& aFeed) const;
   void SendQuarantine();
   void SendExchange();
   std::vector<core::HostId> ListOtherControlHosts() const;
@@ -180,7 +188,11 @@
   core::TimerHandle mTickTimer;
   std::uint64_t mMessageRounds = 0;   ///< Rounds of exchanges and feeds sent.
   core::Instant mLastQuotaRecordAt{}; ///< Last quota record proposed.
-  bool mIncludeObserved = false;      ///< This round includes observations of upstreams.
+  bool mIncludeObserved = false; ///< This round includes observations and cold times of upstreams.
+  std::uint64_t mPacedDocument = 0; ///< Document for which mHasPacedService was determined.
+  bool mHasPacedService = false;
+  std::vector<std::uint32_t> mMembers; ///< The list of hosts in this round; empty: not sent.
+  std::uint64_t mMembersRevision = 0;
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -3,6 +3,7 @@
 #include "cuminfield/process/cluster/CrashMessages.h"
 #include "cuminfield/process/logging/EventLog.h"
 #include "cuminfield/process/metrics/GaugeText.h"
+#include "cuminfield/request/placement/RendezvousSet.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,6 +21,17 @@
 /// Observations whose decayed sum is below this are no longer reported.
 constexpr double kMinObservedWeight = 0.05;
 
+/// Upstreams whose heartbeats a report may await. Others follow with the next reports: a host that
+/// starts awaits those of all upstreams.
+constexpr std::size_t kMaxAwaitedHeartbeats = 128;
+
+/// Age of an upstream's last heartbeat up to which a host that has just started takes the upstream
+/// for in use: the interval of heartbeats and their way.
+constexpr core::Duration kMaxHeartbeatAge = std::chrono::milliseconds(1500);
+
+/// Sums of responses in slow start are sent in hundredths.
+constexpr double kAnswerScale = 100;
+
 std::uint64_t MakeIncarnation(const core::EventLoop& aLoop)
 {
   return static_cast<std::uint64_t>(aLoop.WallNow().time_since_epoch().count());
@@ -87,6 +99,17 @@
     [this](const proto::Quarantine& aQuarantine) { ApplyQuarantine(aQuarantine); });
   mScheduler.Quarantine().OnBreakOff().connect(
     [this](const request::quarantine::Crash& aCrash) { CheckUpstream(aCrash); });
+  mScheduler.Upstreams().Pacer().OnPaced().connect(
+    [](const core::UpstreamId& aId, request::placement::PaceReason aReason) {
+      logging::Event(logging::Level::Info, "upstream-paced",
+                     { { "upstream", aId.Text() }, { "reason", ToString(aReason) } });
+    });
+  mScheduler.Upstreams().Pacer().OnUnpaced().connect(
+    [](const core::UpstreamId& aId, core::Duration aDuration) {
+      logging::Event(logging::Level::Info, "upstream-unpaced",
+                     { { "upstream", aId.Text() },
+                       { "paced_ms", static_cast<std::int64_t>(core::Milliseconds(aDuration)) } });
+    });
   // Reported at once: each further request with a fatal part costs an upstream.
   mScheduler.Quarantine().OnCrashRecorded().connect([this] { mFollower.HastenReport(); });
 }
@@ -115,6 +138,8 @@
   if (aFeed.registry()) {
     ApplyRegistry(aFeed);
   }
+  ApplyMembers(aFeed);
+  ApplyUpstreamStates(aFeed);
   ApplyRemoteLoad(aFeed);
   mScheduler.Quarantine().Acknowledge(aFeed.crashes_received());
   // The document comes last, so that requests waiting for the first one find all other state in
@@ -136,6 +161,13 @@
   }
   mCatalogue =
     std::make_shared<const version::catalogue::CatalogueIndex>(std::move(parsed.value()));
+  std::map<core::ServiceId, request::placement::PacedService> paced;
+  for (const version::catalogue::ServiceRule& it : mCatalogue->Content().services) {
+    if (it.coldPerSecond > 0) {
+      paced[it.id] = { .coldPerSecond = it.coldPerSecond, .coldStart = it.coldStart };
+    }
+  }
+  mScheduler.Upstreams().SetPacedServices(std::move(paced));
   mFollower.SetDocumentNumber(aDocument.number());
   mForwards.OnCatalogueAvailable();
   logging::Event(
@@ -175,12 +207,17 @@
     entry->upstream.address, entry->upstream.port, [this, aCrash](bool aIsReachable) {
       logging::Event(logging::Level::Info, "upstream-checked",
                      { { "upstream", aCrash.upstream.Text() }, { "reachable", aIsReachable } });
+      if (!aIsReachable) {
+        mScheduler.Upstreams().RecordOutOfReach(aCrash.upstream, aCrash.incarnation,
+                                                mOptions.loop.Now());
+      }
       mScheduler.Quarantine().RecordCheck(aCrash, aIsReachable);
     });
 }
 
 void EntryHost::ApplyRegistry(const proto::Feed& aFeed)
 {
+  const bool isFirst = !std::exchange(mHasRegistry, true);
   std::set<core::UpstreamId> known;
   for (const proto::Upstream& it : aFeed.upstreams()) {
     const core::UpstreamId id(it.id());
@@ -196,7 +233,17 @@
                        { "version", it.version() },
                        { "registry", aFeed.registry_revision() } });
     }
-    mScheduler.AddOrUpdateUpstream(ToAnnouncement(it));
+    // Before the scheduler, which sends what waits for the upstream.
+    const core::Instant now = mOptions.loop.Now();
+    const request::UpstreamAnnouncement upstream = ToAnnouncement(it);
+    mScheduler.Upstreams().AddOrUpdateUpstream(upstream, now);
+    mScheduler.Upstreams().RecordColdTime(id, upstream.incarnation, it.sequence(),
+                                          std::chrono::milliseconds(it.warming_ms()), now);
+    const bool isRecent = std::chrono::milliseconds(it.heard_ms()) <= kMaxHeartbeatAge;
+    if (isFirst && isRecent && it.warming_ms() == 0) {
+      mScheduler.Upstreams().RecordFoundInUse(id);
+    }
+    mScheduler.AddOrUpdateUpstream(upstream);
   }
   for (const core::UpstreamId& it : mKnownUpstreams) {
     if (known.contains(it)) {
@@ -214,6 +261,28 @@
   mKnownUpstreams = std::move(known);
 }
 
+void EntryHost::ApplyMembers(const proto::Feed& aFeed)
+{
+  if (aFeed.members_revision() == 0) {
+    return;
+  }
+  mMembersRevision = aFeed.members_revision();
+  mScheduler.Upstreams().Pacer().SetMembers(
+    request::placement::RendezvousSet::HashOf(mOptions.cluster.id.Text()),
+    { aFeed.members().begin(), aFeed.members().end() }, mOptions.loop.Now());
+}
+
+void EntryHost::ApplyUpstreamStates(const proto::Feed& aFeed)
+{
+  for (const proto::UpstreamState& it : aFeed.upstream_states()) {
+    if (const core::UpstreamId* id = mScheduler.Upstreams().Pacer().FindByHash(it.upstream())) {
+      mScheduler.Upstreams().RecordColdTime(*id, core::Incarnation(it.incarnation()), it.sequence(),
+                                            std::chrono::milliseconds(it.cold_ms()),
+                                            mOptions.loop.Now());
+    }
+  }
+}
+
 void EntryHost::ApplyRemoteLoad(const proto::Feed& aFeed)
 {
   const core::Instant now = mOptions.loop.Now();
@@ -223,6 +292,8 @@
     reported.insert(id);
     mScheduler.Upstreams().SetRemoteLoad(id, it.requests(), it.prompt_tokens(), now);
     mScheduler.Upstreams().SetRemoteReachability(id, it.doubting(), it.trusting(), now);
+    mScheduler.Upstreams().SetRemotePacedAnswers(id, it.slow_start_good() / kAnswerScale,
+                                                 it.slow_start_bad() / kAnswerScale, now);
   }
   for (const proto::Observed& it : aFeed.observed()) {
     mScheduler.Upstreams().SetRemoteObservations(core::UpstreamId(it.upstream()),
@@ -237,6 +308,9 @@
     if (!reported.contains(id)) {
       mScheduler.Upstreams().SetRemoteLoad(id, 0, 0, now);
       mScheduler.Upstreams().SetRemoteReachability(id, 0, 0, now);
+      if (entry.isPaced) {
+        mScheduler.Upstreams().SetRemotePacedAnswers(id, 0, 0, now);
+      }
     }
   }
   request::placement::PlacementScheduler::RequestsByRank demand;
@@ -269,8 +343,9 @@
   aReport.set_has_observed(mReportCount++ % kReportsPerObserved == 0);
   for (auto& [id, entry] : mScheduler.Upstreams().Entries()) {
     const auto observations = mScheduler.Upstreams().LocalObservations(entry, now);
+    const auto answers = mScheduler.Upstreams().LocalPacedAnswers(entry, now);
     if (entry.localInFlight > 0 || observations.suspectingHosts > 0 ||
-        observations.confirmingHosts > 0) {
+        observations.confirmingHosts > 0 || answers.good + answers.bad > kMinObservedWeight) {
       proto::InFlight* it = aReport.add_in_flight();
       it->set_upstream(id.Text());
       it->set_requests(entry.localInFlight);
@@ -278,6 +353,8 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>(0, entry.localPromptTokens)));
       it->set_doubting(observations.suspectingHosts);
       it->set_trusting(observations.confirmingHosts);
+      it->set_slow_start_good(static_cast<std::uint32_t>(answers.good * kAnswerScale));
+      it->set_slow_start_bad(static_cast<std::uint32_t>(answers.bad * kAnswerScale));
     }
     if (aReport.has_observed() &&
         observations.attemptCount + observations.firstEventCount + observations.tokenIntervalCount >
@@ -308,9 +385,24 @@
   aReport.set_quota_memory(historyShare);
   aReport.set_forgetful(historyShare < 1 ? 1 : 0);
   mVersionShares.FillReport(aReport);
+  aReport.set_members_revision(mMembersRevision);
+  if (aReport.has_observed()) {
+    FillAwaitedHeartbeats(aReport);
+  }
   FillCrashReports(aReport);
 }
 
+void EntryHost::FillAwaitedHeartbeats(proto::Report& aReport)
+{
+  const auto awaited =
+    mScheduler.Upstreams().Pacer().AwaitedHeartbeats(kMaxAwaitedHeartbeats, mOptions.loop.Now());
+  for (const auto& it : awaited) {
+    proto::AwaitedHeartbeat* message = aReport.add_awaited();
+    message->set_upstream(it.upstream);
+    message->set_from_sequence(it.fromSequence);
+  }
+}
+
 void EntryHost::FillCrashReports(proto::Report& aReport)
 {
   const request::quarantine::QuarantineTable& quarantine = mScheduler.Quarantine();
@@ -370,6 +462,10 @@
   gauges.AddAge("feed_age_ms", mFollower.FeedAge());
   gauges.AddAge("state_age_ms", mFollower.StateAge());
   gauges.Add("upstreams_known", mKnownUpstreams.size());
+  const auto paced = mScheduler.Upstreams().Pacer().Count(mOptions.loop.Now());
+  gauges.Add("upstreams_cold", paced.cold);
+  gauges.Add("upstreams_in_slow_start", paced.inSlowStart);
+  gauges.Add("hosts_listed", mScheduler.Upstreams().Pacer().MemberCount());
   gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
   mOptions.links.AddMetrics(gauges);
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -85,8 +85,11 @@
   void ApplyQuarantine(const proto::Quarantine& aQuarantine);
   void CheckUpstream(const request::quarantine::Crash& aCrash);
   void ApplyRegistry(const proto::Feed& aFeed);
+  void ApplyMembers(const proto::Feed& aFeed);
+  void ApplyUpstreamStates(const proto::Feed& aFeed);
   void ApplyRemoteLoad(const proto::Feed& aFeed);
   void FillReport(proto::Report& aReport);
+  void FillAwaitedHeartbeats(proto::Report& aReport);
   void FillCrashReports(proto::Report& aReport);
   void CheckDrained();
 
@@ -102,11 +105,13 @@
   ClusterFollower mFollower;
   std::shared_ptr<const version::catalogue::CatalogueIndex> mCatalogue;
   std::set<core::UpstreamId> mKnownUpstreams; ///< Upstreams in the last registry.
+  bool mHasRegistry = false;                  ///< A registry was received since the start.
   bool mStopping = false;
   core::Instant mStopRequestedAt{};
   std::size_t mAbortedRequests = 0; ///< Because the shutdown took too long.
   core::TimerHandle mDrainTimer;
   std::uint64_t mReportCount = 0;
+  std::uint64_t mMembersRevision = 0; ///< Of the known list of hosts.
 };
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/FollowerTable.cpp
+++ b/cuminfield/process/cluster/FollowerTable.cpp
@@ -1,5 +1,7 @@
 #include "cuminfield/process/cluster/FollowerTable.h"
 
+#include "cuminfield/request/placement/RendezvousSet.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -101,11 +103,16 @@
     follower.sentDocumentNumber = 0;
     follower.sentQuarantineRevision = 0;
     follower.crashesReceived = 0;
+    follower.sentMembersRevision = 0;
+    follower.awaited.Clear();
   }
   mDeparted.Remove(aHost, version);
   mSums.Replace(follower.part, aReport);
   mLocalSums.Replace(follower.localPart, aReport);
   ClearAmounts(aReport);
+  if (aReport.awaited_size() > 0) {
+    follower.awaited.Swap(aReport.mutable_awaited());
+  }
   follower.report = std::move(aReport);
   follower.lastReceivedAt = aNow;
 }
@@ -189,6 +196,10 @@
   for (auto& [host, peer] : mPeers) {
     peer.lastReceivedAt += aDuration;
   }
+  // A list without most hosts would let each of the others take part in slow starts.
+  for (auto& [host, known] : mKnownHosts) {
+    known.lastSeenAt += aDuration;
+  }
 }
 
 void FollowerTable::Expire(core::Instant aNow)
@@ -291,6 +302,17 @@
   return evidence;
 }
 
+std::vector<std::uint32_t> FollowerTable::Members() const
+{
+  std::vector<std::uint32_t> members;
+  members.reserve(mKnownHosts.size());
+  for (const auto& [host, known] : mKnownHosts) {
+    members.push_back(request::placement::RendezvousSet::HashOf(host.Text()));
+  }
+  std::sort(members.begin(), members.end());
+  return members;
+}
+
 std::map<core::HostId, std::string> FollowerTable::ControlHosts() const
 {
   std::map<core::HostId, std::string> hosts;
--- a/cuminfield/process/cluster/FollowerTable.h
+++ b/cuminfield/process/cluster/FollowerTable.h
@@ -101,10 +101,17 @@
     std::uint64_t sentQuarantineRevision = 0;
     core::Instant quarantineSentAt{};
     std::uint64_t crashesReceived = 0; ///< Sequence of the latest crash report.
-    bool isTrial = false;              ///< Gets feeds, but is counted by another control host.
+    std::uint64_t sentMembersRevision = 0;
+    core::Instant membersSentAt{};
+    /// The last ones reported, until they are answered; most reports have none.
+    google::protobuf::RepeatedPtrField<proto::AwaitedHeartbeat> awaited;
+    bool isTrial = false; ///< Gets feeds, but is counted by another control host.
   };
   std::map<core::HostId, Follower>& Followers() { return mFollowers; }
 
+  /// Sorted hashes of the ids of all known hosts.
+  std::vector<std::uint32_t> Members() const;
+
   /// Data centres of the other control hosts that this one hears from.
   std::map<core::HostId, std::string> ControlHosts() const;
 
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -174,6 +174,7 @@
                                       .waiting = load->waiting });
   }
   HandleNotice(aStatus, aHeaders);
+  HandleColdTime(aStatus, aHeaders);
   if (mOptions.codec.IsNotRunResponse(aStatus, aHeaders)) {
     RevertAttempt(AttemptOutcome::Refused, aStatus);
     if (mOptions.codec.IsWrongUpstreamResponse(aStatus, aHeaders)) {
@@ -232,6 +233,14 @@
   }
 }
 
+void RequestForwarder::HandleColdTime(int aStatus, const connection::HttpHeaders& aHeaders)
+{
+  const auto left = mOptions.codec.ParseColdTime(aHeaders);
+  if (left && !mOptions.codec.IsWrongUpstreamResponse(aStatus, aHeaders)) {
+    mOptions.scheduler.OnColdTime(mUpstream, *left, mAttemptStartedAt);
+  }
+}
+
 void RequestForwarder::RecordFirstEvent()
 {
   if (mAttemptFirstEventLatency) {
--- a/cuminfield/request/forward/RequestForwarder.h
+++ b/cuminfield/request/forward/RequestForwarder.h
@@ -102,6 +102,7 @@
   PlacementBasis MakePlacementBasis();
   void StartAttempt();
   void HandleNotice(int aStatus, const connection::HttpHeaders& aHeaders);
+  void HandleColdTime(int aStatus, const connection::HttpHeaders& aHeaders);
   /// True if a response continues the stream whose head was sent to the caller.
   bool IsContinuation(int aStatus, const connection::HttpHeaders& aHeaders) const;
   void RecordFirstEvent();
--- a/cuminfield/version/catalogue/Catalogue.h
+++ b/cuminfield/version/catalogue/Catalogue.h
@@ -51,6 +51,10 @@
   /// Limit for all hosts together per upstream; 0 means no limit.
   std::uint32_t maxConnections = 0;
   std::optional<EngineRule> engine;
+  /// Requests that a cold upstream tolerates in a second; 0 means no limit.
+  double coldPerSecond = 0;
+  /// How long an upstream is cold after its start, if it does not say.
+  core::Duration coldStart = std::chrono::seconds(3);
 };
 
 /// A customer.
