Placement: slow start ends at a host whose upstream all others use in full

Cause: a host that alone could not connect to an upstream would stay in its slow start for up to 3 s after the next heartbeat. The other hosts count no responses for it, so the window stays at 2 and admits the first two hosts only.

Change: slow start ends at this host when more than twice as many other hosts as the window receive data from the upstream. The limit of a cold upstream still applies.

--- a/UnitTests/request/placement/UpstreamPacerTest.cpp
+++ b/UnitTests/request/placement/UpstreamPacerTest.cpp
@@ -52,7 +52,7 @@
     upstream.id = kUpstream;
     upstream.incarnation = core::Incarnation(aIncarnation);
     upstream.service = core::ServiceId("s");
-    upstream.slots = 2;
+    upstream.slots = 7;
     pacer.OnAppeared(upstream, now);
   }
 
@@ -280,6 +280,19 @@
   CHECK(pacer.MaySend(kUpstream, 50, now)); // Not of a paced service.
 }
 
+/// One failed connection must not keep a host from an upstream that all others use in full.
+TEST(UpstreamPacer, SlowStartOfASingleHostEndsWithTheColdTime)
+{
+  BecomeWarm();
+  CHECK_FALSE(pacer.MaySend(kUpstream, 50, now));
+  pacer.SetConfirmingHosts(kUpstream, 4); // As many as may be in slow start, too.
+  CHECK_FALSE(pacer.MaySend(kUpstream, 50, now));
+  pacer.SetConfirmingHosts(kUpstream, 7);
+  CHECK(pacer.MaySend(kUpstream, 50, now));
+  pacer.OnReturned(kUpstream, kIncarnation, now);
+  CHECK_FALSE(pacer.MaySend(kUpstream, 50, now)); // Cold all the same.
+}
+
 /// A host that starts must not take every upstream of a running cluster for cold.
 TEST(UpstreamPacer, UpstreamInUseBeforeTheHostStartedIsNotPaced)
 {
@@ -296,6 +309,6 @@
 {
   pacer.SetMembers(5, { 6, 7 }, now);
   CHECK_FALSE(pacer.MaySend(kUpstream, 0, now));
-  pacer.SetMembers(5, { 5, 6, 7 }, now);
+  pacer.SetMembers(5, { 5, 6 }, now);
   CHECK(pacer.MaySend(kUpstream, 0, now));
 }
--- a/cuminfield/request/placement/UpstreamPacer.cpp
+++ b/cuminfield/request/placement/UpstreamPacer.cpp
@@ -271,6 +271,18 @@
   }
 }
 
+void UpstreamPacer::SetConfirmingHosts(const core::UpstreamId& aUpstream, std::uint32_t aHosts)
+{
+  if (State* state = Find(aUpstream)) {
+    state->confirmingHosts = aHosts;
+  }
+}
+
+bool UpstreamPacer::IsInUseByOthers(const State& aState, core::Instant aNow) const
+{
+  return aState.confirmingHosts > mSettings.confirmingFactor * std::ceil(aState.window.Size(aNow));
+}
+
 UpstreamPacer::AnswerSums UpstreamPacer::LocalAnswers(const core::UpstreamId& aUpstream,
                                                       core::Instant aNow) const
 {
@@ -339,6 +351,9 @@
   }
   const bool isCold = IsColdLimited(*state, aNow);
   state->window.Update(state->slots, IsCold(*state, aNow) ? aNow : state->coldUntil, aNow);
+  if (!IsCold(*state, aNow) && IsInUseByOthers(*state, aNow)) {
+    state->window.Stop();
+  }
   if (!state->rule || (!isCold && !state->window.IsActive())) {
     if (std::exchange(state->isPaced, false) && state->rule) {
       mOnUnpaced.emit(aUpstream, aNow - state->pacedSince);
--- a/cuminfield/request/placement/UpstreamPacer.h
+++ b/cuminfield/request/placement/UpstreamPacer.h
@@ -36,6 +36,9 @@
   core::Duration maxColdTime = std::chrono::milliseconds(600'000);
   /// An upstream that is no longer listed is forgotten after this long.
   core::Duration retention = std::chrono::minutes(1);
+  /// Slow start ends at a host if more other hosts than this multiple of the window use the
+  /// upstream.
+  double confirmingFactor = 2;
   AnswerWindowSettings window;
 };
 
@@ -125,6 +128,11 @@
   void SetRemoteAnswers(const core::UpstreamId& aUpstream, double aGood, double aBad,
                         core::Instant aNow);
 
+  /// Sets how many other hosts received data from the upstream just now. In slow start these are
+  /// about as many as the window; if they are far more, they use it in full, and only this host had
+  /// lost it.
+  void SetConfirmingHosts(const core::UpstreamId& aUpstream, std::uint32_t aHosts);
+
   /// This host's decayed sums, for the other hosts; both 0 if the upstream is not in slow start.
   struct AnswerSums
   {
@@ -202,6 +210,7 @@
     std::uint64_t countsFrom = 0; ///< Sequence of the first heartbeat that counts.
 
     AnswerWindow window;
+    std::uint32_t confirmingHosts = 0;
     bool isPaced = false; ///< As last told by the signals.
     core::Instant pacedSince{};
     std::optional<core::Instant> lastSentAt;
@@ -220,6 +229,7 @@
   void StartPace(const core::UpstreamId& aUpstream, State& aState, PaceReason aReason,
                  core::Instant aNow);
   bool IsMarkOpen(const State& aState, core::Instant aNow) const;
+  bool IsInUseByOthers(const State& aState, core::Instant aNow) const;
   void ApplyColdTime(const core::UpstreamId& aUpstream, State& aState, core::Duration aLeft,
                      core::Instant aNow);
   void ExtendColdTime(const core::UpstreamId& aUpstream, State& aState, core::Duration aLeft,
--- a/cuminfield/request/placement/UpstreamTable.cpp
+++ b/cuminfield/request/placement/UpstreamTable.cpp
@@ -487,6 +487,9 @@
   if (!wasSuspected && aSuspecting > aConfirming) {
     entry->nextProbeAt = std::max(entry->nextProbeAt, NextSuspectProbe(aNow));
   }
+  if (entry->isPaced) {
+    mPacer.SetConfirmingHosts(aUpstream, aConfirming);
+  }
   const bool isSuspected = IsSuspected(*entry, aNow);
   if (isSuspected || wasSuspected) {
     mPacer.SetSuspected(aUpstream, isSuspected, aNow);
