--- a/UnitTests/request/placement/SimulatedCluster.h
+++ b/UnitTests/request/placement/SimulatedCluster.h
@@ -50,6 +50,15 @@
     bool callersReturn = false;
     /// The wait policy applies to the service.
     bool isTight = false;
+    /// Mean time for which an engine's momentary speed lasts; 0: always the usual one.
+    core::Duration meanSpeedTime{ 0 };
+    /// The other momentary speed, in per cent of the usual time, and the part of the time in it.
+    std::uint32_t slowPercent = 300;
+    double slowRatio = 0.3;
+    /// Engines report their load with each response, and their speed as the fourth figure.
+    bool reportsSpeed = false;
+    /// Time from the start to the first event at the usual speed.
+    core::Duration firstEventTime{ 0 };
   };
 
   /// Counts of the requests of one rank by outcome.
@@ -64,6 +73,7 @@
     std::size_t returned = 0; ///< Rejected once and came back.
     /// First rejections with less than half of the caller's time left, less one tick of the queue.
     std::size_t rejectedLate = 0;
+    double firstEventMsSum = 0; ///< Times from arrival to the first event, or to a plain response.
   };
 
   /// Statistics of the engines, sampled every 20 ms.
@@ -99,6 +109,7 @@
     double slowness = 1;
     std::size_t running = 0;
     std::deque<std::pair<Host*, core::RequestId>> queue;
+    std::uint32_t speedPercent = 100;
   };
 
   struct RunningRequest
@@ -127,6 +138,9 @@
   const RankProfile* ProfileOf(request::TierRank aRank) const;
   core::Duration StartProfiled(const std::string& aEngine, const request::RequestSpec& aSpec);
   void FinishDueRequests();
+  void ChangeSpeeds();
+  void DeliverFirstEvents();
+  void ReportLoad(const std::string& aEngine, Host& aHost);
   bool IsFull(const Engine& aEngine) const;
   void DeliverToEngine(Host& aHost, const std::string& aEngine, const core::RequestId& aRequest);
   void StartRequest(const std::string& aEngine, Host& aHost, const core::RequestId& aRequest);
@@ -136,6 +150,7 @@
   Options mOptions;
   test_framework::time::ManualTimerService mTimers;
   core::Random mRandom{ 11 };
+  core::Random mSpeedRandom{ 12 }; ///< Apart, so that placements don't change the speeds.
   std::map<std::string, Engine> mEngines;
   std::vector<std::unique_ptr<Host>> mHosts;
   std::map<std::pair<request::TierRank, std::string>, double> mLoad;
@@ -149,8 +164,9 @@
   std::uint64_t mRequests = 0;
   std::size_t mSampleCount = 0;
   EngineStatistics mStatisticsSum;
-  std::multimap<core::Instant, RunningRequest> mRunning;    ///< Ordered by end time.
-  std::vector<std::pair<Host*, core::RequestId>> mRefusals; ///< Not reported yet.
+  std::multimap<core::Instant, RunningRequest> mRunning;     ///< Ordered by end time.
+  std::multimap<core::Instant, RunningRequest> mFirstEvents; ///< Ordered by time.
+  std::vector<std::pair<Host*, core::RequestId>> mRefusals;  ///< Not reported yet.
   core::TimerHandle mStepTimer;
   core::TimerHandle mReportTimer;
   core::TimerHandle mSampleTimer;
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -330,6 +330,7 @@
     mScheduler.Upstreams().SetRemoteReachability(id, it.doubting(), it.trusting(), now);
     mScheduler.Upstreams().SetRemotePacedAnswers(id, it.slow_start_good() / kAnswerScale,
                                                  it.slow_start_bad() / kAnswerScale, now);
+    mScheduler.Upstreams().SetRemoteSpeed(id, it.speed_percent(), it.speed_samples(), now);
   }
   for (const proto::Observed& it : aFeed.observed()) {
     mScheduler.Upstreams().SetRemoteObservations(core::UpstreamId(it.upstream()),
@@ -380,8 +381,10 @@
   for (auto& [id, entry] : mScheduler.Upstreams().Entries()) {
     const auto observations = mScheduler.Upstreams().LocalObservations(entry, now);
     const auto answers = mScheduler.Upstreams().LocalPacedAnswers(entry, now);
+    const auto speed = mScheduler.Upstreams().TakeSpeedReport(entry, now);
     if (entry.localInFlight > 0 || observations.suspectingHosts > 0 ||
-        observations.confirmingHosts > 0 || answers.good + answers.bad > kMinObservedWeight) {
+        observations.confirmingHosts > 0 || answers.good + answers.bad > kMinObservedWeight ||
+        speed) {
       proto::InFlight* it = aReport.add_in_flight();
       it->set_upstream(id.Text());
       it->set_requests(entry.localInFlight);
@@ -391,6 +394,10 @@
       it->set_trusting(observations.confirmingHosts);
       it->set_slow_start_good(static_cast<std::uint32_t>(answers.good * kAnswerScale));
       it->set_slow_start_bad(static_cast<std::uint32_t>(answers.bad * kAnswerScale));
+      if (speed) {
+        it->set_speed_percent(*speed);
+        it->set_speed_samples(1);
+      }
     }
     if (aReport.has_observed() &&
         observations.attemptCount + observations.firstEventCount + observations.tokenIntervalCount >
@@ -507,6 +514,7 @@
   gauges.Add("upstreams_cold", paced.cold);
   gauges.Add("upstreams_in_slow_start", paced.inSlowStart);
   gauges.Add("hosts_listed", mScheduler.Upstreams().Pacer().MemberCount());
+  gauges.Add("upstream_speeds_known", mScheduler.Upstreams().CountSpeedsKnown());
   gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
   mOptions.links.AddMetrics(gauges);
