placement: waits of tight services are predicted from the demand of all hosts

Cause: with 70 to 106 hosts the queue of one is too short to predict from, so requests waited for all of their bound before they were rejected, and their callers came back to the same backlog.

Change: WaitPolicy predicts the wait of a rank from the sums over all hosts: the smaller of the slot time of what goes first, divided by the slots that more urgent ranks leave, and the rank's backlog, divided by the rate at which its requests end. A request that would wait longer than it may is rejected at arrival. Retry-After is the time in which the backlog is gone as it shrinks now, within a third of the caller's time, drawn for each request. A late request is rejected when on-time ones wait and it would not be served within its bound, or when its caller's time does not suffice. Sums older than 1.5 s are not used. `wait-rejected` tells the cause and the figures of each rejection; cuminfield_wait_rejections_total, cuminfield_predicted_wait_ms and cuminfield_waiting_ahead are new.

--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -631,3 +631,69 @@
   CHECK(listener.shed.at("tight") == ShedReason::Overload);
   CHECK(listener.retryAfter.at("tight") <= 500ms);
 }
+
+/// With many hosts the queue of one is too short to predict from.
+TEST(PlacementScheduler, ARequestIsRejectedAtArrivalForWhatWaitsAtOtherHosts)
+{
+  const core::ServiceId service("s");
+  const auto submit = [&](const std::string& aId) {
+    RequestSpec spec = MakeSpec(aId);
+    spec.firstTokenTarget = 2s;
+    spec.deadline = spec.arrival + 3s;
+    scheduler->Submit(std::move(spec));
+  };
+  std::vector<WaitRejection> rejections;
+  scheduler->OnWaitRejected().connect(
+    [&](const RequestSpec&, const WaitRejection& aRejection) { rejections.push_back(aRejection); });
+  scheduler->SetTightServices({ service });
+  AddUpstream("u", 1);
+  submit("running");
+  const auto report = [&](double aWaiting) {
+    for (int i = 0; i < 40; ++i) {
+      scheduler->SetRemoteLoad(
+        { { { service, 1 },
+            { .requests = 100 + aWaiting, .waiting = aWaiting, .donePerSecond = 100 } } });
+      timers.Advance(50ms);
+    }
+  };
+  report(50);
+  submit("short");
+  CHECK(rejections.empty());
+  scheduler->Withdraw(core::RequestId("short"));
+  report(300);
+  submit("long");
+  CHECK(listener.shed.at("long") == ShedReason::Overload);
+  CHECK(rejections.at(0).cause == WaitRejectionCause::Predicted);
+  CHECK(rejections.at(0).predictedWait > 1500ms);
+  CHECK(rejections.at(0).retryAfter <= 1s);
+  CHECK(listener.retryAfter.at("long") == rejections.at(0).retryAfter);
+  // The control host is silent: old sums must not reject for ever.
+  timers.Advance(2s);
+  submit("cut-off");
+  CHECK_FALSE(listener.shed.contains("cut-off"));
+}
+
+/// After a burst, late requests that will not be served before their bound must make room.
+TEST(PlacementScheduler, ALateRequestIsRejectedWhenOnTimeWorkWaits)
+{
+  scheduler->SetTightServices({ core::ServiceId("s") });
+  AddUpstream("u", 1);
+  Submit("running");
+  timers.Advance(3s);
+  const auto advance = [&](core::Duration aDuration) {
+    for (core::Duration elapsed{ 0 }; elapsed < aDuration; elapsed += 20ms) {
+      scheduler->SetRemoteLoad({ { { core::ServiceId("s"), 1 },
+                                   { .requests = 150, .waiting = 50, .donePerSecond = 100 } } });
+      timers.Advance(20ms);
+    }
+  };
+  advance(3s);
+  Submit("late"); // Predicted: 0.5 s of at most 0.8 s.
+  advance(500ms);
+  CHECK_FALSE(listener.shed.contains("late"));
+  Submit("on-time");
+  advance(40ms);
+  CHECK(listener.shed.at("late") == ShedReason::Overload);
+  Finish("running");
+  CHECK(listener.dispatched.contains("on-time"));
+}
--- a/UnitTests/request/placement/SimulatedCluster.cpp
+++ b/UnitTests/request/placement/SimulatedCluster.cpp
@@ -45,6 +45,13 @@
 
 const AnyVersionChooser kAnyVersionChooser;
 
+void AddLoad(placement::RankLoad& aSum, const placement::RankLoad& aLoad, double aFactor)
+{
+  aSum.requests += aFactor * aLoad.requests;
+  aSum.waiting += aFactor * aLoad.waiting;
+  aSum.donePerSecond += aFactor * aLoad.donePerSecond;
+}
+
 void AddObservations(placement::UpstreamObservations& aSum,
                      const placement::UpstreamObservations& aObservations, double aFactor)
 {
@@ -90,11 +97,14 @@
   {
     std::map<std::string, std::uint32_t> inFlight;
     placement::PlacementScheduler::RequestsByRank demand;
+    placement::PlacementScheduler::LoadByRank load;
   };
 
   HostReport MakeReport()
   {
-    HostReport report{ .inFlight = {}, .demand = scheduler.LocalDemand() };
+    HostReport report{ .inFlight = {},
+                       .demand = scheduler.LocalDemand(),
+                       .load = scheduler.LocalLoad() };
     for (const auto& [id, entry] : scheduler.Upstreams().Entries()) {
       report.inFlight[id.Text()] = entry.localInFlight;
     }
@@ -365,6 +375,7 @@
   }
   std::map<std::string, std::uint32_t> inFlight;
   placement::PlacementScheduler::RequestsByRank demand;
+  placement::PlacementScheduler::LoadByRank load;
   for (auto& host : mHosts) {
     host->reports.push_back(host->MakeReport());
     if (host->reports.size() > mOptions.reportDelayRounds + 1) {
@@ -376,6 +387,9 @@
     for (const auto& [key, requests] : host->reports.front().demand) {
       demand[key] += requests;
     }
+    for (const auto& [key, own] : host->reports.front().load) {
+      AddLoad(load[key], own, 1);
+    }
   }
   for (auto& host : mHosts) {
     const Host::HostReport& ownReport = host->reports.front();
@@ -389,6 +403,11 @@
     for (const auto& [key, requests] : ownReport.demand) {
       remoteDemand[key] -= requests;
     }
+    placement::PlacementScheduler::LoadByRank remoteLoad = load;
+    for (const auto& [key, own] : ownReport.load) {
+      AddLoad(remoteLoad[key], own, -1);
+    }
+    host->scheduler.SetRemoteLoad(std::move(remoteLoad));
     host->scheduler.SetRemoteDemand(std::move(remoteDemand));
   }
 }
--- a/UnitTests/request/placement/SimulatedClusterTest.cpp
+++ b/UnitTests/request/placement/SimulatedClusterTest.cpp
@@ -82,3 +82,88 @@
   CHECK(static_cast<double>(outcome.refusals) <= 0.01 * static_cast<double>(outcome.submitted));
   CHECK(static_cast<double>(outcome.inTime) >= 0.97 * static_cast<double>(outcome.submitted));
 }
+
+namespace {
+
+/// Half of a deployment: three kinds of streams, of which the least urgent has a target of two
+/// thirds of its deadline; a third of the engines is 4.4 times slower.
+SimulatedCluster::Options MakeTightOptions()
+{
+  return { .hosts = 35,
+           .engines = 56,
+           .slots = 6,
+           .profiles = { { 0, { 1000ms, 12000ms, 6670, 384 } },
+                         { 1, { 1000ms, 12000ms, 690, 288 } },
+                         { 2, { 2000ms, 3000ms, 1860, 24 } } },
+           .slowEngines = 19,
+           .callersReturn = true,
+           .isTight = true };
+}
+
+void SetTightLoad(SimulatedCluster& aCluster, double aFactor)
+{
+  aCluster.SetLoad(0, 66 * aFactor);
+  aCluster.SetLoad(1, 63 * aFactor);
+  aCluster.SetLoad(2, 118 * aFactor);
+}
+
+/// Runs a burst of this many times the usual load, then the usual load for a while.
+std::map<request::TierRank, SimulatedCluster::RankOutcome> RunBurst(
+  const SimulatedCluster::Options& aOptions, double aFactor, core::Duration aDuration)
+{
+  SimulatedCluster cluster(aOptions);
+  SetTightLoad(cluster, 1);
+  cluster.RunFor(4s);
+  cluster.ResetStatistics();
+  SetTightLoad(cluster, aFactor);
+  cluster.RunFor(aDuration);
+  SetTightLoad(cluster, 1);
+  cluster.RunFor(3s);
+  SetTightLoad(cluster, 0);
+  cluster.RunFor(13s);
+  return cluster.Outcomes();
+}
+
+double Part(std::size_t aOf, const SimulatedCluster::RankOutcome& aOutcome)
+{
+  return static_cast<double>(aOf) / static_cast<double>(aOutcome.submitted);
+}
+
+} // namespace
+
+/// Faults: half of the requests with a target of two thirds of their deadline waited until their
+/// callers gave up; callers were rejected again after Retry-After.
+TEST(SimulatedCluster, RequestsOfATightServiceAreRejectedWhileTheirCallersHaveTime)
+{
+  for (const auto& [rank, it] : RunBurst(MakeTightOptions(), 2.2, 2s)) {
+    CHECK(Part(it.expired, it) <= 0.01);
+    CHECK_EQUAL(0, it.rejectedLate);
+    CHECK(Part(it.inTime + it.late, it) >= (rank == 2 ? 0.6 : 0.99));
+  }
+  for (const auto& [rank, it] : RunBurst(MakeTightOptions(), 2, 8s)) {
+    CHECK(Part(it.expired, it) <= 0.01);
+    CHECK_EQUAL(0, it.rejectedLate);
+  }
+}
+
+/// The drain: the backlog ends with the burst, though a sixth of the engines is down.
+TEST(SimulatedCluster, TheBacklogOfATightServiceEndsWithTheBurst)
+{
+  SimulatedCluster::Options options = MakeTightOptions();
+  options.engines = 46;
+  options.slowEngines = 16;
+  SimulatedCluster cluster(options);
+  SetTightLoad(cluster, 1);
+  cluster.RunFor(4s);
+  SetTightLoad(cluster, 2.2);
+  cluster.RunFor(4s);
+  SetTightLoad(cluster, 1);
+  cluster.RunFor(8s); // Rejected callers come back for six seconds.
+  cluster.ResetStatistics();
+  cluster.RunFor(3s);
+  SetTightLoad(cluster, 0);
+  cluster.RunFor(12s);
+  for (const auto& [rank, it] : cluster.Outcomes()) {
+    CHECK(Part(it.inTime, it) >= 0.9);
+  }
+}
--- a/UnitTests/request/placement/WaitPolicyTest.cpp
+++ b/UnitTests/request/placement/WaitPolicyTest.cpp
@@ -2,6 +2,9 @@
 
 #include "cuminfield/request/placement/RecentCounter.h"
 
+#include <map>
+
+// Included last because it redefines new.
 #include <CppUTest/TestHarness.h>
 
 using namespace cuminfield;
@@ -42,3 +45,57 @@
   DOUBLES_EQUAL(9, ended.PerSecond(now), 0.1);
   DOUBLES_EQUAL(0, ended.PerSecond(now + 1s), 0.1);
 }
+
+/// A displaced rank waits for as long as its own requests take to drain, though the sum over all
+/// ranks ends fast. After a quiet time the rate must not be taken for zero.
+TEST(WaitPolicy, PredictsFromTheRatesAtWhichTheRanksEnd)
+{
+  CHECK(policy.PredictWait(0) == 0ms);
+  core::Instant now{ 10s };
+  const auto setLoad = [&](const std::map<request::TierRank, RankLoad>& aLoad,
+                           core::Duration aDuration, double aFreeSlots = 0) {
+    for (core::Duration elapsed{ 0 }; elapsed < aDuration; elapsed += 50ms) {
+      policy.SetLoad(aLoad, aFreeSlots, now += 50ms);
+    }
+  };
+  const RankLoad urgent{ .requests = 500, .waiting = 100, .donePerSecond = 400 };
+  setLoad({ { 0, urgent }, { 2, { .requests = 210, .waiting = 200, .donePerSecond = 50 } } }, 10s);
+  // 100 requests of 1 s ahead of 410 slots; 200 requests that end at 50 per second.
+  DOUBLES_EQUAL(0.244, core::Seconds(policy.PredictWait(0)), 0.01);
+  DOUBLES_EQUAL(4, core::Seconds(policy.PredictWait(2)), 0.1);
+  DOUBLES_EQUAL(300, policy.WaitingUpTo(2), 0);
+  setLoad({}, 20s, 400);
+  setLoad({ { 0, urgent } }, 50ms);
+  CHECK(policy.PredictWait(0) > 100ms);
+  CHECK(policy.PredictWait(0) < 500ms);
+  setLoad({ { 0, urgent } }, 50ms, 100);
+  CHECK(policy.PredictWait(0) == 0ms);
+}
+
+/// Callers that come back before the backlog has drained are rejected again.
+TEST(WaitPolicy, RetryAfterIsTheTimeUntilTheBacklogHasDrainedWithinAThird)
+{
+  core::Instant now{ 10s };
+  const auto setWaiting = [&](double aWaiting) {
+    policy.SetLoad(
+      { { 1, { .requests = 100 + aWaiting, .waiting = aWaiting, .donePerSecond = 100 } } }, 0,
+      now += 50ms);
+  };
+  for (double waiting = 0; waiting < 400; waiting += 5) {
+    setWaiting(waiting);
+  }
+  // It grows: nearly all of the third.
+  CHECK(policy.RetryAfter(1, 12s, 0) >= 3900ms);
+  CHECK(policy.RetryAfter(1, 12s, 0) <= 4s);
+  CHECK(policy.RetryAfter(1, 12s, 0.9) >= 3s);
+  CHECK(policy.RetryAfter(1, 300ms, 0.5) <= 100ms);
+  for (double waiting = 400; waiting > 100; waiting -= 5) {
+    setWaiting(waiting);
+  }
+  // It shrinks by 100 per second.
+  const core::Duration drained = policy.RetryAfter(1, 12s, 0);
+  CHECK(drained > 1s);
+  CHECK(drained < 1300ms);
+  CHECK(policy.RetryAfter(1, 12s, 0.9) > drained);
+  CHECK(policy.RetryAfter(1, 2s, 0) <= 667ms);
+}
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -5,6 +5,7 @@
 #include "cuminfield/process/metrics/GaugeText.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace cuminfield::process::cluster {
@@ -82,6 +83,10 @@
                                         const request::forward::ForwardFailure& aFailure) {
     mMonitor.OnRejected(aId, aWorkspace, aFailure);
   });
+  mScheduler.OnWaitRejected().connect(
+    [this](const request::RequestSpec& aSpec, const request::placement::WaitRejection& aRejection) {
+      mMonitor.OnWaitRejected(aSpec, aRejection);
+    });
   mFollower.OnFeed().connect([this](const proto::Feed& aFeed) { OnFeed(aFeed); });
   mFollower.OnQuarantine().connect(
     [this](const proto::Quarantine& aQuarantine) { ApplyQuarantine(aQuarantine); });
@@ -241,9 +246,15 @@
     }
   }
   request::placement::PlacementScheduler::RequestsByRank demand;
+  request::placement::PlacementScheduler::LoadByRank load;
   for (const proto::Wanted& it : aFeed.wanted()) {
-    demand[{ core::ServiceId(it.service()), it.rank() }] = it.requests();
+    const std::pair key(core::ServiceId(it.service()), it.rank());
+    demand[key] = it.requests();
+    load[key] = { .requests = static_cast<double>(it.requests()),
+                  .waiting = static_cast<double>(it.waiting()),
+                  .donePerSecond = it.done_per_s() };
   }
+  mScheduler.SetRemoteLoad(std::move(load));
   mScheduler.SetRemoteDemand(std::move(demand));
   std::map<core::WorkspaceId, request::forward::QuotaUse> quotaUse;
   for (const proto::Demand& it : aFeed.demand()) {
@@ -367,6 +378,23 @@
   }
 }
 
+std::string EntryHost::WaitMetrics() const
+{
+  std::ostringstream text;
+  const auto write = [&](const char* aName, const core::ServiceId& aService,
+                         request::TierRank aRank, double aValue) {
+    text << "cuminfield_" << aName << "{service=\"" << aService.Text() << "\",rank=\"" << aRank
+         << "\"} " << static_cast<std::int64_t>(aValue) << "\n";
+  };
+  for (const auto& [service, policy] : mScheduler.WaitPolicies()) {
+    for (const request::TierRank rank : policy->Ranks()) {
+      write("predicted_wait_ms", service, rank, core::Milliseconds(policy->PredictWait(rank)));
+      write("waiting_ahead", service, rank, policy->WaitingUpTo(rank));
+    }
+  }
+  return text.str();
+}
+
 std::string EntryHost::Metrics()
 {
   metrics::GaugeText gauges;
@@ -379,7 +407,7 @@
   gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
   mOptions.links.AddMetrics(gauges);
-  return mMonitor.FormatMetrics() + gauges.Text();
+  return mMonitor.FormatMetrics() + WaitMetrics() + gauges.Text();
 }
 
 } // namespace cuminfield::process::cluster
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -89,6 +89,7 @@
   void FillReport(proto::Report& aReport);
   void FillCrashReports(proto::Report& aReport);
   void CheckDrained();
+  std::string WaitMetrics() const;
 
   Options mOptions;
   request::forward::WorkspaceQuota mQuota;
--- a/cuminfield/process/cluster/ForwardMonitor.cpp
+++ b/cuminfield/process/cluster/ForwardMonitor.cpp
@@ -35,6 +35,20 @@
   return "failed";
 }
 
+const char* ToString(request::placement::WaitRejectionCause aCause)
+{
+  using Cause = request::placement::WaitRejectionCause;
+  switch (aCause) {
+    case Cause::Predicted:
+      return "predicted";
+    case Cause::Expired:
+      return "expired";
+    case Cause::Late:
+      return "late";
+  }
+  return "expired";
+}
+
 std::string JoinParts(const std::vector<core::PromptPartId>& aParts)
 {
   std::string text;
@@ -186,6 +200,24 @@
                    { "reason", aFailure.reason } });
 }
 
+void ForwardMonitor::OnWaitRejected(const request::RequestSpec& aSpec,
+                                    const request::placement::WaitRejection& aRejection)
+{
+  const std::string cause = ToString(aRejection.cause);
+  ++mWaitRejectionCounts[std::to_string(aSpec.tier) + "\",cause=\"" + cause];
+  logging::Event(logging::Level::Info, "wait-rejected",
+                 { { "request", aSpec.id.Text() },
+                   { "service", aSpec.service.Text() },
+                   { "workspace", aSpec.workspace.Text() },
+                   { "rank", aSpec.tier },
+                   { "cause", cause },
+                   { "waited_ms", ToMilliseconds(aRejection.waited) },
+                   { "predicted_ms", ToMilliseconds(aRejection.predictedWait) },
+                   { "max_ms", ToMilliseconds(aRejection.maxWait) },
+                   { "waiting_ahead", static_cast<std::int64_t>(aRejection.waiting) },
+                   { "retry_after_ms", ToMilliseconds(aRejection.retryAfter) } });
+}
+
 std::string ForwardMonitor::FormatMetrics() const
 {
   std::ostringstream text;
@@ -195,6 +227,9 @@
   for (const auto& [key, count] : mAttemptCounts) {
     text << "cuminfield_tries_total{service=\"" << key << "\"} " << count << "\n";
   }
+  for (const auto& [key, count] : mWaitRejectionCounts) {
+    text << "cuminfield_wait_rejections_total{rank=\"" << key << "\"} " << count << "\n";
+  }
   text << "cuminfield_upstream_notices_total{kind=\"leaving\"} " << mLeavingNotices << "\n"
        << "cuminfield_upstream_notices_total{kind=\"wait\"} " << mQuietNotices << "\n";
   for (const auto& [rank, histogram] : mFirstEventLatency) {
--- a/cuminfield/process/cluster/ForwardMonitor.h
+++ b/cuminfield/process/cluster/ForwardMonitor.h
@@ -2,6 +2,7 @@
 
 #include "cuminfield/process/cluster/VersionShares.h"
 #include "cuminfield/request/forward/ForwardObserver.h"
+#include "cuminfield/request/placement/WaitPolicy.h"
 
 #include <boost/histogram.hpp>
 
@@ -35,6 +36,10 @@
   void OnRejected(const core::RequestId& aId, const core::WorkspaceId& aWorkspace,
                   const request::forward::ForwardFailure& aFailure);
 
+  /// Counts and logs a request that was rejected because of its wait.
+  void OnWaitRejected(const request::RequestSpec& aSpec,
+                      const request::placement::WaitRejection& aRejection);
+
   /// Returns the counters and histograms in the text exposition format.
   std::string FormatMetrics() const;
 
@@ -45,8 +50,9 @@
   Histogram& FindOrCreateHistogram(std::uint32_t aRank);
 
   VersionShares& mVersionShares;
-  std::map<std::string, std::uint64_t> mRequestCounts; ///< By rank and end.
-  std::map<std::string, std::uint64_t> mAttemptCounts; ///< By service and outcome.
+  std::map<std::string, std::uint64_t> mRequestCounts;       ///< By rank and end.
+  std::map<std::string, std::uint64_t> mAttemptCounts;       ///< By service and outcome.
+  std::map<std::string, std::uint64_t> mWaitRejectionCounts; ///< By rank and cause.
   std::uint64_t mLeavingNotices = 0;
   std::uint64_t mQuietNotices = 0;
   std::map<std::uint32_t, Histogram> mFirstEventLatency; ///< In seconds, by rank.
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -114,9 +114,13 @@
   return aState.inFlight + static_cast<std::uint32_t>(aService.queue.CountOfRank(aRank));
 }
 
-core::Duration PlacementScheduler::ComputeRetryAfter(const RequestSpec& aSpec)
+core::Duration PlacementScheduler::ComputeRetryAfter(const RequestSpec& aSpec,
+                                                     const ServiceState& aService)
 {
   const core::Duration remaining = std::max(aSpec.deadline - mTimers.Now(), core::Duration::zero());
+  if (aService.isTight) {
+    return aService.waitPolicy.RetryAfter(aSpec.tier, remaining, mRandom.Uniform());
+  }
   const core::Duration maxDelay = core::Scaled(remaining, mSettings.retryAfterShare);
   const double minRatio = mSettings.minRetryAfterRatio;
   // Randomized, so that callers that were shed together don't retry together.
@@ -138,10 +142,11 @@
     return;
   }
   UpdateTypicalRequest(service.ranks[state.spec.tier], state.spec);
-  const bool waitsTooLong =
-    service.queue.CountAhead(state.spec.tier) >= mSettings.minQueueForPrediction &&
-    PredictWait(service, state.spec.tier) > MaxWait(state.spec);
-  if ((waitsTooLong && !state.spec.resumed) || WaitsInVain(state)) {
+  if (!state.spec.resumed && WaitsTooLong(state, service)) {
+    RejectForWait(id, WaitRejectionCause::Predicted);
+    return;
+  }
+  if (WaitsInVain(state)) {
     Shed(id, ShedReason::Overload);
     return;
   }
@@ -150,6 +155,50 @@
   DispatchQueued(serviceId);
 }
 
+bool PlacementScheduler::WaitsTooLong(const RequestState& aState,
+                                      const ServiceState& aService) const
+{
+  const RequestSpec& spec = aState.spec;
+  if (aService.isTight) {
+    return aService.waitPolicy.PredictWait(spec.tier) > MaxWait(spec);
+  }
+  return aService.queue.CountAhead(spec.tier) >= mSettings.minQueueForPrediction &&
+         PredictWait(aService, spec.tier) > MaxWait(spec);
+}
+
+void PlacementScheduler::RejectForWait(const core::RequestId& aId, WaitRejectionCause aCause)
+{
+  const RequestSpec spec = mRequests.at(aId).spec;
+  const ServiceState& service = GetOrCreateService(spec.service);
+  WaitRejection rejection{ .cause = aCause,
+                           .predictedWait = service.waitPolicy.PredictWait(spec.tier),
+                           .maxWait = MaxWait(spec),
+                           .waited = mTimers.Now() - spec.arrival,
+                           .waiting = service.waitPolicy.WaitingUpTo(spec.tier) };
+  rejection.retryAfter = Shed(aId, ShedReason::Overload);
+  if (service.isTight) {
+    mOnWaitRejected(spec, rejection);
+  }
+}
+
+void PlacementScheduler::RejectLate(ServiceState& aService)
+{
+  std::vector<core::RequestId> rejected;
+  aService.queue.VisitLate(mTimers.Now(), [&](const placement::QueuedRequest& aQueued) {
+    const RequestState& state = mRequests.at(aQueued.id);
+    const core::Duration wait = aService.waitPolicy.PredictWait(state.spec.tier);
+    const bool blocksOnTimeWork =
+      aService.queue.OnTimeCount() > 0 && wait > aQueued.expiresAt - mTimers.Now();
+    const bool waitsInVain = wait > state.spec.deadline - mTimers.Now();
+    if (!state.spec.resumed && (waitsInVain || blocksOnTimeWork)) {
+      rejected.push_back(aQueued.id);
+    }
+  });
+  for (const core::RequestId& it : rejected) {
+    RejectForWait(it, WaitRejectionCause::Late);
+  }
+}
+
 void PlacementScheduler::Enqueue(RequestState& aState)
 {
   const RequestSpec& spec = aState.spec;
@@ -221,6 +270,14 @@
   return demand;
 }
 
+RankLoad PlacementScheduler::LoadOf(const ServiceState& aService, TierRank aRank,
+                                    const RankState& aState) const
+{
+  return { .requests = static_cast<double>(DemandOf(aService, aRank, aState)),
+           .waiting = static_cast<double>(aService.queue.CountOfRank(aRank)),
+           .donePerSecond = aState.ended.PerSecond(mTimers.Now()) };
+}
+
 PlacementScheduler::LoadByRank PlacementScheduler::LocalLoad() const
 {
   LoadByRank load;
@@ -229,9 +286,7 @@
       continue;
     }
     for (const auto& [rank, state] : service.ranks) {
-      load[{ id, rank }] = { .requests = static_cast<double>(DemandOf(service, rank, state)),
-                             .waiting = static_cast<double>(service.queue.CountOfRank(rank)),
-                             .donePerSecond = state.ended.PerSecond(mTimers.Now()) };
+      load[{ id, rank }] = LoadOf(service, rank, state);
     }
   }
   return load;
@@ -259,6 +314,43 @@
   return aRank.inFlight + aState.samplePoint < available * (aDemand.localSameRank + 1) / rankDemand;
 }
 
+void PlacementScheduler::SetRemoteLoad(LoadByRank aRemoteLoad)
+{
+  mRemoteLoad = std::move(aRemoteLoad);
+  mRemoteLoadAt = mTimers.Now();
+}
+
+void PlacementScheduler::UpdateWaitPolicy(const core::ServiceId& aId, ServiceState& aService)
+{
+  std::map<TierRank, RankLoad> load;
+  const auto add = [&](TierRank aRank, const RankLoad& aLoad) {
+    load[aRank].requests += aLoad.requests;
+    load[aRank].waiting += aLoad.waiting;
+    load[aRank].donePerSecond += aLoad.donePerSecond;
+  };
+  for (const auto& [rank, state] : aService.ranks) {
+    add(rank, LoadOf(aService, rank, state));
+  }
+  if (mTimers.Now() - mRemoteLoadAt <= mSettings.maxLoadAge) {
+    const auto first = mRemoteLoad.lower_bound({ aId, 0 });
+    for (auto it = first; it != mRemoteLoad.end() && it->first.first == aId; ++it) {
+      add(it->first.second, it->second);
+    }
+  }
+  aService.waitPolicy.SetLoad(load, mUpstreams.FreeEngineSlots(aId, mTimers.Now()), mTimers.Now());
+}
+
+std::map<core::ServiceId, const WaitPolicy*> PlacementScheduler::WaitPolicies() const
+{
+  std::map<core::ServiceId, const WaitPolicy*> policies;
+  for (const auto& [id, service] : mServices) {
+    if (service.isTight) {
+      policies[id] = &service.waitPolicy;
+    }
+  }
+  return policies;
+}
+
 void PlacementScheduler::SetRemoteDemand(RequestsByRank aRemoteDemand)
 {
   mRemoteDemand = std::move(aRemoteDemand);
@@ -545,7 +637,7 @@
   mUpstreams.SetReportedLoad(aReport.id, aReport.running + aReport.waiting, mTimers.Now());
 }
 
-void PlacementScheduler::Shed(const core::RequestId& aId, ShedReason aReason)
+core::Duration PlacementScheduler::Shed(const core::RequestId& aId, ShedReason aReason)
 {
   const auto it = mRequests.find(aId);
   const RequestState state = std::move(it->second);
@@ -556,9 +648,9 @@
   const bool any = mUpstreams.HasUpstream(state.spec.service, version);
   if (aReason == ShedReason::Quarantined) {
     mListener.OnShed(aId, aReason, mSettings.quarantineRetryAfter);
-    return;
+    return mSettings.quarantineRetryAfter;
   }
-  core::Duration retryAfter = ComputeRetryAfter(state.spec);
+  core::Duration retryAfter = ComputeRetryAfter(state.spec, service);
   const core::Instant now = mTimers.Now();
   if (const auto quietEnd = mUpstreams.EarliestQuietEnd(state.spec.service, version, now)) {
     // Randomized, so that callers don't return together.
@@ -566,6 +658,7 @@
                                         core::Scaled(mSettings.minRetryAfter, mRandom.Uniform()));
   }
   mListener.OnShed(aId, any ? aReason : ShedReason::NoUpstream, retryAfter);
+  return retryAfter;
 }
 
 std::size_t PlacementScheduler::QueueSize() const
@@ -580,13 +673,19 @@
 void PlacementScheduler::Tick()
 {
   for (auto& [id, service] : mServices) {
+    if (service.isTight) {
+      UpdateWaitPolicy(id, service);
+    }
     if (service.queue.Size() == 0) {
       continue;
     }
     DispatchQueued(id);
     service.queue.RemoveExpired(mTimers.Now(), [this](const placement::QueuedRequest& aQueued) {
-      Shed(aQueued.id, ShedReason::Overload);
+      RejectForWait(aQueued.id, WaitRejectionCause::Expired);
     });
+    if (service.isTight) {
+      RejectLate(service);
+    }
   }
 }
 
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -10,6 +10,8 @@
 #include "cuminfield/request/placement/WaitPolicy.h"
 #include "cuminfield/request/quarantine/QuarantineTable.h"
 
+#include <sigc++/sigc++.h>
+
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -85,6 +87,18 @@
   /// Load of this host's tight services, to be reported to the other hosts.
   LoadByRank LocalLoad() const;
 
+  /// Sets the load of all other hosts together. Called once per reporting
+  /// round.
+  void SetRemoteLoad(LoadByRank aRemoteLoad);
+
+  /// Emitted when a request of a tight service is rejected because of its wait,
+  /// for metrics and the log.
+  using WaitRejectedSignal = sigc::signal<void(const RequestSpec&, const WaitRejection&)>;
+  WaitRejectedSignal& OnWaitRejected() { return mOnWaitRejected; }
+
+  /// The wait policies of the tight services.
+  std::map<core::ServiceId, const WaitPolicy*> WaitPolicies() const;
+
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
   /// applies to. Returns false if the state isn't newer than the known one.
   bool UpdateQuarantine(quarantine::QuarantineTable::State aState);
@@ -154,6 +168,7 @@
   static Urgency UrgencyOf(const placement::QueuedRequest& aQueued, core::Instant aNow);
   void UpdateTypicalRequest(RankState& aRank, const RequestSpec& aSpec) const;
   void UpdateSuitableSlots(ServiceState& aService);
+  RankLoad LoadOf(const ServiceState& aService, TierRank aRank, const RankState& aState) const;
   static std::uint32_t DemandOf(const ServiceState& aService, TierRank aRank,
                                 const RankState& aState);
 
@@ -178,10 +193,15 @@
                                 Urgency aUrgency);
   core::Duration MaxWait(const RequestSpec& aSpec) const;
   const ServiceState* FindTightService(const core::ServiceId& aId) const;
+  void UpdateWaitPolicy(const core::ServiceId& aId, ServiceState& aService);
+  bool WaitsTooLong(const RequestState& aState, const ServiceState& aService) const;
+  void RejectForWait(const core::RequestId& aId, WaitRejectionCause aCause);
+  void RejectLate(ServiceState& aService);
   RequestTimes TimesOf(const RequestSpec& aSpec, const ServiceState& aService) const;
   static core::Duration PredictWait(const ServiceState& aService, TierRank aRank);
-  core::Duration ComputeRetryAfter(const RequestSpec& aSpec);
-  void Shed(const core::RequestId& aId, ShedReason aReason);
+  core::Duration ComputeRetryAfter(const RequestSpec& aSpec, const ServiceState& aService);
+  /// Returns Retry-After.
+  core::Duration Shed(const core::RequestId& aId, ShedReason aReason);
   void Tick();
 
   PlacementSettings mSettings;
@@ -195,6 +215,9 @@
   std::map<core::ServiceId, ServiceState> mServices;
   std::set<core::ServiceId> mTightServices;
   RequestsByRank mRemoteDemand;
+  LoadByRank mRemoteLoad;
+  core::Instant mRemoteLoadAt{};
+  WaitRejectedSignal mOnWaitRejected;
   core::TimerHandle mTickTimer;
 };
 
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -145,6 +145,9 @@
                                               .maxSavedRetries = 3,
                                               .maxAttempts = 4 };
   WaitPolicySettings wait;
+  /// Loads of the other hosts older than this are not used: what waits at this
+  /// host decides alone.
+  core::Duration maxLoadAge = std::chrono::milliseconds(1500);
 };
 
 } // namespace cuminfield::request::placement
--- a/cuminfield/request/placement/RequestQueue.cpp
+++ b/cuminfield/request/placement/RequestQueue.cpp
@@ -99,6 +99,22 @@
   }
 }
 
+void RequestQueue::VisitLate(core::Instant aNow,
+                             const std::function<void(const QueuedRequest&)>& aVisit)
+{
+  MoveLateRequests(aNow);
+  for (const auto& queue : mLate) {
+    for (const QueuedRequest& it : queue) {
+      aVisit(it);
+    }
+  }
+}
+
+std::size_t RequestQueue::OnTimeCount() const
+{
+  return CountAhead(kRankCount - 1);
+}
+
 std::size_t RequestQueue::CountAhead(std::uint32_t aRank) const
 {
   std::size_t n = 0;
--- a/cuminfield/request/placement/RequestQueue.h
+++ b/cuminfield/request/placement/RequestQueue.h
@@ -45,6 +45,12 @@
   /// Removes the requests that have waited too long, then calls aShed for each.
   void RemoveExpired(core::Instant aNow, const std::function<void(const QueuedRequest&)>& aShed);
 
+  /// Calls aVisit for each request that can no longer meet its target.
+  void VisitLate(core::Instant aNow, const std::function<void(const QueuedRequest&)>& aVisit);
+
+  /// Number of requests that could meet their target when the queue was last served.
+  std::size_t OnTimeCount() const;
+
   /// Number of requests that would be served before a new on-time request of this rank.
   std::size_t CountAhead(std::uint32_t aRank) const;
 
