placement: ranks that others displace keep a floor

Cause: where a host always had more urgent requests waiting, a less urgent rank got nothing, since the queue offers the others first. minRankShare limits only what a rank may take, it does not reserve.

Change: for tight services each rank but the most urgent one earns 0.09 of the slots, divided by its mean time in a slot, shared by hosts in proportion to what they have waiting. For each request earned, its first on-time one goes before more urgent ones. A rank whose requests end faster than that earns less, and nothing at twice the rate. Predicted waits of a displaced rank follow the floor. cuminfield_floor_placements_total counts these placements.

--- a/UnitTests/request/placement/SimulatedClusterTest.cpp
+++ b/UnitTests/request/placement/SimulatedClusterTest.cpp
@@ -167,3 +167,18 @@
     CHECK(Part(it.inTime, it) >= 0.9);
   }
 }
+
+/// Fault: the least urgent rank got a third of what it asked for while others were served late. It
+/// needs few slots, so a floor must not cost the most urgent rank more than 2 in 100.
+TEST(SimulatedCluster, ADisplacedRankOfATightServiceKeepsAFloor)
+{
+  const auto run = [](double aFloorShare) {
+    SimulatedCluster::Options options = MakeTightOptions();
+    options.placement.wait.floorShare = aFloorShare;
+    return RunBurst(options, 2, 8s);
+  };
+  const auto without = run(0);
+  const auto with = run(request::placement::WaitPolicySettings().floorShare);
+  CHECK(Part(with.at(2).inTime + with.at(2).late, with.at(2)) >= 0.65);
+  CHECK(Part(with.at(0).inTime, with.at(0)) >= Part(without.at(0).inTime, without.at(0)) - 0.02);
+}
--- a/UnitTests/request/placement/WaitPolicyTest.cpp
+++ b/UnitTests/request/placement/WaitPolicyTest.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminfield/request/placement/RecentCounter.h"
 
+#include <algorithm>
 #include <map>
 
 // Included last because it redefines new.
@@ -50,6 +51,8 @@
 /// ranks ends fast. After a quiet time the rate must not be taken for zero.
 TEST(WaitPolicy, PredictsFromTheRatesAtWhichTheRanksEnd)
 {
+  settings.floorShare = 0;
+  policy = WaitPolicy(settings);
   CHECK(policy.PredictWait(0) == 0ms);
   core::Instant now{ 10s };
   const auto setLoad = [&](const std::map<request::TierRank, RankLoad>& aLoad,
@@ -99,3 +102,28 @@
   CHECK(policy.RetryAfter(1, 12s, 0.9) > drained);
   CHECK(policy.RetryAfter(1, 2s, 0) <= 667ms);
 }
+
+/// A rank that is served anyway must not go before more urgent ones.
+TEST(WaitPolicy, OnlyDisplacedRanksEarnAFloor)
+{
+  const auto earned = [](double aDone) {
+    WaitPolicy loaded({});
+    for (core::Instant now{ 10s }; now < core::Instant(20s); now += 50ms) {
+      loaded.SetLoad(
+        { { 0, { .requests = 500, .waiting = 100, .donePerSecond = 400 } },
+          { 2, { .requests = 200 + aDone / 10, .waiting = 200, .donePerSecond = aDone } } },
+        0, now);
+    }
+    DOUBLES_EQUAL(0, loaded.FloorPerSecond(0), 0);
+    DOUBLES_EQUAL(0.5, loaded.LocalShare(2, 100), 1e-9);
+    // The rank's backlog drains at its floor at least.
+    CHECK(loaded.PredictWait(2) <=
+          core::FromSeconds(200 / std::max(aDone, loaded.FloorPerSecond(2)) + 0.01));
+    // 0.1 s in a slot.
+    DOUBLES_EQUAL(WaitPolicySettings().floorShare * (400 + aDone / 10) * 10,
+                  loaded.FloorPerSecond(2), 1);
+    return loaded.FloorEarnedPerSecond(2);
+  };
+  CHECK(earned(100) > 300);
+  DOUBLES_EQUAL(0, earned(1000), 1e-9);
+}
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -392,6 +392,9 @@
       write("waiting_ahead", service, rank, policy->WaitingUpTo(rank));
     }
   }
+  for (const auto& [key, placements] : mScheduler.FloorPlacements()) {
+    write("floor_placements_total", key.first, key.second, static_cast<double>(placements));
+  }
   return text.str();
 }
 
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -181,6 +181,49 @@
   }
 }
 
+void PlacementScheduler::UpdateFloors(ServiceState& aService)
+{
+  const core::Duration elapsed =
+    mTimers.Now() - std::exchange(aService.floorsUpdatedAt, mTimers.Now());
+  for (auto& [rank, state] : aService.ranks) {
+    const auto waiting = static_cast<double>(aService.queue.CountOfRank(rank));
+    const double earned = aService.waitPolicy.FloorEarnedPerSecond(rank) *
+                          aService.waitPolicy.LocalShare(rank, waiting) * core::Seconds(elapsed);
+    state.floorCredit = std::min(state.floorCredit + earned, mSettings.maxFloorCredit);
+  }
+}
+
+void PlacementScheduler::DispatchFloors(ServiceState& aService)
+{
+  for (auto& it : aService.ranks) {
+    const TierRank rank = it.first;
+    RankState& state = it.second;
+    if (state.floorCredit < 1) {
+      continue;
+    }
+    aService.queue.ServeRank(rank, mTimers.Now(), [&](const placement::QueuedRequest& aQueued) {
+      const auto request = mRequests.find(aQueued.id);
+      const bool isPlaced =
+        state.floorCredit >= 1 &&
+        TryDispatch(request->second, aService, UrgencyOf(aQueued, mTimers.Now()), SlotShare::Floor);
+      aService.floorPlacements[rank] += isPlaced ? 1 : 0;
+      return isPlaced;
+    });
+  }
+}
+
+std::map<std::pair<core::ServiceId, TierRank>, std::uint64_t> PlacementScheduler::FloorPlacements()
+  const
+{
+  std::map<std::pair<core::ServiceId, TierRank>, std::uint64_t> placements;
+  for (const auto& [id, service] : mServices) {
+    for (const auto& [rank, n] : service.floorPlacements) {
+      placements[{ id, rank }] = n;
+    }
+  }
+  return placements;
+}
+
 void PlacementScheduler::RejectLate(ServiceState& aService)
 {
   std::vector<core::RequestId> rejected;
@@ -244,6 +287,9 @@
 void PlacementScheduler::DispatchQueued(const core::ServiceId& aId)
 {
   ServiceState& service = GetOrCreateService(aId);
+  if (service.isTight) {
+    DispatchFloors(service);
+  }
   // A request that finds no slot doesn't block those behind it that need less.
   service.queue.ServeInOrder(mTimers.Now(), [&](const placement::QueuedRequest& aQueued) {
     const auto it = mRequests.find(aQueued.id);
@@ -409,7 +455,8 @@
 }
 
 UpstreamEntry* PlacementScheduler::ChooseUpstream(const RequestState& aState,
-                                                  ServiceState& aService, Urgency aUrgency)
+                                                  ServiceState& aService, Urgency aUrgency,
+                                                  SlotShare aShare)
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
@@ -422,7 +469,8 @@
   }
   UpdateSuitableSlots(aService);
   const DemandSummary demand = ComputeDemand(spec.service, aService, spec.tier);
-  if (!spec.resumed && !IsWithinShare(aState, aService.ranks.at(spec.tier), demand)) {
+  const bool usesFloor = aShare == SlotShare::Floor;
+  if (!spec.resumed && !usesFloor && !IsWithinShare(aState, aService.ranks.at(spec.tier), demand)) {
     return nullptr;
   }
   if (!IsContended(demand)) {
@@ -444,11 +492,12 @@
   return entry;
 }
 
-bool PlacementScheduler::TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency)
+bool PlacementScheduler::TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency,
+                                     SlotShare aShare)
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
-  UpstreamEntry* entry = ChooseUpstream(aState, aService, aUrgency);
+  UpstreamEntry* entry = ChooseUpstream(aState, aService, aUrgency, aShare);
   if (!entry) {
     return false;
   }
@@ -456,7 +505,9 @@
     aService.retryBudget.RecordFirstAttempt();
   }
   ++aState.attempts;
-  ++aService.ranks[spec.tier].inFlight;
+  RankState& rank = aService.ranks[spec.tier];
+  ++rank.inFlight;
+  rank.floorCredit = std::max(0.0, rank.floorCredit - 1);
   aState.isQueued = false;
   aState.hasFirstEvent = false;
   aState.hasBegun = false;
@@ -675,6 +726,7 @@
   for (auto& [id, service] : mServices) {
     if (service.isTight) {
       UpdateWaitPolicy(id, service);
+      UpdateFloors(service);
     }
     if (service.queue.Size() == 0) {
       continue;
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -99,6 +99,9 @@
   /// The wait policies of the tight services.
   std::map<core::ServiceId, const WaitPolicy*> WaitPolicies() const;
 
+  /// Requests of each rank that were placed before more urgent ones.
+  std::map<std::pair<core::ServiceId, TierRank>, std::uint64_t> FloorPlacements() const;
+
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
   /// applies to. Returns false if the state isn't newer than the known one.
   bool UpdateQuarantine(quarantine::QuarantineTable::State aState);
@@ -130,7 +133,8 @@
     RequestSpec typicalRequest;       ///< With the mean lengths of prompt and response.
     double suitableSlots = 0;         ///< Slots of engines suitable for it.
     core::Instant slotsCountedAt{};
-    RecentCounter ended; ///< Requests that ended at an upstream.
+    RecentCounter ended;    ///< Requests that ended at an upstream.
+    double floorCredit = 0; ///< Requests that go before more urgent ones.
   };
 
   struct ServiceState
@@ -145,6 +149,8 @@
     admission::RetryBudget retryBudget;
     bool isTight = false; ///< The wait policy applies.
     WaitPolicy waitPolicy;
+    core::Instant floorsUpdatedAt{};
+    std::map<TierRank, std::uint64_t> floorPlacements; ///< Placed before more urgent requests.
     std::map<TierRank, RankState> ranks;
     double loadFactor = 1; ///< First event latency relative to an idle upstream.
     double freeSlots = 0;  ///< As of the last reporting round.
@@ -164,7 +170,14 @@
   template<typename Predicate>
   void ShedQueued(ShedReason aReason, const Predicate& aPredicate);
   void DispatchQueued(const core::ServiceId& aId);
-  bool TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency);
+  /// Whether a request keeps to its rank's share of the slots.
+  enum class SlotShare
+  {
+    OfRank,
+    Floor, ///< It uses the floor of its rank.
+  };
+  bool TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency,
+                   SlotShare aShare = SlotShare::OfRank);
   static Urgency UrgencyOf(const placement::QueuedRequest& aQueued, core::Instant aNow);
   void UpdateTypicalRequest(RankState& aRank, const RequestSpec& aSpec) const;
   void UpdateSuitableSlots(ServiceState& aService);
@@ -190,12 +203,14 @@
   bool IsWithinShare(const RequestState& aState, const RankState& aRank,
                      const DemandSummary& aDemand) const;
   UpstreamEntry* ChooseUpstream(const RequestState& aState, ServiceState& aService,
-                                Urgency aUrgency);
+                                Urgency aUrgency, SlotShare aShare);
   core::Duration MaxWait(const RequestSpec& aSpec) const;
   const ServiceState* FindTightService(const core::ServiceId& aId) const;
   void UpdateWaitPolicy(const core::ServiceId& aId, ServiceState& aService);
   bool WaitsTooLong(const RequestState& aState, const ServiceState& aService) const;
   void RejectForWait(const core::RequestId& aId, WaitRejectionCause aCause);
+  void UpdateFloors(ServiceState& aService);
+  void DispatchFloors(ServiceState& aService);
   void RejectLate(ServiceState& aService);
   RequestTimes TimesOf(const RequestSpec& aSpec, const ServiceState& aService) const;
   static core::Duration PredictWait(const ServiceState& aService, TierRank aRank);
--- a/cuminfield/request/placement/PlacementSettings.h
+++ b/cuminfield/request/placement/PlacementSettings.h
@@ -145,6 +145,8 @@
                                               .maxSavedRetries = 3,
                                               .maxAttempts = 4 };
   WaitPolicySettings wait;
+  /// Unused part of a rank's floor that a host keeps, in requests.
+  double maxFloorCredit = 3;
   /// Loads of the other hosts older than this are not used: what waits at this
   /// host decides alone.
   core::Duration maxLoadAge = std::chrono::milliseconds(1500);
--- a/cuminfield/request/placement/RequestQueue.cpp
+++ b/cuminfield/request/placement/RequestQueue.cpp
@@ -55,28 +55,41 @@
   }
 }
 
+void RequestQueue::Serve(std::deque<QueuedRequest>& aQueue,
+                         const std::function<bool(const QueuedRequest&)>& aServe)
+{
+  std::size_t skipped = 0;
+  while (skipped < std::min(aQueue.size(), kMaxSkippedPerRank)) {
+    // Removed before the call, since aServe may modify the queue.
+    const auto position = aQueue.begin() + static_cast<std::ptrdiff_t>(skipped);
+    const QueuedRequest next = *position;
+    aQueue.erase(position);
+    if (!aServe(next)) {
+      aQueue.insert(aQueue.begin() + static_cast<std::ptrdiff_t>(std::min(skipped, aQueue.size())),
+                    next);
+      ++skipped;
+    }
+  }
+}
+
 void RequestQueue::ServeInOrder(core::Instant aNow,
                                 const std::function<bool(const QueuedRequest&)>& aServe)
 {
   MoveLateRequests(aNow);
   for (auto* queues : { &mOnTime, &mLate }) {
     for (auto& queue : *queues) {
-      std::size_t skipped = 0;
-      while (skipped < std::min(queue.size(), kMaxSkippedPerRank)) {
-        // Removed before the call, since aServe may modify the queue.
-        const auto position = queue.begin() + static_cast<std::ptrdiff_t>(skipped);
-        const QueuedRequest next = *position;
-        queue.erase(position);
-        if (!aServe(next)) {
-          queue.insert(queue.begin() + static_cast<std::ptrdiff_t>(std::min(skipped, queue.size())),
-                       next);
-          ++skipped;
-        }
-      }
+      Serve(queue, aServe);
     }
   }
 }
 
+void RequestQueue::ServeRank(std::uint32_t aRank, core::Instant aNow,
+                             const std::function<bool(const QueuedRequest&)>& aServe)
+{
+  MoveLateRequests(aNow);
+  Serve(mOnTime[RankIndex(aRank)], aServe);
+}
+
 void RequestQueue::RemoveExpired(core::Instant aNow,
                                  const std::function<void(const QueuedRequest&)>& aShed)
 {
--- a/cuminfield/request/placement/RequestQueue.h
+++ b/cuminfield/request/placement/RequestQueue.h
@@ -42,6 +42,10 @@
   /// a request isn't served, a few behind it in its rank are still offered, as they may need less.
   void ServeInOrder(core::Instant aNow, const std::function<bool(const QueuedRequest&)>& aServe);
 
+  /// Does the same with the on-time requests of one rank.
+  void ServeRank(std::uint32_t aRank, core::Instant aNow,
+                 const std::function<bool(const QueuedRequest&)>& aServe);
+
   /// Removes the requests that have waited too long, then calls aShed for each.
   void RemoveExpired(core::Instant aNow, const std::function<void(const QueuedRequest&)>& aShed);
 
@@ -61,6 +65,8 @@
 
 private:
   static std::size_t RankIndex(std::uint32_t aRank);
+  static void Serve(std::deque<QueuedRequest>& aQueue,
+                    const std::function<bool(const QueuedRequest&)>& aServe);
   void MoveLateRequests(core::Instant aNow);
 
   std::array<std::deque<QueuedRequest>, kRankCount> mOnTime;
--- a/cuminfield/request/placement/WaitPolicy.cpp
+++ b/cuminfield/request/placement/WaitPolicy.cpp
@@ -67,8 +67,9 @@
     return core::Duration::zero();
   }
   double seconds = slotSecondsAhead / std::max(1.0, slots);
-  if (own->second.recentPerSecond > 0) {
-    seconds = std::min(seconds, own->second.load.waiting / own->second.recentPerSecond);
+  const double ownRate = std::max(own->second.recentPerSecond, FloorPerSecond(aRank));
+  if (ownRate > 0) {
+    seconds = std::min(seconds, own->second.load.waiting / ownRate);
   }
   return core::FromSeconds(seconds * (waiting - mFreeSlots) / waiting);
 }
@@ -111,6 +112,36 @@
   return waiting > 0 ? core::FromSeconds(waiting / perSecond) : core::Duration::zero();
 }
 
+double WaitPolicy::FloorPerSecond(TierRank aRank) const
+{
+  const auto it = mRanks.find(aRank);
+  if (it == mRanks.begin() || it == mRanks.end() || it->second.slotSeconds <= 0) {
+    return 0;
+  }
+  double slots = mFreeSlots;
+  for (const auto& [rank, state] : mRanks) {
+    slots += state.load.requests - state.load.waiting;
+  }
+  return mSettings.floorShare * slots / it->second.slotSeconds;
+}
+
+double WaitPolicy::FloorEarnedPerSecond(TierRank aRank) const
+{
+  const double floor = FloorPerSecond(aRank);
+  if (floor <= 0) {
+    return 0;
+  }
+  // Fades out up to twice the floor, so that a rank near its floor is not switched on and off.
+  return floor * std::clamp(2 - mRanks.at(aRank).recentPerSecond / floor, 0.0, 1.0);
+}
+
+double WaitPolicy::LocalShare(TierRank aRank, double aLocal) const
+{
+  const auto it = mRanks.find(aRank);
+  const double waiting = it == mRanks.end() ? 0 : it->second.load.waiting;
+  return aLocal / std::max({ 1.0, aLocal, waiting });
+}
+
 double WaitPolicy::WaitingUpTo(TierRank aRank) const
 {
   double waiting = 0;
--- a/cuminfield/request/placement/WaitPolicy.h
+++ b/cuminfield/request/placement/WaitPolicy.h
@@ -30,6 +30,9 @@
   core::Duration rateSmoothing = std::chrono::milliseconds(500);
   /// Time over which the change of the backlog is judged.
   core::Duration drainSmoothing = std::chrono::seconds(1);
+  /// Part of all slots that each rank but the most urgent one gets while it has waiting requests,
+  /// whatever the more urgent ranks ask for.
+  double floorShare = 0.09;
   /// Smoothed rate below which the mean time in a slot is no longer updated: it
   /// stays known after a quiet time.
   double minRateForSlotTime = 0.5;
@@ -102,6 +105,17 @@
   /// uniform in [0, 1) and spreads callers that were rejected together.
   core::Duration RetryAfter(TierRank aRank, core::Duration aRemaining, double aPoint) const;
 
+  /// Rate at which the hosts together start requests of a rank at least, while it has enough: the
+  /// floor in slots, divided by the rank's mean time in a slot. 0 for the most urgent rank.
+  double FloorPerSecond(TierRank aRank) const;
+
+  /// Rate at which a rank may start requests before more urgent ones: the floor, or less if its
+  /// requests end faster than that anyway.
+  double FloorEarnedPerSecond(TierRank aRank) const;
+
+  /// The part of a rank's waiting requests that a host with aLocal of them has.
+  double LocalShare(TierRank aRank, double aLocal) const;
+
   /// Ranks that have had requests.
   std::vector<TierRank> Ranks() const;
 
