--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -96,6 +96,7 @@
   void FillAwaitedHeartbeats(proto::Report& aReport);
   void FillCrashReports(proto::Report& aReport);
   void CheckDrained();
+  std::string WaitMetrics() const;
 
   Options mOptions;
   request::forward::WorkspaceQuota mQuota;
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -133,9 +133,13 @@
   return aState.inFlight + static_cast<std::uint32_t>(aService.queue.CountOfRank(aRank));
 }
 
-core::Duration PlacementScheduler::ComputeRetryAfter(const RequestSpec& aSpec)
+core::Duration PlacementScheduler::ComputeRetryAfter(const RequestSpec& aSpec,
+                                                     const ServiceState& aService)
 {
   const core::Duration remaining = std::max(aSpec.deadline - mTimers.Now(), core::Duration::zero());
+  if (aService.isTight) {
+    return aService.waitPolicy.RetryAfter(aSpec.tier, remaining, mRandom.Uniform());
+  }
   const core::Duration maxDelay = core::Scaled(remaining, mSettings.retryAfterShare);
   const double minRatio = mSettings.minRetryAfterRatio;
   // Randomized, so that callers that were shed together don't retry together.
@@ -162,10 +166,11 @@
     Shed(id, *reason);
     return;
   }
-  const bool waitsTooLong =
-    service.queue.CountAhead(state.spec.tier) >= mSettings.minQueueForPrediction &&
-    PredictWait(service, state.spec.tier) > MaxWait(state.spec);
-  if ((waitsTooLong && !state.spec.resumed) || WaitsInVain(state)) {
+  if (!state.spec.resumed && WaitsTooLong(state, service)) {
+    RejectForWait(id, WaitRejectionCause::Predicted);
+    return;
+  }
+  if (WaitsInVain(state)) {
     Shed(id, ShedReason::Overload);
     return;
   }
@@ -174,6 +179,93 @@
   DispatchQueued(serviceId);
 }
 
+bool PlacementScheduler::WaitsTooLong(const RequestState& aState,
+                                      const ServiceState& aService) const
+{
+  const RequestSpec& spec = aState.spec;
+  if (aService.isTight) {
+    return aService.waitPolicy.PredictWait(spec.tier) > MaxWait(spec);
+  }
+  return aService.queue.CountAhead(spec.tier) >= mSettings.minQueueForPrediction &&
+         PredictWait(aService, spec.tier) > MaxWait(spec);
+}
+
+void PlacementScheduler::RejectForWait(const core::RequestId& aId, WaitRejectionCause aCause)
+{
+  const RequestSpec spec = mRequests.at(aId).spec;
+  const ServiceState& service = GetOrCreateService(spec.service);
+  WaitRejection rejection{ .cause = aCause,
+                           .predictedWait = service.waitPolicy.PredictWait(spec.tier),
+                           .maxWait = MaxWait(spec),
+                           .waited = mTimers.Now() - spec.arrival,
+                           .waiting = service.waitPolicy.WaitingUpTo(spec.tier) };
+  rejection.retryAfter = Shed(aId, ShedReason::Overload);
+  if (service.isTight) {
+    mOnWaitRejected(spec, rejection);
+  }
+}
+
+void PlacementScheduler::UpdateFloors(ServiceState& aService)
+{
+  const core::Duration elapsed =
+    mTimers.Now() - std::exchange(aService.floorsUpdatedAt, mTimers.Now());
+  for (auto& [rank, state] : aService.ranks) {
+    const auto waiting = static_cast<double>(aService.queue.CountOfRank(rank));
+    const double earned = aService.waitPolicy.FloorEarnedPerSecond(rank) *
+                          aService.waitPolicy.LocalShare(rank, waiting) * core::Seconds(elapsed);
+    state.floorCredit = std::min(state.floorCredit + earned, mSettings.maxFloorCredit);
+  }
+}
+
+void PlacementScheduler::DispatchFloors(ServiceState& aService)
+{
+  for (auto& it : aService.ranks) {
+    const TierRank rank = it.first;
+    RankState& state = it.second;
+    if (state.floorCredit < 1) {
+      continue;
+    }
+    aService.queue.ServeRank(rank, mTimers.Now(), [&](const placement::QueuedRequest& aQueued) {
+      const auto request = mRequests.find(aQueued.id);
+      const bool isPlaced =
+        state.floorCredit >= 1 &&
+        TryDispatch(request->second, aService, UrgencyOf(aQueued, mTimers.Now()), SlotShare::Floor);
+      aService.floorPlacements[rank] += isPlaced ? 1 : 0;
+      return isPlaced;
+    });
+  }
+}
+
+std::map<std::pair<core::ServiceId, TierRank>, std::uint64_t> PlacementScheduler::FloorPlacements()
+  const
+{
+  std::map<std::pair<core::ServiceId, TierRank>, std::uint64_t> placements;
+  for (const auto& [id, service] : mServices) {
+    for (const auto& [rank, n] : service.floorPlacements) {
+      placements[{ id, rank }] = n;
+    }
+  }
+  return placements;
+}
+
+void PlacementScheduler::RejectLate(ServiceState& aService)
+{
+  std::vector<core::RequestId> rejected;
+  aService.queue.VisitLate(mTimers.Now(), [&](const placement::QueuedRequest& aQueued) {
+    const RequestState& state = mRequests.at(aQueued.id);
+    const core::Duration wait = aService.waitPolicy.PredictWait(state.spec.tier);
+    const bool blocksOnTimeWork =
+      aService.queue.OnTimeCount() > 0 && wait > aQueued.expiresAt - mTimers.Now();
+    const bool waitsInVain = wait > state.spec.deadline - mTimers.Now();
+    if (!state.spec.resumed && (waitsInVain || blocksOnTimeWork)) {
+      rejected.push_back(aQueued.id);
+    }
+  });
+  for (const core::RequestId& it : rejected) {
+    RejectForWait(it, WaitRejectionCause::Late);
+  }
+}
+
 void PlacementScheduler::Enqueue(RequestState& aState)
 {
   const RequestSpec& spec = aState.spec;
@@ -259,6 +351,9 @@
 void PlacementScheduler::DispatchQueued(const core::ServiceId& aId)
 {
   ServiceState& service = GetOrCreateService(aId);
+  if (service.isTight) {
+    DispatchFloors(service);
+  }
   // A request that finds no slot doesn't block those behind it that need less.
   service.queue.ServeInOrder(mTimers.Now(), [&](const placement::QueuedRequest& aQueued) {
     const auto it = mRequests.find(aQueued.id);
@@ -285,6 +380,14 @@
   return demand;
 }
 
+RankLoad PlacementScheduler::LoadOf(const ServiceState& aService, TierRank aRank,
+                                    const RankState& aState) const
+{
+  return { .requests = static_cast<double>(DemandOf(aService, aRank, aState)),
+           .waiting = static_cast<double>(aService.queue.CountOfRank(aRank)),
+           .donePerSecond = aState.ended.PerSecond(mTimers.Now()) };
+}
+
 PlacementScheduler::LoadByRank PlacementScheduler::LocalLoad() const
 {
   LoadByRank load;
@@ -293,9 +396,7 @@
       continue;
     }
     for (const auto& [rank, state] : service.ranks) {
-      load[{ id, rank }] = { .requests = static_cast<double>(DemandOf(service, rank, state)),
-                             .waiting = static_cast<double>(service.queue.CountOfRank(rank)),
-                             .donePerSecond = state.ended.PerSecond(mTimers.Now()) };
+      load[{ id, rank }] = LoadOf(service, rank, state);
     }
   }
   return load;
@@ -323,6 +424,43 @@
   return aRank.inFlight + aState.samplePoint < available * (aDemand.localSameRank + 1) / rankDemand;
 }
 
+void PlacementScheduler::SetRemoteLoad(LoadByRank aRemoteLoad)
+{
+  mRemoteLoad = std::move(aRemoteLoad);
+  mRemoteLoadAt = mTimers.Now();
+}
+
+void PlacementScheduler::UpdateWaitPolicy(const core::ServiceId& aId, ServiceState& aService)
+{
+  std::map<TierRank, RankLoad> load;
+  const auto add = [&](TierRank aRank, const RankLoad& aLoad) {
+    load[aRank].requests += aLoad.requests;
+    load[aRank].waiting += aLoad.waiting;
+    load[aRank].donePerSecond += aLoad.donePerSecond;
+  };
+  for (const auto& [rank, state] : aService.ranks) {
+    add(rank, LoadOf(aService, rank, state));
+  }
+  if (mTimers.Now() - mRemoteLoadAt <= mSettings.maxLoadAge) {
+    const auto first = mRemoteLoad.lower_bound({ aId, 0 });
+    for (auto it = first; it != mRemoteLoad.end() && it->first.first == aId; ++it) {
+      add(it->first.second, it->second);
+    }
+  }
+  aService.waitPolicy.SetLoad(load, mUpstreams.FreeEngineSlots(aId, mTimers.Now()), mTimers.Now());
+}
+
+std::map<core::ServiceId, const WaitPolicy*> PlacementScheduler::WaitPolicies() const
+{
+  std::map<core::ServiceId, const WaitPolicy*> policies;
+  for (const auto& [id, service] : mServices) {
+    if (service.isTight) {
+      policies[id] = &service.waitPolicy;
+    }
+  }
+  return policies;
+}
+
 void PlacementScheduler::SetRemoteDemand(RequestsByRank aRemoteDemand)
 {
   mRemoteDemand = std::move(aRemoteDemand);
@@ -383,7 +521,8 @@
 }
 
 UpstreamEntry* PlacementScheduler::ChooseUpstream(const RequestState& aState,
-                                                  ServiceState& aService, Urgency aUrgency)
+                                                  ServiceState& aService, Urgency aUrgency,
+                                                  SlotShare aShare)
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
@@ -399,7 +538,8 @@
   }
   UpdateSuitableSlots(aService);
   const DemandSummary demand = ComputeDemand(spec.service, aService, spec.tier);
-  if (!spec.resumed && !IsWithinShare(aState, aService.ranks.at(spec.tier), demand)) {
+  const bool usesFloor = aShare == SlotShare::Floor;
+  if (!spec.resumed && !usesFloor && !IsWithinShare(aState, aService.ranks.at(spec.tier), demand)) {
     return nullptr;
   }
   if (!IsContended(demand)) {
@@ -434,11 +574,12 @@
          aService.slotsTaken + 1 <= FreeSlotAllowance(aService, demand);
 }
 
-bool PlacementScheduler::TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency)
+bool PlacementScheduler::TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency,
+                                     SlotShare aShare)
 {
   const RequestSpec& spec = aState.spec;
   const core::Instant now = mTimers.Now();
-  UpstreamEntry* entry = ChooseUpstream(aState, aService, aUrgency);
+  UpstreamEntry* entry = ChooseUpstream(aState, aService, aUrgency, aShare);
   if (!entry) {
     return false;
   }
@@ -446,7 +587,9 @@
     aService.retryBudget.RecordFirstAttempt();
   }
   ++aState.attempts;
-  ++aService.ranks[spec.tier].inFlight;
+  RankState& rank = aService.ranks[spec.tier];
+  ++rank.inFlight;
+  rank.floorCredit = std::max(0.0, rank.floorCredit - 1);
   aState.isQueued = false;
   aState.hasFirstEvent = false;
   aState.hasBegun = false;
@@ -660,7 +803,7 @@
   }
 }
 
-void PlacementScheduler::Shed(const core::RequestId& aId, ShedReason aReason)
+core::Duration PlacementScheduler::Shed(const core::RequestId& aId, ShedReason aReason)
 {
   const auto it = mRequests.find(aId);
   const RequestState state = std::move(it->second);
@@ -669,20 +812,22 @@
   service.queue.Remove(aId);
   if (aReason == ShedReason::Quarantined) {
     mListener.OnShed(aId, aReason, mSettings.quarantineRetryAfter);
-    return;
+    return mSettings.quarantineRetryAfter;
   }
   // Randomized, so that callers don't return together.
   const auto spread = [this] { return core::Scaled(mSettings.minRetryAfter, mRandom.Uniform()); };
   if (const auto reason = WhyUnservable(state)) {
-    mListener.OnShed(aId, *reason, mSettings.registrationInterval + spread());
-    return;
+    const core::Duration retryAfter = mSettings.registrationInterval + spread();
+    mListener.OnShed(aId, *reason, retryAfter);
+    return retryAfter;
   }
   const bool any = mUpstreams.HasUpstream(state.spec.service, VersionOf(state));
-  core::Duration retryAfter = ComputeRetryAfter(state.spec);
+  core::Duration retryAfter = ComputeRetryAfter(state.spec, service);
   if (const auto opening = NextOpening(state)) {
     retryAfter = std::max(retryAfter, *opening - mTimers.Now() + spread());
   }
   mListener.OnShed(aId, any ? aReason : ShedReason::NoUpstream, retryAfter);
+  return retryAfter;
 }
 
 std::optional<core::Instant> PlacementScheduler::NextOpening(const RequestState& aState) const
@@ -711,13 +856,20 @@
     ShedUnservable();
   }
   for (auto& [id, service] : mServices) {
+    if (service.isTight) {
+      UpdateWaitPolicy(id, service);
+      UpdateFloors(service);
+    }
     if (service.queue.Size() == 0) {
       continue;
     }
     DispatchQueued(id);
     service.queue.RemoveExpired(mTimers.Now(), [this](const placement::QueuedRequest& aQueued) {
-      Shed(aQueued.id, ShedReason::Overload);
+      RejectForWait(aQueued.id, WaitRejectionCause::Expired);
     });
+    if (service.isTight) {
+      RejectLate(service);
+    }
   }
 }
 
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -11,6 +11,8 @@
 #include "cuminfield/request/placement/WaitPolicy.h"
 #include "cuminfield/request/quarantine/QuarantineTable.h"
 
+#include <sigc++/sigc++.h>
+
 #include <map>
 #include <optional>
 #include <set>
@@ -107,6 +109,21 @@
   /// Load of this host's tight services, to be reported to the other hosts.
   LoadByRank LocalLoad() const;
 
+  /// Sets the load of all other hosts together. Called once per reporting
+  /// round.
+  void SetRemoteLoad(LoadByRank aRemoteLoad);
+
+  /// Emitted when a request of a tight service is rejected because of its wait,
+  /// for metrics and the log.
+  using WaitRejectedSignal = sigc::signal<void(const RequestSpec&, const WaitRejection&)>;
+  WaitRejectedSignal& OnWaitRejected() { return mOnWaitRejected; }
+
+  /// The wait policies of the tight services.
+  std::map<core::ServiceId, const WaitPolicy*> WaitPolicies() const;
+
+  /// Requests of each rank that were placed before more urgent ones.
+  std::map<std::pair<core::ServiceId, TierRank>, std::uint64_t> FloorPlacements() const;
+
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
   /// applies to. Returns false if the state isn't newer than the known one.
   bool UpdateQuarantine(quarantine::QuarantineTable::State aState);
@@ -141,7 +158,8 @@
     /// Where its requests may be served, as far as all of them are restricted.
     core::RegionSet regions;
     bool hasUnrestricted = false;
-    RecentCounter ended; ///< Requests that ended at an upstream.
+    RecentCounter ended;    ///< Requests that ended at an upstream.
+    double floorCredit = 0; ///< Requests that go before more urgent ones.
   };
 
   struct ServiceState
@@ -156,6 +174,8 @@
     admission::RetryBudget retryBudget;
     bool isTight = false; ///< The wait policy applies.
     WaitPolicy waitPolicy;
+    core::Instant floorsUpdatedAt{};
+    std::map<TierRank, std::uint64_t> floorPlacements; ///< Placed before more urgent requests.
     std::map<TierRank, RankState> ranks;
     double loadFactor = 1; ///< First event latency relative to an idle upstream.
     double freeSlots = 0;  ///< As of the last reporting round.
@@ -182,11 +202,19 @@
   /// Sheds the queued requests that no upstream may serve any more.
   void ShedUnservable();
   void DispatchQueued(const core::ServiceId& aId);
-  bool TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency);
+  /// Whether a request keeps to its rank's share of the slots.
+  enum class SlotShare
+  {
+    OfRank,
+    Floor, ///< It uses the floor of its rank.
+  };
+  bool TryDispatch(RequestState& aState, ServiceState& aService, Urgency aUrgency,
+                   SlotShare aShare = SlotShare::OfRank);
   static Urgency UrgencyOf(const placement::QueuedRequest& aQueued, core::Instant aNow);
   void UpdateTypicalRequest(RankState& aRank, const RequestSpec& aSpec) const;
   void UpdateRankRegions(RankState& aRank, const RequestSpec& aSpec) const;
   void UpdateSuitableSlots(ServiceState& aService);
+  RankLoad LoadOf(const ServiceState& aService, TierRank aRank, const RankState& aState) const;
   static std::uint32_t DemandOf(const ServiceState& aService, TierRank aRank,
                                 const RankState& aState);
 
@@ -214,16 +242,23 @@
   /// Counts the entry, if there is one, as a free slot taken in this reporting round.
   static UpstreamEntry* TakeFreeSlot(ServiceState& aService, UpstreamEntry* aEntry);
   UpstreamEntry* ChooseUpstream(const RequestState& aState, ServiceState& aService,
-                                Urgency aUrgency);
+                                Urgency aUrgency, SlotShare aShare);
   core::Duration MaxWait(const RequestSpec& aSpec) const;
   const ServiceState* FindTightService(const core::ServiceId& aId) const;
+  void UpdateWaitPolicy(const core::ServiceId& aId, ServiceState& aService);
+  bool WaitsTooLong(const RequestState& aState, const ServiceState& aService) const;
+  void RejectForWait(const core::RequestId& aId, WaitRejectionCause aCause);
+  void UpdateFloors(ServiceState& aService);
+  void DispatchFloors(ServiceState& aService);
+  void RejectLate(ServiceState& aService);
   RequestTimes TimesOf(const RequestSpec& aSpec, const ServiceState& aService) const;
   static core::Duration PredictWait(const ServiceState& aService, TierRank aRank);
-  core::Duration ComputeRetryAfter(const RequestSpec& aSpec);
+  core::Duration ComputeRetryAfter(const RequestSpec& aSpec, const ServiceState& aService);
   /// When the first upstream that may serve the request is expected to take requests again, if all
   /// of them are closed now.
   std::optional<core::Instant> NextOpening(const RequestState& aState) const;
-  void Shed(const core::RequestId& aId, ShedReason aReason);
+  /// Returns Retry-After.
+  core::Duration Shed(const core::RequestId& aId, ShedReason aReason);
   void Tick();
 
   PlacementSettings mSettings;
@@ -239,6 +274,9 @@
   std::set<core::ServiceId> mTightServices;
   RequestsByRank mRemoteDemand;
   bool mIsRecheckDue = false; ///< Queued requests may have become unservable.
+  LoadByRank mRemoteLoad;
+  core::Instant mRemoteLoadAt{};
+  WaitRejectedSignal mOnWaitRejected;
   core::TimerHandle mTickTimer;
 };
 
--- a/cuminfield/request/placement/RequestQueue.h
+++ b/cuminfield/request/placement/RequestQueue.h
@@ -42,9 +42,19 @@
   /// a request isn't served, a few behind it in its rank are still offered, as they may need less.
   void ServeInOrder(core::Instant aNow, const std::function<bool(const QueuedRequest&)>& aServe);
 
+  /// Does the same with the on-time requests of one rank.
+  void ServeRank(std::uint32_t aRank, core::Instant aNow,
+                 const std::function<bool(const QueuedRequest&)>& aServe);
+
   /// Removes the requests that have waited too long, then calls aShed for each.
   void RemoveExpired(core::Instant aNow, const std::function<void(const QueuedRequest&)>& aShed);
 
+  /// Calls aVisit for each request that can no longer meet its target.
+  void VisitLate(core::Instant aNow, const std::function<void(const QueuedRequest&)>& aVisit);
+
+  /// Number of requests that could meet their target when the queue was last served.
+  std::size_t OnTimeCount() const;
+
   /// Number of requests that would be served before a new on-time request of this rank.
   std::size_t CountAhead(std::uint32_t aRank) const;
 
@@ -55,6 +65,8 @@
 
 private:
   static std::size_t RankIndex(std::uint32_t aRank);
+  static void Serve(std::deque<QueuedRequest>& aQueue,
+                    const std::function<bool(const QueuedRequest&)>& aServe);
   void MoveLateRequests(core::Instant aNow);
 
   std::array<std::deque<QueuedRequest>, kRankCount> mOnTime;
