Evacuation of a data centre

Cause: operators need to take the load off a data centre at once, and no delayed copy of an order may undo a later one (docs/LoadAndRegions.md, section 2).

Change: POST and DELETE /v1/evacuation/ZONE on the control address read the revision of the data centre's entry from a majority and propose the order with it as its base; ClusterState applies it only if that is still the revision. Entry hosts leave the upstreams of evacuated data centres out of every choice and count, reject waiting requests that have no upstream left, and go on with what runs. PlacementScheduler::OnEvacuationEnded names the upstreams that get requests again. The hand-over to the transport asserts forward.upstream-not-evacuated.

Ruled out: to read and propose again when the base turns out to be outdated. Of several copies of an order, one whose caller still waits would undo a revocation that was acknowledged meanwhile. It is answered 503, so that a caller who still wants the order sends it again.

--- a/Build/soak.py
+++ b/Build/soak.py
@@ -6,7 +6,8 @@
 Checks what callers and runners see: a request that may not repeat runs at most once; `not run` is
 true; every whole answer is the caller's own; streams have no gap; what an operator was acknowledged
 is read back, and never an older document; a document is acknowledged within ACKNOWLEDGED of calm; a
-request runs in its allowed regions only; an acknowledged leave is heeded, and so is what a runner says
+request runs in its allowed regions only; an evacuated data centre gets no new request, and requests
+again when that is revoked; an acknowledged leave is heeded, and so is what a runner says
 in its answers: that it leaves, or asks to wait; a planned stop ends with 0; service is back after the last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
 """
 import argparse
@@ -28,6 +29,7 @@
 LEAVE_HEEDED = 2.5   # After an acknowledged leave no new request comes.
 CONFIG_APPLIED = 2.5  # After an acknowledged document no older one is read.
 QUIET_BEGINS, QUIET_ALLOWED = 0.5, 2  # After a refusal with Retry-After; requests until its end.
+EVACUATED = 5.0      # After an acknowledged evacuation no new request comes.
 CALM = 4.0           # Undisturbed time after which bounds on time hold.
 ACKNOWLEDGED = 4.0   # In one undisturbed stretch of this length a valid document is acknowledged.
 RECOVERED = 12.0     # After the last fault, service is back.
@@ -50,6 +52,7 @@
         self.told_leaving, self.told_wait = {}, {}  # What hosts were told, by host and runner id.
         self.host_disturbed = {}               # Last stop, start or freeze of a host.
         self.outcomes = []                     # (time, good) of every request.
+        self.evacuated, self.reached = None, {}  # Data centre; the last request by data centre.
         self.number, self.acknowledged = 0, []  # Documents: (number, time of the acknowledgement).
 
     def log(self, text):
@@ -306,6 +309,9 @@
         kind = self.sent.get(request)
         if kind is None or body != request.encode():
             self.violate(f"{request} is nobody's request, or its body was changed")
+        self.reached[state["zone"]] = time.monotonic()
+        if self.evacuated == state["zone"]:
+            self.violate(f"{request} came to {state['id']}, whose data centre is evacuated")
         if kind == "bound" and REGIONS[state["zone"]] != "r0":
             self.violate(f"{request} came to {state['id']}, outside its regions")
         self.runs[request] += 2 if self.args.plant and self.rng.random() < 0.01 else 1
@@ -460,6 +466,24 @@
             state.update(id=f"{state['id'].rsplit('-', 1)[0]}-{state['life']}", up=True, leaving=None, says=False,
                          born=int(time.time() * 1000), sequence=0)
 
+    async def check_evacuation(self):
+        """Of one data centre, after the last fault: the bound holds for hosts in contact only."""
+        # One that has an entry host, since hosts prefer the upstreams of their own.
+        zone = f"dc{self.rng.randrange(min(self.args.entries, len(REGIONS)))}"
+        self.log(f"evacuate {zone}")
+        for path, expected in (("nowhere", 404), (zone, 200), (zone, 200)):
+            status, _ = await self.order("POST", f"/v1/evacuation/{path}")
+            if status != expected:
+                self.violate(f"the evacuation of {path} was answered {status}")
+        await asyncio.sleep(EVACUATED)
+        self.evacuated = zone
+        await asyncio.sleep(2)
+        self.evacuated, revoked = None, time.monotonic()
+        status, _ = await self.order("DELETE", f"/v1/evacuation/{zone}")
+        await asyncio.sleep(EVACUATED)
+        if status != 200 or self.reached.get(zone, 0) < revoked:
+            self.violate(f"no request came to {zone} after the end of its evacuation: {status}")
+
     async def main(self):
         self.start, self.busy, self.runner_states = time.monotonic(), set(), []
         names = self.hosts()
@@ -486,6 +510,7 @@
         status, body = await self.order("GET", "/v1/configuration")
         if status != 200 or json.loads(body)["version"] < newest:
             self.violate(f"document {newest} was acknowledged; read back: {status} {body[:60]!r}")
+        await self.check_evacuation()
         self.stopping = True
         for process in self.processes.values():
             process.expected = True
--- a/UnitTests/platform/ControlApiTest.cpp
+++ b/UnitTests/platform/ControlApiTest.cpp
@@ -60,11 +60,13 @@
   }
 
   /// The group has these members, of which only the first one exists.
-  void StartControlHost(const std::vector<core::HostId>& aMembers)
+  void StartControlHost(const std::vector<core::HostId>& aMembers, bool aKeepDisk = false)
   {
     api.reset();
     control.reset();
-    std::filesystem::remove_all(folder);
+    if (!aKeepDisk) {
+      std::filesystem::remove_all(folder);
+    }
     cluster::ClusterSettings settings;
     settings.id = aMembers.front();
     settings.dataCentre = core::DataCentreId("here");
@@ -314,3 +316,80 @@
   CHECK_EQUAL(400, Call("PUT", "/v1/configuration", body)->status);
   CHECK_EQUAL(400, Call("PUT", "/v1/configuration", std::string(8'000'000, '['))->status);
 }
+
+TEST(ControlApi, EvacuationIsOrderedAndRevoked)
+{
+  CHECK_EQUAL(404, Call("POST", "/v1/evacuation/nowhere")->status);
+  CHECK_EQUAL(404, Call("POST", "/v1/evacuation/")->status);
+  CHECK_EQUAL(404, Call("DELETE", "/v1/evacuation/\xff")->status);
+  CHECK_EQUAL(404, Call("GET", "/v1/evacuation/here")->status);
+  CHECK_EQUAL(200, Call("DELETE", "/v1/evacuation/here")->status); // Not evacuated already.
+  std::string body = Heartbeat("ready");
+  body.replace(body.find("here"), 4, "there");
+  CHECK_EQUAL(200, Call("PUT", "/v1/instances/i-1", body)->status);
+  for (int n = 0; n < 3; ++n) {
+    CHECK_EQUAL(200, Call("POST", "/v1/evacuation/there")->status);
+  }
+  cluster::proto::Feed feed = FeedOfANewFollower();
+  CHECK_EQUAL(1, feed.evacuations_size());
+  STRCMP_EQUAL("there", feed.evacuations(0).data_centre().c_str());
+  STRCMP_CONTAINS("cuminfield_evacuated_data_centres 1\n", Call("GET", "/metrics")->body.c_str());
+  CHECK_EQUAL(200, Call("DELETE", "/v1/evacuation/there")->status);
+  feed = FeedOfANewFollower();
+  CHECK_EQUAL(0, feed.evacuations_size());
+  CHECK(feed.state_applied() > 0);
+}
+
+/// Orders are sent again, up to eight at once, until one is acknowledged.
+TEST(ControlApi, AllCopiesOfAnEvacuationOrderAreAnswered)
+{
+  std::vector<std::shared_ptr<FakeCaller>> callers;
+  for (int n = 0; n < 8; ++n) {
+    callers.push_back(std::make_shared<FakeCaller>());
+    connection::caller::CallerRequest request;
+    request.method = "POST";
+    request.path = "/v1/evacuation/here";
+    api->OnRequest(std::move(request), callers.back());
+  }
+  RunFor(500ms);
+  for (const auto& it : callers) {
+    CHECK_EQUAL(200, it->status);
+  }
+}
+
+/// Guards against an evacuation that a restart or a loss of power ends.
+TEST(ControlApi, EvacuationOutlivesARestart)
+{
+  CHECK_EQUAL(200, Call("POST", "/v1/evacuation/here")->status);
+  StartControlHost({ core::HostId("10.0.0.1") }, true);
+  RunFor(1s);
+  CHECK_EQUAL(1, FeedOfANewFollower().evacuations_size());
+  CHECK_EQUAL(200, Call("DELETE", "/v1/evacuation/here")->status);
+  StartControlHost({ core::HostId("10.0.0.1") }, true);
+  RunFor(1s);
+  CHECK_EQUAL(0, FeedOfANewFollower().evacuations_size());
+}
+
+/// Guards against an order of a caller that has gone on to another control host, where it may have
+/// revoked the order.
+TEST(ControlApi, OrderOfACallerThatHasGoneIsNotProposed)
+{
+  bool isWanted = true;
+  int answers = 0;
+  control->OrderEvacuation(
+    core::DataCentreId("here"), true, [&] { return isWanted = false; },
+    [&](const auto& aAnswer) { answers += aAnswer.has_error() ? 1 : 100; });
+  RunFor(500ms);
+  CHECK_EQUAL(1, answers);
+  CHECK_FALSE(isWanted);
+  CHECK_EQUAL(0, FeedOfANewFollower().evacuations_size());
+}
+
+/// Without a majority an order is not acknowledged, and its caller is told in time to try
+/// elsewhere.
+TEST(ControlApi, EvacuationIsNotAcknowledgedWithoutAMajority)
+{
+  StartControlHost(
+    { core::HostId("10.0.0.1"), core::HostId("10.0.0.2"), core::HostId("10.0.0.3") });
+  CHECK_EQUAL(503, Call("POST", "/v1/evacuation/here")->status);
+}
--- a/UnitTests/platform/LoopbackEntryHost.cpp
+++ b/UnitTests/platform/LoopbackEntryHost.cpp
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <utility>
+
 namespace cuminfield::unit_tests::platform {
 
 namespace cluster = process::cluster;
@@ -80,6 +82,17 @@
   CHECK(mHost->IsReady());
 }
 
+void LoopbackEntryHost::Receive(cluster::proto::Feed aFeed)
+{
+  aFeed.set_life(1);
+  aFeed.set_led(true);
+  aFeed.set_document_number(1);
+  cluster::proto::Message message;
+  *message.mutable_feed() = std::move(aFeed);
+  mLinks.OnMessage().emit(kControlHost, { .channel = process::peer::Channel::Cluster,
+                                          .payload = message.SerializeAsString() });
+}
+
 void LoopbackEntryHost::RecordingLinks::Send(const core::HostId&,
                                              process::peer::PeerMessage aMessage)
 {
--- a/UnitTests/platform/LoopbackEntryHost.h
+++ b/UnitTests/platform/LoopbackEntryHost.h
@@ -28,6 +28,9 @@
   {
   }
 
+  /// Lets the host receive a feed of its control host; sets who sends it and the document's number.
+  void Receive(process::cluster::proto::Feed aFeed);
+
   /// Ends the host as its process would.
   void Destroy() { mHost.reset(); }
 
--- a/UnitTests/platform/RegionsTest.cpp
+++ b/UnitTests/platform/RegionsTest.cpp
@@ -446,3 +446,20 @@
   STRCMP_EQUAL("forward.upstream-in-allowed-regions", broken.c_str());
   CHECK(transport.started.size() <= 12);
 }
+
+/// Guards against a request that leaves its regions because the data centre inside is evacuated.
+TEST(Regions, AnEvacuationInsideDoesNotLetRequestsOut)
+{
+  AddUpstream("west", "west");
+  scheduler->AddOrUpdateUpstream({ .id = core::UpstreamId("east"),
+                                   .service = core::ServiceId("s"),
+                                   .version = core::VersionId("old"),
+                                   .dataCentre = core::DataCentreId("there"),
+                                   .region = core::RegionId("east"),
+                                   .slots = 8 });
+  scheduler->SetEvacuated({ core::DataCentreId("there") });
+  STRCMP_EQUAL("", Send().c_str());
+  CheckRejected("evacuated");
+  CHECK(RetryAfterSeconds() >= 1.2);
+  STRCMP_EQUAL("west", Send("/free/x").c_str());
+}
--- a/UnitTests/process/cluster/ClusterFollowerTest.cpp
+++ b/UnitTests/process/cluster/ClusterFollowerTest.cpp
@@ -494,3 +494,18 @@
   timers.Advance(5s);
   CHECK(links.sent.contains("10.0.0.3"));
 }
+
+/// Guards against an evacuation that seems to have ended, since the next control host lags behind.
+TEST(ClusterFollower, DropsEvacuationsOfAnOlderFeed)
+{
+  proto::Feed feed = MakeFeed(5, 9);
+  feed.add_evacuations()->set_data_centre("there");
+  Receive("10.0.0.1", feed);
+  CHECK_EQUAL(1, feeds.back().evacuations_size());
+  proto::Feed older = MakeFeed(5, 7);
+  older.add_evacuations()->set_data_centre("elsewhere");
+  Receive("10.0.0.1", older);
+  CHECK_EQUAL(2, feeds.size());
+  CHECK_EQUAL(0, feeds.back().evacuations_size());
+  CHECK_EQUAL(0, feeds.back().state_applied()); // Tells that there is no state in it.
+}
--- a/UnitTests/process/cluster/ClusterStateTest.cpp
+++ b/UnitTests/process/cluster/ClusterStateTest.cpp
@@ -227,3 +227,82 @@
   Apply(command);
   CHECK_EQUAL(0, state.Quarantine().suspects_size());
 }
+
+TEST_GROUP(ClusterStateEvacuation)
+{
+  ClusterState state;
+  std::uint64_t index = 0;
+
+  /// Applies an order; returns the state of the data centre after it.
+  proto::Evacuation Order(bool aActive, std::uint64_t aBase, const std::string& aDataCentre = "d")
+  {
+    proto::Command command;
+    command.mutable_evacuation()->set_data_centre(aDataCentre);
+    command.mutable_evacuation()->set_active(aActive);
+    command.mutable_evacuation()->set_base_revision(aBase);
+    proto::QueryAnswer answer;
+    answer.ParseFromString(state.Apply(core::LogIndex(++index), command.SerializeAsString()));
+    return answer.evacuation();
+  }
+
+  static proto::Evacuation Read(const ClusterState& aState, const std::string& aDataCentre = "d")
+  {
+    proto::Query query;
+    query.set_evacuation_of(aDataCentre);
+    proto::QueryAnswer answer;
+    answer.ParseFromString(aState.Query(query.SerializeAsString()));
+    CHECK(answer.has_evacuation());
+    return answer.evacuation();
+  }
+};
+
+/// Guards against a delayed order that undoes the one that was acknowledged after it.
+TEST(ClusterStateEvacuation, DelayedOrderDoesNotUndoALaterOne)
+{
+  const std::uint64_t before = Read(state).revision();
+  const proto::Evacuation ordered = Order(true, before);
+  CHECK(ordered.active());
+  CHECK_EQUAL(index, ordered.revision());
+  const proto::Evacuation revoked = Order(false, ordered.revision());
+  CHECK_FALSE(revoked.active());
+  // Copies of the order that were sent to other control hosts before it was revoked.
+  CHECK_FALSE(Order(true, before).active());
+  CHECK_FALSE(Order(true, ordered.revision()).active());
+  CHECK_EQUAL(revoked.revision(), Read(state).revision());
+  CHECK_EQUAL(revoked.revision(), state.LastChangeIndex());
+  CHECK(Order(true, revoked.revision()).active()); // A new one, which has read the revocation.
+}
+
+TEST(ClusterStateEvacuation, RepeatedOrderChangesNothing)
+{
+  CHECK_FALSE(Order(false, 7).active());
+  CHECK_EQUAL(0, state.LastChangeIndex());
+  const std::uint64_t revision = Order(true, 0).revision();
+  for (const std::uint64_t base : { std::uint64_t(0), revision, std::uint64_t(99) }) {
+    const proto::Evacuation repeated = Order(true, base);
+    CHECK(repeated.active());
+    CHECK_EQUAL(revision, repeated.revision());
+  }
+  CHECK_EQUAL(revision, state.LastChangeIndex());
+  CHECK_FALSE(Read(state, "other").active());
+}
+
+/// Guards against an evacuation that is lost, or an ended one that a delayed order brings back,
+/// when a control host restarts from a snapshot.
+TEST(ClusterStateEvacuation, SnapshotKeepsEvacuationsAndTheirRevisions)
+{
+  const std::uint64_t ordered = Order(true, 0).revision();
+  Order(true, 0, "ended");
+  Order(false, Read(state, "ended").revision(), "ended");
+  ClusterState copy;
+  Order(true, 0, "late");
+  copy.Restore(state.Snapshot());
+  CHECK(copy.Snapshot() == state.Snapshot());
+  CHECK(Read(copy).active());
+  CHECK_EQUAL(ordered, Read(copy).revision());
+  CHECK_FALSE(Read(copy, "ended").active());
+  CHECK_EQUAL(Read(state, "ended").revision(), Read(copy, "ended").revision());
+  CHECK_EQUAL(state.LastChangeIndex(), copy.LastChangeIndex());
+  copy.Restore(ClusterState().Snapshot());
+  CHECK_FALSE(Read(copy).active());
+}
--- a/UnitTests/process/cluster/ControlHostTest.cpp
+++ b/UnitTests/process/cluster/ControlHostTest.cpp
@@ -59,3 +59,35 @@
   hosts.Host(4).UpdateSeeds({ ControlHosts::Address(2) });
   CHECK(IsInGroup(4));
 }
+
+/// Guards against an acknowledged evacuation that other control hosts don't know, or that ends with
+/// the loss of the one that took it.
+TEST(ControlHost, EvacuationHoldsOnAllControlHosts)
+{
+  hosts.Found({ 1, 2, 3 });
+  const auto order = [&](int aHost, bool aActive) {
+    int answers = 0;
+    bool succeeded = false;
+    CHECK(hosts.RunUntil(10s, [&] {
+      if (answers == 0 || !succeeded) {
+        answers = 1;
+        hosts.Host(aHost).OrderEvacuation(
+          core::DataCentreId("here"), aActive, [] { return true; },
+          [&](const auto& aAnswer) { succeeded = succeeded || aAnswer.has_value(); });
+        hosts.Run(1s);
+      }
+      return succeeded;
+    }));
+  };
+  const auto isEvacuated = [&](int aHost) {
+    return hosts.Host(aHost).Metrics().find("cuminfield_evacuated_data_centres 1\n") !=
+           std::string::npos;
+  };
+  order(1, true);
+  CHECK(hosts.RunUntil(5s, [&] { return isEvacuated(2) && isEvacuated(3); }));
+  hosts.Kill(1);
+  order(2, true); // The same order again, at another control host.
+  CHECK(isEvacuated(2) && isEvacuated(3));
+  order(3, false);
+  CHECK(hosts.RunUntil(5s, [&] { return !isEvacuated(2) && !isEvacuated(3); }));
+}
--- a/UnitTests/request/placement/PlacementSchedulerTest.cpp
+++ b/UnitTests/request/placement/PlacementSchedulerTest.cpp
@@ -605,3 +605,85 @@
   STRCMP_EQUAL("u", reports[0].report.crash.upstream.Text().c_str());
   CHECK_EQUAL(1, reports[0].report.crash.incarnation.Value());
 }
+
+/// Guards against requests to an evacuated data centre, also at upstreams that register there later
+/// and by retries, and against running work that is cut off.
+TEST(PlacementScheduler, EvacuatedDataCentreGetsNothingNew)
+{
+  AddUpstream("near", 4);
+  AddUpstream("far", 4, "v1", "there");
+  Submit("running");
+  scheduler->SetEvacuated({ core::DataCentreId("there") });
+  AddUpstream("late", 4, "v1", "there");
+  for (int n = 0; n < 6; ++n) {
+    Submit("r" + std::to_string(n));
+    timers.Advance(20ms);
+  }
+  for (const auto& [id, upstream] : listener.dispatched) {
+    CHECK(id == "running" || upstream == "near");
+  }
+  DOUBLES_EQUAL(4, scheduler->Upstreams().SuitableEngineSlots(MakeSpec("x"), timers.Now()), 0);
+  CHECK(scheduler->Upstreams().FreeEngineSlots(core::ServiceId("s"), timers.Now()) <= 4);
+  scheduler->SetEvacuated({ core::DataCentreId("here") });
+  CHECK_EQUAL(0, listener.shed.size());
+  timers.Advance(20ms);
+  CHECK(listener.dispatched.contains("r4"));
+  STRCMP_EQUAL("near", listener.dispatched.at("r0").c_str());
+  Finish("r0", AttemptOutcome::Unreachable);
+  CHECK(listener.dispatched.at("r0") != "near");
+}
+
+/// Guards against requests that wait for an upstream that no longer takes any.
+TEST(PlacementScheduler, RequestsWithoutAnUpstreamLeftAreShedAtOnce)
+{
+  AddUpstream("u", 1);
+  Submit("running");
+  Submit("waiting");
+  CHECK_EQUAL(1, scheduler->QueueSize());
+  scheduler->SetEvacuated({ core::DataCentreId("here") });
+  CHECK(listener.shed.at("waiting") == ShedReason::Evacuated);
+  CHECK(listener.retryAfter.at("waiting") >= settings.registrationInterval);
+  Submit("new");
+  CHECK(listener.shed.at("new") == ShedReason::Evacuated);
+  Finish("running");
+  CHECK_FALSE(listener.shed.contains("running"));
+  scheduler->SetEvacuated({});
+  Submit("after");
+  STRCMP_EQUAL("u", listener.dispatched.at("after").c_str());
+}
+
+/// Guards against an evacuation elsewhere that changes how requests wait for the first upstream.
+TEST(PlacementScheduler, EvacuationElsewhereDoesNotShedRequestsWithoutAnUpstream)
+{
+  scheduler->SetEvacuated({ core::DataCentreId("there") });
+  Submit("a");
+  timers.Advance(100ms);
+  CHECK_EQUAL(1, scheduler->QueueSize());
+  AddUpstream("u");
+  STRCMP_EQUAL("u", listener.dispatched.at("a").c_str());
+}
+
+/// Guards against requests to an upstream that may be cold, before others know that its data centre
+/// is evacuated no longer.
+TEST(PlacementScheduler, EndOfAnEvacuationIsAnnouncedBeforeRequestsGoThere)
+{
+  std::vector<std::string> released;
+  std::size_t dispatchedBefore = 0;
+  scheduler->OnEvacuationEnded().connect([&](const UpstreamAnnouncement& aUpstream) {
+    released.push_back(aUpstream.id.Text());
+    dispatchedBefore = listener.dispatched.size();
+  });
+  AddUpstream("near", 1);
+  AddUpstream("far", 1, "v1", "there");
+  scheduler->SetEvacuated({ core::DataCentreId("there") });
+  Submit("a");
+  Submit("b");
+  scheduler->SetEvacuated({ core::DataCentreId("there") });
+  CHECK_EQUAL(0, released.size());
+  CHECK_EQUAL(1, listener.dispatched.size());
+  scheduler->SetEvacuated({});
+  CHECK_EQUAL(1, released.size());
+  STRCMP_EQUAL("far", released.front().c_str());
+  CHECK_EQUAL(1, dispatchedBefore);
+  STRCMP_EQUAL("far", listener.dispatched.at("b").c_str());
+}
--- a/cuminfield/process/cluster/ClusterFollower.cpp
+++ b/cuminfield/process/cluster/ClusterFollower.cpp
@@ -451,6 +451,7 @@
     // This control host lags behind the one that was followed before.
     aFeed.clear_moves();
     aFeed.clear_versions();
+    aFeed.clear_evacuations();
     aFeed.set_state_applied(0);
   } else {
     mStateApplied = aFeed.state_applied();
--- a/cuminfield/process/cluster/ClusterState.cpp
+++ b/cuminfield/process/cluster/ClusterState.cpp
@@ -56,6 +56,10 @@
     case proto::Command::kCrashes:
       ApplyCrashEvidence(aIndex.Value(), command.crashes());
       break;
+    case proto::Command::kEvacuation:
+      ApplyEvacuation(aIndex.Value(), command.evacuation());
+      *answer.mutable_evacuation() = EvacuationOf(command.evacuation().data_centre());
+      break;
     case proto::Command::BODY_NOT_SET:
       break;
   }
@@ -102,6 +106,30 @@
   mLastChangeIndex = aIndex;
 }
 
+void ClusterState::ApplyEvacuation(std::uint64_t aIndex, const proto::EvacuationOrder& aOrder)
+{
+  proto::Evacuation evacuation = EvacuationOf(aOrder.data_centre());
+  const bool isInForce = evacuation.active() == aOrder.active();
+  // An order with an older base was made before a later one, and arrives after it.
+  if (isInForce || aOrder.base_revision() != evacuation.revision()) {
+    return;
+  }
+  evacuation.set_active(aOrder.active());
+  evacuation.set_revision(aIndex);
+  mEvacuations[aOrder.data_centre()] = evacuation;
+  mLastChangeIndex = aIndex;
+}
+
+proto::Evacuation ClusterState::EvacuationOf(const std::string& aDataCentre) const
+{
+  if (const auto it = mEvacuations.find(aDataCentre); it != mEvacuations.end()) {
+    return it->second;
+  }
+  proto::Evacuation none;
+  none.set_data_centre(aDataCentre);
+  return none;
+}
+
 void ClusterState::ApplyLeave(const proto::Leave& aLeave)
 {
   proto::Leave& leave = mLeaves[aLeave.upstream()];
@@ -164,6 +192,9 @@
   if (const auto it = mMoves.find(query.move_of()); it != mMoves.end()) {
     *answer.mutable_move() = it->second;
   }
+  if (!query.evacuation_of().empty()) {
+    *answer.mutable_evacuation() = EvacuationOf(query.evacuation_of());
+  }
   return answer.SerializeAsString();
 }
 
@@ -189,6 +220,9 @@
     *state.add_suspects() = ToProto(part, record);
   }
   state.set_quarantine_revision(mQuarantineRevision);
+  for (const auto& [dataCentre, evacuation] : mEvacuations) {
+    *state.add_evacuations() = evacuation;
+  }
   return state.SerializeAsString();
 }
 
@@ -203,6 +237,7 @@
   mMoves.clear();
   mVersions.clear();
   mLeaves.clear();
+  mEvacuations.clear();
   for (const proto::Move& it : state.moves()) {
     mMoves[it.service()] = it;
   }
@@ -212,6 +247,9 @@
   for (const proto::Leave& it : state.leaves()) {
     mLeaves[it.upstream()] = it;
   }
+  for (const proto::Evacuation& it : state.evacuations()) {
+    mEvacuations[it.data_centre()] = it;
+  }
   request::quarantine::CrashAttribution::RecordMap records;
   for (const proto::SuspectRecord& it : state.suspects()) {
     records.emplace(core::PromptPartId(it.part()), ToRecord(it));
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -255,6 +255,94 @@
   Submit(true, query, mOptions.settings.readTimeout, std::move(aDone));
 }
 
+bool ControlHost::KnowsDataCentre(const core::DataCentreId& aDataCentre) const
+{
+  const ClusterSettings& cluster = mOptions.cluster;
+  if (aDataCentre == cluster.dataCentre || cluster.regions.contains(aDataCentre) ||
+      mState.Evacuations().contains(aDataCentre.Text())) {
+    return true;
+  }
+  const auto isThere = [&](const proto::Upstream& aUpstream) {
+    return aUpstream.data_centre() == aDataCentre.Text();
+  };
+  const auto& stored = mState.KnownUpstreams().upstreams();
+  const auto& registered = mRegistry.List();
+  return std::any_of(registered.begin(), registered.end(), isThere) ||
+         std::any_of(stored.begin(), stored.end(), isThere);
+}
+
+void ControlHost::OrderEvacuation(const core::DataCentreId& aDataCentre, bool aActive,
+                                  std::function<bool()> aIsWanted, Callback aDone)
+{
+  const core::Instant receivedAt = mOptions.loop.Now();
+  proto::Query query;
+  query.set_evacuation_of(aDataCentre.Text());
+  Submit(true, query, mOptions.settings.evacuationReadTimeout,
+         [this, receivedAt, aActive, isWanted = std::move(aIsWanted),
+          done = std::move(aDone)](const core::Result<proto::QueryAnswer>& aAnswer) {
+           if (!aAnswer) {
+             done(aAnswer.error());
+             return;
+           }
+           if (!aAnswer.value().has_evacuation()) {
+             done(core::Error{ .kind = core::ErrorKind::Unavailable,
+                               .message = "the leader knows no evacuations; update all control "
+                                          "hosts" });
+             return;
+           }
+           const proto::Evacuation& current = aAnswer.value().evacuation();
+           if (current.active() == aActive) {
+             done(aAnswer);
+             return;
+           }
+           const core::Duration remaining =
+             mOptions.settings.readTimeout - (mOptions.loop.Now() - receivedAt);
+           // The caller may have sent the order to another control host, and revoked it there.
+           if (!isWanted() || remaining <= core::Duration::zero()) {
+             done(core::Error{ .kind = core::ErrorKind::Unavailable,
+                               .message = "the order was not proposed in time; send it again" });
+             return;
+           }
+           ProposeEvacuation(current, aActive, remaining, done);
+         });
+}
+
+void ControlHost::ProposeEvacuation(const proto::Evacuation& aCurrent, bool aActive,
+                                    core::Duration aTimeout, Callback aDone)
+{
+  proto::Command command;
+  proto::EvacuationOrder* order = command.mutable_evacuation();
+  order->set_data_centre(aCurrent.data_centre());
+  order->set_active(aActive);
+  order->set_base_revision(aCurrent.revision());
+  logging::Event(logging::Level::Info, "evacuation-ordered",
+                 { { "data_centre", aCurrent.data_centre() },
+                   { "active", aActive ? 1 : 0 },
+                   { "base", aCurrent.revision() } });
+  SubmitControlRequest(
+    "evacuation", aCurrent.data_centre(), command, aTimeout,
+    [aActive, done = std::move(aDone)](const core::Result<proto::QueryAnswer>& aAnswer) {
+      if (aAnswer && aAnswer.value().evacuation().active() != aActive) {
+        done(core::Error{ .kind = core::ErrorKind::Conflict,
+                          .message = "another order for this data centre was committed first; send "
+                                     "this one again if it is still wanted" });
+        return;
+      }
+      done(aAnswer);
+    });
+}
+
+std::set<core::DataCentreId> ControlHost::EvacuatedDataCentres() const
+{
+  std::set<core::DataCentreId> evacuated;
+  for (const auto& [dataCentre, evacuation] : mState.Evacuations()) {
+    if (evacuation.active()) {
+      evacuated.emplace(dataCentre);
+    }
+  }
+  return evacuated;
+}
+
 void ControlHost::HandleHeartbeat(const proto::Upstream& aUpstream, Callback aDone)
 {
   const bool isKnown = mRegistry.IncarnationOf(aUpstream.id()) == aUpstream.incarnation();
@@ -486,6 +574,11 @@
     it->set_service(service);
     it->set_version(version);
   }
+  for (const auto& [dataCentre, evacuation] : mState.Evacuations()) {
+    if (evacuation.active()) {
+      *feed.add_evacuations() = evacuation;
+    }
+  }
   feed.set_registry_revision(mRegistry.Revision());
   feed.set_interval_ms(
     static_cast<std::uint32_t>(ToMilliseconds(mPacer.Interval(mFollowers.HasBacklog()))));
@@ -814,6 +907,7 @@
   gauges.Add("disk_full", mGroup->IsDiskFull() ? 1 : 0);
   gauges.Add("followers", FollowerCount());
   gauges.Add("upstreams_known", UpstreamCount());
+  gauges.Add("evacuated_data_centres", EvacuatedDataCentres().size());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
   mOptions.links.AddMetrics(gauges);
   return gauges.Text();
@@ -822,6 +916,7 @@
 void ControlHost::LogChanges()
 {
   LogQuarantine();
+  mEvacuationLog.Update(EvacuatedDataCentres());
   mGroupHealthLog.Update(ViewGroup(*mGroup), mOptions.loop.Now());
   if (mGroup->Leader() != mLoggedLeader) {
     mLoggedLeader = mGroup->Leader();
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -8,6 +8,7 @@
 #include "cuminfield/process/cluster/ClusterState.h"
 #include "cuminfield/process/cluster/ControlRequestTracker.h"
 #include "cuminfield/process/cluster/CrashEvidenceCollector.h"
+#include "cuminfield/process/cluster/EvacuationLog.h"
 #include "cuminfield/process/cluster/FeedSelector.h"
 #include "cuminfield/process/cluster/FollowerTable.h"
 #include "cuminfield/process/cluster/GroupHealthLog.h"
@@ -21,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,9 @@
   core::Duration commandTimeout = std::chrono::milliseconds(2500);
   /// Timeout of a read from the group; callers give up after a second.
   core::Duration readTimeout = std::chrono::milliseconds(900);
+  /// Timeout of the read of an evacuation order. The order is answered within readTimeout
+  /// altogether, so that its caller can send it to another control host in time.
+  core::Duration evacuationReadTimeout = std::chrono::milliseconds(450);
   UpstreamRegistrySettings registry;
   FollowerTableSettings followers;
   FeedSelectorSettings feeds;
@@ -95,6 +100,16 @@
   /// Marks an upstream as leaving; completes when that is committed.
   void MarkLeaving(const std::string& aUpstream, Callback aDone);
 
+  /// True if the settings, a registered upstream or an earlier order names this data centre.
+  bool KnowsDataCentre(const core::DataCentreId& aDataCentre) const;
+
+  /// Orders that nothing new is sent to the upstreams of a data centre, or revokes it; completes
+  /// when that is committed, or in force already. Fails with Conflict if another order for the data
+  /// centre was committed since this one read its state, so that a delayed order does not undo a
+  /// later one. aIsWanted tells whether the caller still waits; nothing is proposed if not.
+  void OrderEvacuation(const core::DataCentreId& aDataCentre, bool aActive,
+                       std::function<bool()> aIsWanted, Callback aDone);
+
   /// Wall clock time in Unix milliseconds.
   std::uint64_t WallClockMs() const;
 
@@ -117,6 +132,9 @@
   void SubmitControlRequest(const char* aKind, const std::string& aName,
                             const proto::Command& aCommand, core::Duration aTimeout,
                             Callback aDone);
+  void ProposeEvacuation(const proto::Evacuation& aCurrent, bool aActive, core::Duration aTimeout,
+                         Callback aDone);
+  std::set<core::DataCentreId> EvacuatedDataCentres() const;
   void LogPendingRequests();
   void OnMessage(const core::HostId& aFrom, const peer::PeerMessage& aMessage);
   void Tick();
@@ -159,6 +177,7 @@
   MoveCoordinator mMoveCoordinator;
   ControlRequestTracker mControlRequests;
   CrashEvidenceCollector mCrashEvidence;
+  EvacuationLog mEvacuationLog;
   GroupHealthLog mGroupHealthLog;
   std::map<std::string, proto::Upstream> mReceivedHeartbeats; ///< Since the last exchange.
   std::map<std::uint64_t, core::Instant> mMoveStartedAt;      ///< Local time, by move number.
--- a/cuminfield/process/cluster/ControlRequestTracker.h
+++ b/cuminfield/process/cluster/ControlRequestTracker.h
@@ -25,8 +25,8 @@
 public:
   struct Request
   {
-    std::string kind;      ///< `document`, `move` or `leave`.
-    std::string name;      ///< Document number, service or upstream, depending on the kind.
+    std::string kind;      ///< `document`, `move`, `leave` or `evacuation`.
+    std::string name;      ///< Document number, service, upstream or data centre, by the kind.
     std::size_t bytes = 0; ///< Size of the command.
     core::Instant receivedAt;
   };
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -101,6 +101,8 @@
     mStateApplied = aFeed.state_applied();
     mScheduler.RecheckQueued();
   }
+  // Before the registry, which may list further upstreams of an evacuated data centre.
+  ApplyEvacuations(aFeed);
   if (aFeed.registry()) {
     ApplyRegistry(aFeed);
   }
@@ -113,6 +115,19 @@
   }
 }
 
+void EntryHost::ApplyEvacuations(const proto::Feed& aFeed)
+{
+  if (aFeed.state_applied() == 0) {
+    return; // The control host lags behind the one that was followed before.
+  }
+  std::set<core::DataCentreId> evacuated;
+  for (const proto::Evacuation& it : aFeed.evacuations()) {
+    evacuated.emplace(it.data_centre());
+  }
+  mEvacuationLog.Update(evacuated);
+  mScheduler.SetEvacuated(std::move(evacuated));
+}
+
 void EntryHost::ApplyDocument(const proto::Document& aDocument)
 {
   auto parsed = mOptions.parseCatalogue(aDocument.text());
@@ -405,6 +420,7 @@
   gauges.AddAge("feed_age_ms", mFollower.FeedAge());
   gauges.AddAge("state_age_ms", mFollower.StateAge());
   gauges.Add("upstreams_known", mKnownUpstreams.size());
+  gauges.Add("evacuated_data_centres", mEvacuationLog.Count());
   gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
   mOptions.links.AddMetrics(gauges);
--- a/cuminfield/process/cluster/EntryHost.h
+++ b/cuminfield/process/cluster/EntryHost.h
@@ -6,6 +6,7 @@
 #include "cuminfield/core/EventLoop.h"
 #include "cuminfield/core/Random.h"
 #include "cuminfield/process/cluster/ClusterFollower.h"
+#include "cuminfield/process/cluster/EvacuationLog.h"
 #include "cuminfield/process/cluster/ForwardMonitor.h"
 #include "cuminfield/process/cluster/VersionShares.h"
 #include "cuminfield/process/peer/PeerLinks.h"
@@ -82,6 +83,7 @@
 
 private:
   void OnFeed(const proto::Feed& aFeed);
+  void ApplyEvacuations(const proto::Feed& aFeed);
   void ApplyDocument(const proto::Document& aDocument);
   /// Logs the regions of the catalogue that no data centre has.
   void LogUnknownRegions() const;
@@ -105,6 +107,7 @@
   connection::upstream::ReachabilityChecker mReachability;
   connection::caller::HttpServer mServer;
   ClusterFollower mFollower;
+  EvacuationLog mEvacuationLog;
   std::shared_ptr<const version::catalogue::CatalogueIndex> mCatalogue;
   std::set<core::UpstreamId> mKnownUpstreams; ///< Upstreams in the last registry.
   bool mStopping = false;
--- a/cuminfield/process/cluster/ForwardMonitor.cpp
+++ b/cuminfield/process/cluster/ForwardMonitor.cpp
@@ -59,7 +59,7 @@
   }
   const bool isShed = aSummary.reason == "overload" || aSummary.reason == "deadline" ||
                       aSummary.reason == "quarantined" ||
-                      aSummary.reason == "no-upstream-in-regions";
+                      aSummary.reason == "no-upstream-in-regions" || aSummary.reason == "evacuated";
   return isShed ? aSummary.reason : "failed";
 }
 
--- a/cuminfield/request/Scheduler.h
+++ b/cuminfield/request/Scheduler.h
@@ -17,7 +17,8 @@
   NoUpstream, ///< No upstream of the service is available.
   /// No upstream of the service is in the regions in which it may be served.
   NoUpstreamInRegions,
-  Shutdown, ///< This host is shutting down.
+  Evacuated, ///< The data centres of all upstreams that may serve it are evacuated.
+  Shutdown,  ///< This host is shutting down.
   /// A part of its prompt crashes upstreams.
   Quarantined,
 };
--- a/cuminfield/request/exchange/ExchangeAnswer.cpp
+++ b/cuminfield/request/exchange/ExchangeAnswer.cpp
@@ -24,6 +24,8 @@
       return "No upstream of the service is in reach; send again after Retry-After.";
     case ShedReason::NoUpstreamInRegions:
       return "No upstream is in the regions that may serve it; send again after Retry-After.";
+    case ShedReason::Evacuated:
+      return "The data centres of its upstreams are evacuated; send again after Retry-After.";
     case ShedReason::Shutdown:
       return "This host is stopping; send again through another host.";
     case ShedReason::Quarantined:
@@ -43,6 +45,8 @@
       return "no upstream";
     case ShedReason::NoUpstreamInRegions:
       return "no upstream in regions";
+    case ShedReason::Evacuated:
+      return "evacuated";
     case ShedReason::Shutdown:
       return "stopping";
     case ShedReason::Quarantined:
--- a/cuminfield/request/forward/RequestForwarder.cpp
+++ b/cuminfield/request/forward/RequestForwarder.cpp
@@ -26,6 +26,8 @@
       return "no-upstream";
     case ShedReason::NoUpstreamInRegions:
       return "no-upstream-in-regions";
+    case ShedReason::Evacuated:
+      return "evacuated";
     case ShedReason::Shutdown:
       return "stopping";
     case ShedReason::Quarantined:
@@ -106,6 +108,8 @@
   const core::Instant now = mOptions.timers.Now();
   CUMINFIELD_INVARIANT("forward.upstream-in-allowed-regions",
                        mOptions.scheduler.MayServe(request.spec, mUpstream));
+  CUMINFIELD_INVARIANT("forward.upstream-not-evacuated",
+                       !mOptions.scheduler.Upstreams().IsEvacuated(mUpstream.dataCentre));
   mState = State::Calling;
   mAttemptStartedAt = now;
   mAttemptFirstEventLatency.reset();
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -182,21 +182,51 @@
   const RequestSpec& spec = aState.spec;
   core::VersionId version = mVersions.Choose(spec.service, spec.route, aState.samplePoint);
   const core::RegionSet* regions = RegionsOf(spec);
-  if (!regions || mUpstreams.HasUpstream(spec.service, version, regions)) {
+  const bool isRestricted = regions || !mUpstreams.Evacuated().empty();
+  if (!isRestricted || mUpstreams.HasUpstream(spec.service, version, regions)) {
     return version;
   }
-  // A new version may not have upstreams in every region yet: its part of the requests goes to the
-  // version that serves the others, as long as a move leaves it requests.
+  // A new version may not have upstreams in every region yet, or only in an evacuated data centre:
+  // its part of the requests goes to the version that serves the others, as long as a move leaves
+  // it requests.
   return mVersions.Choose(spec.service, spec.route, kLastSamplePoint);
 }
 
 std::optional<ShedReason> PlacementScheduler::WhyUnservable(const RequestState& aState) const
 {
   const core::RegionSet* regions = RegionsOf(aState.spec);
-  if (!regions || mUpstreams.HasUpstream(aState.spec.service, VersionOf(aState), regions)) {
+  if (!regions && mUpstreams.Evacuated().empty()) {
     return std::nullopt;
   }
-  return ShedReason::NoUpstreamInRegions;
+  const core::VersionId version = VersionOf(aState);
+  if (mUpstreams.HasUpstream(aState.spec.service, version, regions)) {
+    return std::nullopt;
+  }
+  if (mUpstreams.HasUpstream(aState.spec.service, version, regions, true)) {
+    return ShedReason::Evacuated;
+  }
+  return regions ? std::optional(ShedReason::NoUpstreamInRegions) : std::nullopt;
+}
+
+void PlacementScheduler::SetEvacuated(std::set<core::DataCentreId> aDataCentres)
+{
+  if (aDataCentres == mUpstreams.Evacuated()) {
+    return;
+  }
+  const std::vector<UpstreamAnnouncement> released =
+    mUpstreams.SetEvacuated(std::move(aDataCentres));
+  for (const UpstreamAnnouncement& it : released) {
+    mOnEvacuationEnded.emit(it);
+  }
+  ShedUnservable();
+  for (auto& [id, service] : mServices) {
+    for (auto& [rank, state] : service.ranks) {
+      state.slotsCountedAt = {}; // Counted anew with the next request.
+    }
+    if (service.queue.Size() > 0) {
+      DispatchQueued(id);
+    }
+  }
 }
 
 bool PlacementScheduler::MayServe(const RequestSpec& aSpec,
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -9,8 +9,11 @@
 #include "cuminfield/request/placement/UpstreamTable.h"
 #include "cuminfield/request/quarantine/QuarantineTable.h"
 
+#include <sigc++/sigc++.h>
+
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -44,7 +47,8 @@
 ///
 /// A request is dispatched only in the regions that its RegionPolicy allows at that moment. It is
 /// shed at once, also while it is queued, when they have no upstream that accepts work; if the
-/// upstreams there are busy, ejected or quiet, it waits.
+/// upstreams there are busy, ejected or quiet, it waits. The same holds for upstreams of data
+/// centres that are evacuated, to which nothing is dispatched.
 class PlacementScheduler : public Scheduler
 {
 public:
@@ -87,7 +91,18 @@
   /// queues. Must be called when the versions in force have changed.
   void RecheckQueued() { mIsRecheckDue = true; }
 
-  /// True if the request may be sent to this upstream now.
+  /// Sets the data centres that are evacuated: nothing more is dispatched to their upstreams, and
+  /// what runs there goes on. Queued requests that no upstream may serve any more are shed.
+  void SetEvacuated(std::set<core::DataCentreId> aDataCentres);
+
+  /// Emitted for each upstream of a data centre that is evacuated no longer, before anything is
+  /// dispatched there. The upstream may be cold.
+  sigc::signal<void(const UpstreamAnnouncement&)>& OnEvacuationEnded()
+  {
+    return mOnEvacuationEnded;
+  }
+
+  /// True if the allowed regions permit to send the request to this upstream now.
   bool MayServe(const RequestSpec& aSpec, const UpstreamAnnouncement& aUpstream) const;
 
   /// Takes over the control hosts' state of the quarantine and sheds the queued requests that it
@@ -208,6 +223,7 @@
   std::map<core::ServiceId, ServiceState> mServices;
   RequestsByRank mRemoteDemand;
   bool mIsRecheckDue = false; ///< Queued requests may have become unservable.
+  sigc::signal<void(const UpstreamAnnouncement&)> mOnEvacuationEnded;
   core::TimerHandle mTickTimer;
 };
 
--- a/cuminfield/request/placement/UpstreamTable.cpp
+++ b/cuminfield/request/placement/UpstreamTable.cpp
@@ -49,9 +49,11 @@
   }
   const bool indexChanged = entry.upstream.service != aUpstream.service ||
                             entry.upstream.version != aUpstream.version ||
+                            entry.upstream.dataCentre != aUpstream.dataCentre ||
                             entry.upstream.region != aUpstream.region || !entry.acceptsNewWork;
   entry.upstream = aUpstream;
   entry.acceptsNewWork = true;
+  entry.isEvacuated = IsEvacuated(aUpstream.dataCentre);
   entry.quietUntil = notice ? notice->quietUntil : core::Instant();
   if (indexChanged) {
     RebuildIndex();
@@ -97,6 +99,21 @@
   RebuildIndex();
 }
 
+std::vector<UpstreamAnnouncement> UpstreamTable::SetEvacuated(
+  std::set<core::DataCentreId> aDataCentres)
+{
+  mEvacuated = std::move(aDataCentres);
+  std::vector<UpstreamAnnouncement> released;
+  for (auto& [id, entry] : mEntries) {
+    const bool wasEvacuated =
+      std::exchange(entry.isEvacuated, IsEvacuated(entry.upstream.dataCentre));
+    if (wasEvacuated && !entry.isEvacuated) {
+      released.push_back(entry.upstream);
+    }
+  }
+  return released;
+}
+
 bool UpstreamTable::RecordNotice(const core::UpstreamId& aUpstream, core::Incarnation aIncarnation,
                                  const UpstreamNotice& aNotice, core::Instant aNow)
 {
@@ -128,7 +145,7 @@
   std::optional<core::Instant> earliest;
   for (const UpstreamEntry* entry : it->second.entries) {
     const bool isOther = !aVersion.IsEmpty() && entry->upstream.version != aVersion;
-    if (isOther || !IsAllowed(entry->upstream.region, aRegions)) {
+    if (isOther || !IsAllowed(*entry, aRegions)) {
       continue;
     }
     if (aNow >= entry->quietUntil) {
@@ -152,7 +169,7 @@
   std::optional<core::Instant> earliest;
   for (const UpstreamEntry* entry : it->second.entries) {
     const bool isOther = !aVersion.IsEmpty() && entry->upstream.version != aVersion;
-    if (isOther || !IsAllowed(entry->upstream.region, aRegions)) {
+    if (isOther || !IsAllowed(*entry, aRegions)) {
       continue;
     }
     if (IsOpen(*entry, aNow)) {
@@ -164,9 +181,9 @@
   return earliest;
 }
 
-bool UpstreamTable::IsAllowed(const core::RegionId& aRegion, const core::RegionSet* aRegions)
+bool UpstreamTable::IsAllowed(const UpstreamEntry& aEntry, const core::RegionSet* aRegions)
 {
-  return !aRegions || aRegions->Contains(aRegion);
+  return !aEntry.isEvacuated && (!aRegions || aRegions->Contains(aEntry.upstream.region));
 }
 
 const std::vector<UpstreamTable::UpstreamGroup>& UpstreamTable::GroupsOf(
@@ -177,10 +194,13 @@
       const UpstreamAnnouncement& upstream = entry->upstream;
       const bool isKnown =
         std::any_of(aService.groups.begin(), aService.groups.end(), [&](const UpstreamGroup& aIt) {
-          return aIt.region == upstream.region && aIt.version == upstream.version;
+          return aIt.dataCentre == upstream.dataCentre && aIt.region == upstream.region &&
+                 aIt.version == upstream.version;
         });
       if (!isKnown) {
-        aService.groups.push_back({ .region = upstream.region, .version = upstream.version });
+        aService.groups.push_back({ .dataCentre = upstream.dataCentre,
+                                    .region = upstream.region,
+                                    .version = upstream.version });
       }
     }
   }
@@ -199,7 +219,7 @@
 }
 
 bool UpstreamTable::HasUpstream(const core::ServiceId& aService, const core::VersionId& aVersion,
-                                const core::RegionSet* aRegions) const
+                                const core::RegionSet* aRegions, bool aIncludeEvacuated) const
 {
   const auto it = mServices.find(aService);
   if (it == mServices.end()) {
@@ -207,7 +227,9 @@
   }
   const std::vector<UpstreamGroup>& groups = GroupsOf(it->second);
   return std::any_of(groups.begin(), groups.end(), [&](const UpstreamGroup& aGroup) {
-    return (aVersion.IsEmpty() || aGroup.version == aVersion) && IsAllowed(aGroup.region, aRegions);
+    return (aVersion.IsEmpty() || aGroup.version == aVersion) &&
+           (!aRegions || aRegions->Contains(aGroup.region)) &&
+           (aIncludeEvacuated || !IsEvacuated(aGroup.dataCentre));
   });
 }
 
@@ -218,7 +240,7 @@
   ServiceUpstreams& service = UpstreamsOf(aSpec.service, aNow);
   const auto isEligible = [&](const UpstreamEntry& aEntry) {
     return IsOpen(aEntry, aNow) && (aVersion.IsEmpty() || aEntry.upstream.version == aVersion) &&
-           IsAllowed(aEntry.upstream.region, aRegions);
+           IsAllowed(aEntry, aRegions);
   };
   // If no upstream can finish in time, not even an idle one, the best of all is used.
   const bool anySuitable =
@@ -268,7 +290,7 @@
 {
   double free = 0;
   for (const UpstreamEntry* entry : UpstreamsOf(aService, aNow).entries) {
-    const bool usable = entry->upstream.isEngine && IsOpen(*entry, aNow) &&
+    const bool usable = entry->upstream.isEngine && !entry->isEvacuated && IsOpen(*entry, aNow) &&
                         !IsSilent(*entry, aNow) && !IsSuspected(*entry, aNow);
     free += usable ? std::max(0.0, SlotLimit(*entry, Urgency::Top) - entry->InFlight()) : 0;
   }
@@ -332,7 +354,7 @@
   double all = 0;
   double suitable = 0;
   for (const UpstreamEntry* entry : UpstreamsOf(aSpec.service, aNow).entries) {
-    const bool usable = entry->upstream.isEngine && IsAllowed(entry->upstream.region, aRegions) &&
+    const bool usable = entry->upstream.isEngine && IsAllowed(*entry, aRegions) &&
                         !entry->unreachable && aNow >= entry->quietUntil &&
                         !IsSilent(*entry, aNow) && !IsSuspected(*entry, aNow);
     const double slots = usable ? entry->upstream.slots : 0;
@@ -500,7 +522,7 @@
   // Upstreams outside are no alternative to one that fails more often than they do.
   FailureSum sum;
   for (const UpstreamEntry* it : aService.entries) {
-    if (IsAllowed(it->upstream.region, aRegions)) {
+    if (IsAllowed(*it, aRegions)) {
       sum.ratios += FailureRatio(*it);
       ++sum.upstreams;
     }
--- a/cuminfield/request/placement/UpstreamTable.h
+++ b/cuminfield/request/placement/UpstreamTable.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,7 @@
 {
   UpstreamAnnouncement upstream;
   bool acceptsNewWork = true;
+  bool isEvacuated = false; ///< Its data centre is evacuated: it gets no new requests.
 
   // Load.
   std::uint32_t localInFlight = 0;    ///< Requests of this host.
@@ -76,6 +78,16 @@
   void AddOrUpdateUpstream(const UpstreamAnnouncement& aUpstream);
   void RemoveUpstream(const core::UpstreamId& aUpstream);
 
+  /// Sets the data centres whose upstreams get no new requests; what runs there goes on. Returns
+  /// the upstreams of those that were evacuated until now.
+  std::vector<UpstreamAnnouncement> SetEvacuated(std::set<core::DataCentreId> aDataCentres);
+
+  const std::set<core::DataCentreId>& Evacuated() const { return mEvacuated; }
+  bool IsEvacuated(const core::DataCentreId& aDataCentre) const
+  {
+    return mEvacuated.contains(aDataCentre);
+  }
+
   /// Records what an upstream says of itself. It gets no new work from now on, or until the quiet
   /// time ends, whatever the control hosts' list says. Returns true if the notice is news.
   bool RecordNotice(const core::UpstreamId& aUpstream, core::Incarnation aIncarnation,
@@ -115,8 +127,9 @@
 
   /// True if an upstream of the service and version accepts work, even if it has no free slot now.
   /// Does not iterate over the upstreams, so it may be called for each request.
+  /// aIncludeEvacuated: also counts those of evacuated data centres.
   bool HasUpstream(const core::ServiceId& aService, const core::VersionId& aVersion,
-                   const core::RegionSet* aRegions = nullptr) const;
+                   const core::RegionSet* aRegions = nullptr, bool aIncludeEvacuated = false) const;
 
   /// Number of slots at usable engines that are suitable for such a request, or at all usable
   /// engines if none is suitable; 0 for a plain service.
@@ -179,6 +192,7 @@
   /// Upstreams of a service that are alike in what restricts requests.
   struct UpstreamGroup
   {
+    core::DataCentreId dataCentre;
     core::RegionId region;
     core::VersionId version;
   };
@@ -187,8 +201,8 @@
   struct ServiceUpstreams
   {
     std::vector<UpstreamEntry*> entries;
-    /// Each combination that occurs in entries; there are as many as regions and versions. Empty
-    /// until it is needed.
+    /// Each combination that occurs in entries; there are as many as data centres and versions.
+    /// Empty until it is needed.
     mutable std::vector<UpstreamGroup> groups;
     double failureRatioSum = 0;
     std::size_t upstreamCount = 0; ///< Number of entries in the sum.
@@ -231,8 +245,9 @@
   /// False while the upstream is ejected or has asked for no requests.
   static bool IsOpen(const UpstreamEntry& aEntry, core::Instant aNow);
 
-  /// True if requests may be sent to an upstream of this region.
-  static bool IsAllowed(const core::RegionId& aRegion, const core::RegionSet* aRegions);
+  /// True if requests may be sent to the upstream, which is in one of the regions and not
+  /// evacuated.
+  static bool IsAllowed(const UpstreamEntry& aEntry, const core::RegionSet* aRegions);
 
   static const std::vector<UpstreamGroup>& GroupsOf(const ServiceUpstreams& aService);
 
@@ -243,6 +258,7 @@
   std::unordered_map<core::UpstreamId, UpstreamEntry> mEntries;
   std::map<core::ServiceId, ServiceUpstreams> mServices;
   core::Instant mLatestEjectionEnd{}; ///< Of any upstream.
+  std::set<core::DataCentreId> mEvacuated;
   std::vector<Candidate> mCandidates; ///< Member only to reuse its allocation.
 };
 
