--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -87,6 +87,9 @@
   mFollower.OnFeed().connect([this](const proto::Feed& aFeed) { OnFeed(aFeed); });
   mFollower.OnQuarantine().connect(
     [this](const proto::Quarantine& aQuarantine) { ApplyQuarantine(aQuarantine); });
+  mScheduler.OnEvacuationEnded().connect([this](const request::UpstreamAnnouncement& aUpstream) {
+    mScheduler.Upstreams().ReleaseUpstreams({ aUpstream.id }, mOptions.loop.Now());
+  });
   mScheduler.Quarantine().OnBreakOff().connect(
     [this](const request::quarantine::Crash& aCrash) { CheckUpstream(aCrash); });
   mScheduler.Upstreams().Pacer().OnPaced().connect(
@@ -129,6 +132,8 @@
     mStateApplied = aFeed.state_applied();
     mScheduler.RecheckQueued();
   }
+  // Before the registry, which may list further upstreams of an evacuated data centre.
+  ApplyEvacuations(aFeed);
   if (aFeed.registry()) {
     ApplyRegistry(aFeed);
   }
@@ -143,6 +148,19 @@
   }
 }
 
+void EntryHost::ApplyEvacuations(const proto::Feed& aFeed)
+{
+  if (aFeed.state_applied() == 0) {
+    return; // The control host lags behind the one that was followed before.
+  }
+  std::set<core::DataCentreId> evacuated;
+  for (const proto::Evacuation& it : aFeed.evacuations()) {
+    evacuated.emplace(it.data_centre());
+  }
+  mEvacuationLog.Update(evacuated);
+  mScheduler.SetEvacuated(std::move(evacuated));
+}
+
 void EntryHost::ApplyDocument(const proto::Document& aDocument)
 {
   auto parsed = mOptions.parseCatalogue(aDocument.text());
@@ -546,6 +564,7 @@
   gauges.Add("upstreams_in_slow_start", paced.inSlowStart);
   gauges.Add("hosts_listed", mScheduler.Upstreams().Pacer().MemberCount());
   gauges.Add("upstream_speeds_known", mScheduler.Upstreams().CountSpeedsKnown());
+  gauges.Add("evacuated_data_centres", mEvacuationLog.Count());
   gauges.Add("prompt_parts_quarantined", mScheduler.Quarantine().QuarantinedCount());
   gauges.Add("log_lines_dropped", logging::DroppedLineCount());
   mOptions.links.AddMetrics(gauges);
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -49,7 +49,8 @@
 ///
 /// A request is dispatched only in the regions that its RegionPolicy allows at that moment. It is
 /// shed at once, also while it is queued, when they have no upstream that accepts work; if the
-/// upstreams there are busy, ejected or quiet, it waits.
+/// upstreams there are busy, ejected or quiet, it waits. The same holds for upstreams of data
+/// centres that are evacuated, to which nothing is dispatched.
 class PlacementScheduler : public Scheduler
 {
 public:
@@ -96,7 +97,18 @@
   /// queues. Must be called when the versions in force have changed.
   void RecheckQueued() { mIsRecheckDue = true; }
 
-  /// True if the request may be sent to this upstream now.
+  /// Sets the data centres that are evacuated: nothing more is dispatched to their upstreams, and
+  /// what runs there goes on. Queued requests that no upstream may serve any more are shed.
+  void SetEvacuated(std::set<core::DataCentreId> aDataCentres);
+
+  /// Emitted for each upstream of a data centre that is evacuated no longer, before anything is
+  /// dispatched there. The upstream may be cold.
+  sigc::signal<void(const UpstreamAnnouncement&)>& OnEvacuationEnded()
+  {
+    return mOnEvacuationEnded;
+  }
+
+  /// True if the allowed regions permit to send the request to this upstream now.
   bool MayServe(const RequestSpec& aSpec, const UpstreamAnnouncement& aUpstream) const;
 
   /// Sets the services whose callers have hardly more time than the target. WaitPolicy decides how
@@ -277,6 +289,7 @@
   LoadByRank mRemoteLoad;
   core::Instant mRemoteLoadAt{};
   WaitRejectedSignal mOnWaitRejected;
+  sigc::signal<void(const UpstreamAnnouncement&)> mOnEvacuationEnded;
   core::TimerHandle mTickTimer;
 };
 
