Regions: a configuration without restrictions costs no lookup

Cause: the regions of a request are asked for several times for each choice of an upstream, each time with up to three hash lookups, also where nothing is restricted.

Change: CatalogueRegionPolicy answers at once if neither the catalogue in force nor the one of the request's arrival restricts it.

The cost itself was not measured.

--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -79,6 +79,8 @@
   CHECK(*allowed("free", "w") == regions({ "y", "z" }));
   CHECK(*allowed("gone", "w") == regions({ "y", "z" }));
   POINTERS_EQUAL(nullptr, allowed("free", "free"));
+  CHECK(index.HasRegionRestrictions());
+  CHECK_FALSE(CatalogueIndex(Catalogue()).HasRegionRestrictions());
   POINTERS_EQUAL(nullptr, index.FindRouteRegions(core::RouteId("gone")));
   POINTERS_EQUAL(nullptr, index.FindRouteRegions(core::RouteId("free"))->get());
 }
--- a/cuminfield/request/placement/CatalogueRegionPolicy.cpp
+++ b/cuminfield/request/placement/CatalogueRegionPolicy.cpp
@@ -12,6 +12,9 @@
 const core::RegionSet* CatalogueRegionPolicy::AllowedRegions(const RequestSpec& aSpec) const
 {
   const core::RegionSet* atArrival = aSpec.regionsAtArrival.get();
+  if (!atArrival && mCatalogue && !mCatalogue->HasRegionRestrictions()) {
+    return nullptr; // The usual case; this is asked several times for each request.
+  }
   const auto* ofRoute = mCatalogue ? mCatalogue->FindRouteRegions(aSpec.route) : nullptr;
   if (!ofRoute) {
     return atArrival;
--- a/cuminfield/version/catalogue/CatalogueIndex.h
+++ b/cuminfield/version/catalogue/CatalogueIndex.h
@@ -34,6 +34,9 @@
   /// A restriction of requests to regions; null if there is none.
   using RegionRestriction = std::shared_ptr<const core::RegionSet>;
 
+  /// True if any route or workspace is restricted to regions.
+  bool HasRegionRestrictions() const { return !mRegionSets.empty(); }
+
   /// Returns the restriction of a route alone, or nullptr if no route has this id. If several
   /// routes have it, the restrictions of all of them apply.
   const RegionRestriction* FindRouteRegions(const core::RouteId& aRoute) const;
