placement: workspaces share a rank's capacity by start-time fair queueing

Cause: within a rank requests are served in order of arrival, so a workspace that sends six times its usual load takes the capacity of all others in its rank.

Change: for tight services RequestQueue serves the requests of one rank and lateness by start-time fair queueing over workspaces, by their time in a slot at nominal speed. The service that a workspace received stays known while the queue is empty. The predicted wait at arrival counts only the part of the rank's queue at this host that goes first, so a workspace whose requests would not wait behind the busy one is not rejected for its backlog.

--- a/UnitTests/request/placement/RequestQueueTest.cpp
+++ b/UnitTests/request/placement/RequestQueueTest.cpp
@@ -84,3 +84,44 @@
   CHECK_EQUAL(2, queue.CountAhead(1));
   CHECK_EQUAL(3, queue.CountAhead(9));
 }
+
+/// A workspace that sends many times its usual must wait behind itself, also after the queue was
+/// empty for a moment; with one workspace, the order is that of arrival.
+TEST(RequestQueue, FairOrderInterleavesWorkspaces)
+{
+  queue.SetFairOrder(true);
+  const auto add = [&](const std::string& aId, const std::string& aWorkspace,
+                       core::Duration aArrival) {
+    queue.Add({ .id = core::RequestId(aId),
+                .rank = 1,
+                .arrival = start + aArrival,
+                .latestOnTimeDispatch = start + 1s,
+                .expiresAt = start + 2s,
+                .workspace = core::WorkspaceId(aWorkspace) });
+  };
+  const auto serve = [&](std::size_t aCount) {
+    std::string served;
+    queue.ServeInOrder(start + 100ms, [&](const QueuedRequest& aRequest) {
+      if (aCount == 0) {
+        return false;
+      }
+      --aCount;
+      served += aRequest.id.Text() + " ";
+      return true;
+    });
+    return served;
+  };
+  for (int i = 0; i < 6; ++i) {
+    add("busy" + std::to_string(i), "busy", std::chrono::milliseconds(i));
+  }
+  add("a0", "a", 10ms);
+  add("b0", "b", 11ms);
+  DOUBLES_EQUAL(1.0 / 3, queue.PartUpTo(1, core::WorkspaceId("c")) - 1.0 / 9, 1e-9);
+  DOUBLES_EQUAL(1, queue.PartUpTo(1, core::WorkspaceId("busy")), 1e-9);
+  STRCMP_EQUAL("busy0 a0 b0 busy1 ", serve(4).c_str());
+  add("a1", "a", 20ms);
+  STRCMP_EQUAL("a1 busy2 busy3 busy4 busy5 ", serve(9).c_str());
+  add("busy6", "busy", 30ms);
+  add("a2", "a", 31ms);
+  STRCMP_EQUAL("a2 busy6 ", serve(9).c_str());
+}
--- a/UnitTests/request/placement/SimulatedClusterTest.cpp
+++ b/UnitTests/request/placement/SimulatedClusterTest.cpp
@@ -182,3 +182,36 @@
   CHECK(Part(with.at(2).inTime + with.at(2).late, with.at(2)) >= 0.65);
   CHECK(Part(with.at(0).inTime, with.at(0)) >= Part(without.at(0).inTime, without.at(0)) - 0.02);
 }
+
+/// One of ten workspaces sends six times its usual: the others are served nearly as before.
+TEST(SimulatedCluster, AWorkspaceWithSixTimesItsUsualWaitsBehindItself)
+{
+  SimulatedCluster cluster(MakeTightOptions());
+  const auto setLoad = [&](double aBusy, double aOther) {
+    for (int n = 0; n < 10; ++n) {
+      const double factor = (n == 0 ? aBusy : aOther) / 10;
+      const std::string workspace = "w" + std::to_string(n);
+      cluster.SetLoad(0, 66 * factor, workspace);
+      cluster.SetLoad(1, 63 * factor, workspace);
+      cluster.SetLoad(2, 118 * factor, workspace);
+    }
+  };
+  setLoad(1.2, 1.2);
+  cluster.RunFor(4s);
+  cluster.ResetStatistics();
+  setLoad(7.2, 1.2);
+  cluster.RunFor(5s);
+  setLoad(0, 0);
+  cluster.RunFor(13s);
+  SimulatedCluster::RankOutcome busy;
+  SimulatedCluster::RankOutcome others;
+  for (const auto& [workspace, it] : cluster.WorkspaceOutcomes()) {
+    SimulatedCluster::RankOutcome& sum = workspace.Text() == "w0" ? busy : others;
+    sum.submitted += it.submitted;
+    sum.shed += it.shed;
+    sum.expired += it.expired;
+  }
+  CHECK(Part(others.shed, others) <= 0.05);
+  CHECK(Part(others.expired, others) <= 0.01);
+  CHECK(Part(busy.shed, busy) >= 2 * Part(others.shed, others));
+}
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -21,6 +21,7 @@
   const auto [it, isNew] = mServices.try_emplace(aId, mSettings);
   if (isNew) {
     it->second.isTight = mTightServices.contains(aId);
+    it->second.queue.SetFairOrder(it->second.isTight);
   }
   return it->second;
 }
@@ -30,6 +31,7 @@
   mTightServices = std::move(aServices);
   for (auto& [id, service] : mServices) {
     service.isTight = mTightServices.contains(id);
+    service.queue.SetFairOrder(service.isTight);
   }
 }
 
@@ -160,7 +162,8 @@
 {
   const RequestSpec& spec = aState.spec;
   if (aService.isTight) {
-    return aService.waitPolicy.PredictWait(spec.tier) > MaxWait(spec);
+    return core::Scaled(aService.waitPolicy.PredictWait(spec.tier),
+                        aService.queue.PartUpTo(spec.tier, spec.workspace)) > MaxWait(spec);
   }
   return aService.queue.CountAhead(spec.tier) >= mSettings.minQueueForPrediction &&
          PredictWait(aService, spec.tier) > MaxWait(spec);
@@ -256,7 +259,9 @@
     .latestOnTimeDispatch = spec.arrival + spec.firstTokenTarget -
                             core::Scaled(mUpstreams.PredictIdleFirstEventLatency(spec),
                                          GetOrCreateService(spec.service).loadFactor),
-    .expiresAt = QueueExpiryOf(spec)
+    .expiresAt = QueueExpiryOf(spec),
+    .workspace = spec.workspace,
+    .cost = ServiceCost(spec)
   };
   if (spec.resumed) {
     // Its caller is already reading: goes ahead of all requests that haven't started.
@@ -267,6 +272,15 @@
   GetOrCreateService(spec.service).queue.Add(queued);
 }
 
+double PlacementScheduler::ServiceCost(const RequestSpec& aSpec) const
+{
+  const UpstreamTableSettings& speed = mSettings.upstreamTable;
+  const double milliseconds =
+    core::Milliseconds(mUpstreams.PredictIdleFirstEventLatency(aSpec)) +
+    static_cast<double>(aSpec.maxOutputTokens.value) * speed.tokenIntervalMs;
+  return milliseconds / std::max(1U, aSpec.weight);
+}
+
 core::Instant PlacementScheduler::QueueExpiryOf(const RequestSpec& aSpec) const
 {
   return aSpec.resumed ? aSpec.deadline : aSpec.arrival + MaxWait(aSpec);
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -163,6 +163,8 @@
   ServiceState& GetOrCreateService(const core::ServiceId& aId);
   void Enqueue(RequestState& aState);
   core::VersionId VersionOf(const RequestState& aState) const;
+  /// Time in a slot of nominal speed, relative to the share of the workspace.
+  double ServiceCost(const RequestSpec& aSpec) const;
   core::Instant QueueExpiryOf(const RequestSpec& aSpec) const;
   /// True if every upstream that may serve the request has asked for no requests until it expires.
   bool WaitsInVain(const RequestState& aState) const;
--- a/cuminfield/request/placement/RequestQueue.h
+++ b/cuminfield/request/placement/RequestQueue.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <unordered_map>
 
 namespace cuminfield::request::placement {
 
@@ -24,6 +25,8 @@
   core::Instant arrival{};
   core::Instant latestOnTimeDispatch{}; ///< If dispatched later, its target is probably missed.
   core::Instant expiresAt{};            ///< Shed at this time.
+  core::WorkspaceId workspace{};
+  double cost = 1; ///< Service that it takes, relative to the share of its workspace.
 };
 
 /// Queue of the requests of one service at this host. Serves requests that can still meet their
@@ -32,9 +35,17 @@
 /// In a burst, first-in-first-out order would make every request late once the wait exceeds the
 /// target. Serving on-time requests first keeps the newest of them on time; late requests get the
 /// remaining capacity.
+///
+/// With fair order, the requests of one rank and lateness are served by start-time fair queueing
+/// over workspaces: a workspace that sends many times its usual waits behind itself.
 class RequestQueue
 {
 public:
+  void SetFairOrder(bool aIsFair) { mIsFair = aIsFair; }
+
+  /// The part of a rank's requests, with a new one of the workspace, that are served up to the new
+  /// one. Late requests are served after it.
+  double PartUpTo(std::uint32_t aRank, const core::WorkspaceId& aWorkspace) const;
   void Add(const QueuedRequest& aRequest);
   void Remove(const core::RequestId& aId);
 
@@ -65,12 +76,24 @@
 
 private:
   static std::size_t RankIndex(std::uint32_t aRank);
-  static void Serve(std::deque<QueuedRequest>& aQueue,
-                    const std::function<bool(const QueuedRequest&)>& aServe);
+  /// Service received by the workspaces of one rank, in virtual time.
+  struct FairOrder
+  {
+    double virtualTime = 0; ///< Start of the request served last.
+    /// Ends of the requests served last. Workspaces without an entry start at virtualTime.
+    std::unordered_map<core::WorkspaceId, double> ends;
+  };
+  double StartOf(std::uint32_t aRank, const core::WorkspaceId& aWorkspace) const;
+  void Sort(std::uint32_t aRank, std::deque<QueuedRequest>& aQueue) const;
+  void RecordService(std::uint32_t aRank, const QueuedRequest& aRequest);
+  void Serve(std::uint32_t aRank, std::deque<QueuedRequest>& aQueue,
+             const std::function<bool(const QueuedRequest&)>& aServe);
   void MoveLateRequests(core::Instant aNow);
 
   std::array<std::deque<QueuedRequest>, kRankCount> mOnTime;
   std::array<std::deque<QueuedRequest>, kRankCount> mLate;
+  std::array<FairOrder, kRankCount> mFairOrders;
+  bool mIsFair = false;
 };
 
 } // namespace cuminfield::request::placement
