--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -205,6 +205,8 @@
   /// Why no upstream may serve the request, however long it waits; empty if one may, or if there is
   /// none for a reason that ends by itself.
   std::optional<ShedReason> WhyUnservable(const RequestState& aState) const;
+  /// Time in a slot of nominal speed, relative to the share of the workspace.
+  double ServiceCost(const RequestSpec& aSpec) const;
   core::Instant QueueExpiryOf(const RequestSpec& aSpec) const;
   /// True if every upstream that may serve the request has asked for no requests until it expires.
   bool WaitsInVain(const RequestState& aState) const;
