--- a/UnitTests/request/placement/SimulatedClusterTest.cpp
+++ b/UnitTests/request/placement/SimulatedClusterTest.cpp
@@ -139,6 +139,7 @@
     CHECK(Part(it.expired, it) <= 0.01);
     CHECK_EQUAL(0, it.rejectedLate);
     CHECK(Part(it.inTime + it.late, it) >= (rank == 2 ? 0.6 : 0.99));
+    CHECK(Part(it.shed, it) <= (rank == 2 ? 0.03 : 0.01)); // Rejected twice.
   }
   for (const auto& [rank, it] : RunBurst(MakeTightOptions(), 2, 8s)) {
     CHECK(Part(it.expired, it) <= 0.01);
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -241,7 +241,10 @@
     }
   });
   for (const core::RequestId& it : rejected) {
-    RejectForWait(it, WaitRejectionCause::Late);
+    // The listener may have withdrawn further requests.
+    if (mRequests.contains(it)) {
+      RejectForWait(it, WaitRejectionCause::Late);
+    }
   }
 }
 
@@ -397,7 +400,7 @@
       add(it->first.second, it->second);
     }
   }
-  aService.waitPolicy.SetLoad(load, mUpstreams.FreeEngineSlots(aId, mTimers.Now()), mTimers.Now());
+  aService.waitPolicy.SetLoad(load, aService.freeSlots, mTimers.Now());
 }
 
 std::map<core::ServiceId, const WaitPolicy*> PlacementScheduler::WaitPolicies() const
--- a/cuminfield/request/placement/PlacementScheduler.h
+++ b/cuminfield/request/placement/PlacementScheduler.h
@@ -87,12 +87,11 @@
   /// Load of this host's tight services, to be reported to the other hosts.
   LoadByRank LocalLoad() const;
 
-  /// Sets the load of all other hosts together. Called once per reporting
-  /// round.
+  /// Sets the load of all other hosts together. Called once per reporting round.
   void SetRemoteLoad(LoadByRank aRemoteLoad);
 
-  /// Emitted when a request of a tight service is rejected because of its wait,
-  /// for metrics and the log.
+  /// Emitted when a request of a tight service is rejected because of its wait, for metrics and the
+  /// log.
   using WaitRejectedSignal = sigc::signal<void(const RequestSpec&, const WaitRejection&)>;
   WaitRejectedSignal& OnWaitRejected() { return mOnWaitRejected; }
 
--- a/cuminfield/request/placement/WaitPolicy.h
+++ b/cuminfield/request/placement/WaitPolicy.h
@@ -19,12 +19,10 @@
   /// Part of its remaining time that a rejected caller waits before it tries elsewhere, at most.
   double retryAfterShare = 0.33;
   core::Duration minRetryAfter = std::chrono::milliseconds(300);
-  /// Spread of Retry-After relative to the predicted wait, and below the
-  /// longest one.
+  /// Spread of Retry-After above the predicted time, or below the longest one.
   double retryAfterSpread = 0.25;
-  /// Time constant with which the mean time in a slot follows the loads. It is
-  /// longer than most responses: at the start of a burst, requests in flight
-  /// rise before those that end.
+  /// Time constant with which the mean time in a slot follows the loads. It is longer than most
+  /// responses: at the start of a burst, requests in flight rise before those that end.
   core::Duration slotTimeSmoothing = std::chrono::seconds(3);
   /// Time constant of the rate at which a rank's requests end.
   core::Duration rateSmoothing = std::chrono::milliseconds(500);
@@ -33,8 +31,8 @@
   /// Part of all slots that each rank but the most urgent one gets while it has waiting requests,
   /// whatever the more urgent ranks ask for.
   double floorShare = 0.09;
-  /// Smoothed rate below which the mean time in a slot is no longer updated: it
-  /// stays known after a quiet time.
+  /// Smoothed rate below which the mean time in a slot is no longer updated: it stays known after a
+  /// quiet time.
   double minRateForSlotTime = 0.5;
 };
 
@@ -51,8 +49,7 @@
 {
   Predicted, ///< At arrival: it would have waited longer than it may.
   Expired,   ///< It waited for as long as it may.
-  Late,      ///< It missed its target, and on-time requests wait or it would not be
-             ///< served either.
+  Late,      ///< It missed its target, and waits in vain or for on-time requests.
 };
 
 /// The figures on which a request was rejected.
@@ -88,21 +85,19 @@
   /// How long after its arrival a request may be dispatched at the latest.
   core::Duration MaxWait(const RequestTimes& aTimes) const;
 
-  /// Sets the loads of all hosts together, and the free slots as far as this
-  /// host knows. The sums are 100 to 300 ms old. Decisions concern waits of a
-  /// second and more, so hosts that decide on the same old sums don't empty the
-  /// queues between two rounds.
+  /// Sets the loads of all hosts together, and the free slots as far as this host knows. The sums
+  /// are 100 to 300 ms old. Decisions concern waits of a second and more, so hosts that decide on
+  /// the same old sums don't empty the queues between two rounds.
   void SetLoad(const std::map<TierRank, RankLoad>& aLoad, double aFreeSlots, core::Instant aNow);
 
-  /// Predicts the wait of a new request; 0 if nothing is known yet. The smaller
-  /// one of two: the work that goes first, divided by the slots that more
-  /// urgent ranks leave; and the waiting requests of the rank, divided by the
-  /// rate at which the rank's requests end.
+  /// Predicts the wait of a new request; 0 if nothing is known yet. The smaller one of two: the
+  /// work that goes first, divided by the slots that more urgent ranks leave; and the waiting
+  /// requests of the rank, divided by the rate at which the rank's requests end.
   core::Duration PredictWait(TierRank aRank) const;
 
-  /// When a rejected request can probably be served, as the time after which
-  /// its caller should come back. aRemaining: its caller's time. aPoint is
-  /// uniform in [0, 1) and spreads callers that were rejected together.
+  /// When a rejected request can probably be served, as the time after which its caller should come
+  /// back. aRemaining: its caller's time. aPoint is uniform in [0, 1) and spreads callers that were
+  /// rejected together.
   core::Duration RetryAfter(TierRank aRank, core::Duration aRemaining, double aPoint) const;
 
   /// Rate at which the hosts together start requests of a rank at least, while it has enough: the
