placement: a dispatch is recorded at the time of its choice or later

Cause: TryDispatch read the clock before it chose. The cold time of an upstream that many hosts use ended between the two readings, so the choice was not limited and the record at the earlier time was. Change: the clock is read after the choice. Looked for elsewhere: Choose and RecordDispatch are called together here only. Measured: the test ended the process before the change (the invariant), and passes now.

--- a/UnitTests/request/placement/PacedUpstreamTableTest.cpp
+++ b/UnitTests/request/placement/PacedUpstreamTableTest.cpp
@@ -1,3 +1,5 @@
+#include "TestFramework/time/ManualTimerService.h"
+#include "cuminfield/request/placement/PlacementScheduler.h"
 #include "cuminfield/request/placement/UpstreamTable.h"
 
 #include <CppUTest/TestHarness.h>
@@ -162,3 +164,71 @@
   DOUBLES_EQUAL(3, sums.good, 0.1);
   DOUBLES_EQUAL(0, sums.bad, 0);
 }
+
+namespace {
+
+/// Time goes on with each reading of the clock, as in a process that runs.
+class RunningTimerService : public test_framework::time::ManualTimerService
+{
+public:
+  core::Instant Now() const override { return ManualTimerService::Now() + ++mReadings * 1us; }
+
+private:
+  mutable std::int64_t mReadings = 0;
+};
+
+class DispatchCounter : public SchedulerListener
+{
+public:
+  void OnDispatch(const core::RequestId&, const UpstreamAnnouncement&) override { ++dispatched; }
+  void OnShed(const core::RequestId&, ShedReason, core::Duration) override {}
+
+  int dispatched = 0;
+};
+
+class OneVersion : public VersionChooser
+{
+public:
+  core::VersionId Choose(const core::ServiceId&, const core::RouteId&, double) const override
+  {
+    return {};
+  }
+};
+
+} // namespace
+
+/// Fault: the cold time of an upstream ended between two readings of the clock for one placement.
+/// The dispatch was recorded with the earlier one, for which nothing had been granted, and the
+/// invariant `pace.cold-send-allowed` ended the process.
+TEST(PacedUpstreamTable, ColdTimeMayEndWhileARequestIsPlaced)
+{
+  const OneVersion versions;
+  for (int remaining = 1; remaining <= 40; ++remaining) {
+    RunningTimerService timers;
+    DispatchCounter listener;
+    PlacementScheduler scheduler({ .settings = {},
+                                   .timers = timers,
+                                   .random = random,
+                                   .listener = listener,
+                                   .versions = versions,
+                                   .dataCentre = core::DataCentreId("here") });
+    UpstreamTable& upstreams = scheduler.Upstreams();
+    upstreams.SetPacedServices({ { core::ServiceId("s"), { .coldPerSecond = 11 } } });
+    // This host may not send to cold upstreams: it is in no list.
+    upstreams.Pacer().SetMembers(5, { 6 }, timers.Now());
+    UpstreamAnnouncement upstream = table.Find(id)->upstream;
+    scheduler.AddOrUpdateUpstream(upstream);
+    upstreams.RecordColdTime(id, core::Incarnation(1), 1, 0ms, timers.Now());
+    timers.Advance(2s);
+    // Many other hosts use it, so there is no slow start after the cold time.
+    upstreams.SetRemoteReachability(id, 0, 50, timers.Now());
+    upstreams.RecordColdTime(id, core::Incarnation(1), 2, remaining * 1us, timers.Now());
+    RequestSpec spec = MakeSpec();
+    spec.id = core::RequestId("r");
+    spec.deadline = timers.Now() + 10s;
+    spec.firstTokenTarget = 1s;
+    scheduler.Submit(spec);
+    timers.Advance(1s);
+    CHECK_EQUAL(1, listener.dispatched);
+  }
+}
--- a/cuminfield/request/placement/PlacementScheduler.cpp
+++ b/cuminfield/request/placement/PlacementScheduler.cpp
@@ -625,11 +625,13 @@
                                      SlotShare aShare)
 {
   const RequestSpec& spec = aState.spec;
-  const core::Instant now = mTimers.Now();
   UpstreamEntry* entry = ChooseUpstream(aState, aService, aUrgency, aShare);
   if (!entry) {
     return false;
   }
+  // Read after the choice: what holds for an upstream then, such as the end of its cold time, must
+  // not be undone by an earlier time.
+  const core::Instant now = mTimers.Now();
   if (aState.attempts == 0) {
     aService.retryBudget.RecordFirstAttempt();
   }
