--- a/UnitTests/version/catalogue/CatalogueCheckTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueCheckTest.cpp
@@ -142,3 +142,15 @@
   workspace.burstUnits = -1;
   CheckFinding("quota-negative", Severity::Warning, EntryKind::Workspace, "w");
 }
+
+/// Guards against a workspace whose requests on a route would all be refused.
+TEST(CatalogueCheck, RegionsOfRouteAndWorkspaceWithoutACommonOneAreFound)
+{
+  const core::RegionSet north({ core::RegionId("north") });
+  const core::RegionSet south({ core::RegionId("south") });
+  catalogue.routes[0].allowedRegions = north;
+  catalogue.workspaces[0].allowedRegions = north;
+  CHECK(CheckCatalogue(catalogue).empty());
+  catalogue.workspaces[0].allowedRegions = south;
+  CheckFinding("regions-disjoint", Severity::Warning, EntryKind::Route, "r1");
+}
--- a/UnitTests/version/catalogue/CatalogueDifferenceTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueDifferenceTest.cpp
@@ -92,8 +92,15 @@
   route("latencyTarget", "0 ms", "2000 ms");
   after.routes[1].eventGapTarget = 1ms;
   route("eventGapTarget", "0 ms", "1 ms");
+  const core::RegionSet regions({ core::RegionId("south"), core::RegionId("north") });
+  after.routes[1].allowedRegions = regions;
+  route("allowedRegions", "any", "north south");
   after.services[0].maxConnections = 9;
   CheckChange(EntryKind::Service, "maxConnections", "0", "9");
+  after.services[0].coldPerSecond = 11;
+  CheckChange(EntryKind::Service, "coldPerSecond", "0", "11");
+  after.services[0].coldStart = 4s;
+  CheckChange(EntryKind::Service, "coldStart", "3000 ms", "4000 ms");
   before.services[0].engine = EngineRule{};
   after = before;
   after.services[0].engine->slots = 6;
@@ -113,6 +120,8 @@
   workspace("burstUnits", "0", "100");
   after.workspaces[0].defaultRequestUnits = 2;
   workspace("defaultRequestUnits", "1", "2");
+  after.workspaces[0].allowedRegions = regions;
+  workspace("allowedRegions", "any", "north south");
   const auto limits = [&](const char* aField, const char* aBefore, const char* aAfter) {
     CheckChange(EntryKind::Limits, aField, aBefore, aAfter);
   };
--- a/cuminfield/version/catalogue/CatalogueCheck.cpp
+++ b/cuminfield/version/catalogue/CatalogueCheck.cpp
@@ -249,10 +249,28 @@
   }
 }
 
-/// One function for each kind of finding. A check of routes and workspaces whose allowed regions
-/// have none in common needs these lists in the catalogue first; it then is one more function here.
+void CheckRegions(const Catalogue& aCatalogue, Findings& aFindings)
+{
+  for (const RouteRule& route : aCatalogue.routes) {
+    for (const WorkspaceRule& it : aCatalogue.workspaces) {
+      if (!route.allowedRegions || !it.allowedRegions ||
+          !route.allowedRegions->Intersect(*it.allowedRegions).IsEmpty()) {
+        continue;
+      }
+      aFindings.push_back(
+        { .code = "regions-disjoint",
+          .kind = EntryKind::Route,
+          .entry = route.id.Text(),
+          .field = "allowedRegions",
+          .problem = "no region is allowed to both the route and workspace " + it.id.Text(),
+          .remedy = "add a common region; until then the workspace's requests are refused here" });
+    }
+  }
+}
+
+/// One function for each kind of finding.
 constexpr void (*kChecks[])(const Catalogue&, Findings&) = {
-  CheckReferences, CheckAllNames, CheckMatches, CheckKeys, CheckLimits,
+  CheckReferences, CheckAllNames, CheckMatches, CheckKeys, CheckLimits, CheckRegions,
 };
 
 } // namespace
--- a/cuminfield/version/catalogue/CatalogueDifference.cpp
+++ b/cuminfield/version/catalogue/CatalogueDifference.cpp
@@ -51,6 +51,18 @@
   return text;
 }
 
+std::string Format(const std::optional<core::RegionSet>& aRegions)
+{
+  if (!aRegions) {
+    return "any";
+  }
+  std::string text;
+  for (const core::RegionId& it : aRegions->Regions()) {
+    text += (text.empty() ? "" : " ") + it.Text();
+  }
+  return text;
+}
+
 Fields FieldsOf(const RouteRule& aRoute)
 {
   return {
@@ -66,6 +78,7 @@
     { "timeout", Format(aRoute.timeout) },
     { "latencyTarget", Format(aRoute.latencyTarget) },
     { "eventGapTarget", Format(aRoute.eventGapTarget) },
+    { "allowedRegions", Format(aRoute.allowedRegions) },
   };
 }
 
@@ -77,6 +90,8 @@
     { "slots", engine ? Format(engine->slots) : "none" },
     { "cacheTokens", engine ? std::to_string(engine->cacheTokens.value) : "none" },
     { "eventTokens", engine ? Format(engine->eventTokens) : "none" },
+    { "coldPerSecond", Format(aService.coldPerSecond) },
+    { "coldStart", Format(aService.coldStart) },
   };
 }
 
@@ -88,6 +103,7 @@
     { "unitsPerSecond", Format(aWorkspace.unitsPerSecond) },
     { "burstUnits", Format(aWorkspace.burstUnits) },
     { "defaultRequestUnits", Format(aWorkspace.defaultRequestUnits) },
+    { "allowedRegions", Format(aWorkspace.allowedRegions) },
   };
 }
 
