platform: an empty list of tenants admits nobody

Cause: a configuration with an empty list and one without `tenants` became the same catalogue, and a key was required only if the list was not empty. The absence of a rule was inferred from an empty list, and absence is the open case.

Change: Catalogue::requiresKeys says whether keys are required, apart from the list, and is true unless the configuration has no `tenants`. `tenants` that is no list, also null, is rejected. `check` shows the difference and warns of an empty list (workspaces-empty).

Failed before, on the product code of: HeaderCodec EmptyListOfTenantsAdmitsNobody, ConfigurationText TenantsOfAnotherTypeAreRejected, ConfigurationCheck EmptyListOfTenantsIsADifferenceAndAWarning, CatalogueCheck EmptyListOfWorkspacesIsFound.

--- a/UnitTests/platform/ConfigurationCheckTest.cpp
+++ b/UnitTests/platform/ConfigurationCheckTest.cpp
@@ -154,6 +154,19 @@
   CHECK_FALSE(Prints("secret"));
 }
 
+/// Guards against an empty list of tenants that is shown as no difference from none.
+TEST(ConfigurationCheck, EmptyListOfTenantsIsADifferenceAndAWarning)
+{
+  body.erase("tenants");
+  const std::string inForce = Write("in-force", body.dump());
+  body["version"] = 8;
+  body["tenants"] = nlohmann::json::array();
+  CHECK(Run({ Write("new", body.dump()), "--in-force", inForce }) == ExitCode::Ok);
+  CHECK_TEXT(Prints("changed: configuration: tenants: no keys required -> keys required\n"),
+             printed.c_str());
+  CHECK_TEXT(Prints("[workspaces-empty]"), printed.c_str());
+}
+
 TEST(ConfigurationCheck, VersionThatWouldNotComeIntoForceIsAnError)
 {
   const std::string inForce = Write("in-force", body.dump());
--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -83,6 +83,18 @@
   ExpectInvalid();
 }
 
+/// Guards against a list that is not one, such as the null of an empty list, and is read as absent:
+/// without `tenants`, requests need no key.
+TEST(ConfigurationText, TenantsOfAnotherTypeAreRejected)
+{
+  for (const char* it : { "null", "{}", R"("t")", "false", "0" }) {
+    body["tenants"] = nlohmann::json::parse(it);
+    ExpectInvalid();
+    STRCMP_CONTAINS("tenants must be a list",
+                    platform::ParseConfiguration(body.dump()).error().message.c_str());
+  }
+}
+
 TEST(ConfigurationText, UnknownFieldsAreIgnored)
 {
   body["routes"][0]["later"] = { 1, 2 };
--- a/UnitTests/platform/HeaderCodecTest.cpp
+++ b/UnitTests/platform/HeaderCodecTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/HeaderCodec.h"
 
+#include "platform/ConfigurationText.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace cuminfield;
@@ -48,6 +50,18 @@
     request.headers.push_back({ .name = aName, .value = aValue });
   }
 
+  /// Puts a configuration with one route for the request in force; aTenants is its list of tenants
+  /// with the key and a comma, or empty.
+  void Configure(const std::string& aTenants)
+  {
+    auto parsed = platform::ParseConfiguration(
+      R"({"version":1,)" + aTenants +
+      R"("routes":[{"name":"r","host":"h.example","path_prefix":"/a/","timeout_ms":1000,"service":"s"}],
+      "services":[{"name":"s"}]})");
+    CHECK(parsed.has_value());
+    catalogue = std::make_unique<version::catalogue::CatalogueIndex>(std::move(parsed.value()));
+  }
+
   ForwardRequest ParseValid() const
   {
     auto parsed = codec.ParseRequest(request, *catalogue, now);
@@ -97,6 +111,26 @@
   CHECK_EQUAL(404, RejectedStatus());
 }
 
+/// Guards against routes that open to everybody once a configuration has removed the last tenant.
+TEST(HeaderCodec, EmptyListOfTenantsAdmitsNobody)
+{
+  Configure(R"("tenants":[{"name":"t","api_keys":["key"]}],)");
+  STRCMP_EQUAL("t", ParseValid().spec.workspace.Text().c_str());
+  Configure(R"("tenants":[],)");
+  CHECK_EQUAL(401, RejectedStatus());
+  request.headers.pop_back();
+  CHECK_EQUAL(401, RejectedStatus());
+}
+
+/// A configuration without `tenants` requires no keys.
+TEST(HeaderCodec, ConfigurationWithoutTenantsAdmitsEverybody)
+{
+  Configure("");
+  CHECK(ParseValid().spec.workspace.IsEmpty());
+  request.headers.pop_back();
+  CHECK(ParseValid().spec.workspace.IsEmpty());
+}
+
 TEST(HeaderCodec, ReplacesReservedHeaders)
 {
   AddHeader("x-cuminfield-tenant", "forged");
--- a/UnitTests/version/catalogue/CatalogueCheckTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueCheckTest.cpp
@@ -109,6 +109,20 @@
   CHECK(CheckCatalogue(catalogue).empty());
 }
 
+/// Guards against routes that are closed unnoticed by the removal of the last workspace.
+TEST(CatalogueCheck, EmptyListOfWorkspacesIsFound)
+{
+  catalogue.workspaces.clear();
+  CheckFinding("workspaces-empty", Severity::Warning, EntryKind::Catalogue, "");
+  catalogue.requiresKeys = false;
+  CHECK(CheckCatalogue(catalogue).empty());
+  catalogue.requiresKeys = true;
+  for (RouteRule& it : catalogue.routes) {
+    it.anonymous = true;
+  }
+  CHECK(CheckCatalogue(catalogue).empty());
+}
+
 TEST(CatalogueCheck, KeyOfTwoWorkspacesIsFoundAndNotShown)
 {
   WorkspaceRule other = catalogue.workspaces[0];
--- a/UnitTests/version/catalogue/CatalogueDifferenceTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueDifferenceTest.cpp
@@ -125,6 +125,8 @@
   const auto limits = [&](const char* aField, const char* aBefore, const char* aAfter) {
     CheckChange(EntryKind::Limits, aField, aBefore, aAfter);
   };
+  after.requiresKeys = false;
+  CheckChange(EntryKind::Catalogue, "requiresKeys", "keys required", "no keys required");
   after.limits.maxHeaders = { 1 };
   limits("maxHeaders", "16384 bytes", "1 bytes");
   after.limits.maxBody = { 2 };
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -185,9 +185,11 @@
   mScheduler.OnRegionsChanged();
   mScheduler.SetTightServices(mCatalogue->ServicesWithTightTargets());
   mForwards.OnCatalogueAvailable();
-  logging::Event(
-    logging::Level::Info, "document-in-force",
-    { { "number", aDocument.number() }, { "routes", mCatalogue->Content().routes.size() } });
+  logging::Event(logging::Level::Info, "document-in-force",
+                 { { "number", aDocument.number() },
+                   { "routes", mCatalogue->Content().routes.size() },
+                   { "workspaces", mCatalogue->Content().workspaces.size() },
+                   { "keys", mCatalogue->Content().requiresKeys ? "required" : "not-required" } });
   LogUnknownRegions();
 }
 
--- a/cuminfield/version/catalogue/Catalogue.h
+++ b/cuminfield/version/catalogue/Catalogue.h
@@ -89,6 +89,9 @@
   std::vector<RouteRule> routes;
   std::vector<ServiceRule> services;
   std::vector<WorkspaceRule> workspaces;
+  /// Requests on routes that are not anonymous need a key of a workspace; if there are no
+  /// workspaces, these routes admit nobody.
+  bool requiresKeys = true;
   CallerLimits limits;
 };
 
--- a/cuminfield/version/catalogue/CatalogueCheck.cpp
+++ b/cuminfield/version/catalogue/CatalogueCheck.cpp
@@ -161,6 +161,20 @@
   CheckRepeatedMatches(aCatalogue, aFindings);
 }
 
+/// Finds an empty list of workspaces, which closes all routes but anonymous ones.
+void CheckAdmission(const Catalogue& aCatalogue, Findings& aFindings)
+{
+  const auto isClosed = [](const RouteRule& aRoute) { return !aRoute.anonymous; };
+  if (aCatalogue.requiresKeys && aCatalogue.workspaces.empty() &&
+      std::any_of(aCatalogue.routes.begin(), aCatalogue.routes.end(), isClosed)) {
+    aFindings.push_back({ .code = "workspaces-empty",
+                          .kind = EntryKind::Catalogue,
+                          .field = "requiresKeys",
+                          .problem = "the list is empty, so that nobody has a key",
+                          .remedy = "add an entry; leave the list out if no request needs a key" });
+  }
+}
+
 void CheckKeys(const Catalogue& aCatalogue, Findings& aFindings)
 {
   const bool admitsWithoutKey =
@@ -270,7 +284,8 @@
 
 /// One function for each kind of finding.
 constexpr void (*kChecks[])(const Catalogue&, Findings&) = {
-  CheckReferences, CheckAllNames, CheckMatches, CheckKeys, CheckLimits, CheckRegions,
+  CheckReferences, CheckAllNames, CheckMatches, CheckAdmission,
+  CheckKeys,       CheckLimits,   CheckRegions,
 };
 
 } // namespace
--- a/cuminfield/version/catalogue/CatalogueDifference.cpp
+++ b/cuminfield/version/catalogue/CatalogueDifference.cpp
@@ -107,6 +107,12 @@
   };
 }
 
+/// The fields that are not lists of entries.
+Fields FieldsOf(const Catalogue& aCatalogue)
+{
+  return { { "requiresKeys", aCatalogue.requiresKeys ? "keys required" : "no keys required" } };
+}
+
 Fields FieldsOf(const CallerLimits& aLimits)
 {
   return {
@@ -211,12 +217,14 @@
   CompareLists(aBefore.routes, aAfter.routes, EntryKind::Route, changes);
   CompareLists(aBefore.services, aAfter.services, EntryKind::Service, changes);
   CompareLists(aBefore.workspaces, aAfter.workspaces, EntryKind::Workspace, changes);
-  if (auto fields = CompareFields(aBefore.limits, aAfter.limits); !fields.empty()) {
-    changes.push_back({ .change = ChangeKind::Changed,
-                        .kind = EntryKind::Limits,
-                        .entry = {},
-                        .fields = std::move(fields) });
-  }
+  const auto compare = [&](EntryKind aKind, const auto& aOld, const auto& aNew) {
+    if (auto fields = CompareFields(aOld, aNew); !fields.empty()) {
+      changes.push_back(
+        { .change = ChangeKind::Changed, .kind = aKind, .entry = {}, .fields = std::move(fields) });
+    }
+  };
+  compare(EntryKind::Catalogue, aBefore, aAfter);
+  compare(EntryKind::Limits, aBefore.limits, aAfter.limits);
   return changes;
 }
 
