catalogue: nobody owns an empty API key

What callers would see: with "" among a tenant's api_keys, a request without X-Api-Key ran as that tenant's.

Cause: a header that is absent and one that is empty are the same text, and the lookup found the empty key.

Change: an empty key has no owner. `check` counts it as no key (keys-missing).

Failed before: HeaderCodec EmptyKeyOfATenantAdmitsNobody, CatalogueCheck WorkspaceThatNoRouteAdmitsIsFound (extended).

--- a/UnitTests/platform/HeaderCodecTest.cpp
+++ b/UnitTests/platform/HeaderCodecTest.cpp
@@ -122,6 +122,17 @@
   CHECK_EQUAL(401, RejectedStatus());
 }
 
+/// Guards against requests without a key that count as those of a tenant with an empty one.
+TEST(HeaderCodec, EmptyKeyOfATenantAdmitsNobody)
+{
+  Configure(R"("tenants":[{"name":"t","api_keys":["","key"]}],)");
+  CHECK_FALSE(ParseValid().spec.workspace.IsEmpty());
+  request.headers.back().value = "";
+  CHECK_EQUAL(401, RejectedStatus());
+  request.headers.pop_back();
+  CHECK_EQUAL(401, RejectedStatus());
+}
+
 /// A configuration without `tenants` requires no keys.
 TEST(HeaderCodec, ConfigurationWithoutTenantsAdmitsEverybody)
 {
--- a/UnitTests/version/catalogue/CatalogueCheckTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueCheckTest.cpp
@@ -105,6 +105,8 @@
 {
   catalogue.workspaces[0].keys.clear();
   CheckFinding("keys-missing", Severity::Warning, EntryKind::Workspace, "w");
+  catalogue.workspaces[0].keys = { "" };
+  CheckFinding("keys-missing", Severity::Warning, EntryKind::Workspace, "w");
   catalogue.routes[0].anonymous = true;
   CHECK(CheckCatalogue(catalogue).empty());
 }
--- a/cuminfield/version/catalogue/CatalogueCheck.cpp
+++ b/cuminfield/version/catalogue/CatalogueCheck.cpp
@@ -182,7 +182,9 @@
                 [](const RouteRule& aRoute) { return aRoute.anonymous; });
   std::map<std::string, const WorkspaceRule*> owners;
   for (const WorkspaceRule& it : aCatalogue.workspaces) {
-    if (it.keys.empty() && !admitsWithoutKey) {
+    const bool hasKey = std::any_of(it.keys.begin(), it.keys.end(),
+                                    [](const std::string& aKey) { return !aKey.empty(); });
+    if (!hasKey && !admitsWithoutKey) {
       aFindings.push_back({ .code = "keys-missing",
                             .kind = EntryKind::Workspace,
                             .entry = it.id.Text(),
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -111,7 +111,7 @@
 
 const WorkspaceRule* CatalogueIndex::FindWorkspaceByKey(const std::string& aKey) const
 {
-  return FindOrNull(mWorkspacesByKey, aKey);
+  return aKey.empty() ? nullptr : FindOrNull(mWorkspacesByKey, aKey);
 }
 
 const WorkspaceRule* CatalogueIndex::FindWorkspace(const core::WorkspaceId& aId) const
--- a/cuminfield/version/catalogue/CatalogueIndex.h
+++ b/cuminfield/version/catalogue/CatalogueIndex.h
@@ -26,7 +26,8 @@
   /// null.
   const RouteRule* FindRoute(std::string_view aHost, std::string_view aPath) const;
 
-  /// Returns the workspace that owns aKey, or null.
+  /// Returns the workspace that owns aKey, or null. Nobody owns an empty key: it is that of a
+  /// request without one.
   const WorkspaceRule* FindWorkspaceByKey(const std::string& aKey) const;
 
   const WorkspaceRule* FindWorkspace(const core::WorkspaceId& aId) const;
