platform: lists of another type are rejected

What operators would see: "api_keys": "k1" was acknowledged, and all requests of the tenant got 401; "split": {...} beside a service was acknowledged, and all requests went to that service.

Cause: a value of another type was read as an absent list. A configuration that cannot be read in full requires a 4xx response.

Failed before: ConfigurationText ListsOfAnotherTypeAreRejected.

--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -95,6 +95,25 @@
   }
 }
 
+/// Guards against a list that is not one and is read as absent: a tenant would have no keys, and
+/// all of a route's requests would go to the service beside its split.
+TEST(ConfigurationText, ListsOfAnotherTypeAreRejected)
+{
+  const nlohmann::json valid = body;
+  for (const char* it : { R"("k1")", R"({"k1":true})", "true", "0" }) {
+    body["tenants"][0]["api_keys"] = nlohmann::json::parse(it);
+    ExpectInvalid();
+    STRCMP_CONTAINS("tenant t: api_keys must be a list",
+                    platform::ParseConfiguration(body.dump()).error().message.c_str());
+    body = valid;
+    body["routes"][0]["split"] = nlohmann::json::parse(it);
+    ExpectInvalid();
+    STRCMP_CONTAINS("route r1: split must be a list",
+                    platform::ParseConfiguration(body.dump()).error().message.c_str());
+    body = valid;
+  }
+}
+
 TEST(ConfigurationText, UnknownFieldsAreIgnored)
 {
   body["routes"][0]["later"] = { 1, 2 };
