catalogue: IPv6 addresses are different hosts

What callers would see: with routes for two IPv6 addresses, requests to one were served by the route of the other.

Cause: host names are compared without their port, which was taken to begin at the first colon: all IPv6 addresses were "[".

Failed before: CatalogueIndex IPv6AddressesAreDifferentHosts.

--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -32,6 +32,19 @@
   POINTERS_EQUAL(nullptr, index.FindRoute("three.example", "/a/"));
 }
 
+/// Guards against requests to one IPv6 address that are served by the route of another one.
+TEST(CatalogueIndex, IPv6AddressesAreDifferentHosts)
+{
+  Catalogue catalogue;
+  catalogue.routes = { MakeRoute("one", "[2001:DB8::1]", "/a/"),
+                       MakeRoute("two", "[2001:db8::2]:8080", "/a/") };
+  const CatalogueIndex index(std::move(catalogue));
+  STRCMP_EQUAL("one", index.FindRoute("[2001:db8::1]:80", "/a/x")->id.Text().c_str());
+  STRCMP_EQUAL("two", index.FindRoute("[2001:db8::2]", "/a/x")->id.Text().c_str());
+  POINTERS_EQUAL(nullptr, index.FindRoute("[2001:db8::3]", "/a/x"));
+  POINTERS_EQUAL(nullptr, index.FindRoute("[2001", "/a/x"));
+}
+
 TEST(CatalogueIndex, FindsWorkspacesByKey)
 {
   Catalogue catalogue;
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -142,7 +142,9 @@
 
 std::string CatalogueIndex::NormalizeHostName(std::string_view aHost)
 {
-  std::string key(aHost.substr(0, aHost.find(':')));
+  // The colons of an IPv6 address are between brackets; that of the port follows them.
+  const std::size_t addressEnd = aHost.starts_with('[') ? aHost.find(']') : 0;
+  std::string key(aHost.substr(0, aHost.find(':', addressEnd)));
   std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aCharacter) {
     return static_cast<char>(std::tolower(aCharacter));
   });
