catalogue: control hosts compare routes as requests are matched

It was acknowledged, and payouts ran at the other service. 400 was due.

Cause: hosts were compared as written when a configuration was accepted, and without regard to case and port when a request was routed.

Both routes stand in one configuration, so the version in force plays no part.

A test was wrong: CatalogueCheck RouteWithHostAndPrefixOfAnotherIsFound asserted a warning for "H:8080", which was the fault. It now asserts the error for each way to write the host.

Failed before: ConfigurationText RoutesWithTheSameHostInOtherLettersAreRejected, CatalogueCheck RouteWithHostAndPrefixOfAnotherIsFound.

--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -114,6 +114,26 @@
   }
 }
 
+/// Guards against requests that run at the service of another route, which an operator added with
+/// the same host in other letters: hosts are looked up without regard to case and port.
+TEST(ConfigurationText, RoutesWithTheSameHostInOtherLettersAreRejected)
+{
+  nlohmann::json other = body["routes"][0];
+  other["name"] = "r3";
+  other["service"] = "s2";
+  for (const char* it : { "H", "h:80", "H:80" }) {
+    other["host"] = it;
+    body["routes"].push_back(other);
+    ExpectInvalid();
+    STRCMP_CONTAINS("route r3: route r1 has the same host",
+                    platform::ParseConfiguration(body.dump()).error().message.c_str());
+    body["routes"].erase(body["routes"].size() - 1);
+  }
+  other["host"] = "h2";
+  body["routes"].push_back(other);
+  CHECK(platform::ParseConfiguration(body.dump()).has_value());
+}
+
 TEST(ConfigurationText, UnknownFieldsAreIgnored)
 {
   body["routes"][0]["later"] = { 1, 2 };
--- a/UnitTests/version/catalogue/CatalogueCheckTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueCheckTest.cpp
@@ -76,13 +76,15 @@
   CheckFinding("name-repeated", Severity::Warning, EntryKind::Route, "r1");
 }
 
+/// Guards against two routes that match the same requests because one host is written otherwise.
 TEST(CatalogueCheck, RouteWithHostAndPrefixOfAnotherIsFound)
 {
-  catalogue.routes.push_back(MakeRoute("r3", "h", "/a/"));
-  CheckFinding("route-repeated", Severity::Error, EntryKind::Route, "r3");
-  // Hosts compare names without case and port, but accept both.
-  catalogue.routes.back().host = "H:8080";
-  CheckFinding("route-never-matches", Severity::Warning, EntryKind::Route, "r3");
+  for (const char* it : { "h", "H", "h:8080", "H:8080" }) {
+    catalogue.routes.push_back(MakeRoute("r3", it, "/a/"));
+    CheckFinding("route-repeated", Severity::Error, EntryKind::Route, "r3");
+    CHECK_EQUAL(1, FindErrors(catalogue).size());
+    catalogue.routes.pop_back();
+  }
 }
 
 TEST(CatalogueCheck, PrefixThatNoPathBeginsWithIsFound)
--- a/cuminfield/version/catalogue/CatalogueCheck.cpp
+++ b/cuminfield/version/catalogue/CatalogueCheck.cpp
@@ -34,16 +34,14 @@
   return character <= ' ' || character >= 0x7f;
 }
 
-void CheckReferences(const Catalogue& aCatalogue, Findings& aFindings)
+void CheckUnknownServices(const Catalogue& aCatalogue, Findings& aFindings)
 {
   std::set<core::ServiceId> known;
-  std::set<core::ServiceId> used;
   for (const ServiceRule& it : aCatalogue.services) {
     known.insert(it.id);
   }
   for (const RouteRule& it : aCatalogue.routes) {
     for (const ServiceShare& share : it.services) {
-      used.insert(share.service);
       if (!known.contains(share.service)) {
         aFindings.push_back({ .severity = Severity::Error,
                               .code = "service-unknown",
@@ -55,6 +53,16 @@
       }
     }
   }
+}
+
+void CheckUnusedServices(const Catalogue& aCatalogue, Findings& aFindings)
+{
+  std::set<core::ServiceId> used;
+  for (const RouteRule& it : aCatalogue.routes) {
+    for (const ServiceShare& share : it.services) {
+      used.insert(share.service);
+    }
+  }
   for (const ServiceRule& it : aCatalogue.services) {
     if (!used.contains(it.id)) {
       aFindings.push_back({ .code = "service-unused",
@@ -125,29 +133,26 @@
   }
 }
 
-/// Finds routes whose host and prefix another route has: as hosts reject it, and as written
-/// otherwise, which they accept without ever using the second.
+/// Finds routes that match the same requests as another one, by the comparison with which
+/// CatalogueIndex looks routes up.
 void CheckRepeatedMatches(const Catalogue& aCatalogue, Findings& aFindings)
 {
-  using Match = std::pair<std::string, std::string>;
-  std::map<Match, const RouteRule*> first;
-  std::set<Match> written;
+  std::map<std::pair<std::string, std::string>, const RouteRule*> first;
   for (const RouteRule& it : aCatalogue.routes) {
     const auto [other, isFirst] =
       first.try_emplace({ CatalogueIndex::NormalizeHostName(it.host), it.pathPrefix }, &it);
-    const bool isRejected = !written.emplace(it.host, it.pathPrefix).second;
     if (isFirst) {
       continue;
     }
-    const std::string problem =
-      "route " + other->second->id.Text() + " has the same host and path prefix";
+    const bool isAsWritten = other->second->host == it.host;
     aFindings.push_back(
-      { .severity = isRejected ? Severity::Error : Severity::Warning,
-        .code = isRejected ? "route-repeated" : "route-never-matches",
+      { .severity = Severity::Error,
+        .code = "route-repeated",
         .kind = EntryKind::Route,
         .entry = it.id.Text(),
         .field = "pathPrefix",
-        .problem = isRejected ? problem : problem + " (case and port of a host do not matter)",
+        .problem = "route " + other->second->id.Text() + " has the same host and path prefix" +
+                   (isAsWritten ? "" : " (case and port of a host do not matter)"),
         .remedy = "change the host or the path prefix of one of them, or remove it" });
   }
 }
@@ -158,7 +163,6 @@
     CheckHost(it, aFindings);
     CheckPathPrefix(it, aFindings);
   }
-  CheckRepeatedMatches(aCatalogue, aFindings);
 }
 
 /// Finds an empty list of workspaces, which closes all routes but anonymous ones.
@@ -175,12 +179,11 @@
   }
 }
 
-void CheckKeys(const Catalogue& aCatalogue, Findings& aFindings)
+void CheckMissingKeys(const Catalogue& aCatalogue, Findings& aFindings)
 {
   const bool admitsWithoutKey =
     std::any_of(aCatalogue.routes.begin(), aCatalogue.routes.end(),
                 [](const RouteRule& aRoute) { return aRoute.anonymous; });
-  std::map<std::string, const WorkspaceRule*> owners;
   for (const WorkspaceRule& it : aCatalogue.workspaces) {
     const bool hasKey = std::any_of(it.keys.begin(), it.keys.end(),
                                     [](const std::string& aKey) { return !aKey.empty(); });
@@ -192,6 +195,13 @@
                             .problem = "it has no API key and no route admits requests without one",
                             .remedy = "add a key, or remove the entry" });
     }
+  }
+}
+
+void CheckRepeatedKeys(const Catalogue& aCatalogue, Findings& aFindings)
+{
+  std::map<std::string, const WorkspaceRule*> owners;
+  for (const WorkspaceRule& it : aCatalogue.workspaces) {
     std::set<std::string> others;
     for (const std::string& key : it.keys) {
       const auto [owner, isNew] = owners.try_emplace(key, &it);
@@ -284,18 +294,31 @@
   }
 }
 
-/// One function for each kind of finding.
-constexpr void (*kChecks[])(const Catalogue&, Findings&) = {
-  CheckReferences, CheckAllNames, CheckMatches, CheckAdmission,
-  CheckKeys,       CheckLimits,   CheckRegions,
-};
+using Check = void (*)(const Catalogue&, Findings&);
+
+/// Checks whose findings are errors.
+constexpr Check kErrorChecks[] = { CheckUnknownServices, CheckRepeatedMatches, CheckRepeatedKeys };
+
+/// Checks whose findings are warnings.
+constexpr Check kWarningChecks[] = { CheckUnusedServices, CheckAllNames,    CheckMatches,
+                                     CheckAdmission,      CheckMissingKeys, CheckLimits,
+                                     CheckRegions };
 
 } // namespace
 
 std::vector<Finding> CheckCatalogue(const Catalogue& aCatalogue)
+{
+  Findings findings = FindErrors(aCatalogue);
+  for (const Check check : kWarningChecks) {
+    check(aCatalogue, findings);
+  }
+  return findings;
+}
+
+std::vector<Finding> FindErrors(const Catalogue& aCatalogue)
 {
   Findings findings;
-  for (const auto check : kChecks) {
+  for (const Check check : kErrorChecks) {
     check(aCatalogue, findings);
   }
   return findings;
--- a/cuminfield/version/catalogue/CatalogueCheck.h
+++ b/cuminfield/version/catalogue/CatalogueCheck.h
@@ -35,7 +35,10 @@
 };
 
 /// Finds what hosts would reject, entries that can never match, and limits that contradict each
-/// other. All findings are listed, in the order of the catalogue.
+/// other. All findings are listed: errors first, those of one kind in the order of the catalogue.
 std::vector<Finding> CheckCatalogue(const Catalogue& aCatalogue);
 
+/// Finds the errors alone: hosts accept a catalogue if there are none.
+std::vector<Finding> FindErrors(const Catalogue& aCatalogue);
+
 } // namespace cuminfield::version::catalogue
