platform: entry hosts serve by what control hosts have accepted

What is committed has to be in force at all hosts alike.

Change: entry hosts only read the configuration. Of several routes at one place the first is used at every host; the order among them was that of an unstable sort.

--- a/UnitTests/platform/ColdUpstreamTest.cpp
+++ b/UnitTests/platform/ColdUpstreamTest.cpp
@@ -98,7 +98,7 @@
       .links = entryLinks,
       .random = random,
       .codec = codec,
-      .parseCatalogue = platform::ParseConfiguration });
+      .parseCatalogue = platform::ReadConfiguration });
     CHECK(entry->Start().has_value());
   }
 
--- a/UnitTests/platform/LoopbackEntryHost.cpp
+++ b/UnitTests/platform/LoopbackEntryHost.cpp
@@ -53,7 +53,7 @@
                                  .links = mLinks,
                                  .random = mRandom,
                                  .codec = mCodec,
-                                 .parseCatalogue = ::platform::ParseConfiguration });
+                                 .parseCatalogue = ::platform::ReadConfiguration });
   CHECK(mHost->Start().has_value());
   cluster::proto::Message message;
   cluster::proto::Feed* feed = message.mutable_feed();
@@ -86,7 +86,7 @@
 {
   aFeed.set_life(1);
   aFeed.set_led(true);
-  aFeed.set_document_number(1);
+  aFeed.set_document_number(aFeed.has_document() ? aFeed.document().number() : 1);
   cluster::proto::Message message;
   *message.mutable_feed() = std::move(aFeed);
   mLinks.OnMessage().emit(kControlHost, { .channel = process::peer::Channel::Cluster,
--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -45,6 +45,20 @@
   POINTERS_EQUAL(nullptr, index.FindRoute("[2001", "/a/x"));
 }
 
+/// Guards against hosts that choose different routes if an older version of the program has
+/// accepted several with the same host and prefix.
+TEST(CatalogueIndex, FirstOfSeveralRoutesWithOnePrefixIsUsed)
+{
+  Catalogue catalogue;
+  for (int n = 0; n < 40; ++n) {
+    catalogue.routes.push_back(
+      MakeRoute(std::to_string(n), n % 2 == 0 ? "h" : "H", n % 3 == 0 ? "/a/b/" : "/a/c/"));
+  }
+  const CatalogueIndex index(std::move(catalogue));
+  STRCMP_EQUAL("0", index.FindRoute("h", "/a/b/x")->id.Text().c_str());
+  STRCMP_EQUAL("1", index.FindRoute("h", "/a/c/x")->id.Text().c_str());
+}
+
 TEST(CatalogueIndex, FindsWorkspacesByKey)
 {
   Catalogue catalogue;
--- a/cuminfield/process/cluster/EntryHost.cpp
+++ b/cuminfield/process/cluster/EntryHost.cpp
@@ -165,7 +165,7 @@
 {
   auto parsed = mOptions.parseCatalogue(aDocument.text());
   if (!parsed) {
-    // Accepted by a control host that runs a newer version of the program; the catalogue in force
+    // Accepted by a control host that runs another version of the program; the catalogue in force
     // stays.
     logging::Event(logging::Level::Error, "document-unreadable",
                    { { "number", aDocument.number() }, { "error", parsed.error().message } });
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -24,9 +24,10 @@
     mRoutesByHost[NormalizeHostName(it.host)].push_back(&it);
   }
   for (auto& [host, routes] : mRoutesByHost) {
-    std::sort(routes.begin(), routes.end(), [](const RouteRule* aLeft, const RouteRule* aRight) {
-      return aLeft->pathPrefix.size() > aRight->pathPrefix.size();
-    });
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const RouteRule* aLeft, const RouteRule* aRight) {
+                       return aLeft->pathPrefix.size() > aRight->pathPrefix.size();
+                     });
   }
   for (const WorkspaceRule& it : mCatalogue.workspaces) {
     mWorkspacesById[it.id] = &it;
--- a/cuminfield/version/catalogue/CatalogueIndex.h
+++ b/cuminfield/version/catalogue/CatalogueIndex.h
@@ -23,7 +23,7 @@
   CatalogueIndex& operator=(const CatalogueIndex&) = delete;
 
   /// Returns the route of host name aHost (case-insensitive) with the longest prefix of aPath, or
-  /// null.
+  /// null. Of several such routes the first in the catalogue is returned.
   const RouteRule* FindRoute(std::string_view aHost, std::string_view aPath) const;
 
   /// Returns the workspace that owns aKey, or null. Nobody owns an empty key: it is that of a
