platform: numbers of a configuration are used as they are checked

What callers would see: a weight of 2^32 was accepted and used as 0, so that a service got nothing; a timeout of 0.0005 ms was accepted and used as 0; a priority of 2^32 was the highest, max_attempts of 2^32 was 0.

Cause: the check saw the number as written, hosts the number after conversion.

Change: such weights and timeouts are rejected; other numbers are reduced to the largest that fits.

Failed before: ConfigurationText NumbersAreUsedAsTheyAreChecked.

--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -134,6 +134,28 @@
   CHECK(platform::ParseConfiguration(body.dump()).has_value());
 }
 
+/// Guards against a number that is accepted as it is written, while hosts use another one because
+/// it doesn't fit: weights that add up to 0, a timeout of 0, the highest rank for the lowest.
+TEST(ConfigurationText, NumbersAreUsedAsTheyAreChecked)
+{
+  const nlohmann::json valid = body;
+  const std::uint64_t tooLarge = 1UL << 32U;
+  body["routes"][1]["split"] = { { { "service", "s1" }, { "weight", tooLarge } } };
+  ExpectInvalid();
+  body = valid;
+  body["routes"][0]["timeout_ms"] = 0.0005;
+  ExpectInvalid();
+  body["routes"][0]["timeout_ms"] = 1e300;
+  body["routes"][0]["max_attempts"] = tooLarge;
+  body["routes"][0]["priority"] = tooLarge;
+  body["tenants"][0]["priority"] = tooLarge;
+  const auto parsed = platform::ParseConfiguration(body.dump());
+  CHECK(parsed.has_value());
+  const auto& route = parsed.value().routes[0];
+  CHECK(route.timeout >= 24h);
+  CHECK(route.maxAttempts > 2 && route.rank > 1000 && parsed.value().workspaces[0].rank > 1000);
+}
+
 TEST(ConfigurationText, UnknownFieldsAreIgnored)
 {
   body["routes"][0]["later"] = { 1, 2 };
