soak: keys that no document held, and invalid documents

Now documents have one tenant or an empty list, a route that is not public gets requests with an unknown key, which must not run, and after each document one with two routes at one place is sent, which must be refused.

--- a/Build/soak.py
+++ b/Build/soak.py
@@ -6,7 +6,8 @@
 Checks what callers and runners see: a request that may not repeat runs at most once; `not run` is
 true; every whole answer is the caller's own; streams have no gap; what an operator was acknowledged
 is read back, and never an older document; a document is acknowledged within ACKNOWLEDGED of calm; a
-request runs in its allowed regions only; an evacuated data centre gets no new request, and requests
+request runs in its allowed regions only, and with a key only that a document held; an invalid document
+is refused; an evacuated data centre gets no new request, and requests
 again when that is revoked; an acknowledged leave is heeded, and so is what a runner says
 in its answers: that it leaves, or asks to wait; a planned stop ends with 0; service is back after the last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
 """
@@ -174,11 +175,12 @@
     # Operator.
     def document(self, number):
         route = lambda name, kind, **more: {"name": name, "host": "soak.example", "kind": kind,
-                                            "path_prefix": f"/{name}/", "timeout_ms": 4000,
+                                            "path_prefix": f"/{name}/", "timeout_ms": 4000, "public": True,
                                             "target_latency_ms": 400, "service": "s", **more}
+        tenants = [{"name": "t", "api_keys": ["key"]}] if number % 3 else []
         service = {"name": "s", **({"engine": {"slots": SLOTS}} if self.engines else {})}
-        return {"version": number, "services": [service], "routes": [
-            route("unsafe", "unsafe"), route("safe", "safe", max_attempts=2),
+        return {"version": number, "services": [service], "tenants": tenants, "routes": [
+            route("keyed", "safe", public=False), route("unsafe", "unsafe"), route("safe", "safe", max_attempts=2),
             route("bound", "safe", max_attempts=2, allowed_regions=["r0"]),
             route("stream", "stream", gap_goal_ms=300),
             route("resumable", "stream", resumable=True, max_attempts=3, gap_goal_ms=300)]}
@@ -204,6 +206,10 @@
             calm = self.longest_calm(sent, time.monotonic())
             if calm > ACKNOWLEDGED and not self.stopping:
                 self.violate(f"document {number} had no acknowledgement after {calm:.1f} s of calm")
+            twice = self.document(self.number)
+            twice["routes"].append({**twice["routes"][0], "name": "twice", "host": "SOAK.example"})
+            if (await self.order("PUT", "/v1/configuration", twice, tries=1))[0] == 200:
+                self.violate(f"document {number} was accepted with two routes at one place")
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
             asked = time.monotonic()
             status, body = await self.order("GET", "/v1/configuration", tries=3)
@@ -312,6 +318,8 @@
         self.reached[state["zone"]] = time.monotonic()
         if self.evacuated == state["zone"]:
             self.violate(f"{request} came to {state['id']}, whose data centre is evacuated")
+        if kind == "keyed":
+            self.violate(f"{request} ran, whose key no document held")
         if kind == "bound" and REGIONS[state["zone"]] != "r0":
             self.violate(f"{request} came to {state['id']}, outside its regions")
         self.runs[request] += 2 if self.args.plant and self.rng.random() < 0.01 else 1
@@ -349,7 +357,7 @@
         rng = random.Random(self.args.seed * 1000 + index)
         connection = None
         while not self.stopping:
-            kind = rng.choice([*PLAIN, "stream", "resumable"])
+            kind = rng.choice([*PLAIN, "stream", "resumable", "keyed"])
             request = f"{rng.getrandbits(64):016x}"
             self.sent[request] = kind
             good = False
@@ -362,7 +370,7 @@
                 self.sent_to[request] = host, time.monotonic()
                 writer.write((f"POST /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 16\r\n"
                               f"X-Cuminfield-Request-Id: {request}\r\nX-Cuminfield-Deadline-Ms: 4000"
-                              f"\r\n\r\n{request}").encode())
+                              f"\r\nX-Api-Key: unknown\r\n\r\n{request}").encode())
                 good, close = await asyncio.wait_for(self.answer(request, kind, host, reader), 5)
                 if close or rng.random() < 0.1:
                     writer.close()
@@ -371,7 +379,8 @@
                 if connection:
                     connection[1].close()
                 connection = None
-            self.outcomes.append((time.monotonic(), good))
+            if kind != "keyed":
+                self.outcomes.append((time.monotonic(), good))
             await asyncio.sleep(rng.uniform(0.01, 0.08))
 
     async def answer(self, request, kind, host, reader):
