--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -140,6 +140,7 @@
     def __init__(self, folder, controls=3, entries=2, zones_borne=0):
         self.case = folder
         self.controls, self.entries = controls, entries
+        self.seeds = [f"control{n}" for n in range(min(3, controls))]
         self.tolerance = {"machines": 1, "zones": zones_borne, "regions": 0}
         self.prefix, self.base = free_network()
         self.work = tempfile.mkdtemp(prefix="cuminfield-review-")
@@ -175,7 +176,7 @@
         fields = {
             "node_name": name, "ip": self.ip(name), "zone": zone, "region": ZONES[zone],
             "zones": ZONES, "listen": listen, "internal_ports": [self.base, self.base + 15],
-            "seeds": [f"{self.ip(f'control{n}')}:{self.base + 1}" for n in range(min(3, self.controls))],
+            "seeds": [f"{self.ip(it)}:{self.base + 1}" for it in self.seeds],
             "bootstrap": not self.founded, "fault_tolerance": self.tolerance,
             "bounds": {"grace_s": 8, "quota_window_s": 8, "quota_overshoot": 0.1,
                        "quota_slack": 140000, "retry_budget_ratio": 0.2}}
