--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -21,6 +21,8 @@
 PROGRAM = os.environ.get("PROGRAM", f"{ROOT}/target/cuminfield")
 HOST = "review.example"
 ZONES = {"gent-a": "vlaanderen", "luik-a": "wallonie", "elsene-a": "brussel"}
+BOUNDS = {"grace_s": 8, "quota_window_s": 8, "quota_overshoot": 0.1, "quota_slack": 140000,
+          "retry_budget_ratio": 0.2}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -146,6 +148,7 @@
         self.work = tempfile.mkdtemp(prefix="cuminfield-review-")
         self.start = time.monotonic()
         self.record = open(f"{folder}/record.txt", "w", encoding="utf-8", errors="replace")
+        self.bounds = dict(BOUNDS)
         self.processes, self.tasks, self.runners = {}, [], []
         self.ended = []            # (name, code) of processes that ended without being asked to.
         self.founded = False
@@ -178,8 +181,7 @@
             "zones": ZONES, "listen": listen, "internal_ports": [self.base, self.base + 15],
             "seeds": [f"{self.ip(it)}:{self.base + 1}" for it in self.seeds],
             "bootstrap": not self.founded, "fault_tolerance": self.tolerance,
-            "bounds": {"grace_s": 8, "quota_window_s": 8, "quota_overshoot": 0.1,
-                       "quota_slack": 140000, "retry_budget_ratio": 0.2}}
+            "bounds": self.bounds}
         if control:
             fields["data_dir"] = f"{self.work}/{name}"
         path = f"{self.work}/{name}.ini"
