--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -423,6 +423,13 @@
 
     async def main():
         deployment = Deployment(folder, **options)
+
+        def stop():
+            deployment.finish()
+            os._exit(2)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         code = 2
         try:
             deployment.log(f"trouble: {'yes' if TROUBLE else 'no'}")
