soak: a wait that was asked of nobody binds nobody

Trace: the proxy of runner i-3-0 was silent from 8.3 s to 9.4 s. The host gave a request up (`try-ended ... reason=silent`, 21.867), the proxy delivered it afterwards, and the runner answered it with 503 and Retry-After on a connection that the host had closed. The host's log has one other wait, of 850 ms (`upstream-asks-to-wait`, 22.213), and no `request-placed` until 23.078.

Cause: a check that was wrong. It left out answers of a runner that was harmed within the second before, but looked at the latest harm only, and the runner was harmed again (`shed`) after its answer.

Change: each wait keeps when its runner's traffic was last held up. Waits that were asked a second or more after that are checked as before.

--- a/Build/soak.py
+++ b/Build/soak.py
@@ -220,7 +220,7 @@
     # Runners, each behind a proxy of its own.
     async def runner(self, index):
         state = {"id": f"i-{index}-0", "born": int(time.time() * 1000), "leaving": None, "up": True,
-                 "mode": "pass", "life": 0, "open": set(), "sequence": 0, "says": False, "harmed": 0,
+                 "mode": "pass", "life": 0, "open": set(), "sequence": 0, "says": False, "harmed": 0, "held_up": 0,
                  "zone": f"dc{index % 3}"}
         host = f"127.80.{self.args.seed % 250}.{index + 1}"
 
@@ -284,7 +284,8 @@
             self.violate(f"{request} came to {state['id']} {sent - told:.1f} s after {host} knew it leaves")
         for wait in self.told_wait.get(key, []):
             told = wait["told"]
-            harmed = told - 1 < state["harmed"] < told + QUIET_BEGINS
+            # The host had perhaps given up the request: the proxy had kept it from the runner.
+            harmed = told - 1 < state["harmed"] < told + QUIET_BEGINS or told - 1 < wait["held_up"]
             if told + QUIET_BEGINS < now < wait["until"] and disturbed < told - 1 and not harmed:
                 wait["reached"] += 1
                 if wait["reached"] == QUIET_ALLOWED + 1:
@@ -304,7 +305,7 @@
             wait = round(self.rng.uniform(0.2, 3), 2)
             now = time.monotonic()
             self.told_wait.setdefault((self.sent_to[request][0], state["id"]), []).append(
-                {"told": now, "until": now + wait, "reached": 0})
+                {"told": now, "until": now + wait, "reached": 0, "held_up": state["held_up"]})
             reply(503, "full", f"X-Cuminfield-Not-Executed: full\r\nRetry-After: {wait}\r\n")
             return True
         notice = f"X-Soak-Runner: {state['id']}\r\n" + ("Server-Leaving: 1\r\n" if state["says"] else "")
@@ -460,6 +461,8 @@
             self.log(f"{state['mode']} {state['id']}")
             await asyncio.sleep(self.rng.uniform(0.3, 2.5))
             state["mode"], state["harmed"] = "pass", time.monotonic()
+            if what == "proxy":
+                state["held_up"] = state["harmed"]
         elif state["up"] and state["leaving"] is None:
             self.log(f"{what} {state['id']}")
             if what.startswith("leave"):
