peer: a stop waits until gRPC has reported all streams done

What was seen: one run of all unit tests on x86-64 ended with "corrupted double-linked list" after two tests of GrpcPeerLinks; the next run was whole. A process would end by a signal instead of with 0 at its stop.

Cause: gRPC reports a cancelled stream done on a thread of its own, and that thread posts to the loop. Stop() cancelled the streams and returned, so that the loop could be gone by then. That the run above ended by this is likely, not proven: no core was kept.

Change: streams that are not reported done are counted (UnfinishedStreams); Stop() waits until there are none, half a second at most, and logs what is left. The count falls after the last use of the loop, and on a copy, since the loop may destroy the stream as soon as it has the task.

--- a/UnitTests/process/peer/GrpcPeerLinksTest.cpp
+++ b/UnitTests/process/peer/GrpcPeerLinksTest.cpp
@@ -184,3 +184,21 @@
   rightSends = true;
   CHECK(BothReceive(GrpcPeerLinksSettings{}.connectTimeout / 2));
 }
+
+/// Guards against a thread of gRPC that posts to a loop that is gone, after a stop while streams
+/// are opening.
+TEST(GrpcPeerLinks, NoStreamIsUnfinishedAfterAStop)
+{
+  constexpr std::size_t kPeers = 20;
+  GrpcPeerLinks links{ { .settings = { .dynamicPeerPort = ports.right },
+                         .self = core::HostId("self"),
+                         .listen = {},
+                         .peers = {},
+                         .loop = loop } };
+  for (std::size_t n = 1; n <= kPeers; ++n) {
+    links.Send(core::HostId("127.0.0." + std::to_string(n)), { .payload = "1" });
+  }
+  CHECK_EQUAL(kPeers, links.UnfinishedStreamCount());
+  links.Stop();
+  CHECK_EQUAL(0, links.UnfinishedStreamCount());
+}
--- a/cuminfield/process/peer/GrpcPeerLinks.cpp
+++ b/cuminfield/process/peer/GrpcPeerLinks.cpp
@@ -19,6 +19,9 @@
 /// each end opens a connection, and the ends are not equally fast.
 constexpr core::Duration kFreshAttemptDuration = std::chrono::milliseconds(500);
 
+/// Time in which gRPC reports cancelled streams done; usually a few milliseconds.
+constexpr core::Duration kStopLimit = std::chrono::milliseconds(500);
+
 /// Numbers of streams are below this, so that each takes at most three bytes in a batch. They begin
 /// at random, so that a restarted host does not take the acknowledgements of its former streams for
 /// those of new ones.
@@ -42,6 +45,7 @@
     : mLinks(aLinks)
     , mLoop(aLinks.mOptions.loop)
     , mAlive(aLinks.mAlive)
+    , mUnfinished(aLinks.mUnfinishedStreams)
     , mPeer(std::move(aPeer))
     , mNumber(aNumber)
   {
@@ -64,6 +68,7 @@
   void Start()
   {
     mSelf = shared_from_this();
+    mUnfinished->Add();
     mContext.set_wait_for_ready(true);
     mContext.set_compression_algorithm(GRPC_COMPRESS_GZIP);
     mStub->async()->Deliver(&mContext, &mResponse, this);
@@ -109,17 +114,21 @@
 
   void OnDone(const grpc::Status&) override
   {
+    // The loop may destroy this stream as soon as it has the task.
+    const std::shared_ptr<UnfinishedStreams> unfinished = mUnfinished;
     mLoop.Post([this, alive = mAlive, self = std::move(mSelf)] {
       if (*alive) {
         mLinks.OnStreamClosed(mPeer, this);
       }
     });
+    unfinished->Remove();
   }
 
 private:
   GrpcPeerLinks& mLinks;
   core::EventLoop& mLoop;
   std::shared_ptr<bool> mAlive;
+  std::shared_ptr<UnfinishedStreams> mUnfinished;
   core::HostId mPeer;
   std::shared_ptr<grpc::Channel> mChannel;
   std::unique_ptr<proto::Peer::Stub> mStub;
@@ -220,6 +229,7 @@
   : mOptions(std::move(aOptions))
   , mStalls(kCheckPeriod * 2)
   , mRandom(std::random_device()())
+  , mUnfinishedStreams(std::make_shared<UnfinishedStreams>())
   , mAlive(std::make_shared<bool>(true))
   , mLastStream(static_cast<std::uint32_t>(mRandom.UniformBelow(kStreamNumbers)))
 {
@@ -274,6 +284,10 @@
     mServer->Shutdown(std::chrono::system_clock::now());
     mServer.reset();
   }
+  if (!mUnfinishedStreams->WaitUntilNone(kStopLimit)) {
+    logging::Event(logging::Level::Warning, "peer-streams-unfinished",
+                   { { "streams", mUnfinishedStreams->Count() } });
+  }
 }
 
 void GrpcPeerLinks::Send(const core::HostId& aTo, PeerMessage aMessage)
--- a/cuminfield/process/peer/GrpcPeerLinks.h
+++ b/cuminfield/process/peer/GrpcPeerLinks.h
@@ -8,8 +8,10 @@
 #include "cuminfield/process/peer/DeliveryMonitor.h"
 #include "cuminfield/process/peer/PeerLinks.h"
 #include "cuminfield/process/peer/StreamStatistics.h"
+#include "cuminfield/process/peer/UnfinishedStreams.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -74,9 +76,13 @@
   /// Binds the listening port and connects to the peers. Io when the port is in use.
   core::Result<void> Start();
 
-  /// Closes every stream and the listening port; no message is emitted afterwards.
+  /// Closes every stream and the listening port; no message is emitted afterwards. Waits until no
+  /// thread of gRPC uses the loop any more.
   void Stop();
 
+  /// Number of outgoing streams that gRPC has not reported done; none after Stop().
+  std::size_t UnfinishedStreamCount() const { return mUnfinishedStreams->Count(); }
+
   void Send(const core::HostId& aTo, PeerMessage aMessage) override;
 
   /// Bytes of all batches sent and received, to measure control traffic.
@@ -133,6 +139,7 @@
   core::Random mRandom;
   std::unique_ptr<Service> mService;
   std::unique_ptr<grpc::Server> mServer;
+  std::shared_ptr<UnfinishedStreams> mUnfinishedStreams;
   std::shared_ptr<bool> mAlive; ///< False once stopped, so that late completions are ignored.
   core::TimerHandle mCheckTimer;
   std::uint32_t mLastStream; ///< Number of the stream that was opened last.
