cluster: a control host that stops hands over its vote

From then on every read and change of the configuration was answered 503, for good (LOST, CONFIG).

Cause: on SIGTERM a control host ended after 0.3 s and left its vote behind. The leader replaces a voter only after 1.5 s of silence; by then the second one was gone, and one of three voters was left.

Change: a member that is about to stop says so in its replies. The leader lets a caught-up learner vote in its place and then removes it, itself last; it leads until its own removal is committed. The process ends when that is known, or when the leader answers that no host can take its place, or 1.1 s before the end of its grace time. A restart without a spare host takes 0.3 s as before.

Why this works: with a ready successor no voter ends before the group has as many voters without it, one change at a time, so two planned stops in a row are no losses. While no leader is known the host keeps its vote, since it may be needed to elect one.

Found by the tests of the change: a leader that was just elected knows no learners, and told the next host that nobody could take its place. It says so only 1.2 s after its election now.

--- a/Build/soak.py
+++ b/Build/soak.py
@@ -9,7 +9,8 @@
 request runs in its allowed regions only, and with a key only that a document held; an invalid document
 is refused; an evacuated data centre gets no new request, and requests
 again when that is revoked; an acknowledged leave is heeded, and so is what a runner says
-in its answers: that it leaves, or asks to wait; a planned stop ends with 0; service is back after the last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
+in its answers: that it leaves, or asks to wait; a planned stop ends with 0; control hosts that are replaced, new
+ones first, take nothing with them; service is back after the last fault. Ends with `soak: ok`, or with every violation and exit code 1. Ends only its own processes.
 """
 import argparse
 import asyncio
@@ -27,6 +28,7 @@
 PLAIN = ("unsafe", "safe", "bound")  # Kinds of requests without a stream; `bound` may run in r0 only.
 GREY_FAILED, GREY_BROKEN = 0.4, 0.4  # Shares of the requests of a grey runner.
 GRACE = 8.0          # Seconds from SIGTERM to SIGKILL.
+CAUGHT_UP = 4.0      # A control host may go for good once its successor has run for so long.
 LEAVE_HEEDED = 2.5   # After an acknowledged leave no new request comes.
 CONFIG_APPLIED = 2.5  # After an acknowledged document no older one is read.
 QUIET_BEGINS, QUIET_ALLOWED = 0.5, 2  # After a refusal with Retry-After; requests until its end.
@@ -45,6 +47,8 @@
         self.folder = tempfile.mkdtemp(prefix=f"cuminfield-soak-{args.seed}-")
         self.violations, self.events = [], []
         self.processes, self.stopping = {}, False
+        self.controls = [f"control{n}" for n in range(CONTROLS)]
+        self.plans = random.Random(-1 - args.seed)  # Apart, so that plans leave the faults of a seed as they are.
         self.disturbed = time.monotonic()
         self.unstable = []                     # [begin, end or None] of faults of control hosts.
         self.runs = collections.Counter()      # Request id to runs begun.
@@ -69,7 +73,7 @@
         return int(name.lstrip("abcdefghijklmnopqrstuvwxyz"))
 
     def hosts(self):
-        return ([f"control{n}" for n in range(CONTROLS)] +
+        return (self.controls +
                 [f"entry{n}" for n in range(self.args.entries)])
 
     def address(self, name):
@@ -78,7 +82,7 @@
 
     def settings(self, name):
         ip = self.address(name)
-        seeds = ",".join(f"{self.address(f'control{n}')}:{self.base + 1}" for n in range(CONTROLS))
+        seeds = ",".join(f"{self.address(it)}:{self.base + 1}" for it in self.controls[-CONTROLS:])
         first = not os.path.exists(f"{self.folder}/founded")
         lines = ["[host]", f"id = {ip}", f"name = {name}", f"data-centre = dc{self.index(name) % 3}",
                  "region = r"]
@@ -161,7 +165,7 @@
     async def order(self, method, path, body=None, tries=12):
         data = json.dumps(body).encode() if body is not None else b""
         for n in range(tries):
-            host = self.address(f"control{self.rng.randrange(CONTROLS)}")
+            host = self.address(self.controls[self.rng.randrange(CONTROLS)])
             try:
                 status, _, answer = await asyncio.wait_for(
                     self.call(host, self.base + 1, method, path, data), 1.5)
@@ -407,7 +411,7 @@
         what = self.rng.choice(["kill", "freeze", "term", "hup", "wipe", "herd", "proxy", "crash",
                                 "leave", "leave-by-answers", "grey", "shed", "reset"])
         if what in ("kill", "freeze", "term", "hup", "wipe"):
-            name = self.rng.choice(hosts[:CONTROLS] if what == "wipe" else hosts)
+            name = self.rng.choice(self.controls if what == "wipe" else hosts)
             if name in self.busy or (what == "wipe" and any(b.startswith("control") for b in self.busy)):
                 return
             self.busy.add(name)
@@ -436,19 +440,44 @@
             self.host_disturbed[self.address(name)] = time.monotonic()
             self.busy.discard(name)
         elif what == "herd" and not self.busy:
-            self.busy.update(hosts[:CONTROLS])
+            controls = list(self.controls)
+            self.busy.update(controls)
             self.log("kill all control hosts")
             unstable = [time.monotonic(), None]
             self.unstable.append(unstable)
-            await asyncio.gather(*(self.end(n, gently=False) for n in hosts[:CONTROLS]))
-            await asyncio.gather(*(self.launch(n) for n in hosts[:CONTROLS]))
+            await asyncio.gather(*(self.end(n, gently=False) for n in controls))
+            await asyncio.gather(*(self.launch(n) for n in controls))
             unstable[1] = time.monotonic()
             await asyncio.sleep(1)
-            self.busy.difference_update(hosts[:CONTROLS])
+            self.busy.difference_update(controls)
         elif what in ("proxy", "reset", "crash", "leave", "leave-by-answers", "grey", "shed"):
             await self.runner_fault(what, self.rng.choice(self.runner_states))
         self.disturbed = time.monotonic()
 
+    async def replace_controls(self, end):
+        """Planned work: successors first, then SIGTERM to the old ones, one after the other, for good."""
+        while time.monotonic() < end:
+            await asyncio.sleep(self.plans.uniform(0.5, 3))
+            if any(it.startswith("control") for it in self.busy) or not os.path.exists(f"{self.folder}/founded"):
+                continue
+            old = self.plans.sample(self.controls, self.plans.choice([1, 2]))
+            first = max(map(self.index, self.controls)) + 1
+            new = [f"control{n}" for n in range(first, first + len(old))]
+            self.busy.update(old + new)
+            self.log(f"replace {old} by {new}")
+            await asyncio.gather(*(self.launch(it) for it in new))
+            await asyncio.sleep(CAUGHT_UP)
+            self.controls = [it for it in self.controls if it not in old] + new
+            for name in self.hosts():
+                self.settings(name)
+            ends = []
+            for name in old:
+                self.log(f"stop {name} for good")
+                ends.append(asyncio.create_task(self.end(name, gently=True)))
+                await asyncio.sleep(self.plans.uniform(0.05, 3))
+            await asyncio.gather(*ends)
+            self.busy.difference_update(old + new)
+
     async def runner_fault(self, what, state):
         state["harmed"] = time.monotonic()
         if what == "reset":
@@ -504,7 +533,8 @@
         tasks.append(asyncio.create_task(self.operate()))
         await asyncio.sleep(4)
         tasks += [asyncio.create_task(self.caller(n)) for n in range(16)]
-        faults, end = set(), time.monotonic() + self.args.seconds
+        end = time.monotonic() + self.args.seconds
+        faults = {asyncio.create_task(self.replace_controls(end))}
         while time.monotonic() < end:
             await asyncio.sleep(self.rng.expovariate(1 / 0.8))
             task = asyncio.create_task(self.fault())
--- a/UnitTests/process/cluster/ControlHostTest.cpp
+++ b/UnitTests/process/cluster/ControlHostTest.cpp
@@ -91,3 +91,43 @@
   order(3, false);
   CHECK(hosts.RunUntil(5s, [&] { return !isEvacuated(2) && !isEvacuated(3); }));
 }
+
+/// Guards against a control host that stops although its successor does not vote yet.
+TEST(ControlHost, StopsOnceItsSuccessorVotes)
+{
+  hosts.Found({ 1, 2, 3 });
+  hosts.StartEmpty(4, { 1 });
+  hosts.StartEmpty(5, { 1 });
+  CHECK(IsInGroup(4));
+  CHECK(IsInGroup(5));
+  hosts.Run(500ms);
+  for (const int host : { 1, 2 }) {
+    int calls = 0;
+    hosts.Host(host).Shutdown([&] { ++calls; });
+    hosts.Host(host).Shutdown([&] { ++calls; }); // A second SIGTERM.
+    CHECK(hosts.RunUntil(5s, [&] { return calls > 0; }));
+    hosts.Run(200ms);
+    CHECK_EQUAL(1, calls);
+    hosts.Kill(host);
+  }
+  CHECK(hosts.RunUntil(5s, [&] {
+    return hosts.Host(3).CurrentRole() == process::log::Role::Leader ||
+           hosts.Host(4).CurrentRole() == process::log::Role::Leader ||
+           hosts.Host(5).CurrentRole() == process::log::Role::Leader;
+  }));
+}
+
+/// Guards against a control host that outlasts its time limit while it waits for a leader.
+TEST(ControlHost, StopsAtItsTimeLimitWithoutALeader)
+{
+  hosts.Found({ 1, 2, 3 });
+  hosts.Kill(2);
+  hosts.Kill(3);
+  CHECK(hosts.RunUntil(5s, [&] { return !hosts.Host(1).KnowsLeader(); }));
+  bool done = false;
+  const core::Instant begin = hosts.Now();
+  hosts.Host(1).Shutdown([&] { done = true; });
+  CHECK(hosts.RunUntil(20s, [&] { return done; }));
+  CHECK(hosts.Now() - begin >= process::cluster::ControlHostSettings().shutdownTimeout);
+  CHECK(hosts.Now() - begin <= process::cluster::ControlHostSettings().shutdownTimeout + 1s);
+}
--- a/UnitTests/process/cluster/ControlHosts.h
+++ b/UnitTests/process/cluster/ControlHosts.h
@@ -40,6 +40,7 @@
   /// Returns false if the condition does not hold within this time.
   bool RunUntil(core::Duration aLimit, const std::function<bool()>& aCondition);
   void Run(core::Duration aDuration);
+  core::Instant Now() const { return mLoop.Now(); }
 
   static core::HostId Address(int aHost);
 
--- a/cuminfield/process/cluster/ControlHost.cpp
+++ b/cuminfield/process/cluster/ControlHost.cpp
@@ -138,6 +138,37 @@
   mOptions.cluster.seeds = std::move(aSeeds);
 }
 
+void ControlHost::Shutdown(std::function<void()> aDone)
+{
+  if (mShutdownAt != core::Instant()) {
+    return;
+  }
+  mShutdownAt = mOptions.loop.Now();
+  mShutdownDone = std::move(aDone);
+  logging::Event(
+    logging::Level::Info, "shutdown-begun",
+    { { "role", log::ToString(mGroup->CurrentRole()) }, { "leader", mGroup->Leader().Text() } });
+  mGroup->Leave();
+}
+
+void ControlHost::CheckShutdown()
+{
+  const core::Duration elapsed = mOptions.loop.Now() - mShutdownAt;
+  if (!mShutdownDone || elapsed < mOptions.settings.shutdownDelay) {
+    return;
+  }
+  const bool canStop = mGroup->CanStop();
+  if (!canStop && elapsed < mOptions.settings.shutdownTimeout) {
+    return;
+  }
+  const bool isVoter = mGroup->Voters().Contains(mGroup->Self());
+  logging::Event(canStop ? logging::Level::Info : logging::Level::Warning, "shutdown-done",
+                 { { "waited_ms", ToMilliseconds(elapsed) },
+                   { "votes", isVoter ? 1 : 0 },
+                   { "timed_out", canStop ? 0 : 1 } });
+  std::exchange(mShutdownDone, nullptr)();
+}
+
 std::uint64_t ControlHost::WallClockMs() const
 {
   const auto now = mOptions.loop.WallNow().time_since_epoch();
@@ -451,6 +482,7 @@
   RunLeaderTasks();
   LogPendingRequests();
   LogChanges();
+  CheckShutdown();
 }
 
 void ControlHost::SendRound()
--- a/cuminfield/process/cluster/ControlHost.h
+++ b/cuminfield/process/cluster/ControlHost.h
@@ -49,6 +49,10 @@
   /// Timeout of the read of an evacuation order. The order is answered within readTimeout
   /// altogether, so that its caller can send it to another control host in time.
   core::Duration evacuationReadTimeout = std::chrono::milliseconds(450);
+  /// Time for requests in progress before the process stops.
+  core::Duration shutdownDelay = std::chrono::milliseconds(300);
+  /// The process stops after this long although another host could still take over its vote.
+  core::Duration shutdownTimeout = std::chrono::milliseconds(6900);
   UpstreamRegistrySettings registry;
   FollowerTableSettings followers;
   FeedSelectorSettings feeds;
@@ -84,6 +88,11 @@
   /// Takes over the seeds of changed settings. Other control hosts that are known stay so.
   void UpdateSeeds(std::vector<core::HostId> aSeeds);
 
+  /// Prepares the end of the process: another control host that is ready votes in place of this
+  /// one, so that the next one may stop or fail at once. Calls aDone once, when the process may
+  /// end. Later calls change nothing.
+  void Shutdown(std::function<void()> aDone);
+
   using Callback = std::function<void(const core::Result<proto::QueryAnswer>&)>;
 
   /// Commits a document. Succeeds without a change if a document with a higher number is in force.
@@ -167,6 +176,7 @@
   bool IsQuotaRecordValid() const;
   void RestoreKnownUpstreams();
   void ProposeLeave(const std::string& aUpstream, std::uint64_t aIncarnation, Callback aDone);
+  void CheckShutdown();
   void LogChanges();
   void LogQuarantine();
 
@@ -210,6 +220,8 @@
   bool mIncludeObserved = false; ///< This round includes observations and cold times of upstreams.
   std::uint64_t mPacedDocument = 0; ///< Document for which mHasPacedService was determined.
   bool mHasPacedService = false;
+  core::Instant mShutdownAt{};         ///< When the shutdown was requested.
+  std::function<void()> mShutdownDone; ///< Set while the shutdown goes on.
   std::vector<std::uint32_t> mMembers; ///< The list of hosts in this round; empty: not sent.
   std::uint64_t mMembersRevision = 0;
 };
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -77,6 +77,18 @@
   }
 }
 
+void LogGroup::Leave()
+{
+  if (mLog) {
+    mLog->Leave();
+  }
+}
+
+bool LogGroup::CanStop() const
+{
+  return !mLog || mFailed || mLog->CanStop();
+}
+
 void LogGroup::Propose(std::string aCommand, core::Duration aTimeout, Completion aDone)
 {
   mClient.Submit(false, std::move(aCommand), aTimeout, std::move(aDone));
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -75,6 +75,13 @@
   /// itself to it.
   void AddContact(const core::HostId& aHost);
 
+  /// Asks that another host votes in place of this one, which is about to stop.
+  void Leave();
+
+  /// True when waiting longer before the stop would not hand over this member's vote, see
+  /// ReplicatedLog::CanStop(). Also true if this member takes no part.
+  bool CanStop() const;
+
   void Propose(std::string aCommand, core::Duration aTimeout, Completion aDone) override;
   void Query(std::string aQuery, core::Duration aTimeout, Completion aDone) override;
   core::HostId Leader() const override;
--- a/cuminfield/process/log/Progress.h
+++ b/cuminfield/process/log/Progress.h
@@ -17,6 +17,7 @@
   core::Instant lastReceivedAt; ///< Time of the follower's last reply or announcement.
   bool probing = true;          ///< Where the logs diverge is unknown: send one message at a time.
   bool awaitingReply = false;   ///< While probing: a message is in flight.
+  bool isLeaving = false;       ///< The follower is about to stop, see ReplicatedLog::Leave().
 
   std::shared_ptr<const proto::Snapshot> snapshot; ///< Snapshot being sent; null when none.
   std::uint64_t snapshotOffset = 0; ///< Offset of the first byte that the follower lacks.
--- a/cuminfield/process/log/ReplicatedLog.cpp
+++ b/cuminfield/process/log/ReplicatedLog.cpp
@@ -142,7 +142,9 @@
 std::optional<LogPosition> ReplicatedLog::Propose(std::string aCommand, core::Instant aNow)
 {
   mNow = aNow;
-  if (mRole != Role::Leader || mLog.LastIndex() - mCommitIndex >= mSettings.maxUncommittedEntries) {
+  // What follows the removal of this leader would be left behind when that is committed.
+  if (mRole != Role::Leader || !IsVoter() ||
+      mLog.LastIndex() - mCommitIndex >= mSettings.maxUncommittedEntries) {
     return std::nullopt;
   }
   proto::Entry entry;
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -103,6 +103,14 @@
   /// itself to it.
   void AddContact(const core::HostId& aHost);
 
+  /// Asks that another host votes in place of this member, which is about to stop. Holds until the
+  /// process ends. In a closed group nobody else may vote, so nothing changes.
+  void Leave();
+
+  /// True when waiting longer before the stop would not hand over this member's vote: it has none,
+  /// or the leader knows no host that could vote in its place. False while no leader is known.
+  bool CanStop() const;
+
   /// Handles a message from another host.
   void Receive(const core::HostId& aFrom, const proto::LogMessage& aMessage, core::Instant aNow);
 
@@ -239,6 +247,7 @@
   bool IsReadyToVote(const Member& aMember, const Progress& aProgress) const;
   bool IsEligibleVoter(const core::HostId& aHost) const;
   const Member* FindVoterToReplace() const;
+  bool MayFindSuccessor() const;
   std::set<core::HostId> AnnouncementTargets() const;
   bool IsQuorumActive(const Configuration& aConfiguration) const;
   void OnConfigurationChanged();
@@ -261,7 +270,7 @@
   void AppendEntries(const proto::AppendRequest& aRequest);
   void TruncateFrom(std::uint64_t aIndex);
   void RecordCurrent(const proto::AppendRequest& aRequest);
-  void FillLeaderState(proto::AppendRequest& aRequest) const;
+  void FillLeaderState(const Progress& aProgress, proto::AppendRequest& aRequest) const;
   std::map<Member, core::Instant> SilentVoters() const;
   void RecordSilentVoters(const proto::AppendRequest& aRequest);
   core::Instant LastReceivedFrom(const Member& aVoter) const;
@@ -325,6 +334,8 @@
   std::vector<OutgoingMessage> mOutgoing; ///< Messages that may be sent now.
 
   Role mRole = Role::Learner;
+  bool mIsLeaving = false;
+  bool mHasNoSuccessor = false; ///< The leader knows no host that could vote in place of this one.
   core::HostId mLeader;
   std::uint64_t mCommitIndex = 0;
   std::uint64_t mDeliveredIndex = 0;
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -13,6 +13,9 @@
 /// again.
 constexpr int kLearnerDropTimeouts = 5;
 
+/// By this many maximum election timeouts after its election a leader knows all learners.
+constexpr int kLearnerSearchTimeouts = 2;
+
 /// A host that nothing has named for this long is no longer asked for the group. Data centres may
 /// lose each other for minutes.
 constexpr core::Duration kContactRetention = std::chrono::hours(1);
@@ -187,6 +190,23 @@
            mConfiguredHosts.end();
 }
 
+void ReplicatedLog::Leave()
+{
+  mIsLeaving = true;
+  mHasNoSuccessor = false;
+}
+
+bool ReplicatedLog::CanStop() const
+{
+  if (mSettings.openGroupVoters == 0) {
+    return true;
+  }
+  if (!IsVoter()) {
+    return mLog.LatestConfigurationIndex() <= mCommitIndex;
+  }
+  return mRole == Role::Leader ? !MayFindSuccessor() : mHasNoSuccessor;
+}
+
 const Member* ReplicatedLog::FindVoterToReplace() const
 {
   if (mSettings.openGroupVoters == 0) {
@@ -196,7 +216,34 @@
   const auto silent = std::find_if(voters.begin(), voters.end(), [this](const Member& aVoter) {
     return !WasActiveWithin(aVoter, mSettings.replaceSilentAfter);
   });
-  return silent == voters.end() ? nullptr : &*silent;
+  if (silent != voters.end()) {
+    return &*silent;
+  }
+  const auto leaving = std::find_if(voters.begin(), voters.end(), [this](const Member& aVoter) {
+    const auto progress = mProgress.find(aVoter);
+    return progress != mProgress.end() && progress->second.isLeaving;
+  });
+  if (leaving != voters.end()) {
+    return &*leaving;
+  }
+  // Last, since the leader ends its term with it.
+  return mIsLeaving ? Voters().FindVoter(mSelf.host) : nullptr;
+}
+
+// Only the leader can tell, and a new one only after a while: learners turn to it once they miss
+// the former one.
+bool ReplicatedLog::MayFindSuccessor() const
+{
+  const bool isNewLeader =
+    mNow - mLeaderSince < mSettings.electionTimeoutMax * kLearnerSearchTimeouts;
+  if (isNewLeader || Voters().voters.size() > mSettings.openGroupVoters) {
+    return true;
+  }
+  return std::any_of(mProgress.begin(), mProgress.end(), [this](const auto& aItem) {
+    const auto& [member, progress] = aItem;
+    return !progress.isLeaving && !Voters().FindVoter(member.host) && member.host != mSelf.host &&
+           WasActiveWithin(member, mSettings.electionTimeoutMax);
+  });
 }
 
 // Changes one voter at a time (dissertation 4.1), and only after an entry of the leader's own term
@@ -221,11 +268,11 @@
 {
   // A silent voter may come back, unlike a former incarnation: it is removed only once its
   // successor votes. Otherwise the loss of one more voter could leave no majority although it is
-  // back.
+  // back. A voter that leaves is handled alike, so that the group never has too few voters.
   const std::size_t voterCount = Voters().voters.size();
-  const Member* silent = FindVoterToReplace();
-  if (silent && voterCount > mSettings.openGroupVoters) {
-    return Voters().WithoutVoter(*silent);
+  const Member* replaceable = FindVoterToReplace();
+  if (replaceable && voterCount > mSettings.openGroupVoters) {
+    return Voters().WithoutVoter(*replaceable);
   }
   for (const auto& [member, progress] : mProgress) {
     if (!IsReadyToVote(member, progress)) {
@@ -236,7 +283,7 @@
     if (!former) {
       const bool isClosed = mSettings.openGroupVoters == 0;
       const bool isMissing = voterCount < mSettings.openGroupVoters;
-      const bool isSuccessor = silent && voterCount == mSettings.openGroupVoters;
+      const bool isSuccessor = replaceable && voterCount == mSettings.openGroupVoters;
       if (isClosed || isMissing || isSuccessor) {
         return Voters().WithVoter(member);
       }
@@ -258,8 +305,9 @@
 {
   const bool caughtUp = !aProgress.snapshot && aProgress.matchIndex > 0 &&
                         aProgress.matchIndex + mSettings.maxLearnerLag >= mCommitIndex;
-  return caughtUp && !Voters().Contains(aMember) && aMember.host != mSelf.host &&
-         IsEligibleVoter(aMember.host) && WasActiveWithin(aMember, mSettings.electionTimeoutMin);
+  return caughtUp && !aProgress.isLeaving && !Voters().Contains(aMember) &&
+         aMember.host != mSelf.host && IsEligibleVoter(aMember.host) &&
+         WasActiveWithin(aMember, mSettings.electionTimeoutMin);
 }
 
 std::optional<GroupHealth> ReplicatedLog::Health() const
--- a/cuminfield/process/log/ReplicatedLogReplication.cpp
+++ b/cuminfield/process/log/ReplicatedLogReplication.cpp
@@ -85,7 +85,7 @@
   proto::AppendRequest* request = message.mutable_append_request();
   request->set_previous_index(aProgress.nextIndex - 1);
   request->set_previous_term(*mLog.TermAt(aProgress.nextIndex - 1));
-  FillLeaderState(*request);
+  FillLeaderState(aProgress, *request);
   std::uint64_t bytes = 0;
   std::uint64_t index = aProgress.nextIndex;
   while (index <= mLog.LastIndex() && bytes < mSettings.maxAppendBytes) {
@@ -109,7 +109,7 @@
   proto::AppendRequest* request = message.mutable_append_request();
   request->set_previous_index(previous);
   request->set_previous_term(*mLog.TermAt(previous));
-  FillLeaderState(*request);
+  FillLeaderState(aProgress, *request);
   SendNow(aTo, std::move(message));
 }
 
@@ -170,6 +170,7 @@
     return;
   }
   RecordSilentVoters(aRequest);
+  mHasNoSuccessor = aRequest.no_successor();
   if (previous < mLog.BaseIndex()) {
     // Up to the commit index all logs are equal.
     RecordCurrent(aRequest);
@@ -197,8 +198,9 @@
   }
 }
 
-void ReplicatedLog::FillLeaderState(proto::AppendRequest& aRequest) const
+void ReplicatedLog::FillLeaderState(const Progress& aProgress, proto::AppendRequest& aRequest) const
 {
+  aRequest.set_no_successor(aProgress.isLeaving && !MayFindSuccessor());
   aRequest.set_commit(mCommitIndex);
   aRequest.set_round(mRound);
   const auto confirmed = HasCommittedInTerm() ? QuorumConfirmedAt() : std::nullopt;
@@ -255,6 +257,7 @@
   reply->set_index(aIndex);
   reply->set_rejected(aRejected);
   reply->set_round(aRound);
+  reply->set_leaving(mIsLeaving);
   SendWhenDurable(aTo, std::move(message));
 }
 
@@ -298,6 +301,7 @@
   Progress& progress = it->second;
   progress.lastReceivedAt = mNow;
   progress.ackedRound = std::max(progress.ackedRound, aReply.round());
+  progress.isLeaving = aReply.leaving();
   if (aReply.success()) {
     CUMINFIELD_INVARIANT("log.acknowledged-known", aReply.index() <= mLog.LastIndex());
     progress.matchIndex = std::max(progress.matchIndex, aReply.index());
@@ -355,6 +359,11 @@
   }
   AdvanceCommitTo(index);
   ConfirmReads();
+  // A leader that removed itself leads until that is committed (dissertation 4.2.2).
+  if (!IsVoter() && mLog.LatestConfigurationIndex() <= mCommitIndex) {
+    BecomeFollower(mTerm, core::HostId());
+    return;
+  }
   ChangeVoters();
 }
 
