settings: bounds of the platform may be fractions, or absent

Cause: deploy/host.ini put the platform's numbers into keys of types made for files that people write: whole seconds, whole units, two decimals, in ranges that nobody had agreed on. Without a value it left `share = ` and `window = s` behind.

Change: two types of values, a number of any precision and a duration that may be a fraction; all keys that are filled in from bounds have them, without a range. Settings of `serve` are as strict as before.

Related: cold_overshoot and cold_slack had the same fault beyond two decimals; shares above 1, times below 1 s and more than 8 losses were out of range.

--- a/UnitTests/process/cluster/ClusterSettingsTest.cpp
+++ b/UnitTests/process/cluster/ClusterSettingsTest.cpp
@@ -1,14 +1,80 @@
 #include "cuminfield/process/cluster/ClusterSettingsFile.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <fstream>
+#include <map>
+#include <regex>
 #include <sstream>
+#include <string>
+
+// After <regex>, since it replaces `new`.
+#include <CppUTest/TestHarness.h>
 
 using namespace cuminfield;
 using namespace cuminfield::process::cluster;
 using namespace std::chrono_literals;
 
+namespace {
+
+using Fields = std::map<std::string, std::string>;
+
+/// What the platform knows of an entry host, but for the bounds.
+const Fields kHostFields{ { "ip", "10.1.0.25" },
+                          { "node_name", "front-gent-a-1" },
+                          { "zone", "gent-a" },
+                          { "region", "vlaanderen" },
+                          { "listen.front", "10.1.0.25:8221" },
+                          { "listen.ready", "10.1.0.25:8224" },
+                          { "internal_ports.0", "7600" },
+                          { "seeds", "10.1.0.28:8229,10.2.0.20:8229" },
+                          { "bootstrap", "true" },
+                          { "fault_tolerance.machines", "1" } };
+
+const Fields kBounds{ { "bounds.grace_s", "8" },
+                      { "bounds.quota_window_s", "8" },
+                      { "bounds.quota_overshoot", "0.1" },
+                      { "bounds.quota_slack", "140000" },
+                      { "bounds.cold_overshoot", "2" },
+                      { "bounds.cold_slack", "5" },
+                      { "bounds.retry_budget_ratio", "0.2" } };
+
+/// Fills in deploy/host.ini as the users' platform does. A section is left out if its field has no
+/// value or is false; 0 is a value. The template's lists are left out.
+std::string RenderTemplate(const Fields& aFields)
+{
+  const std::ifstream file(CUMINFIELD_SOURCE_DIR "/deploy/host.ini");
+  std::ostringstream page;
+  page << file.rdbuf();
+  std::string text = page.str();
+  const auto find = [&](const std::string& aName) {
+    const auto it = aFields.find(aName);
+    return it == aFields.end() ? std::string() : it->second;
+  };
+  const std::regex section(R"(\{\{([#^])([\w.]+)\}\}([\s\S]*?)\{\{/\2\}\})");
+  for (std::smatch match; std::regex_search(text, match, section);) {
+    const std::string value = find(match[2]);
+    const bool isSet = !value.empty() && value != "false";
+    const std::string body = isSet == (match[1] == "#") ? match[3].str() : std::string();
+    text = match.prefix().str() + body + match.suffix().str();
+  }
+  const std::regex field(R"(\{\{([\w.]+)\}\})");
+  for (std::smatch match; std::regex_search(text, match, field);) {
+    text = match.prefix().str() + find(match[1]) + match.suffix().str();
+  }
+  return text;
+}
+
+/// Parses the filled-in template; fails the test if it cannot be used.
+ClusterSettings ParseTemplate(const Fields& aBounds)
+{
+  Fields fields = kHostFields;
+  fields.insert(aBounds.begin(), aBounds.end());
+  const auto parsed = ParseClusterSettings(RenderTemplate(fields), "host.ini");
+  CHECK_TEXT(parsed.has_value(), parsed.has_error() ? parsed.error().message.c_str() : "");
+  return parsed.value();
+}
+
+} // namespace
+
 TEST_GROUP(ClusterSettings)
 {
   std::string text = "[host]\n"
@@ -111,3 +177,61 @@
   DOUBLES_EQUAL(1.5, parsed.value().coldOvershoot, 1e-9);
   DOUBLES_EQUAL(5, parsed.value().coldSlack, 1e-9);
 }
+
+/// Guards against hosts that do not start because a bound of the platform is no whole number.
+TEST(ClusterSettings, TemplateTakesAnyNumberAsBound)
+{
+  for (const auto& [name, former] : kBounds) {
+    for (const char* value :
+         { "0", "0.125", "8.5", "2500.5", "1e-9", "12345678901234.5", "9223372036854775807" }) {
+      Fields bounds = kBounds;
+      bounds[name] = value;
+      ParseTemplate(bounds);
+    }
+  }
+  const ClusterSettings settings = ParseTemplate({ { "bounds.grace_s", "8.5" },
+                                                   { "bounds.quota_window_s", "7.5" },
+                                                   { "bounds.quota_overshoot", "0.125" },
+                                                   { "bounds.quota_slack", "2500.5" },
+                                                   { "bounds.cold_overshoot", "1.125" },
+                                                   { "bounds.cold_slack", "0.0625" },
+                                                   { "bounds.retry_budget_ratio", "1e-3" } });
+  CHECK(settings.shutdownLimit == 8500ms);
+  CHECK(settings.quotaWindow == 7500ms);
+  DOUBLES_EQUAL(0.125, settings.quotaOvershoot, 0);
+  DOUBLES_EQUAL(2500.5, settings.quotaSlack, 0);
+  DOUBLES_EQUAL(1.125, settings.coldOvershoot, 0);
+  DOUBLES_EQUAL(0.0625, settings.coldSlack, 0);
+  DOUBLES_EQUAL(0.001, settings.retryShare, 1e-12);
+}
+
+/// Guards against hosts that do not start because the platform does not set the bounds of rules
+/// that are not in force.
+TEST(ClusterSettings, TemplateLeavesOutBoundsThatAreNotSet)
+{
+  for (const auto& [name, former] : kBounds) {
+    for (const char* value : { "", "false" }) {
+      Fields bounds = kBounds;
+      bounds[name] = value;
+      ParseTemplate(bounds);
+    }
+  }
+  const ClusterSettings defaults;
+  const ClusterSettings settings = ParseTemplate({});
+  CHECK(settings.shutdownLimit == defaults.shutdownLimit);
+  CHECK(settings.quotaWindow == defaults.quotaWindow);
+  DOUBLES_EQUAL(defaults.quotaOvershoot, settings.quotaOvershoot, 0);
+  DOUBLES_EQUAL(defaults.quotaSlack, settings.quotaSlack, 0);
+  DOUBLES_EQUAL(defaults.retryShare, settings.retryShare, 0);
+}
+
+TEST(ClusterSettings, ErrorNamesAKeyWhoseValueIsNoNumber)
+{
+  const std::string valid = text;
+  const std::string entry = "slack = 140000";
+  for (const char* value : { "", "-1", "1.5x", "inf", "nan", "0x10", "1e999" }) {
+    text = valid;
+    text.replace(text.find(entry), entry.size(), std::string("slack = ") + value);
+    ExpectError("[quota] slack");
+  }
+}
--- a/UnitTests/process/settings/HostSettingsTest.cpp
+++ b/UnitTests/process/settings/HostSettingsTest.cpp
@@ -225,6 +225,17 @@
        { "", "250", "ms", "-1s", "1.5s", " 1s", "1 s", "1S", "9999999999999h" }) {
     CHECK(!ParseDuration(text));
   }
+  CHECK(ParseFractionalDuration("7.5s") == std::chrono::milliseconds(7500));
+  CHECK(ParseFractionalDuration("1e-3s") == std::chrono::milliseconds(1));
+  CHECK(ParseFractionalDuration("2m") == std::chrono::minutes(2));
+  for (const char* text : { "", "7.5", "s", "-1s", ".5s", " 1s", "1.5 s", "1e999s", "nans" }) {
+    CHECK(!ParseFractionalDuration(text));
+  }
+  CHECK(ParseFractionalDuration("9999999999999h") == kMaxFractionalDuration);
+  CHECK(ParseNumber("2500.5") == 2500.5 && ParseNumber("1e-3") == 0.001 && ParseNumber("8") == 8.0);
+  for (const char* text : { "", "-1", "+1", ".5", "1.5x", " 1", "inf", "nan", "0x10", "1e999" }) {
+    CHECK(!ParseNumber(text));
+  }
   CHECK(ParseSize("64KiB") == core::Bytes{ 65536 });
   CHECK(!ParseSize("64KB"));
   CHECK(ParseHundredths("2.5") == 250);
--- a/cuminfield/process/cluster/ClusterSettingsFile.cpp
+++ b/cuminfield/process/cluster/ClusterSettingsFile.cpp
@@ -14,12 +14,9 @@
 using settings::KeySpec;
 using settings::ValueType;
 
-constexpr std::int64_t kMaxLosses = 8;
-constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
-constexpr std::int64_t kFullRatioPercent = 100; ///< 100 % in hundredths.
-constexpr std::int64_t kMaxColdOvershootPercent = 10'000;
-constexpr std::int64_t kMaxColdSlackHundredths = 100'000'000;
+constexpr std::int64_t kMaxLosses = 1000;
 
+// The users' platform fills in what it has agreed with its own users: any number, or none.
 const std::array<KeySpec, 22> kKeySpecs{ {
   { .section = "host",
     .key = "id",
@@ -93,45 +90,39 @@
                    "region" },
   { .section = "limits",
     .key = "shutdown",
-    .type = ValueType::Duration,
+    .type = ValueType::FractionalDuration,
     .defaultValue = "8s",
-    .description = "after SIGTERM the process is gone by then",
-    .min = kMicrosecondsPerSecond },
+    .description = "after SIGTERM the process is gone by then" },
   { .section = "quota",
     .key = "window",
-    .type = ValueType::Duration,
+    .type = ValueType::FractionalDuration,
     .defaultValue = "8s",
-    .description = "quotas of workspaces are judged over windows of this length",
-    .min = kMicrosecondsPerSecond },
+    .description = "quotas of workspaces are judged over windows of this length" },
   { .section = "quota",
     .key = "overshoot",
-    .type = ValueType::Ratio,
+    .type = ValueType::Number,
     .defaultValue = "0",
-    .description = "tolerated above a quota, as a share of it",
-    .max = kFullRatioPercent },
+    .description = "tolerated above a quota, as a share of it" },
   { .section = "quota",
     .key = "slack",
-    .type = ValueType::Count,
+    .type = ValueType::Number,
     .defaultValue = "0",
     .description = "units tolerated above a quota, of all hosts together" },
   { .section = "cold-upstreams",
     .key = "overshoot",
-    .type = ValueType::Ratio,
+    .type = ValueType::Number,
     .defaultValue = "1",
-    .description = "tolerated at a cold upstream, as a multiple of its service's cold_per_s",
-    .max = kMaxColdOvershootPercent },
+    .description = "tolerated at a cold upstream, as a multiple of its service's cold_per_s" },
   { .section = "cold-upstreams",
     .key = "slack",
-    .type = ValueType::Ratio,
+    .type = ValueType::Number,
     .defaultValue = "0",
-    .description = "requests a second tolerated beyond that, of all hosts together",
-    .max = kMaxColdSlackHundredths },
+    .description = "requests a second tolerated beyond that, of all hosts together" },
   { .section = "retries",
     .key = "share",
-    .type = ValueType::Ratio,
+    .type = ValueType::Number,
     .defaultValue = "0.1",
-    .description = "further tries of a service's requests, as a share of them",
-    .max = kFullRatioPercent },
+    .description = "further tries of a service's requests, as a share of them" },
   { .section = "log",
     .key = "level",
     .type = ValueType::Choice,
@@ -229,11 +220,9 @@
     reader.Read(*limits, "shutdown", result.shutdownLimit);
   }
   if (const settings::IniSection* quota = reader.FindSection("quota")) {
-    std::uint64_t slack = 0;
     reader.Read(*quota, "window", result.quotaWindow);
     reader.Read(*quota, "overshoot", result.quotaOvershoot);
-    reader.Read(*quota, "slack", slack);
-    result.quotaSlack = static_cast<double>(slack);
+    reader.Read(*quota, "slack", result.quotaSlack);
   }
   if (const settings::IniSection* cold = reader.FindSection("cold-upstreams")) {
     reader.Read(*cold, "overshoot", result.coldOvershoot);
--- a/cuminfield/process/settings/IniReader.cpp
+++ b/cuminfield/process/settings/IniReader.cpp
@@ -154,8 +154,10 @@
 
 void IniReader::Read(const IniSection& aSection, const char* aKey, core::Duration& aTarget)
 {
-  const auto parse = [](const std::string& aText) -> std::optional<std::int64_t> {
-    const auto value = ParseDuration(aText);
+  const KeySpec* spec = FindSpec(aSection, aKey);
+  const bool mayBeFraction = spec && spec->type == ValueType::FractionalDuration;
+  const auto parse = [&](const std::string& aText) -> std::optional<std::int64_t> {
+    const auto value = mayBeFraction ? ParseFractionalDuration(aText) : ParseDuration(aText);
     return value ? std::optional(value->count()) : std::nullopt;
   };
   if (const auto value = ReadNumber(aSection, aKey, parse)) {
@@ -190,6 +192,18 @@
 
 void IniReader::Read(const IniSection& aSection, const char* aKey, double& aTarget)
 {
+  const IniEntry* entry = aSection.Find(aKey);
+  const KeySpec* spec = FindSpec(aSection, aKey);
+  if (entry && spec && spec->type == ValueType::Number) {
+    const auto value = ParseNumber(entry->value);
+    if (value && *value >= static_cast<double>(spec->min) &&
+        *value <= static_cast<double>(spec->max)) {
+      aTarget = *value;
+    } else {
+      AddValueError(aSection, *entry);
+    }
+    return;
+  }
   constexpr double kHundredths = 100.0;
   if (const auto value = ReadNumber(aSection, aKey, ParseHundredths)) {
     aTarget = static_cast<double>(*value) / kHundredths;
--- a/cuminfield/process/settings/IniReader.h
+++ b/cuminfield/process/settings/IniReader.h
@@ -30,7 +30,8 @@
   /// Returns the section with exactly this name, or nullptr.
   const IniSection* FindSection(std::string_view aName) const;
 
-  /// Reads Duration, Size, Count, Percent, Ratio, YesNo, UtcTime, Endpoint, Name and Text values.
+  /// Reads Duration, FractionalDuration, Size, Count, Number, Percent, Ratio, YesNo, UtcTime,
+  /// Endpoint, Name and Text values.
   void Read(const IniSection& aSection, const char* aKey, core::Duration& aTarget);
   void Read(const IniSection& aSection, const char* aKey, core::Bytes& aTarget);
   void Read(const IniSection& aSection, const char* aKey, std::uint64_t& aTarget);
--- a/cuminfield/process/settings/KeySpec.cpp
+++ b/cuminfield/process/settings/KeySpec.cpp
@@ -21,10 +21,14 @@
       return "names separated by spaces";
     case ValueType::Duration:
       return "duration with unit ms, s, m or h";
+    case ValueType::FractionalDuration:
+      return "duration as 7.5s with unit ms, s, m or h";
     case ValueType::Size:
       return "size with unit B, KiB, MiB or GiB";
     case ValueType::Count:
       return "whole number";
+    case ValueType::Number:
+      return "number as 2500.5";
     case ValueType::Percent:
       return "per cent without unit";
     case ValueType::Ratio:
@@ -47,7 +51,7 @@
 
 std::string FormatBound(ValueType aType, std::int64_t aValue)
 {
-  if (aType == ValueType::Duration) {
+  if (aType == ValueType::Duration || aType == ValueType::FractionalDuration) {
     return FormatDuration(core::Duration(aValue));
   }
   if (aType == ValueType::Size) {
--- a/cuminfield/process/settings/KeySpec.h
+++ b/cuminfield/process/settings/KeySpec.h
@@ -9,19 +9,21 @@
 /// Type of a key's value.
 enum class ValueType
 {
-  Name,     ///< Letters, digits, dot, hyphen and underscore; at most 64.
-  NameList, ///< Distinct names separated by spaces.
-  Duration, ///< A whole number with unit: 250ms, 3s, 2m, 1h.
-  Size,     ///< A whole number with unit: 512B, 64KiB, 32MiB, 1GiB.
-  Count,    ///< A whole number without unit.
-  Percent,  ///< A number without unit, up to two decimals; its range is in hundredths.
-  Ratio,    ///< A fraction such as 0.25, up to two decimals; its range is in hundredths.
-  YesNo,    ///< yes or no.
-  UtcTime,  ///< Civil time in UTC: 2026-12-05T18:00:00Z.
-  Endpoint, ///< IPv4 address and port: 127.0.0.1:7301.
-  Peer,     ///< Endpoint and data centre: 127.0.0.1:7302@gent-a.
-  Choice,   ///< One of the words in `choices`.
-  Text,     ///< Any text that is not empty.
+  Name,               ///< Letters, digits, dot, hyphen and underscore; at most 64.
+  NameList,           ///< Distinct names separated by spaces.
+  Duration,           ///< A whole number with unit: 250ms, 3s, 2m, 1h.
+  FractionalDuration, ///< A number with unit: 3s, 7.5s, 1e-3s; rounded to microseconds.
+  Size,               ///< A whole number with unit: 512B, 64KiB, 32MiB, 1GiB.
+  Count,              ///< A whole number without unit.
+  Number,             ///< A number without unit: 8, 2500.5, 1e-3; its range is in whole units.
+  Percent,            ///< A number without unit, up to two decimals; its range is in hundredths.
+  Ratio,              ///< A fraction such as 0.25, up to two decimals; its range is in hundredths.
+  YesNo,              ///< yes or no.
+  UtcTime,            ///< Civil time in UTC: 2026-12-05T18:00:00Z.
+  Endpoint,           ///< IPv4 address and port: 127.0.0.1:7301.
+  Peer,               ///< Endpoint and data centre: 127.0.0.1:7302@gent-a.
+  Choice,             ///< One of the words in `choices`.
+  Text,               ///< Any text that is not empty.
 };
 
 /// Specifies a key of a settings file. IniReader validates values against it, and a test compares
--- a/cuminfield/process/settings/Values.cpp
+++ b/cuminfield/process/settings/Values.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <span>
+#include <utility>
 
 namespace cuminfield::process::settings {
 
@@ -52,6 +54,21 @@
   return *count * unit->factor;
 }
 
+/// Parses the number at the start of aText; returns it with the length of its text.
+std::optional<std::pair<double, std::size_t>> ParseLeadingNumber(std::string_view aText)
+{
+  // from_chars also accepts signs, `inf` and `nan`.
+  if (aText.empty() || !IsDigit(aText.front())) {
+    return std::nullopt;
+  }
+  double value = 0;
+  const auto [end, ec] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::pair(value, static_cast<std::size_t>(end - aText.data()));
+}
+
 std::string FormatWithUnit(std::int64_t aValue, std::span<const Unit> aUnits)
 {
   const Unit* largest = &aUnits.front();
@@ -124,6 +141,30 @@
   return core::Duration(*value);
 }
 
+std::optional<double> ParseNumber(std::string_view aText)
+{
+  const auto number = ParseLeadingNumber(aText);
+  if (!number || number->second != aText.size()) {
+    return std::nullopt;
+  }
+  return number->first;
+}
+
+std::optional<core::Duration> ParseFractionalDuration(std::string_view aText)
+{
+  const auto number = ParseLeadingNumber(aText);
+  if (!number) {
+    return std::nullopt;
+  }
+  const auto unit = std::ranges::find(kTimeUnits, aText.substr(number->second), &Unit::suffix);
+  if (unit == kTimeUnits.end()) {
+    return std::nullopt;
+  }
+  const double microseconds = number->first * static_cast<double>(unit->factor);
+  const double longest = static_cast<double>(core::Duration(kMaxFractionalDuration).count());
+  return core::Duration(std::llround(std::min(microseconds, longest)));
+}
+
 std::optional<core::Bytes> ParseSize(std::string_view aText)
 {
   const auto value = ParseWithUnit(aText, kSizeUnits);
--- a/cuminfield/process/settings/Values.h
+++ b/cuminfield/process/settings/Values.h
@@ -4,6 +4,7 @@
 #include "cuminfield/core/Units.h"
 #include "cuminfield/process/settings/HostSettings.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,7 +12,8 @@
 #include <vector>
 
 /// Parsing and formatting of single values in settings files and documents. A parser must consume
-/// the complete text: it returns nullopt on leading or trailing characters, rounding or overflow.
+/// the complete text: it returns nullopt on leading or trailing characters, on overflow, and,
+/// unless it says otherwise, on rounding.
 namespace cuminfield::process::settings {
 
 /// Maximum length of a name in settings, documents and messages.
@@ -29,6 +31,16 @@
 /// Parses an unsigned integer with unit ms, s, m or h.
 std::optional<core::Duration> ParseDuration(std::string_view aText);
 
+/// Parses an unsigned number, such as 8, 0.125 or 1e-3; rounds to the nearest double.
+std::optional<double> ParseNumber(std::string_view aText);
+
+/// Longest duration that ParseFractionalDuration() returns, about a hundred years.
+inline constexpr std::chrono::hours kMaxFractionalDuration{ 24 * 365 * 100 };
+
+/// Parses a number as ParseNumber() with unit ms, s, m or h. Rounds to microseconds, and a longer
+/// duration to kMaxFractionalDuration.
+std::optional<core::Duration> ParseFractionalDuration(std::string_view aText);
+
 /// Parses an unsigned integer with unit B, KiB, MiB or GiB.
 std::optional<core::Bytes> ParseSize(std::string_view aText);
 
