--- a/UnitTests/process/cluster/ControlHostTest.cpp
+++ b/UnitTests/process/cluster/ControlHostTest.cpp
@@ -110,11 +110,10 @@
     CHECK_EQUAL(1, calls);
     hosts.Kill(host);
   }
-  CHECK(hosts.RunUntil(5s, [&] {
-    return hosts.Host(3).CurrentRole() == process::log::Role::Leader ||
-           hosts.Host(4).CurrentRole() == process::log::Role::Leader ||
-           hosts.Host(5).CurrentRole() == process::log::Role::Leader;
-  }));
+  const auto leads = [this](int aHost) {
+    return hosts.Host(aHost).CurrentRole() == process::log::Role::Leader;
+  };
+  CHECK(hosts.RunUntil(5s, [&] { return leads(3) || leads(4) || leads(5); }));
 }
 
 /// Guards against a control host that outlasts its time limit while it waits for a leader.
--- a/UnitTests/process/log/OpenGroupReplacementTest.cpp
+++ b/UnitTests/process/log/OpenGroupReplacementTest.cpp
@@ -128,29 +128,50 @@
 constexpr std::array<core::Duration, 6> kGaps{ 0ms, 50ms, 400ms, 1300ms, 1900ms, 3000ms };
 constexpr std::uint64_t kSeeds = 10;
 
-} // namespace
-
-TEST_GROUP(OpenGroupReplacement){};
+/// How a host leaves the group for good.
+enum class Departure
+{
+  Stopped, ///< With SIGTERM.
+  Removed, ///< Without notice.
+};
 
-/// Guards against a vote that is left behind by a host that stops although its successor is ready:
-/// when the next host stopped, no majority was left.
-TEST(OpenGroupReplacement, HostsThatStopInTurnLeaveAMajority)
+/// Two of three hosts leave, with successors that are ready. Checks that the others go on.
+void CheckThatTwoMayLeave(Departure aFirst, Departure aSecond)
 {
+  const auto leave = [](Replacement& aReplacement, std::size_t aHost, Departure aDeparture) {
+    if (aDeparture == Departure::Stopped) {
+      aReplacement.Stop(aHost);
+    } else {
+      aReplacement.Remove(aHost);
+    }
+  };
   for (const core::Duration gap : kGaps) {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       Replacement replacement(3, 2, seed);
-      const auto stopped = seed % 3;
-      replacement.Stop(stopped);
+      const std::size_t first = seed % 3;
+      const std::size_t second = (first + 1) % 3;
+      leave(replacement, first, aFirst);
       replacement.Run(gap);
-      replacement.Stop((stopped + 1) % 3);
+      leave(replacement, second, aSecond);
       replacement.Run(10s);
-      CHECK(replacement.HasEnded(stopped));
-      CHECK(replacement.HasEnded((stopped + 1) % 3));
+      CHECK(replacement.HasEnded(first));
+      CHECK(replacement.HasEnded(second));
       STRCMP_EQUAL_TEXT("", replacement.Check().c_str(), Describe(seed, gap).c_str());
     }
   }
 }
 
+} // namespace
+
+TEST_GROUP(OpenGroupReplacement){};
+
+/// Guards against a vote that is left behind by a host that stops although its successor is ready:
+/// when the next host stopped, no majority was left.
+TEST(OpenGroupReplacement, HostsThatStopInTurnLeaveAMajority)
+{
+  CheckThatTwoMayLeave(Departure::Stopped, Departure::Stopped);
+}
+
 /// Guards against the same with all hosts of the group replaced, and with five voters.
 TEST(OpenGroupReplacement, AllHostsStopInTurn)
 {
@@ -223,32 +244,18 @@
 /// are ready, so none of them counts as lost.
 TEST(OpenGroupReplacement, HostsThatAreRemovedWithoutNoticeLeaveAMajority)
 {
-  for (const core::Duration gap : kGaps) {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      Replacement replacement(3, 2, seed);
-      const auto removed = seed % 3;
-      replacement.Remove(removed);
-      replacement.Run(gap);
-      replacement.Remove((removed + 1) % 3);
-      replacement.Run(10s);
-      STRCMP_EQUAL_TEXT("", replacement.Check().c_str(), Describe(seed, gap).c_str());
-    }
-  }
+  CheckThatTwoMayLeave(Departure::Removed, Departure::Removed);
 }
 
 /// Guards against a majority that is lost when one host is removed without notice while another
 /// one stops.
 TEST(OpenGroupReplacement, HostIsRemovedWithoutNoticeWhileAnotherStops)
 {
-  for (const core::Duration gap : kGaps) {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      Replacement replacement(3, 2, seed);
-      const auto removed = seed % 3;
-      replacement.Remove(removed);
-      replacement.Run(gap);
-      replacement.Stop((removed + 1) % 3);
-      replacement.Run(10s);
-      STRCMP_EQUAL_TEXT("", replacement.Check().c_str(), Describe(seed, gap).c_str());
-    }
-  }
+  CheckThatTwoMayLeave(Departure::Removed, Departure::Stopped);
+}
+
+/// Guards against the same in the other order.
+TEST(OpenGroupReplacement, HostIsRemovedWithoutNoticeAfterAnotherStops)
+{
+  CheckThatTwoMayLeave(Departure::Stopped, Departure::Removed);
 }
