settings: one function reads and checks every kind of number

Read again: IniReader::Read(double) repeated the look-up, the range check and the error of ReadNumber for values of type Number, since ReadNumber returned whole numbers only. It returns what its parser returns now, and both use it. The soak cut its list of control hosts to three for the seeds; the list always has three.

--- a/Build/soak.py
+++ b/Build/soak.py
@@ -82,7 +82,7 @@
 
     def settings(self, name):
         ip = self.address(name)
-        seeds = ",".join(f"{self.address(it)}:{self.base + 1}" for it in self.controls[-CONTROLS:])
+        seeds = ",".join(f"{self.address(it)}:{self.base + 1}" for it in self.controls)
         first = not os.path.exists(f"{self.folder}/founded")
         lines = ["[host]", f"id = {ip}", f"name = {name}", f"data-centre = dc{self.index(name) % 3}",
                  "region = r"]
--- a/cuminfield/process/settings/IniReader.cpp
+++ b/cuminfield/process/settings/IniReader.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <type_traits>
 
 namespace cuminfield::process::settings {
 
@@ -136,16 +137,17 @@
 }
 
 template<typename Parse>
-std::optional<std::int64_t> IniReader::ReadNumber(const IniSection& aSection, const char* aKey,
-                                                  Parse aParse)
+auto IniReader::ReadNumber(const IniSection& aSection, const char* aKey, Parse aParse)
+  -> decltype(aParse(std::string()))
 {
   const IniEntry* entry = aSection.Find(aKey);
   const KeySpec* spec = FindSpec(aSection, aKey);
   if (!entry || !spec) {
     return std::nullopt;
   }
-  const std::optional<std::int64_t> value = aParse(entry->value);
-  if (!value || *value < spec->min || *value > spec->max) {
+  const auto value = aParse(entry->value);
+  using Value = std::remove_cvref_t<decltype(*value)>;
+  if (!value || *value < static_cast<Value>(spec->min) || *value > static_cast<Value>(spec->max)) {
     AddValueError(aSection, *entry);
     return std::nullopt;
   }
@@ -192,16 +194,9 @@
 
 void IniReader::Read(const IniSection& aSection, const char* aKey, double& aTarget)
 {
-  const IniEntry* entry = aSection.Find(aKey);
   const KeySpec* spec = FindSpec(aSection, aKey);
-  if (entry && spec && spec->type == ValueType::Number) {
-    const auto value = ParseNumber(entry->value);
-    if (value && *value >= static_cast<double>(spec->min) &&
-        *value <= static_cast<double>(spec->max)) {
-      aTarget = *value;
-    } else {
-      AddValueError(aSection, *entry);
-    }
+  if (spec && spec->type == ValueType::Number) {
+    aTarget = ReadNumber(aSection, aKey, ParseNumber).value_or(aTarget);
     return;
   }
   constexpr double kHundredths = 100.0;
--- a/cuminfield/process/settings/IniReader.h
+++ b/cuminfield/process/settings/IniReader.h
@@ -106,8 +106,8 @@
   /// Parses the value with aParse and checks it against the key's range. Records an error when it
   /// is invalid; returns nullopt then and when the key is absent.
   template<typename Parse>
-  std::optional<std::int64_t> ReadNumber(const IniSection& aSection, const char* aKey,
-                                         Parse aParse);
+  auto ReadNumber(const IniSection& aSection, const char* aKey, Parse aParse)
+    -> decltype(aParse(std::string()));
 
   std::string mFileName;
   std::span<const KeySpec> mKeySpecs;
