platform: weights may be fractions, and no valid configuration is refused for a number

Callers (operators) saw: a configuration with a weight of 12.5 got 400, which ends the call: it was never acknowledged.

Cause: weights were read as whole numbers up to 2^32. By the same cause a timeout below a microsecond was rounded to 0 and refused.

Change: weights are doubles from the parser to the choice of a service; a timeout above 0 stays above it. Rounding must not leave a request to a service with weight 0, so the choice falls back to the last one with a weight.

ConfigurationText, NumbersAreUsedAsTheyAreChecked, expected a weight of 2^32 and a timeout of 0.0005 ms to be refused, because hosts used other numbers. They now use what is written; the test checks that, and WeightsMayBeAnyNumbersFromZeroOn reads back each weight, a large one among them. Negative weights, texts and sums that are not finite are refused as before.

--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -135,16 +135,16 @@
 }
 
 /// Guards against a number that is accepted as it is written, while hosts use another one because
-/// it doesn't fit: weights that add up to 0, a timeout of 0, the highest rank for the lowest.
+/// it doesn't fit: a timeout of 0, the highest rank for the lowest.
 TEST(ConfigurationText, NumbersAreUsedAsTheyAreChecked)
 {
   const nlohmann::json valid = body;
   const std::uint64_t tooLarge = 1UL << 32U;
-  body["routes"][1]["split"] = { { { "service", "s1" }, { "weight", tooLarge } } };
-  ExpectInvalid();
+  body["routes"][0]["timeout_ms"] = 0.0001;
+  const auto shortest = platform::ParseConfiguration(body.dump());
+  CHECK(shortest.has_value());
+  CHECK(shortest.value().routes[0].timeout > core::Duration::zero());
   body = valid;
-  body["routes"][0]["timeout_ms"] = 0.0005;
-  ExpectInvalid();
   body["routes"][0]["timeout_ms"] = 1e300;
   body["routes"][0]["max_attempts"] = tooLarge;
   body["routes"][0]["priority"] = tooLarge;
@@ -156,6 +156,27 @@
   CHECK(route.maxAttempts > 2 && route.rank > 1000 && parsed.value().workspaces[0].rank > 1000);
 }
 
+/// Guards against a valid configuration that is refused, and so never acknowledged, because a weight
+/// is no whole number or a large one.
+TEST(ConfigurationText, WeightsMayBeAnyNumbersFromZeroOn)
+{
+  auto& split = body["routes"][1]["split"];
+  for (const double it : { 12.5, 0.0, 1e-9, 99.99, 4294967296.0, 1e300 }) {
+    split[0]["weight"] = it;
+    split[1]["weight"] = 0.25;
+    const auto parsed = platform::ParseConfiguration(body.dump());
+    CHECK(parsed.has_value());
+    const auto& shares = parsed.value().routes[1].services;
+    DOUBLES_EQUAL(it, shares[0].weight, 0);
+    DOUBLES_EQUAL(0.25, shares[1].weight, 0);
+  }
+  for (const char* it : { "-0.5", "-1", R"("50")", "null", "1e308" }) {
+    split[0]["weight"] = nlohmann::json::parse(it);
+    split[1]["weight"] = 1e308;
+    ExpectInvalid();
+  }
+}
+
 TEST(ConfigurationText, UnknownFieldsAreIgnored)
 {
   body["routes"][0]["later"] = { 1, 2 };
--- a/UnitTests/version/catalogue/CatalogueDifferenceTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueDifferenceTest.cpp
@@ -72,8 +72,8 @@
   route("host", "", "h");
   after.routes[1].pathPrefix = "/a";
   route("pathPrefix", "", "/a");
-  after.routes[1].services.push_back({ .service = core::ServiceId("t"), .weight = 3 });
-  route("services", "s 1", "s 1, t 3");
+  after.routes[1].services.push_back({ .service = core::ServiceId("t"), .weight = 12.5 });
+  route("services", "s 1", "s 1, t 12.5");
   after.routes[1].stream = true;
   route("stream", "false", "true");
   after.routes[1].idempotent = true;
--- a/UnitTests/version/catalogue/CatalogueIndexTest.cpp
+++ b/UnitTests/version/catalogue/CatalogueIndexTest.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
+
 using namespace cuminfield;
 using namespace cuminfield::version::catalogue;
 
@@ -77,6 +79,21 @@
   STRCMP_EQUAL("c", CatalogueIndex::ChooseService(route, 0.999).Text().c_str());
 }
 
+/// Guards against requests that run at a service with weight 0, which rounding has left for the
+/// last.
+TEST(CatalogueIndex, ServiceWithoutWeightIsNeverChosen)
+{
+  RouteRule route = MakeRoute("r", "h", "/");
+  for (const double weight : { 0.1, 0.3, 12.5, 1e-300, 1e300 }) {
+    route.services.assign(11, { .service = core::ServiceId("a"), .weight = weight });
+    route.services.front() = { .service = core::ServiceId("first"), .weight = 0 };
+    route.services.back() = { .service = core::ServiceId("last"), .weight = 0 };
+    for (const double point : { 0.0, 0.5, std::nextafter(1.0, 0.0) }) {
+      STRCMP_EQUAL("a", CatalogueIndex::ChooseService(route, point).Text().c_str());
+    }
+  }
+}
+
 /// Guards against a route's restriction that is lost because another route has the same id, and
 /// against sets that grow with the number of routes and workspaces.
 TEST(CatalogueIndex, KeepsTheRegionsThatRouteAndWorkspaceAllow)
--- a/cuminfield/version/catalogue/Catalogue.h
+++ b/cuminfield/version/catalogue/Catalogue.h
@@ -15,7 +15,7 @@
 struct ServiceShare
 {
   core::ServiceId service;
-  std::uint32_t weight = 0; ///< Relative to the route's other services.
+  double weight = 0; ///< Relative to the route's other services.
 };
 
 /// Maps requests to services and sets the limits and latency targets for callers.
--- a/cuminfield/version/catalogue/CatalogueDifference.cpp
+++ b/cuminfield/version/catalogue/CatalogueDifference.cpp
@@ -46,7 +46,7 @@
   std::string text;
   for (const ServiceShare& it : aShares) {
     text += text.empty() ? "" : ", ";
-    text += it.service.Text() + " " + std::to_string(it.weight);
+    text += it.service.Text() + " " + Format(it.weight);
   }
   return text;
 }
--- a/cuminfield/version/catalogue/CatalogueIndex.cpp
+++ b/cuminfield/version/catalogue/CatalogueIndex.cpp
@@ -159,13 +159,19 @@
     total += it.weight;
   }
   double remaining = aPoint * total;
+  const core::ServiceId* chosen = &aRoute.services.back().service;
   for (const ServiceShare& it : aRoute.services) {
+    if (it.weight <= 0) {
+      continue;
+    }
+    chosen = &it.service;
     remaining -= it.weight;
-    if (remaining < 0 && it.weight > 0) {
-      return it.service;
+    if (remaining < 0) {
+      break;
     }
   }
-  return aRoute.services.back().service;
+  // By rounding, something may remain after the last one.
+  return *chosen;
 }
 
 } // namespace cuminfield::version::catalogue
