log: the first start of a control group needs no agreement

Cause: blank seeds had to announce themselves to each other and agree on a set of incarnations. A host that was killed came back with first-start = no, which took away its right to agree, and the others waited for it. Class: a decision that needs all hosts of a group, where a majority must do.

Change: where the settings tell of the first start, all seeds have empty disks and the same list. Each stores incarnation 1 and the same first entry, with all seeds of that incarnation as voters, as the first record of its file, without a message. From then on a majority elects a leader. A host that was killed before it stored anything joins with another incarnation, as after the loss of a disk. Closed groups, whose settings do not tell, found by agreement as before.

LogCluster hosts are told of the first start once, as on the platform; before, a seed could found a group at each start.

--- a/UnitTests/process/log/FileLogStorageTest.cpp
+++ b/UnitTests/process/log/FileLogStorageTest.cpp
@@ -111,7 +111,7 @@
   constexpr std::uint64_t kOperations = 30;
   for (int i = 0; i < kCrashes; ++i) {
     FileLogStorage storage(MakeOptions(disk));
-    const auto contents = storage.Load(kFirstIncarnation);
+    const auto contents = storage.Load({ .incarnation = kFirstIncarnation });
     if (!contents || contents.value().incarnation != kFirstIncarnation) {
       return false;
     }
@@ -175,7 +175,7 @@
   constexpr std::uint64_t kOperations = 60;
   for (int i = 0; i < kCrashes; ++i) {
     FileLogStorage storage(MakeOptions(disk));
-    const auto contents = storage.Load(kFirstIncarnation);
+    const auto contents = storage.Load({ .incarnation = kFirstIncarnation });
     if (!contents || contents.value().incarnation != kFirstIncarnation) {
       return false;
     }
@@ -224,12 +224,14 @@
 {
   MemoryDisk disk;
   FileLogStorage first(MakeOptions(disk));
-  CHECK(kFirstIncarnation == first.Load(kFirstIncarnation).value().incarnation);
+  CHECK(kFirstIncarnation == first.Load({ .incarnation = kFirstIncarnation }).value().incarnation);
   FileLogStorage second(MakeOptions(disk));
-  CHECK(kFirstIncarnation == second.Load(kSecondIncarnation).value().incarnation);
+  CHECK(kFirstIncarnation ==
+        second.Load({ .incarnation = kSecondIncarnation }).value().incarnation);
   disk.Erase();
   FileLogStorage third(MakeOptions(disk));
-  CHECK(kSecondIncarnation == third.Load(kSecondIncarnation).value().incarnation);
+  CHECK(kSecondIncarnation ==
+        third.Load({ .incarnation = kSecondIncarnation }).value().incarnation);
 }
 
 /// Guards against batches written behind a torn tail, where they cannot be read. A start on a full
@@ -241,16 +243,16 @@
     Model model;
     core::Random random(seed);
     FileLogStorage first(MakeOptions(disk));
-    CHECK(first.Load(kFirstIncarnation).has_value());
+    CHECK(first.Load({ .incarnation = kFirstIncarnation }).has_value());
     CHECK(StoreBatch(first, GenerateBatch(model, random)));
     disk.Bytes(kPath) += "torn";
     disk.SetTruncateFails(true);
     FileLogStorage second(MakeOptions(disk));
-    CHECK(MatchesModel(second.Load(kSecondIncarnation).value(), model));
+    CHECK(MatchesModel(second.Load({ .incarnation = kSecondIncarnation }).value(), model));
     disk.SetTruncateFails(false);
     CHECK(StoreBatch(second, GenerateBatch(model, random)));
     FileLogStorage third(MakeOptions(disk));
-    const auto contents = third.Load(kSecondIncarnation);
+    const auto contents = third.Load({ .incarnation = kSecondIncarnation });
     CHECK(contents.has_value());
     CHECK(MatchesModel(contents.value(), model));
   }
@@ -260,7 +262,7 @@
 {
   MemoryDisk disk;
   FileLogStorage storage(MakeOptions(disk));
-  CHECK(storage.Load(kFirstIncarnation).has_value());
+  CHECK(storage.Load({ .incarnation = kFirstIncarnation }).has_value());
   Model model;
   core::Random random(1);
   std::size_t acknowledged = 0;
@@ -273,7 +275,7 @@
     disk.Bytes(kPath) = intact;
     disk.Bytes(kPath)[i] = static_cast<char>(intact[i] ^ 1);
     FileLogStorage reloaded(MakeOptions(disk));
-    const auto contents = reloaded.Load(kFirstIncarnation);
+    const auto contents = reloaded.Load({ .incarnation = kFirstIncarnation });
     if (contents.has_value()) {
       // Only a seal may be damaged without an error; everything must then still be present.
       CHECK(MatchesModel(contents.value(), model));
@@ -305,7 +307,8 @@
   constexpr int kRestarts = 10;
   for (int i = 0; i < kRestarts; ++i) {
     FileLogStorage storage(options);
-    const auto contents = storage.Load(core::Incarnation(static_cast<std::uint64_t>(i) + 1));
+    const auto contents =
+      storage.Load({ .incarnation = core::Incarnation(static_cast<std::uint64_t>(i) + 1) });
     CHECK(contents.has_value());
     CHECK(core::Incarnation(1) == contents.value().incarnation);
     CHECK(MatchesModel(contents.value(), model));
@@ -314,6 +317,6 @@
   PosixDisk secondDisk;
   FileLogStorage second({ .folder = folder, .group = kGroup, .disk = secondDisk });
   // The last storage of the loop above still holds the lock.
-  CHECK(second.Load(kFirstIncarnation).error().kind == core::ErrorKind::Io);
+  CHECK(second.Load({ .incarnation = kFirstIncarnation }).error().kind == core::ErrorKind::Io);
   std::filesystem::remove_all(folder);
 }
--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/process/log/LogCluster.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminfield::unit_tests::log {
 
@@ -44,10 +45,12 @@
   }
 }
 
-core::Result<process::log::LogContents> SlowStorage::Load(core::Incarnation aNewIncarnation)
+core::Result<process::log::LogContents> SlowStorage::Load(process::log::LogContents aInitial)
 {
-  const bool forced = mForcedIncarnation != core::Incarnation();
-  return mInner.Load(forced ? mForcedIncarnation : aNewIncarnation);
+  if (mForcedIncarnation != core::Incarnation()) {
+    aInitial.incarnation = mForcedIncarnation;
+  }
+  return mInner.Load(std::move(aInitial));
 }
 
 void SlowStorage::Persist(process::log::PersistBatch aBatch, Completion aDone)
@@ -56,7 +59,19 @@
   auto batch = std::make_shared<process::log::PersistBatch>(std::move(aBatch));
   mPersistTimer =
     mTimers.ScheduleAfter(core::Duration(mRandom.UniformBelow(kMaxDelayMicros)),
-                          [this, batch, aDone] { mInner.Persist(std::move(*batch), aDone); });
+                          [this, batch, aDone] { PersistUnlessStalled(batch, aDone); });
+}
+
+void SlowStorage::PersistUnlessStalled(const std::shared_ptr<process::log::PersistBatch>& aBatch,
+                                       const Completion& aDone)
+{
+  if (mIsStalled) {
+    constexpr core::Duration kRetryInterval = 5ms;
+    mPersistTimer = mTimers.ScheduleAfter(
+      kRetryInterval, [this, aBatch, aDone] { PersistUnlessStalled(aBatch, aDone); });
+    return;
+  }
+  mInner.Persist(std::move(*aBatch), aDone);
 }
 
 LogCluster::LogCluster(ClusterSettings aSettings)
@@ -106,8 +121,8 @@
   host.fileStorage =
     std::make_unique<process::log::FileLogStorage>(process::log::FileLogStorageOptions{
       .folder = "data", .group = core::GroupId("g"), .disk = host.disk });
-  host.storage =
-    std::make_unique<SlowStorage>(*host.fileStorage, *host.timers, mRandom, host.forcedIncarnation);
+  host.storage = std::make_unique<SlowStorage>(*host.fileStorage, *host.timers, mRandom,
+                                               host.forcedIncarnation, host.diskStalled);
   host.stateMachine = std::make_unique<ListStateMachine>(*this);
   process::log::LogGroupSettings settings = mSettings.group;
   settings.snapshotAfterEntries = 40;
@@ -115,11 +130,14 @@
   settings.log.snapshotChunkBytes = 300;
   settings.log.openGroupVoters = mSettings.openGroupVoters;
   const bool open = mSettings.openGroupVoters > 0;
+  const bool isFirstStart =
+    mIsFirstStart && !std::exchange(host.hasStarted, true) && aHost < mSettings.seedHosts;
   host.group = std::make_unique<process::log::LogGroup>(
     process::log::LogGroupOptions{ .group = core::GroupId("g"),
                                    .self = mIds[aHost],
                                    .voters = mSeedIds,
-                                   .mayFoundGroup = !open || aHost < mSettings.seedHosts,
+                                   .mayFoundGroup = !open,
+                                   .isFirstStart = open && isFirstStart,
                                    .peers = *host.links,
                                    .timers = *host.timers,
                                    .storage = *host.storage,
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -51,27 +51,33 @@
   std::vector<std::string> mCommands;
 };
 
-/// Delays each batch, so that a host can be killed while one is being stored.
+/// Delays each batch, so that a host can be killed while one is being stored. While the disk is
+/// stalled, batches wait.
 class SlowStorage : public process::log::LogStorage
 {
 public:
   SlowStorage(process::log::LogStorage& aInner, core::TimerService& aTimers, core::Random& aRandom,
-              core::Incarnation aForcedIncarnation)
+              core::Incarnation aForcedIncarnation, const bool& aIsStalled)
     : mInner(aInner)
     , mTimers(aTimers)
     , mRandom(aRandom)
     , mForcedIncarnation(aForcedIncarnation)
+    , mIsStalled(aIsStalled)
   {
   }
-  core::Result<process::log::LogContents> Load(core::Incarnation aNewIncarnation) override;
+  core::Result<process::log::LogContents> Load(process::log::LogContents aInitial) override;
   void Persist(process::log::PersistBatch aBatch, Completion aDone) override;
 
 private:
+  void PersistUnlessStalled(const std::shared_ptr<process::log::PersistBatch>& aBatch,
+                            const Completion& aDone);
+
   process::log::LogStorage& mInner;
   core::TimerService& mTimers;
   core::Random& mRandom;
   /// Planted fault: the incarnation that a blank disk gets.
   const core::Incarnation mForcedIncarnation;
+  const bool& mIsStalled;
   core::TimerHandle mPersistTimer;
 };
 
@@ -79,7 +85,7 @@
 struct ClusterSettings
 {
   std::size_t hosts = 3;             ///< Number of hosts; in a closed group all of them vote.
-  std::size_t seedHosts = 0;         ///< Hosts that found an open group; its first seeds.
+  std::size_t seedHosts = 0;         ///< Hosts that found an open group at their first start.
   std::uint32_t openGroupVoters = 0; ///< Target number of voters of an open group; 0: closed.
   std::uint64_t seed = 1;
   double lossProbability = 0.0;
@@ -108,6 +114,9 @@
 
   void StartHost(std::size_t aHost);
 
+  /// Hosts of an open group that start from now on are not told that it is the first start.
+  void EndFirstStart() { mIsFirstStart = false; }
+
   /// Sets the hosts that the settings of an open group name from now on, at each start of a host.
   void SetSeeds(const std::vector<std::size_t>& aSeeds);
 
@@ -119,6 +128,9 @@
   void LoseDiskKeepingIncarnation(std::size_t aHost);
   MemoryDisk& Disk(std::size_t aHost) { return mHosts[aHost].disk; }
 
+  /// While its disk is stalled, a host stores nothing.
+  void SetDiskStalled(std::size_t aHost, bool aStalled) { mHosts[aHost].diskStalled = aStalled; }
+
   /// Blocks or unblocks messages from one host to another.
   void SetLinkBlocked(std::size_t aFrom, std::size_t aTo, bool aBlocked);
   void SetIsolated(std::size_t aHost, bool aIsolated);
@@ -179,8 +191,10 @@
     std::unique_ptr<ListStateMachine> stateMachine;
     std::unique_ptr<process::log::LogGroup> group;
     core::Incarnation forcedIncarnation;
+    bool diskStalled = false;
     double clockRate = 1.0;
     bool failed = false;
+    bool hasStarted = false;
     core::Instant stalledUntil{};
     std::vector<std::pair<core::HostId, process::peer::PeerMessage>> unread; ///< While stalled.
   };
@@ -204,6 +218,7 @@
   core::Instant mNow;
   std::vector<core::HostId> mIds;
   std::vector<core::HostId> mSeedIds;
+  bool mIsFirstStart = true;
   std::vector<Host> mHosts;
   test_framework::time::ManualTimerService mRemoteTimers;
   ClusterLinks mRemoteLinks;
--- a/UnitTests/process/log/ThreadedLogStorageTest.cpp
+++ b/UnitTests/process/log/ThreadedLogStorageTest.cpp
@@ -20,7 +20,7 @@
   std::promise<std::function<void()>> posted;
   ThreadedLogStorage storage(
     { .inner = files, .post = [&](const std::function<void()>& aJob) { posted.set_value(aJob); } });
-  CHECK(storage.Load(core::Incarnation(1)).has_value());
+  CHECK(storage.Load({ .incarnation = core::Incarnation(1) }).has_value());
   PersistBatch batch;
   batch.hardState.set_term(5);
   std::thread::id doneOn;
@@ -31,5 +31,5 @@
   posted.get_future().get()();
   CHECK(std::this_thread::get_id() == doneOn);
   FileLogStorage again({ .folder = "data", .group = core::GroupId("g"), .disk = disk });
-  LONGS_EQUAL(5, again.Load(core::Incarnation(2)).value().hardState.term());
+  LONGS_EQUAL(5, again.Load({ .incarnation = core::Incarnation(2) }).value().hardState.term());
 }
--- a/cuminfield/process/log/FileLogStorage.cpp
+++ b/cuminfield/process/log/FileLogStorage.cpp
@@ -94,7 +94,7 @@
 {
 }
 
-core::Result<LogContents> FileLogStorage::Load(core::Incarnation aNewIncarnation)
+core::Result<LogContents> FileLogStorage::Load(LogContents aInitial)
 {
   BOOST_OUTCOME_TRYV(mDisk.MakeFolder(mGroupFolder));
   BOOST_OUTCOME_TRYV(mDisk.SyncFolder(mDataFolderParent));
@@ -103,20 +103,22 @@
   BOOST_OUTCOME_TRYV(mDisk.Remove(mNewFilePath));
   BOOST_OUTCOME_TRY(bytes, mDisk.Read(mFilePath));
   if (!bytes) {
-    return CreateFile(aNewIncarnation);
+    return CreateFile(std::move(aInitial));
   }
   return ParseFile(*bytes);
 }
 
-core::Result<LogContents> FileLogStorage::CreateFile(core::Incarnation aIncarnation)
+core::Result<LogContents> FileLogStorage::CreateFile(LogContents aInitial)
 {
-  mIncarnation = aIncarnation;
+  mIncarnation = aInitial.incarnation;
   proto::Record first;
-  first.set_incarnation(aIncarnation.Value());
+  first.set_incarnation(mIncarnation.Value());
+  *first.mutable_hard_state() = aInitial.hardState;
+  for (const proto::Entry& it : aInitial.entries) {
+    *first.add_entries() = it;
+  }
   BOOST_OUTCOME_TRYV(ReplaceFile(first));
-  LogContents contents;
-  contents.incarnation = aIncarnation;
-  return contents;
+  return aInitial;
 }
 
 core::Result<LogContents> FileLogStorage::ParseFile(const std::string& aBytes)
--- a/cuminfield/process/log/FileLogStorage.h
+++ b/cuminfield/process/log/FileLogStorage.h
@@ -33,7 +33,7 @@
 public:
   explicit FileLogStorage(FileLogStorageOptions aOptions);
 
-  core::Result<LogContents> Load(core::Incarnation aNewIncarnation) override;
+  core::Result<LogContents> Load(LogContents aInitial) override;
   void Persist(PersistBatch aBatch, Completion aDone) override;
 
 private:
@@ -46,7 +46,7 @@
   /// Writes a new file that starts with this record and renames it over the old one.
   core::Result<void> ReplaceFile(const proto::Record& aFirst);
 
-  core::Result<LogContents> CreateFile(core::Incarnation aIncarnation);
+  core::Result<LogContents> CreateFile(LogContents aInitial);
   core::Result<LogContents> ParseFile(const std::string& aBytes);
   core::Result<void> ApplyRecord(proto::Record aRecord, LogContents& aContents) const;
   core::Result<void> RecoverTail(const std::string& aBytes, std::uint64_t aValidSize);
--- a/cuminfield/process/log/Founding.cpp
+++ b/cuminfield/process/log/Founding.cpp
@@ -5,12 +5,44 @@
 
 namespace cuminfield::process::log {
 
+namespace {
+
+/// Term of the entry that founds a group: the same on every founder, before any election.
+constexpr std::uint64_t kFoundingTerm = 1;
+
+/// Incarnation of the hosts that start for the first time. Others are times in microseconds,
+/// shifted to the left.
+constexpr core::Incarnation kFirstIncarnation(1);
+
+} // namespace
+
 Founding::Founding(Member aSelf, std::vector<core::HostId> aVoters)
   : mSelf(std::move(aSelf))
   , mVoters(std::move(aVoters))
 {
 }
 
+proto::Entry Founding::MakeFirstEntry(const Configuration& aFounders)
+{
+  proto::Entry entry;
+  entry.set_index(1);
+  entry.set_term(kFoundingTerm);
+  *entry.mutable_configuration() = ToProto(aFounders);
+  return entry;
+}
+
+LogContents Founding::MakeFirstContents(const std::vector<core::HostId>& aHosts)
+{
+  Configuration founders;
+  for (const core::HostId& it : aHosts) {
+    founders = founders.WithVoter({ .host = it, .incarnation = kFirstIncarnation });
+  }
+  LogContents contents{ .incarnation = kFirstIncarnation };
+  contents.hardState.set_term(kFoundingTerm);
+  contents.entries.push_back(MakeFirstEntry(founders));
+  return contents;
+}
+
 void Founding::RecordAnnouncement(const Member& aMember, bool aHoldsState,
                                   const Configuration& aAgreedFounders)
 {
--- a/cuminfield/process/log/Founding.h
+++ b/cuminfield/process/log/Founding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminfield/process/log/Configuration.h"
+#include "cuminfield/process/log/LogStorage.h"
 
 #include <map>
 #include <optional>
@@ -8,14 +9,25 @@
 
 namespace cuminfield::process::log {
 
-/// Decides when a group may be founded: only when every voter of the settings is blank and all of
-/// them have durably agreed to the same set of incarnations. An incarnation agrees to at most one
-/// set, so two foundings never share a voter, even if messages are late or repeated.
+/// Decides when a group whose hosts do not know whether they start for the first time may be
+/// founded: only when every voter of the settings is blank and all of them have durably agreed to
+/// the same set of incarnations. An incarnation agrees to at most one set, so two foundings never
+/// share a voter, even if messages are late or repeated.
+///
+/// Hosts that do know it need no agreement, see MakeFirstContents().
 class Founding
 {
 public:
   Founding(Member aSelf, std::vector<core::HostId> aVoters);
 
+  /// The entry that founds a group, the same at every founder.
+  static proto::Entry MakeFirstEntry(const Configuration& aFounders);
+
+  /// What a host of the settings stores when all of them start for the first time, with empty disks
+  /// and the same settings. Each gets the same incarnation, which no host gets at another time, so
+  /// all know the founders without a message.
+  static LogContents MakeFirstContents(const std::vector<core::HostId>& aHosts);
+
   /// Records what another host announced.
   void RecordAnnouncement(const Member& aMember, bool aHoldsState,
                           const Configuration& aAgreedFounders);
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -44,7 +44,9 @@
 core::Result<void> LogGroup::Start()
 {
   const auto incarnation = MakeIncarnation(mOptions.timers.WallNow(), mOptions.random);
-  BOOST_OUTCOME_TRY(contents, mOptions.storage.Load(incarnation));
+  BOOST_OUTCOME_TRY(contents, mOptions.storage.Load(mOptions.isFirstStart
+                                                      ? Founding::MakeFirstContents(mOptions.voters)
+                                                      : LogContents{ .incarnation = incarnation }));
   // Hosts with the same seed must not draw the same election timeouts, or votes would be split
   // forever.
   const core::Random random(mOptions.random.Bits() ^ contents.incarnation.Value());
--- a/cuminfield/process/log/LogGroup.h
+++ b/cuminfield/process/log/LogGroup.h
@@ -49,7 +49,10 @@
   core::GroupId group;
   core::HostId self;
   std::vector<core::HostId> voters; ///< The group's hosts in the settings.
-  bool mayFoundGroup = true;        ///< False: only joins a group that other hosts have founded.
+  /// Founds the group together with the other voters, if all of them are blank.
+  bool mayFoundGroup = true;
+  /// All of `voters` start for the first time, with empty disks: they are the group's first voters.
+  bool isFirstStart = false;
   peer::PeerLinks& peers;
   core::TimerService& timers;
   LogStorage& storage;
--- a/cuminfield/process/log/LogStorage.h
+++ b/cuminfield/process/log/LogStorage.h
@@ -14,9 +14,9 @@
 struct LogContents
 {
   core::Incarnation incarnation; ///< The incarnation of this data folder.
-  proto::HardState hardState;
-  std::shared_ptr<const proto::Snapshot> snapshot; ///< Null when there is none.
-  std::vector<proto::Entry> entries; ///< The entries after the snapshot, without gaps.
+  proto::HardState hardState{};
+  std::shared_ptr<const proto::Snapshot> snapshot{}; ///< Null when there is none.
+  std::vector<proto::Entry> entries{}; ///< The entries after the snapshot, without gaps.
 };
 
 /// A batch becomes durable as a whole: after a crash, all or none of it is stored.
@@ -36,9 +36,10 @@
 
   virtual ~LogStorage() = default;
 
-  /// Loads what is stored. A folder without state durably gets aNewIncarnation as its incarnation.
-  /// Fails with Corrupt when acknowledged bytes are damaged; the message names the remedy.
-  virtual core::Result<LogContents> Load(core::Incarnation aNewIncarnation) = 0;
+  /// Loads what is stored. A folder without state durably gets aInitial, as a whole, which has no
+  /// snapshot. Fails with Corrupt when acknowledged bytes are damaged; the message names the
+  /// remedy.
+  virtual core::Result<LogContents> Load(LogContents aInitial) = 0;
 
   /// Makes a batch durable and then calls aDone on the event loop's thread, possibly before
   /// returning. Only one batch may be pending. After DiskFull nothing of the batch counts as
--- a/cuminfield/process/log/ReplicatedLog.h
+++ b/cuminfield/process/log/ReplicatedLog.h
@@ -68,8 +68,9 @@
   core::GroupId group;
   core::HostId self;
   std::vector<core::HostId> voters; ///< The group's hosts in the settings.
-  bool mayFoundGroup = true;        ///< False: only joins a group that other hosts have founded.
-  LogContents contents;             ///< As loaded from storage.
+  /// Founds the group together with the other voters, if all of them are blank.
+  bool mayFoundGroup = true;
+  LogContents contents; ///< As loaded from storage.
   core::Random random;
   core::Instant now;
   ReplicatedLogSettings settings;
--- a/cuminfield/process/log/ReplicatedLogMembership.cpp
+++ b/cuminfield/process/log/ReplicatedLogMembership.cpp
@@ -20,9 +20,6 @@
 /// lose each other for minutes.
 constexpr core::Duration kContactRetention = std::chrono::hours(1);
 
-/// Term of the entry that founds a group: the same on every founder, before any election.
-constexpr std::uint64_t kFoundingTerm = 1;
-
 } // namespace
 
 bool ReplicatedLog::HoldsGroupState() const
@@ -136,11 +133,8 @@
 
 void ReplicatedLog::FoundGroup()
 {
-  proto::Entry entry;
-  entry.set_index(1);
-  entry.set_term(kFoundingTerm);
-  *entry.mutable_configuration() = ToProto(mFounding.AgreedFounders());
-  mTerm = std::max(mTerm, kFoundingTerm);
+  proto::Entry entry = Founding::MakeFirstEntry(mFounding.AgreedFounders());
+  mTerm = std::max(mTerm, entry.term());
   mHardStateDirty = true;
   mLog.Append(std::move(entry));
   OnConfigurationChanged();
--- a/cuminfield/process/log/ThreadedLogStorage.cpp
+++ b/cuminfield/process/log/ThreadedLogStorage.cpp
@@ -23,9 +23,9 @@
   mThread.join();
 }
 
-core::Result<LogContents> ThreadedLogStorage::Load(core::Incarnation aNewIncarnation)
+core::Result<LogContents> ThreadedLogStorage::Load(LogContents aInitial)
 {
-  return mInner.Load(aNewIncarnation);
+  return mInner.Load(std::move(aInitial));
 }
 
 void ThreadedLogStorage::Persist(PersistBatch aBatch, Completion aDone)
--- a/cuminfield/process/log/ThreadedLogStorage.h
+++ b/cuminfield/process/log/ThreadedLogStorage.h
@@ -34,7 +34,7 @@
   ThreadedLogStorage& operator=(const ThreadedLogStorage&) = delete;
 
   /// Blocking; called once, before anything is persisted.
-  core::Result<LogContents> Load(core::Incarnation aNewIncarnation) override;
+  core::Result<LogContents> Load(LogContents aInitial) override;
 
   void Persist(PersistBatch aBatch, Completion aDone) override;
 
