log: election timeouts differ between hosts of one incarnation

Founders have had the same incarnation since the last change of the founding, and only the incarnation told hosts apart whose random numbers are the same, as in a container or a simulation without entropy. Their votes would be split at each election, for good. The host's name goes into the seed, too; a seed that the settings name twice is one founder.

--- a/UnitTests/process/log/FirstStartTest.cpp
+++ b/UnitTests/process/log/FirstStartTest.cpp
@@ -144,6 +144,24 @@
   }
 }
 
+/// Guards against votes that are split forever: founders have the same incarnation, so it does not
+/// tell their election timeouts apart.
+TEST(OpenGroupFirstStart, HostsWithTheSameRandomnessElectALeader)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LogCluster cluster({ .hosts = kHosts,
+                         .seedHosts = kHosts,
+                         .openGroupVoters = kHosts,
+                         .seed = seed,
+                         .sameRandomness = true,
+                         .group = process::cluster::MakeControlGroupSettings(kHosts) });
+    for (std::size_t n = 0; n < kHosts; ++n) {
+      cluster.StartHost(n);
+    }
+    CHECK(cluster.RunUntil(kCalm, [&] { return cluster.AllHostsVote(); }));
+  }
+}
+
 /// Guards against a group that is never founded: a host that was killed before the last one's start
 /// came back without the right to found it, and the others waited for it.
 TEST(OpenGroupFirstStart, HostThatWasKilledComesBack)
--- a/UnitTests/process/log/LogCluster.cpp
+++ b/UnitTests/process/log/LogCluster.cpp
@@ -132,18 +132,18 @@
   const bool open = mSettings.openGroupVoters > 0;
   const bool isFirstStart =
     mIsFirstStart && !std::exchange(host.hasStarted, true) && aHost < mSettings.seedHosts;
-  host.group = std::make_unique<process::log::LogGroup>(
-    process::log::LogGroupOptions{ .group = core::GroupId("g"),
-                                   .self = mIds[aHost],
-                                   .voters = mSeedIds,
-                                   .mayFoundGroup = !open,
-                                   .isFirstStart = open && isFirstStart,
-                                   .peers = *host.links,
-                                   .timers = *host.timers,
-                                   .storage = *host.storage,
-                                   .stateMachine = *host.stateMachine,
-                                   .random = core::Random(mRandom.Bits()),
-                                   .settings = settings });
+  host.group = std::make_unique<process::log::LogGroup>(process::log::LogGroupOptions{
+    .group = core::GroupId("g"),
+    .self = mIds[aHost],
+    .voters = mSeedIds,
+    .mayFoundGroup = !open,
+    .isFirstStart = open && isFirstStart,
+    .peers = *host.links,
+    .timers = *host.timers,
+    .storage = *host.storage,
+    .stateMachine = *host.stateMachine,
+    .random = core::Random(mSettings.sameRandomness ? 1 : mRandom.Bits()),
+    .settings = settings });
   host.group->OnFailure().connect([&host](const core::Error&) { host.failed = true; });
   const auto started = host.group->Start();
   // A blank host needs room for its first record; without it the process ends, as on a failed disk.
--- a/UnitTests/process/log/LogCluster.h
+++ b/UnitTests/process/log/LogCluster.h
@@ -92,6 +92,7 @@
   double duplicateProbability = 0.0;
   double delayProbability = 0.0; ///< For a delay of up to 300 ms, so that later ones overtake.
   double maxClockDrift = 0.0;    ///< Largest error of a host's clock, as a fraction.
+  bool sameRandomness = false;   ///< All hosts draw the same random numbers.
   double stallProbability = 0.0; ///< Of a stall of up to 1.5 s, in each of the runs' steps.
   process::log::LogGroupSettings group = {}; ///< Except for the number of voters and the snapshots.
 };
--- a/cuminfield/process/log/Founding.cpp
+++ b/cuminfield/process/log/Founding.cpp
@@ -35,7 +35,9 @@
 {
   Configuration founders;
   for (const core::HostId& it : aHosts) {
-    founders = founders.WithVoter({ .host = it, .incarnation = kFirstIncarnation });
+    if (!founders.FindVoter(it)) {
+      founders = founders.WithVoter({ .host = it, .incarnation = kFirstIncarnation });
+    }
   }
   LogContents contents{ .incarnation = kFirstIncarnation };
   contents.hardState.set_term(kFoundingTerm);
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/outcome/try.hpp>
 
+#include <functional>
+#include <string>
 #include <utility>
 
 namespace cuminfield::process::log {
@@ -48,8 +50,9 @@
                                                       ? Founding::MakeFirstContents(mOptions.voters)
                                                       : LogContents{ .incarnation = incarnation }));
   // Hosts with the same seed must not draw the same election timeouts, or votes would be split
-  // forever.
-  const core::Random random(mOptions.random.Bits() ^ contents.incarnation.Value());
+  // forever. Founders have the same incarnation, too.
+  const std::uint64_t own = std::hash<std::string>()(mOptions.self.Text());
+  const core::Random random(mOptions.random.Bits() ^ contents.incarnation.Value() ^ own);
   mLog.emplace(ReplicatedLogOptions{ .group = mOptions.group,
                                      .self = mOptions.self,
                                      .voters = mOptions.voters,
