--- a/UnitTests/platform/ConfigurationTextTest.cpp
+++ b/UnitTests/platform/ConfigurationTextTest.cpp
@@ -156,8 +156,8 @@
   CHECK(route.maxAttempts > 2 && route.rank > 1000 && parsed.value().workspaces[0].rank > 1000);
 }
 
-/// Guards against a valid configuration that is refused, and so never acknowledged, because a weight
-/// is no whole number or a large one.
+/// Guards against a valid configuration that is refused, and so never acknowledged, because a
+/// weight is no whole number or a large one.
 TEST(ConfigurationText, WeightsMayBeAnyNumbersFromZeroOn)
 {
   auto& split = body["routes"][1]["split"];
