--- a/UnitTests/process/log/FirstStartTest.cpp
+++ b/UnitTests/process/log/FirstStartTest.cpp
@@ -33,12 +33,13 @@
 class FirstStart
 {
 public:
-  FirstStart(std::uint64_t aSeed, std::size_t aVictim)
+  FirstStart(std::uint64_t aSeed, std::size_t aVictim, bool aSameRandomness = false)
     : mVictim(aVictim)
     , mCluster({ .hosts = kHosts,
                  .seedHosts = kHosts,
                  .openGroupVoters = kHosts,
                  .seed = aSeed,
+                 .sameRandomness = aSameRandomness,
                  .group = process::cluster::MakeControlGroupSettings(kHosts) })
   {
   }
@@ -149,16 +150,8 @@
 TEST(OpenGroupFirstStart, HostsWithTheSameRandomnessElectALeader)
 {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    LogCluster cluster({ .hosts = kHosts,
-                         .seedHosts = kHosts,
-                         .openGroupVoters = kHosts,
-                         .seed = seed,
-                         .sameRandomness = true,
-                         .group = process::cluster::MakeControlGroupSettings(kHosts) });
-    for (std::size_t n = 0; n < kHosts; ++n) {
-      cluster.StartHost(n);
-    }
-    CHECK(cluster.RunUntil(kCalm, [&] { return cluster.AllHostsVote(); }));
+    FirstStart start(seed, 0, true);
+    start.RunUndisturbed();
   }
 }
 
--- a/cuminfield/process/log/LogGroup.cpp
+++ b/cuminfield/process/log/LogGroup.cpp
@@ -3,7 +3,6 @@
 #include <boost/outcome/try.hpp>
 
 #include <functional>
-#include <string>
 #include <utility>
 
 namespace cuminfield::process::log {
@@ -51,7 +50,7 @@
                                                       : LogContents{ .incarnation = incarnation }));
   // Hosts with the same seed must not draw the same election timeouts, or votes would be split
   // forever. Founders have the same incarnation, too.
-  const std::uint64_t own = std::hash<std::string>()(mOptions.self.Text());
+  const std::uint64_t own = std::hash<core::HostId>()(mOptions.self);
   const core::Random random(mOptions.random.Bits() ^ contents.incarnation.Value() ^ own);
   mLog.emplace(ReplicatedLogOptions{ .group = mOptions.group,
                                      .self = mOptions.self,
